--- /dev/null
+++ b/programs/topazyard-storage/src/machine/counting.rs
@@ -0,0 +1,146 @@
+//! The counter's calls, and the parcel shards' reports to it.
+
+use super::hosted::{Waiting, Work};
+use super::{Out, StorageMachine};
+use crate::counter::Checked;
+use topazyard_types::{DurationMs, Epoch, MonotonicMs, NodeId, ShardId, Tokens};
+use topazyard_wire::Effect;
+use topazyard_wire::message::Message;
+use topazyard_wire::message::counter::{CounterBody, CounterMessage};
+
+/// How often a parcel shard reports its waiting cost.
+const REPORT_EVERY: DurationMs = DurationMs(250);
+/// How long a submission may wait for room below the ceiling.
+const RAISE_LIMIT: DurationMs = DurationMs(2_000);
+/// After how long a raise without a return is asked for again.
+const RAISE_AGAIN: DurationMs = DurationMs(300);
+
+impl StorageMachine {
+    pub(super) fn receive_counter(
+        &mut self,
+        sender: NodeId,
+        from: std::net::SocketAddr,
+        message: CounterMessage,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        if let CounterBody::WaitingSettled { shard, number, granted } = message.body {
+            self.settle_raise(shard, number, granted, out);
+            return;
+        }
+        let Some(hosted) = self.hosted.get_mut(&ShardId::COUNTER) else {
+            send(from, message.epoch, CounterBody::NotHere, out);
+            return;
+        };
+        let serving = hosted.is_serving_in(message.epoch);
+        let Work::Counter(counter) = &mut hosted.work else {
+            send(from, hosted.pair.epoch(), CounterBody::NotHere, out);
+            return;
+        };
+        if !serving {
+            send(from, hosted.pair.epoch(), CounterBody::NotHere, out);
+            return;
+        }
+        let view = &self.view;
+        match message.body {
+            CounterBody::Add(hold) => {
+                let (granted, changes) = match counter.add(sender, &hold, view, now) {
+                    Checked::Added(changes) => (true, changes),
+                    Checked::Refused => (false, Vec::new()),
+                    Checked::Gathering => {
+                        send(from, message.epoch, CounterBody::NotHere, out);
+                        return;
+                    }
+                };
+                let answer = CounterBody::Added { id: hold.id, granted };
+                hosted.submit(changes, Waiting::Counter(from, answer));
+            }
+            CounterBody::Release(id) => {
+                let changes = counter.release(sender, id);
+                if !changes.is_empty() {
+                    hosted.submit(changes, Waiting::Nobody);
+                }
+            }
+            CounterBody::Renew { number, up_to, holds, asked } => {
+                let changes = counter.renew(sender, up_to, &holds, &asked, view, now);
+                // A counter that can't grant yet leaves the lease unanswered: its relays are not ready.
+                let waiting = if counter.is_gathering(now) {
+                    Waiting::Nobody
+                } else {
+                    Waiting::Counter(from, CounterBody::Renewed { number })
+                };
+                hosted.submit(changes, waiting);
+            }
+            CounterBody::Waiting { shard, shard_epoch, number, total, asked } => {
+                let told = crate::counter::Report { shard_epoch, number, total };
+                let settled = counter.report(shard, told, asked, view, now);
+                if let Some((granted, changes)) = settled {
+                    let answer = CounterBody::WaitingSettled { shard, number, granted };
+                    hosted.submit(changes, Waiting::Counter(from, answer));
+                }
+            }
+            CounterBody::Added { .. }
+            | CounterBody::Renewed { .. }
+            | CounterBody::WaitingSettled { .. }
+            | CounterBody::NotHere => {}
+        }
+    }
+
+    /// Reports a shard's waiting cost, or asks for room for the next submission.
+    pub(super) fn report_waiting(&mut self, shard: ShardId, now: MonotonicMs, out: &mut Out) {
+        let Some(counter) = self.view.shards.get(&ShardId::COUNTER) else { return };
+        let (to, epoch) = (counter.primary.address, counter.epoch);
+        let Some(hosted) = self.hosted.get_mut(&shard) else { return };
+        let Work::Parcels(parcels) = &hosted.work else { return };
+        let raising = &mut hosted.raising;
+        let asks = raising.inbox.front().map(|s| s.items.iter().map(|item| item.cost).sum());
+        let due = match raising.asked {
+            Some((_, since)) => now.since(since) >= RAISE_AGAIN,
+            None => asks.is_some() || now.since(raising.last_report) >= REPORT_EVERY,
+        };
+        if !due || !hosted.pair.is_serving() {
+            return;
+        }
+        raising.last_number += 1;
+        raising.last_report = now;
+        raising.asked = asks.map(|_| (raising.last_number, now));
+        let (total, asked) = (parcels.waiting(), asks.unwrap_or(Tokens(0)));
+        let (shard_epoch, number) = (hosted.pair.epoch(), raising.last_number);
+        let body = CounterBody::Waiting { shard, shard_epoch, number, total, asked };
+        send(to, epoch, body, out);
+    }
+
+    fn settle_raise(&mut self, shard: ShardId, number: u64, granted: bool, out: &mut Out) {
+        let Some(hosted) = self.hosted.get_mut(&shard) else { return };
+        if hosted.raising.asked.is_none_or(|(asked, _)| asked != number) {
+            return;
+        }
+        hosted.raising.asked = None;
+        if let Some(submission) = hosted.raising.inbox.pop_front() {
+            self.settle_submission(shard, &submission, granted, out);
+        }
+    }
+
+    /// Gives up on submissions for which no room could be asked in time.
+    pub(super) fn drop_late_submissions(
+        &mut self,
+        shard: ShardId,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        let Some(hosted) = self.hosted.get_mut(&shard) else { return };
+        let epoch = hosted.pair.epoch();
+        while hosted.raising.inbox.front().is_some_and(|s| now.since(s.since) >= RAISE_LIMIT) {
+            hosted.raising.asked = None;
+            if let Some(late) = hosted.raising.inbox.pop_front() {
+                let answer = topazyard_wire::message::parcel::ParcelReturn::NotHere;
+                super::serving::send(shard, epoch, late.caller, answer, out);
+            }
+        }
+    }
+}
+
+pub(super) fn send(to: std::net::SocketAddr, epoch: Epoch, body: CounterBody, out: &mut Out) {
+    let message = Message::Counter(CounterMessage { epoch, body });
+    out.push(Effect::Send { to, message });
+}
--- /dev/null
+++ b/programs/topazyard-storage/src/machine/hosted.rs
@@ -0,0 +1,119 @@
+//! One shard's copy at this node.
+
+use crate::counter::Counter;
+use crate::parcels::Parcels;
+use topazyard_replication::{Pair, Ticket};
+use topazyard_types::{Epoch, MonotonicMs, ParcelId};
+use topazyard_wire::message::control::ShardWish;
+use topazyard_wire::message::counter::CounterBody;
+use topazyard_wire::message::parcel::{Item, ParcelReturn};
+
+/// What a shard's primary works with.
+#[derive(Debug)]
+pub(crate) enum Work {
+    /// It is not serving.
+    None,
+    /// The counter.
+    Counter(Counter),
+    /// Parcels.
+    Parcels(Parcels),
+}
+
+/// A shard's copy, and what its primary works with.
+#[derive(Debug)]
+pub(crate) struct Hosted {
+    pub(crate) pair: Pair,
+    pub(crate) work: Work,
+    pub(crate) waiting: std::collections::BTreeMap<Ticket, Waiting>,
+    pub(crate) last_ticket: Ticket,
+    /// A wish for another record, with when it was last sent; none while it is being synced.
+    pub(crate) wish: Option<(ShardWish, Option<MonotonicMs>)>,
+    pub(crate) raising: Raising,
+}
+
+/// Who waits for a ticket.
+#[derive(Debug)]
+pub(crate) enum Waiting {
+    /// Nobody.
+    Nobody,
+    /// A relay or a shard primary that asked the counter.
+    Counter(std::net::SocketAddr, CounterBody),
+    /// A relay that asked about parcels.
+    Parcel(ParcelCaller, ParcelAnswer),
+}
+
+/// A relay's call on parcels.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ParcelCaller {
+    pub(crate) to: std::net::SocketAddr,
+    pub(crate) call: u64,
+}
+
+/// What a relay's call returns once its ticket is committed.
+#[derive(Debug)]
+pub(crate) enum ParcelAnswer {
+    /// This.
+    Ready(ParcelReturn),
+    /// How the parcel stands then; as accepted, or as read.
+    Standing(ParcelId, bool),
+    /// Its returns after a position.
+    Returns(ParcelId, u32),
+}
+
+/// Submissions that wait for room below the ceiling, one asked for at a time.
+#[derive(Debug, Default)]
+pub(crate) struct Raising {
+    pub(crate) inbox: std::collections::VecDeque<Submission>,
+    /// The report that asks for the first one's room, and since when.
+    pub(crate) asked: Option<(u64, MonotonicMs)>,
+    pub(crate) last_number: u64,
+    pub(crate) last_report: MonotonicMs,
+}
+
+#[derive(Debug)]
+pub(crate) struct Submission {
+    pub(crate) caller: ParcelCaller,
+    pub(crate) parcel: ParcelId,
+    pub(crate) items: Vec<Item>,
+    pub(crate) since: MonotonicMs,
+}
+
+impl Hosted {
+    pub(crate) fn new(pair: Pair) -> Self {
+        Self {
+            pair,
+            work: Work::None,
+            waiting: std::collections::BTreeMap::new(),
+            last_ticket: 0,
+            wish: None,
+            raising: Raising::default(),
+        }
+    }
+
+    pub(crate) fn counter(&self) -> Option<&Counter> {
+        match &self.work {
+            Work::Counter(counter) => Some(counter),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn parcels(&self) -> Option<&Parcels> {
+        match &self.work {
+            Work::Parcels(parcels) => Some(parcels),
+            _ => None,
+        }
+    }
+
+    /// Submits changes on somebody's behalf.
+    pub(crate) fn submit(&mut self, changes: Vec<topazyard_wire::RowChange>, waiting: Waiting) {
+        self.last_ticket += 1;
+        if self.pair.submit(self.last_ticket, changes) {
+            self.waiting.insert(self.last_ticket, waiting);
+        }
+    }
+
+    /// Whether this primary may work in its epoch.
+    pub(crate) fn is_serving_in(&self, epoch: Epoch) -> bool {
+        self.pair.epoch() == epoch && self.pair.is_serving() && !matches!(self.work, Work::None)
+    }
+}
--- /dev/null
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -0,0 +1,286 @@
+//! The storage node's machine: the shards it hosts, each with its part in a pair.
+
+mod counting;
+mod hosted;
+mod roles;
+mod serving;
+
+use hosted::Hosted;
+use topazyard_cohort::Cohort;
+use topazyard_replication::{Follower, follower::Followed};
+use topazyard_types::{MonotonicMs, NodeId, ShardId};
+use topazyard_wire::message::Message;
+use topazyard_wire::message::cohort::{Duty, Member};
+use topazyard_wire::message::control::{ShardWish, Wish};
+use topazyard_wire::message::feed::Vitals;
+use topazyard_wire::state::FleetView;
+use topazyard_wire::{Effect, Group, Input, Machine, RowChange, WriteToken};
+
+/// The effects of a storage node.
+pub(crate) type Out = Vec<Effect<StorageVitals, topazyard_wire::machine::NoTask>>;
+
+/// What may be asked of a storage node from within its process.
+#[derive(Debug)]
+pub enum StorageCall {
+    /// How does it fare?
+    Vitals,
+}
+
+/// How a storage node fares.
+#[derive(Debug, Clone, serde::Serialize)]
+pub struct StorageVitals {
+    /// Its id.
+    pub node: NodeId,
+    /// Shards it serves as their primary.
+    pub serving: Vec<ShardId>,
+    /// Shards of which it hosts a copy.
+    pub hosting: Vec<ShardId>,
+    /// How long the oldest write not yet synced has taken.
+    pub write_wait_ms: u64,
+    /// Holds on the budget, if it leads the counter.
+    pub holds: Option<usize>,
+}
+
+/// From what a storage node starts.
+#[derive(Debug)]
+pub struct Start {
+    /// Who and where it is.
+    pub member: Member,
+    /// The three seeds.
+    pub seeds: Vec<std::net::SocketAddr>,
+    /// Seeds its chances.
+    pub chance: u64,
+    /// What its disk held.
+    pub loaded: topazyard_wire::rows::Loaded,
+}
+
+/// One storage node.
+pub struct StorageMachine {
+    pub(crate) member: Member,
+    cohort: Cohort,
+    follower: Follower,
+    pub(crate) view: FleetView,
+    pub(crate) hosted: std::collections::BTreeMap<ShardId, Hosted>,
+    loaded: topazyard_wire::rows::Loaded,
+    /// Shards in which this node answers nothing more, up to that epoch.
+    pub(crate) stopped: std::collections::BTreeMap<ShardId, topazyard_types::Epoch>,
+    after_write: std::collections::BTreeMap<u64, ShardWish>,
+    last_write: u64,
+    last_sweep: MonotonicMs,
+    remembered: Vec<std::net::SocketAddr>,
+}
+
+impl StorageMachine {
+    /// A storage node as it starts.
+    pub fn new(mut start: Start) -> Self {
+        let node_rows = start.loaded.remove(&Group::Node).unwrap_or_default();
+        let remembered: Vec<std::net::SocketAddr> = node_rows
+            .get("remembered")
+            .and_then(|value| topazyard_wire::rows::decode(value))
+            .unwrap_or_default();
+        let stopped = node_rows
+            .get("stopped")
+            .and_then(|value| topazyard_wire::rows::decode(value))
+            .unwrap_or_default();
+        let mut sources = start.seeds;
+        for address in &remembered {
+            if !sources.contains(address) {
+                sources.push(*address);
+            }
+        }
+        Self {
+            cohort: Cohort::new(start.member.clone(), sources.clone(), start.chance),
+            follower: Follower::new(sources),
+            member: start.member,
+            view: FleetView::default(),
+            hosted: std::collections::BTreeMap::new(),
+            loaded: start.loaded,
+            stopped,
+            after_write: std::collections::BTreeMap::new(),
+            last_write: 0,
+            last_sweep: MonotonicMs(0),
+            remembered,
+        }
+    }
+
+    fn write_own(&mut self, row: RowChange, then: Option<ShardWish>, out: &mut Out) {
+        self.last_write += 1;
+        if let Some(wish) = then {
+            self.after_write.insert(self.last_write, wish);
+        }
+        let token = WriteToken { group: Group::Node, number: self.last_write };
+        out.push(Effect::Write { token, changes: vec![row] });
+    }
+
+    /// Answers nothing more in a shard's epoch, and once that is synced wishes for another record.
+    pub(crate) fn stop_and_wish(&mut self, wish: ShardWish, out: &mut Out) {
+        let shard = wish.shard;
+        if let Some(hosted) = self.hosted.get_mut(&shard) {
+            hosted.pair.stop_answering();
+            hosted.wish = Some((wish.clone(), None));
+        }
+        self.stopped.insert(shard, wish.epoch);
+        let row = RowChange::put("stopped", &self.stopped);
+        self.write_own(row, Some(wish), out);
+    }
+
+    /// Sends wishes until the record changes.
+    fn send_wishes(&mut self, now: MonotonicMs, out: &mut Out) {
+        let every = topazyard_types::DurationMs(300);
+        let control: Vec<std::net::SocketAddr> = self.follower.leader().into_iter().collect();
+        for hosted in self.hosted.values_mut() {
+            if let Some((wish, Some(sent))) = &mut hosted.wish
+                && now.since(*sent) >= every
+            {
+                *sent = now;
+                for to in &control {
+                    out.push(Effect::Send { to: *to, message: Message::Wish(wish.clone()) });
+                }
+            }
+        }
+    }
+
+    fn write_wait_ms(&self, now: MonotonicMs) -> u64 {
+        self.hosted.values().map(|hosted| hosted.pair.oldest_write(now).0).max().unwrap_or(0)
+    }
+
+    fn vitals(&self, now: MonotonicMs) -> Vitals {
+        Vitals::Storage {
+            member: self.member.clone(),
+            write_wait_ms: self.write_wait_ms(now),
+            waiting: self
+                .hosted
+                .iter()
+                .filter_map(|(shard, hosted)| Some((*shard, hosted.parcels()?.waiting().0)))
+                .collect(),
+            live_tokens: self
+                .hosted
+                .values()
+                .find_map(|hosted| hosted.counter().map(|counter| counter.live_tokens().0)),
+        }
+    }
+
+    fn own_vitals(&self, now: MonotonicMs) -> StorageVitals {
+        let serving = self.hosted.iter().filter(|(_, hosted)| hosted.pair.is_serving());
+        StorageVitals {
+            node: self.member.id,
+            serving: serving.map(|(shard, _)| *shard).collect(),
+            hosting: self.hosted.keys().copied().collect(),
+            write_wait_ms: self.write_wait_ms(now),
+            holds: self
+                .hosted
+                .values()
+                .find_map(|hosted| hosted.counter().map(crate::counter::Counter::holds)),
+        }
+    }
+
+    fn beat(&mut self, now: MonotonicMs, out: &mut Out) {
+        let outgoing = self.cohort.beat(now);
+        out.extend(
+            outgoing
+                .into_iter()
+                .map(|(to, message)| Effect::Send { to, message: Message::Cohort(message) }),
+        );
+        self.remember_addresses(out);
+        let vitals = self.vitals(now);
+        self.follower.learn_sources(self.cohort.addresses(Duty::Control));
+        if let Some((to, message)) = self.follower.beat(now, || vitals) {
+            out.push(Effect::Send { to, message: Message::Feed(message) });
+        }
+        let shards: Vec<ShardId> = self.hosted.keys().copied().collect();
+        for shard in &shards {
+            let Some(hosted) = self.hosted.get_mut(shard) else { continue };
+            let outputs = hosted.pair.beat(now);
+            self.take_pair(*shard, outputs, now, out);
+            self.wish_if_backup_silent(*shard, now, out);
+        }
+        self.send_wishes(now, out);
+        if now.since(self.last_sweep) >= topazyard_types::DurationMs(100) {
+            self.last_sweep = now;
+            shards.iter().for_each(|shard| self.sweep(*shard, now, out));
+        }
+    }
+
+    fn remember_addresses(&mut self, out: &mut Out) {
+        let mut addresses: Vec<std::net::SocketAddr> =
+            self.cohort.addresses(Duty::Control).collect();
+        addresses.sort();
+        if !addresses.is_empty() && addresses != self.remembered {
+            self.write_own(RowChange::put("remembered", &addresses), None, out);
+            self.remembered = addresses;
+        }
+    }
+
+    fn wish_if_backup_silent(&mut self, shard: ShardId, now: MonotonicMs, out: &mut Out) {
+        let patience = topazyard_types::DurationMs(1_500);
+        let Some(hosted) = self.hosted.get(&shard) else { return };
+        let silent = hosted.pair.backup_silent_since();
+        if hosted.wish.is_none() && silent.is_some_and(|since| now.since(since) >= patience) {
+            let epoch = hosted.pair.epoch();
+            self.stop_and_wish(ShardWish { shard, epoch, wish: Wish::DropBackup }, out);
+        }
+    }
+}
+
+impl Machine for StorageMachine {
+    type Call = StorageCall;
+    type Return = StorageVitals;
+    type Task = topazyard_wire::machine::NoTask;
+
+    fn step(&mut self, input: Input<StorageCall>, now: MonotonicMs) -> Out {
+        let mut out = Vec::new();
+        match input {
+            Input::Beat => self.beat(now, &mut out),
+            Input::Written(token) => match token.group {
+                Group::Shard(shard) => {
+                    if let Some(hosted) = self.hosted.get_mut(&shard) {
+                        let outputs = hosted.pair.written(token.number);
+                        self.take_pair(shard, outputs, now, &mut out);
+                    }
+                }
+                _ => {
+                    if let Some(wish) = self.after_write.remove(&token.number) {
+                        self.begin_wishing(&wish);
+                        self.send_wishes(now, &mut out);
+                    }
+                }
+            },
+            Input::Call { call, request: StorageCall::Vitals } => {
+                out.push(Effect::Return { call, value: self.own_vitals(now) });
+            }
+            Input::Frame { sender, from, message } => match message {
+                Message::Cohort(message) => {
+                    let outgoing = self.cohort.receive(from, message, now);
+                    out.extend(outgoing.into_iter().map(|(to, message)| Effect::Send {
+                        to,
+                        message: Message::Cohort(message),
+                    }));
+                }
+                Message::Feed(message) => {
+                    if self.follower.receive(from, message) == Followed::Changed {
+                        self.view = FleetView::read(self.follower.copy().rows());
+                        self.settle_roles(now, &mut out);
+                    }
+                }
+                Message::Pair(message) => {
+                    if let Group::Shard(shard) = message.group
+                        && let Some(hosted) = self.hosted.get_mut(&shard)
+                    {
+                        let from = topazyard_replication::pair::From { id: sender, address: from };
+                        let outputs = hosted.pair.receive(from, message, now);
+                        self.take_pair(shard, outputs, now, &mut out);
+                    }
+                }
+                Message::Counter(message) => {
+                    self.receive_counter(sender, from, message, now, &mut out);
+                }
+                Message::Parcel(message) => {
+                    self.receive_parcel(sender, from, message, now, &mut out);
+                }
+                Message::Core(_) | Message::Wish(_) | Message::Operate(_) => {}
+            },
+        }
+        self.proceed(now, &mut out);
+        out
+    }
+}
--- /dev/null
+++ b/programs/topazyard-storage/src/machine/roles.rs
@@ -0,0 +1,155 @@
+//! The role this node has in each shard, as the feed says it.
+
+use super::hosted::{Hosted, Work};
+use super::{Out, StorageMachine};
+use topazyard_replication::{Copy, Pair, PairOutput};
+use topazyard_types::{MonotonicMs, ShardId};
+use topazyard_wire::message::Message;
+use topazyard_wire::message::control::{CoreNode, ShardRecord, ShardWish, Wish};
+use topazyard_wire::{Effect, Group, RowChange, WriteToken};
+
+impl StorageMachine {
+    /// Takes the roles that the view gives this node.
+    pub(super) fn settle_roles(&mut self, now: MonotonicMs, out: &mut Out) {
+        let records: Vec<(ShardId, ShardRecord)> =
+            self.view.shards.iter().map(|(shard, record)| (*shard, record.clone())).collect();
+        for (shard, record) in records {
+            let known = self.hosted.get(&shard).is_some_and(|h| h.pair.epoch() >= record.epoch);
+            let settled = known && self.hosted.get(&shard).is_some_and(|h| h.pair.has_role());
+            if !settled {
+                self.settle_role(shard, &record, now, out);
+            }
+        }
+    }
+
+    fn host(&mut self, shard: ShardId) -> &mut Hosted {
+        let loaded = self.loaded.remove(&Group::Shard(shard)).unwrap_or_default();
+        self.hosted.entry(shard).or_insert_with(|| {
+            let copy = Copy::loaded(loaded);
+            Hosted::new(Pair::new(Group::Shard(shard), !shard.is_counter(), copy))
+        })
+    }
+
+    /// The one place where this node's role in a shard changes.
+    fn settle_role(
+        &mut self,
+        shard: ShardId,
+        record: &ShardRecord,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        let me = self.member.id;
+        let is = |node: Option<CoreNode>| node.is_some_and(|node| node.id == me);
+        let named = record.primary.id == me
+            || is(record.backup)
+            || is(record.fallback)
+            || is(record.learner);
+        if !named {
+            self.let_go(shard, out);
+            return;
+        }
+        let stopped = self.stopped.get(&shard).is_some_and(|epoch| *epoch >= record.epoch);
+        let hosted = self.host(shard);
+        hosted.wish = None;
+        let outputs = if record.primary.id == me {
+            // One that stopped in this epoch before it restarted serves no more in it: it fills
+            // the learner, or wishes for one.
+            let backup = record.backup.filter(|_| !stopped || shard.is_counter());
+            hosted.pair.become_primary(record.epoch, backup, record.learner, now)
+        } else {
+            hosted.work = Work::None;
+            if is(record.backup) || is(record.learner) {
+                hosted.pair.become_follower(record.epoch, record.primary.id, now)
+            } else {
+                hosted.pair.become_idle(record.epoch)
+            }
+        };
+        self.take_pair(shard, outputs, now, out);
+        let wishes = stopped && record.primary.id == me && record.learner.is_none();
+        if wishes && record.backup.is_some() && !shard.is_counter() {
+            let wish = ShardWish { shard, epoch: record.epoch, wish: Wish::DropBackup };
+            self.stop_and_wish(wish, out);
+        }
+    }
+
+    /// Deletes a copy that no record names any more.
+    fn let_go(&mut self, shard: ShardId, out: &mut Out) {
+        let loaded = self.loaded.remove(&Group::Shard(shard));
+        let hosted = self.hosted.remove(&shard);
+        let mut keys: Vec<String> =
+            loaded.map(|rows| rows.into_keys().collect()).unwrap_or_default();
+        if let Some(hosted) = hosted {
+            keys = hosted.pair.copy().keys_on_disk();
+        }
+        if shard.is_counter() || keys.is_empty() {
+            return;
+        }
+        // No one waits for this write; its number is never one that a pair gave out.
+        let token = WriteToken { group: Group::Shard(shard), number: u64::MAX };
+        let changes = keys.into_iter().map(RowChange::gone).collect();
+        out.push(Effect::Write { token, changes });
+    }
+
+    pub(super) fn begin_wishing(&mut self, wish: &ShardWish) {
+        if let Some(hosted) = self.hosted.get_mut(&wish.shard)
+            && let Some((kept, sent @ None)) = &mut hosted.wish
+            && kept == wish
+        {
+            *sent = Some(MonotonicMs(0));
+        }
+    }
+
+    pub(super) fn take_pair(
+        &mut self,
+        shard: ShardId,
+        outputs: Vec<PairOutput>,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        for output in outputs {
+            match output {
+                PairOutput::Send(to, message) => {
+                    out.push(Effect::Send { to, message: Message::Pair(message) });
+                }
+                PairOutput::Write(token, changes) => out.push(Effect::Write { token, changes }),
+                PairOutput::Committed(tickets) => {
+                    for ticket in tickets {
+                        self.settle(shard, ticket, out);
+                    }
+                }
+                PairOutput::Lost(tickets) => {
+                    // Whoever asked asks again; what came of it is in the copies or nowhere.
+                    if let Some(hosted) = self.hosted.get_mut(&shard) {
+                        tickets.iter().for_each(|ticket| drop(hosted.waiting.remove(ticket)));
+                        hosted.work = Work::None;
+                        hosted.raising = Default::default();
+                    }
+                }
+                PairOutput::Serving => self.begin_work(shard, now, out),
+                PairOutput::LearnerReady(_) => {
+                    if let Some(hosted) = self.hosted.get(&shard) {
+                        let epoch = hosted.pair.epoch();
+                        let wish = ShardWish { shard, epoch, wish: Wish::PromoteLearner };
+                        self.stop_and_wish(wish, out);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The primary may commit: it takes up its work from the copy, unless it had it already.
+    fn begin_work(&mut self, shard: ShardId, now: MonotonicMs, out: &mut Out) {
+        let view = &self.view;
+        let Some(hosted) = self.hosted.get_mut(&shard) else { return };
+        if matches!(hosted.work, Work::None) {
+            let copy = hosted.pair.copy();
+            hosted.work = if shard.is_counter() {
+                Work::Counter(crate::counter::Counter::taken_over(copy, view, now))
+            } else {
+                Work::Parcels(crate::parcels::Parcels::taken_over(shard, copy, now))
+            };
+        }
+        let text = format!("shard {shard} serves in epoch {}", hosted.pair.epoch());
+        out.push(Effect::Note { grave: false, text });
+    }
+}
--- /dev/null
+++ b/programs/topazyard-storage/src/machine/serving.rs
@@ -0,0 +1,187 @@
+//! The calls of a parcel shard's primary, and answers once tickets are committed.
+
+use super::hosted::{ParcelAnswer, ParcelCaller, Submission, Waiting, Work};
+use super::{Out, StorageMachine};
+use topazyard_replication::Ticket;
+use topazyard_types::{Epoch, MonotonicMs, NodeId, ShardId};
+use topazyard_wire::Effect;
+use topazyard_wire::message::Message;
+use topazyard_wire::message::parcel::{ParcelBody, ParcelCall, ParcelMessage, ParcelReturn};
+
+/// Submissions that may wait for room below the ceiling.
+const SUBMISSIONS: usize = 256;
+
+impl StorageMachine {
+    pub(super) fn receive_parcel(
+        &mut self,
+        sender: NodeId,
+        from: std::net::SocketAddr,
+        message: ParcelMessage,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        let ParcelBody::Call(call) = message.body else { return };
+        let (shard, caller) = (message.shard, ParcelCaller { to: from, call: message.call });
+        let epoch = self.hosted.get(&shard).map_or(message.epoch, |hosted| hosted.pair.epoch());
+        let served = match self.hosted.get_mut(&shard) {
+            Some(hosted) if hosted.is_serving_in(message.epoch) => {
+                Self::work(hosted, sender, caller, call, now)
+            }
+            _ => false,
+        };
+        if served {
+            self.report_waiting(shard, now, out);
+        } else {
+            send(shard, epoch, caller, ParcelReturn::NotHere, out);
+        }
+    }
+
+    /// Works on a call; gives false where it can't.
+    fn work(
+        hosted: &mut super::Hosted,
+        relay: NodeId,
+        caller: ParcelCaller,
+        call: ParcelCall,
+        now: MonotonicMs,
+    ) -> bool {
+        let Work::Parcels(parcels) = &mut hosted.work else { return false };
+        let (changes, answer) = match call {
+            ParcelCall::Submit { parcel, items } if !parcels.contains(parcel) => {
+                let inbox = &mut hosted.raising.inbox;
+                if inbox.len() >= SUBMISSIONS {
+                    return false;
+                }
+                // Sent again while it waits: the later call gets the return.
+                match inbox.iter_mut().find(|waiting| waiting.parcel == parcel) {
+                    Some(waiting) => waiting.caller = caller,
+                    None => inbox.push_back(Submission { caller, parcel, items, since: now }),
+                }
+                return true;
+            }
+            ParcelCall::Submit { parcel, .. } => (Vec::new(), ParcelAnswer::Standing(parcel, true)),
+            ParcelCall::Read(parcel) => (Vec::new(), ParcelAnswer::Standing(parcel, false)),
+            ParcelCall::Returns { parcel, after } => {
+                (Vec::new(), ParcelAnswer::Returns(parcel, after))
+            }
+            ParcelCall::Recall(parcel, item) => {
+                let (answer, changes) = parcels.recall(parcel, item);
+                (changes, ParcelAnswer::Ready(answer))
+            }
+            ParcelCall::End(parcel) => match parcels.end(parcel) {
+                Some(changes) => (changes, ParcelAnswer::Standing(parcel, false)),
+                None => (Vec::new(), ParcelAnswer::Ready(ParcelReturn::Unknown)),
+            },
+            ParcelCall::Lease { most, models } => {
+                let leased = parcels.lease(relay, most, &models, hosted.pair.copy(), now);
+                (Vec::new(), ParcelAnswer::Ready(ParcelReturn::Leased(leased)))
+            }
+            ParcelCall::Start(run) => {
+                let (may_start, changes) = parcels.start(relay, run, now);
+                (changes, ParcelAnswer::Ready(ParcelReturn::MayStart(may_start)))
+            }
+            ParcelCall::Finish(run, end) => {
+                let changes = parcels.finish(relay, run, end);
+                (changes, ParcelAnswer::Ready(ParcelReturn::Noted))
+            }
+            ParcelCall::Running(runs) => {
+                parcels.running(&runs, now);
+                (Vec::new(), ParcelAnswer::Ready(ParcelReturn::Noted))
+            }
+        };
+        hosted.submit(changes, Waiting::Parcel(caller, answer));
+        true
+    }
+
+    /// Accepts a submission for which there is room, or refuses it.
+    pub(super) fn settle_submission(
+        &mut self,
+        shard: ShardId,
+        submission: &Submission,
+        granted: bool,
+        out: &mut Out,
+    ) {
+        let Some(hosted) = self.hosted.get_mut(&shard) else { return };
+        let Work::Parcels(parcels) = &mut hosted.work else { return };
+        let (parcel, caller) = (submission.parcel, submission.caller);
+        if !granted && !parcels.contains(parcel) {
+            let epoch = hosted.pair.epoch();
+            send(shard, epoch, caller, ParcelReturn::CeilingReached, out);
+            return;
+        }
+        let changes = if parcels.contains(parcel) {
+            Vec::new()
+        } else {
+            parcels.submit(parcel, &submission.items)
+        };
+        hosted.submit(changes, Waiting::Parcel(caller, ParcelAnswer::Standing(parcel, true)));
+    }
+
+    /// Answers one whose ticket is committed; the copy holds just what is committed.
+    pub(super) fn settle(&mut self, shard: ShardId, ticket: Ticket, out: &mut Out) {
+        let Some(hosted) = self.hosted.get_mut(&shard) else { return };
+        let Some(waiting) = hosted.waiting.remove(&ticket) else { return };
+        let epoch = hosted.pair.epoch();
+        match waiting {
+            Waiting::Nobody => {}
+            Waiting::Counter(to, body) => super::counting::send(to, epoch, body, out),
+            Waiting::Parcel(caller, answer) => {
+                let copy = hosted.pair.copy();
+                let value = match answer {
+                    ParcelAnswer::Ready(value) => Some(value),
+                    ParcelAnswer::Standing(parcel, accepted) => {
+                        let standing = crate::parcels::standing(copy, parcel);
+                        standing.map(|standing| match accepted {
+                            true => ParcelReturn::Accepted(standing),
+                            false => ParcelReturn::Standing(standing),
+                        })
+                    }
+                    ParcelAnswer::Returns(parcel, after) => {
+                        crate::parcels::returns(copy, parcel, after).map(ParcelReturn::Returns)
+                    }
+                };
+                send(shard, epoch, caller, value.unwrap_or(ParcelReturn::Unknown), out);
+            }
+        }
+    }
+
+    /// What time alone changes in a shard.
+    pub(super) fn sweep(&mut self, shard: ShardId, now: MonotonicMs, out: &mut Out) {
+        self.report_waiting(shard, now, out);
+        self.drop_late_submissions(shard, now, out);
+        let Some(hosted) = self.hosted.get_mut(&shard) else { return };
+        if !hosted.pair.is_serving() {
+            return;
+        }
+        let changes = match &mut hosted.work {
+            Work::None => Vec::new(),
+            Work::Counter(counter) => counter.beat(now),
+            Work::Parcels(parcels) => parcels.beat(now),
+        };
+        if !changes.is_empty() {
+            hosted.submit(changes, Waiting::Nobody);
+        }
+    }
+
+    /// Begins the next batch of every shard.
+    pub(super) fn proceed(&mut self, now: MonotonicMs, out: &mut Out) {
+        let shards: Vec<ShardId> = self.hosted.keys().copied().collect();
+        for shard in shards {
+            if let Some(hosted) = self.hosted.get_mut(&shard) {
+                let outputs = hosted.pair.proceed(now);
+                self.take_pair(shard, outputs, now, out);
+            }
+        }
+    }
+}
+
+pub(super) fn send(
+    shard: ShardId,
+    epoch: Epoch,
+    caller: ParcelCaller,
+    value: ParcelReturn,
+    out: &mut Out,
+) {
+    let body = ParcelBody::Return(value);
+    let message = Message::Parcel(ParcelMessage { shard, epoch, call: caller.call, body });
+    out.push(Effect::Send { to: caller.to, message });
+}
--- /dev/null
+++ b/programs/topazyard-storage/src/parcels/changes.rs
@@ -0,0 +1,224 @@
+//! Commands: each changes an item's state in one place and gives the rows that record it.
+
+use super::{ItemFacts, ItemState, LEASE, Lease, Parcel, ParcelRow, Parcels, RUN_SILENT, rows};
+use topazyard_types::{ItemNumber, ModelName, MonotonicMs, NodeId, ParcelId, Tokens};
+use topazyard_wire::RowChange;
+use topazyard_wire::message::parcel::{
+    Item, ItemEnd, ItemReturn, LeasedItem, ParcelReturn, Run, RunEnd,
+};
+
+impl Parcels {
+    /// Takes a parcel that is not known yet.
+    pub fn submit(&mut self, parcel: ParcelId, items: &[Item]) -> Vec<RowChange> {
+        let number = parcel.number;
+        let row = ParcelRow { items: items.len() as u32, returned: 0, ended: false };
+        let state = ItemState::Waiting { attempt: 1 };
+        let mut changes = vec![rows::parcel(number, &row)];
+        let mut kept = Vec::new();
+        for (item_number, item) in (0..).map(ItemNumber).zip(items) {
+            changes.push(rows::item(number, item_number, item));
+            changes.push(rows::state(number, item_number, &state));
+            self.inbox.push_back((number, item_number));
+            self.waiting = self.waiting.plus(item.cost);
+            kept.push(ItemFacts {
+                state,
+                model: item.model.clone(),
+                repeatable: item.repeatable,
+                cost: item.cost,
+            });
+        }
+        self.parcels.insert(number, Parcel { row, items: kept });
+        changes
+    }
+
+    /// The one place where an item's state changes.
+    fn set_state(&mut self, parcel: ParcelId, item: ItemNumber, state: ItemState) -> RowChange {
+        let facts = self
+            .parcels
+            .get_mut(&parcel.number)
+            .and_then(|parcel| parcel.items.get_mut(item.0 as usize));
+        if let Some(facts) = facts {
+            facts.state = state;
+        }
+        rows::state(parcel.number, item, &state)
+    }
+
+    /// The one place where an item gets its final return, at the next position.
+    fn give_return(&mut self, parcel: ParcelId, item: ItemNumber, end: ItemEnd) -> Vec<RowChange> {
+        let cost = self.facts(parcel, item).map_or(Tokens(0), |facts| facts.cost);
+        let Some(kept) = self.parcels.get_mut(&parcel.number) else { return Vec::new() };
+        kept.row.returned += 1;
+        let row = kept.row;
+        self.waiting = Tokens(self.waiting.0.saturating_sub(cost.0));
+        let position = row.returned;
+        vec![
+            self.set_state(parcel, item, ItemState::Returned { position }),
+            rows::item_return(parcel.number, &ItemReturn { position, item, end }),
+            rows::parcel(parcel.number, &row),
+        ]
+    }
+
+    /// Lets an item wait for its next run.
+    fn wait_again(&mut self, run: Run) -> Vec<RowChange> {
+        let ended = self.parcels.get(&run.parcel.number).is_some_and(|parcel| parcel.row.ended);
+        if ended {
+            return self.give_return(run.parcel, run.item, ItemEnd::Ended);
+        }
+        self.inbox.push_front((run.parcel.number, run.item));
+        let attempt = run.attempt + 1;
+        vec![self.set_state(run.parcel, run.item, ItemState::Waiting { attempt })]
+    }
+
+    /// Leases the oldest items of these models to a relay.
+    pub fn lease(
+        &mut self,
+        relay: NodeId,
+        most: u32,
+        models: &[ModelName],
+        copy: &topazyard_replication::Copy,
+        now: MonotonicMs,
+    ) -> Vec<LeasedItem> {
+        let mut leased = Vec::new();
+        let mut passed_over = Vec::new();
+        while leased.len() < most as usize {
+            let Some((number, item)) = self.inbox.pop_front() else { break };
+            let parcel = self.id(number);
+            let Some(facts) = self.facts(parcel, item) else { continue };
+            // An entry may be old: only what still waits is leased.
+            let ItemState::Waiting { attempt } = facts.state else { continue };
+            if !models.contains(&facts.model) {
+                passed_over.push((number, item));
+                continue;
+            }
+            let run = Run { parcel, item, attempt };
+            // Not on both yet: its submission is still being committed.
+            let Some(whole) = rows::item_of(copy, number, item) else {
+                passed_over.push((number, item));
+                continue;
+            };
+            self.leases.insert(run, Lease { relay, until: now.plus(LEASE) });
+            leased.push(LeasedItem { run, item: whole });
+        }
+        for entry in passed_over.into_iter().rev() {
+            self.inbox.push_front(entry);
+        }
+        leased
+    }
+
+    /// Whether a leased run may start. The same relay may ask again.
+    pub fn start(&mut self, relay: NodeId, run: Run, now: MonotonicMs) -> (bool, Vec<RowChange>) {
+        let state = self.facts(run.parcel, run.item).map(|facts| facts.state);
+        let started = ItemState::Started { attempt: run.attempt, relay };
+        if state == Some(started) {
+            return (true, Vec::new());
+        }
+        let lease = self.leases.get(&run);
+        let leased = lease.is_some_and(|lease| lease.relay == relay && now < lease.until);
+        if !leased || state != Some(ItemState::Waiting { attempt: run.attempt }) {
+            return (false, Vec::new());
+        }
+        self.leases.remove(&run);
+        self.heard.insert(run, now);
+        (true, vec![self.set_state(run.parcel, run.item, started)])
+    }
+
+    /// Takes how a run ended. What is not the present run of its item is passed over.
+    pub fn finish(&mut self, relay: NodeId, run: Run, end: RunEnd) -> Vec<RowChange> {
+        let Some(facts) = self.facts(run.parcel, run.item) else { return Vec::new() };
+        let repeatable = facts.repeatable;
+        if facts.state == (ItemState::Waiting { attempt: run.attempt }) {
+            // A lease handed back.
+            if self.leases.get(&run).is_some_and(|lease| lease.relay == relay) {
+                self.leases.remove(&run);
+                self.inbox.push_front((run.parcel.number, run.item));
+            }
+            return Vec::new();
+        }
+        if facts.state != (ItemState::Started { attempt: run.attempt, relay }) {
+            return Vec::new();
+        }
+        self.heard.remove(&run);
+        match end {
+            RunEnd::Whole { status, body } => {
+                self.give_return(run.parcel, run.item, ItemEnd::Whole { status, body })
+            }
+            RunEnd::NotRun => self.wait_again(run),
+            RunEnd::Unknown if repeatable => self.wait_again(run),
+            RunEnd::Unknown => self.give_return(run.parcel, run.item, ItemEnd::OutcomeUnknown),
+        }
+    }
+
+    /// Notes that runs go on at a relay.
+    pub fn running(&mut self, runs: &[Run], now: MonotonicMs) {
+        for run in runs {
+            if let Some(heard) = self.heard.get_mut(run) {
+                *heard = now;
+            }
+        }
+    }
+
+    /// Asks an item back.
+    pub fn recall(&mut self, parcel: ParcelId, item: ItemNumber) -> (ParcelReturn, Vec<RowChange>) {
+        match self.facts(parcel, item).map(|facts| facts.state) {
+            None => (ParcelReturn::Unknown, Vec::new()),
+            Some(ItemState::Waiting { .. }) => {
+                self.leases.retain(|run, _| (run.parcel, run.item) != (parcel, item));
+                (ParcelReturn::Recalled, self.give_return(parcel, item, ItemEnd::Recalled))
+            }
+            Some(ItemState::Started { .. }) => {
+                (ParcelReturn::TooLate { returned: false }, Vec::new())
+            }
+            Some(ItemState::Returned { .. }) => {
+                (ParcelReturn::TooLate { returned: true }, Vec::new())
+            }
+        }
+    }
+
+    /// Ends a parcel: what has not started never will.
+    pub fn end(&mut self, parcel: ParcelId) -> Option<Vec<RowChange>> {
+        let kept = self.parcels.get_mut(&parcel.number)?;
+        if kept.row.ended {
+            return Some(Vec::new());
+        }
+        kept.row.ended = true;
+        let row = kept.row;
+        let waiting: Vec<ItemNumber> = (0..)
+            .map(ItemNumber)
+            .zip(&kept.items)
+            .filter(|(_, facts)| matches!(facts.state, ItemState::Waiting { .. }))
+            .map(|(item, _)| item)
+            .collect();
+        self.leases.retain(|run, _| run.parcel != parcel);
+        let mut changes = vec![rows::parcel(parcel.number, &row)];
+        for item in waiting {
+            changes.extend(self.give_return(parcel, item, ItemEnd::Ended));
+        }
+        Some(changes)
+    }
+
+    /// Takes back leases that ran out, and settles runs that nobody speaks of any more.
+    pub fn beat(&mut self, now: MonotonicMs) -> Vec<RowChange> {
+        let lapsed: Vec<Run> =
+            self.leases.iter().filter(|(_, l)| now >= l.until).map(|(run, _)| *run).collect();
+        for run in lapsed {
+            self.leases.remove(&run);
+            self.inbox.push_front((run.parcel.number, run.item));
+        }
+        let silent: Vec<Run> = self
+            .heard
+            .iter()
+            .filter(|(_, heard)| now.since(**heard) >= RUN_SILENT)
+            .map(|(run, _)| *run)
+            .collect();
+        let mut changes = Vec::new();
+        for run in silent {
+            if let Some(ItemState::Started { relay, .. }) =
+                self.facts(run.parcel, run.item).map(|facts| facts.state)
+            {
+                changes.extend(self.finish(relay, run, RunEnd::Unknown));
+            }
+            self.heard.remove(&run);
+        }
+        changes
+    }
+}
--- /dev/null
+++ b/programs/topazyard-storage/src/parcels/mod.rs
@@ -0,0 +1,144 @@
+//! The parcels of one shard, as its primary holds them.
+
+mod changes;
+mod read;
+mod rows;
+
+use topazyard_types::{DurationMs, ItemNumber, MonotonicMs, NodeId, ParcelId, ShardId, Tokens};
+use topazyard_wire::message::parcel::Run;
+
+pub use read::{returns, standing};
+
+/// How long a leased item waits for its start.
+pub const LEASE: DurationMs = DurationMs(2_500);
+/// After how long without a word of a run its outcome counts as unknown.
+const RUN_SILENT: DurationMs = DurationMs(5_000);
+
+/// How an item stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub(crate) enum ItemState {
+    /// It may be leased; the number says which run would be next.
+    Waiting {
+        /// The next run.
+        attempt: u32,
+    },
+    /// It runs at a relay.
+    Started {
+        /// Which run.
+        attempt: u32,
+        /// Where.
+        relay: NodeId,
+    },
+    /// It has its final return at a position.
+    Returned {
+        /// The position.
+        position: u32,
+    },
+}
+
+/// A parcel's own row.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub(crate) struct ParcelRow {
+    pub(crate) items: u32,
+    pub(crate) returned: u32,
+    pub(crate) ended: bool,
+}
+
+/// What the primary keeps of an item beside its state.
+#[derive(Debug, Clone)]
+struct ItemFacts {
+    state: ItemState,
+    model: topazyard_types::ModelName,
+    repeatable: bool,
+    cost: Tokens,
+}
+
+#[derive(Debug, Clone)]
+struct Parcel {
+    row: ParcelRow,
+    items: Vec<ItemFacts>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    relay: NodeId,
+    until: MonotonicMs,
+}
+
+/// The parcels of a shard.
+#[derive(Debug)]
+pub struct Parcels {
+    shard: ShardId,
+    parcels: std::collections::BTreeMap<u64, Parcel>,
+    /// Items that may be leased, oldest first.
+    inbox: std::collections::VecDeque<(u64, ItemNumber)>,
+    leases: std::collections::BTreeMap<Run, Lease>,
+    heard: std::collections::BTreeMap<Run, MonotonicMs>,
+    waiting: Tokens,
+}
+
+impl Parcels {
+    /// The parcels that a copy holds.
+    pub fn taken_over(
+        shard: ShardId,
+        copy: &topazyard_replication::Copy,
+        now: MonotonicMs,
+    ) -> Self {
+        let mut parcels = Self {
+            shard,
+            parcels: std::collections::BTreeMap::new(),
+            inbox: std::collections::VecDeque::new(),
+            leases: std::collections::BTreeMap::new(),
+            heard: std::collections::BTreeMap::new(),
+            waiting: Tokens(0),
+        };
+        for (number, row) in rows::parcels(copy) {
+            let mut items = Vec::new();
+            for item in (0..row.items).map(ItemNumber) {
+                let (Some(state), Some(facts)) =
+                    (rows::state_of(copy, number, item), rows::item_of(copy, number, item))
+                else {
+                    continue;
+                };
+                let run = |attempt| Run { parcel: ParcelId { shard, number }, item, attempt };
+                match state {
+                    ItemState::Waiting { .. } => parcels.inbox.push_back((number, item)),
+                    // A run that is still going will be heard of; one that isn't times out.
+                    ItemState::Started { attempt, .. } => {
+                        parcels.heard.insert(run(attempt), now);
+                    }
+                    ItemState::Returned { .. } => {}
+                }
+                if !matches!(state, ItemState::Returned { .. }) {
+                    parcels.waiting = parcels.waiting.plus(facts.cost);
+                }
+                items.push(ItemFacts {
+                    state,
+                    model: facts.model,
+                    repeatable: facts.repeatable,
+                    cost: facts.cost,
+                });
+            }
+            parcels.parcels.insert(number, Parcel { row, items });
+        }
+        parcels
+    }
+
+    /// The cost of all items without a final return.
+    pub fn waiting(&self) -> Tokens {
+        self.waiting
+    }
+
+    /// Whether the parcel is known.
+    pub fn contains(&self, parcel: ParcelId) -> bool {
+        parcel.shard == self.shard && self.parcels.contains_key(&parcel.number)
+    }
+
+    fn id(&self, number: u64) -> ParcelId {
+        ParcelId { shard: self.shard, number }
+    }
+
+    fn facts(&self, parcel: ParcelId, item: ItemNumber) -> Option<&ItemFacts> {
+        self.parcels.get(&parcel.number)?.items.get(item.0 as usize)
+    }
+}
--- /dev/null
+++ b/programs/topazyard-storage/src/parcels/read.rs
@@ -0,0 +1,53 @@
+//! Queries, answered from the committed copy.
+
+use super::{ItemState, rows};
+use topazyard_types::{ItemNumber, ParcelId};
+use topazyard_wire::message::parcel::{ItemReturn, ParcelStanding};
+
+/// The most bytes of returns in one answer.
+const MOST_BYTES: usize = 4 * 1024 * 1024;
+
+/// How a parcel stands.
+pub fn standing(copy: &topazyard_replication::Copy, parcel: ParcelId) -> Option<ParcelStanding> {
+    let row = rows::parcel_of(copy, parcel.number)?;
+    let states = (0..row.items).filter_map(|n| rows::state_of(copy, parcel.number, ItemNumber(n)));
+    let (mut waiting, mut running) = (0, 0);
+    for state in states {
+        match state {
+            ItemState::Waiting { .. } => waiting += 1,
+            ItemState::Started { .. } => running += 1,
+            ItemState::Returned { .. } => {}
+        }
+    }
+    Some(ParcelStanding {
+        parcel,
+        items: row.items,
+        returned: row.returned,
+        waiting,
+        running,
+        ended: row.ended,
+    })
+}
+
+/// A parcel's returns after a position, in order; at least one if there is one.
+pub fn returns(
+    copy: &topazyard_replication::Copy,
+    parcel: ParcelId,
+    after: u32,
+) -> Option<Vec<ItemReturn>> {
+    use topazyard_wire::message::parcel::ItemEnd;
+    let row = rows::parcel_of(copy, parcel.number)?;
+    let mut bytes = 0;
+    let mut found = Vec::new();
+    for position in after.saturating_add(1)..=row.returned {
+        let Some(item_return) = rows::return_of(copy, parcel.number, position) else { break };
+        if let ItemEnd::Whole { body, .. } = &item_return.end {
+            bytes += body.len();
+        }
+        if bytes > MOST_BYTES && !found.is_empty() {
+            break;
+        }
+        found.push(item_return);
+    }
+    Some(found)
+}
