--- /dev/null
+++ b/fleet-measure/src/simulated.rs
@@ -0,0 +1,95 @@
+//! Measurements of simulated fleets.
+
+use fleet_simulator::check::Figures;
+use fleet_simulator::people::Habits;
+use fleet_simulator::run::{habits, run_with};
+use fleet_simulator::{Deployment, Scenario, run};
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(0.0)
+}
+
+fn of(all: &[Figures], pick: impl Fn(&Figures) -> f64) -> f64 {
+    median(all.iter().map(pick).collect())
+}
+
+/// A row for each scenario and deployment: medians over the seeds, and the worst recovery.
+pub fn scenarios(seeds: u64) {
+    println!(
+        "| deployment | scenario | whole of sent | p50 ms | p99 ms | back after ms, median | worst |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for deployment in [Deployment::cristallo(), Deployment::quito()] {
+        for scenario in Scenario::ALL {
+            let all: Vec<Figures> =
+                (1..=seeds).map(|seed| run(&deployment, scenario, seed, None).figures).collect();
+            let back = |figures: &Figures| figures.back_after_ms.map_or(0.0, |ms| ms as f64);
+            println!(
+                "| {} | {} | {:.1} % | {:.0} | {:.0} | {:.0} | {:.0} |",
+                deployment.name,
+                scenario.name(),
+                of(&all, |f| 100.0 * f.whole as f64 / f.prompts as f64),
+                of(&all, |f| f.p50_ms as f64),
+                of(&all, |f| f.p99_ms as f64),
+                of(&all, back),
+                all.iter().map(back).fold(0.0, f64::max),
+            );
+        }
+    }
+}
+
+/// A row for each way of setting the live share.
+pub fn weights(seeds: u64) {
+    println!("| deployment | live share | whole of sent | p99 ms | items done at ms |");
+    println!("|---|---|---|---|---|");
+    for deployment in [Deployment::cristallo(), Deployment::quito()] {
+        let ways = [
+            ("fixed 40 %", (40, 40, 40)),
+            ("fixed 70 %", (70, 70, 70)),
+            ("fixed 90 %", (90, 90, 90)),
+            ("tuned 40-90 %", (40, 70, 90)),
+        ];
+        for (name, live_percents) in ways {
+            let all: Vec<Figures> = (1..=seeds)
+                .map(|seed| {
+                    let usual = habits(&deployment, Scenario::Crowds);
+                    let habits = Habits { live_percents, ..usual };
+                    run_with(&deployment, Scenario::Crowds, seed, None, habits).figures
+                })
+                .collect();
+            println!(
+                "| {} | {name} | {:.1} % | {:.0} | {:.0} |",
+                deployment.name,
+                of(&all, |f| 100.0 * f.whole as f64 / f.prompts as f64),
+                of(&all, |f| f.p99_ms as f64),
+                of(&all, |f| f.items_done_ms as f64),
+            );
+        }
+    }
+}
+
+/// A row for each size of the fleet: frames a node and second, by kind.
+pub fn growth() {
+    println!("| processes | cohort | feed | counter | pair | core | parcel |");
+    println!("|---|---|---|---|---|---|---|");
+    for relays in [9_u16, 22, 47, 97] {
+        let deployment =
+            Deployment { relays, name: "growing", prompts_per_s: 60, ..Deployment::cristallo() };
+        let report = run(&deployment, Scenario::Calm, 1, None);
+        let processes = 6 + 2 * u64::from(relays);
+        let seconds = report.simulated_ms as f64 / 1_000.0;
+        let each = |kind: &str| {
+            report.sent.get(kind).copied().unwrap_or(0) as f64 / seconds / processes as f64
+        };
+        println!(
+            "| {processes} | {:.1} | {:.1} | {:.1} | {:.1} | {:.1} | {:.1} |",
+            each("cohort"),
+            each("feed"),
+            each("counter"),
+            each("pair"),
+            each("core"),
+            each("parcel"),
+        );
+    }
+}
--- a/fleet-simulator/src/check/mod.rs
+++ b/fleet-simulator/src/check/mod.rs
@@ -40,6 +40,8 @@
     Answer,
     /// More tokens were in flight than any recovery allows.
     Budget,
+    /// Something broke though machines were drained or emptied before they went.
+    Drained,
     /// Something is still held when nothing runs.
     LeakedHold,
 }
@@ -64,6 +66,8 @@
     pub before: (Us, Us),
     /// When the last fault was closed, if there was one.
     pub closed: Option<Us>,
+    /// Whether machines went only after they were drained or emptied, so that nothing breaks.
+    pub drained: bool,
     /// Whether processes were frozen, so that even a right answer comes late.
     pub froze: bool,
 }
@@ -93,6 +97,8 @@
     pub back_after_ms: Option<u64>,
     /// The most tokens in flight at engines.
     pub most_tokens: u64,
+    /// When the last item that ran had ended.
+    pub items_done_ms: u64,
     /// The most waiting parcel work that is certain.
     pub most_waiting: u64,
 }
--- a/fleet-simulator/src/check/parcels.rs
+++ b/fleet-simulator/src/check/parcels.rs
@@ -24,6 +24,7 @@
     for (at, run) in history.runs.iter().enumerate() {
         let Some(work) = run.work else { continue };
         let Some(number) = history.works[work].parcel else { continue };
+        figures.items_done_ms = figures.items_done_ms.max(run.ended.unwrap_or(0) / 1_000);
         let parcel = &history.parcels[number];
         let item = (work - parcel.first_work) as u32;
         if parcel.ended.is_some_and(|ended| run.began > ended + ENDED_US) {
--- a/fleet-simulator/src/check/service.rs
+++ b/fleet-simulator/src/check/service.rs
@@ -26,6 +26,10 @@
             Some((_, PromptEnd::Broken)) | None => figures.broken += 1,
         }
     }
+    if bounds.drained && figures.broken > 0 {
+        let text = format!("{} connections broke", figures.broken);
+        crossed(violations, Line::Drained, text);
+    }
     took_ms.sort_unstable();
     let share = |percent: usize| {
         let at = (took_ms.len() * percent / 100).min(took_ms.len().saturating_sub(1));
--- a/fleet-simulator/src/faults/mod.rs
+++ b/fleet-simulator/src/faults/mod.rs
@@ -1,8 +1,9 @@
 //! Faults, as they are caused.
 
 use crate::history::FaultSeen;
-use crate::world::{EngineMood, Event, Kind, NodeIndex, World};
+use crate::world::{Caller, EngineMood, Event, Kind, NodeIndex, Plant, World};
 use topazyard_types::ShardId;
+use topazyard_wire::message::operate::{Command, Operate};
 
 /// Whom a fault strikes.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,6 +59,10 @@
     Replace(Whom),
     /// A new storage node is added.
     AddStorage,
+    /// A relay is asked to drain.
+    Drain(Whom),
+    /// An operator asks for a storage node to be emptied.
+    Empty(Whom),
     /// Specs have so many lanes more.
     MoreLanes(u64),
 }
@@ -98,6 +103,8 @@
             | Fault::Freeze(whom, _)
             | Fault::CutOff(whom, _)
             | Fault::SlowDisk(whom, _)
+            | Fault::Drain(whom)
+            | Fault::Empty(whom)
             | Fault::Replace(whom) => self.whom(whom),
             _ => None,
         };
@@ -185,6 +192,19 @@
                 let index = self.add_node(name, Kind::Storage, port, None, domain);
                 self.start(index);
             }
+            Fault::Drain(_) => {
+                if self.plant == Some(Plant::HastyDrain) {
+                    self.strike(struck, false);
+                } else if let Some(relay) = struck {
+                    self.call_relay(relay, topazyard_relay::RelayCall::Drain, Caller::Nobody);
+                }
+            }
+            Fault::Empty(_) => {
+                if let (Some(index), Some(control)) = (struck, self.draw_node(Kind::Control)) {
+                    let command = Command::EmptyStorage(self.nodes[index.0].id);
+                    self.call_control(control, Operate::Command(command), Caller::Nobody);
+                }
+            }
             Fault::MoreLanes(lanes) => self.people.habits.more_lanes = lanes,
         }
     }
--- a/fleet-simulator/src/people/mod.rs
+++ b/fleet-simulator/src/people/mod.rs
@@ -61,6 +61,8 @@
     pub limit_tokens: u64,
     /// The ceiling on waiting parcel work.
     pub waiting_ceiling: u64,
+    /// Floor, start and ceiling of the live share, in percent.
+    pub live_percents: (u8, u8, u8),
     /// Whether anybody still begins something.
     pub is_open: bool,
 }
@@ -77,6 +79,7 @@
             more_lanes: 0,
             limit_tokens: 40_000,
             waiting_ceiling: 60_000,
+            live_percents: (40, 70, 90),
             is_open: true,
         }
     }
--- a/fleet-simulator/src/people/operators.rs
+++ b/fleet-simulator/src/people/operators.rs
@@ -92,6 +92,11 @@
                 "waiting_ceiling_tokens": habits.waiting_ceiling,
                 "max_items": 1000, "max_item_bytes": 65536,
             },
+            "weights": {
+                "live_floor_percent": habits.live_percents.0,
+                "live_start_percent": habits.live_percents.1,
+                "live_ceiling_percent": habits.live_percents.2,
+            },
         })
         .to_string()
     }
--- a/fleet-simulator/src/run.rs
+++ b/fleet-simulator/src/run.rs
@@ -40,13 +40,15 @@
     Counter,
     /// Operators race while specs grow and control is struck.
     Operators,
+    /// Relays are drained and storage nodes emptied, and then they go.
+    Drains,
     /// Everything, drawn by chance.
     Chaos,
 }
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Calm,
         Self::Crowds,
         Self::Engines,
@@ -60,6 +62,7 @@
         Self::Seeds,
         Self::Counter,
         Self::Operators,
+        Self::Drains,
         Self::Chaos,
     ];
 
@@ -150,7 +153,8 @@
     world
 }
 
-fn habits(deployment: &crate::Deployment, scenario: Scenario) -> Habits {
+/// What people do in a scenario, unless told otherwise.
+pub fn habits(deployment: &crate::Deployment, scenario: Scenario) -> Habits {
     let cost = deployment.words + deployment.new_tokens;
     Habits {
         prompts_per_s: deployment.prompts_per_s,
@@ -171,10 +175,21 @@
     scenario: Scenario,
     seed: u64,
     plant: Option<Plant>,
+) -> Report {
+    run_with(deployment, scenario, seed, plant, habits(deployment, scenario))
+}
+
+/// Runs a scenario from a seed with habits other than the usual ones.
+pub fn run_with(
+    deployment: &crate::Deployment,
+    scenario: Scenario,
+    seed: u64,
+    plant: Option<Plant>,
+    habits: Habits,
 ) -> Report {
     let mut world = build(deployment, seed);
     world.plant = plant;
-    world.people.habits = Habits { is_open: false, ..habits(deployment, scenario) };
+    world.people.habits = Habits { is_open: false, ..habits };
     world.first_spec();
     world.list_engines();
     for doing in
@@ -209,6 +224,7 @@
         waiting_ceiling: world.people.habits.waiting_ceiling,
         before: ((LOAD_MS + 2_000) * 1_000, FAULTS_MS * 1_000),
         closed: Some(closed).filter(|_| !plan.faults.is_empty()),
+        drained: scenario == Scenario::Drains,
         froze,
     };
     let (violations, figures) = crate::check::check(&world.history, &bounds);
@@ -393,6 +409,19 @@
             }
             faults.push((at, Fault::Freeze(Whom::ControlPrimary, 6_000)));
         }
+        Scenario::Drains => {
+            for n in 1..=3 {
+                let relay = named("relay", n);
+                faults.push((at, Fault::Drain(relay.clone())));
+                faults.push((at + 9_000, Fault::Kill(relay)));
+                faults.push((at + 9_500, Fault::StartAll));
+                at += 10_000;
+            }
+            faults.push((at, Fault::AddStorage));
+            faults.push((at + 3_000, Fault::Empty(Whom::ShardPrimary(0))));
+            faults.push((at + 15_000, Fault::Empty(named("storage", 1))));
+            faults.push((at + 27_000, Fault::Kill(named("storage", 1))));
+        }
         Scenario::Chaos => {
             for _ in 0..8 {
                 let fault = match rng.random_range(0..9) {
--- a/fleet-simulator/src/world/mod.rs
+++ b/fleet-simulator/src/world/mod.rs
@@ -119,6 +119,8 @@
     LoseReleases,
     /// Refusals are held back, and don't say when to come back.
     HoldAnswers,
+    /// A relay that is asked to drain goes at once.
+    HastyDrain,
     /// Syncs are said before they happen, so that a power loss takes acknowledged writes.
     LyingDisk,
 }
--- a/fleet-simulator/tests/lines.rs
+++ b/fleet-simulator/tests/lines.rs
@@ -60,6 +60,7 @@
     all_seeds_are_exchanged: Seeds,
     the_counters_holders_are_lost: Counter,
     operators_race_while_specs_grow: Operators,
+    machines_are_drained_before_they_go: Drains,
     anything_at_all: Chaos,
 }
 
--- a/fleet-simulator/tests/planted.rs
+++ b/fleet-simulator/tests/planted.rs
@@ -93,6 +93,11 @@
     goes_red(Plant::HoldAnswers, Scenario::Crowds, Line::Answer);
 }
 
+#[test]
+fn a_relay_that_goes_before_it_is_drained_is_seen() {
+    goes_red(Plant::HastyDrain, Scenario::Drains, Line::Drained);
+}
+
 #[test]
 fn a_fleet_that_does_not_come_back_is_seen() {
     goes_red(Plant::LyingDisk, Scenario::Blackout, Line::Recovery);
--- a/libraries/topazyard-wire/src/api.rs
+++ b/libraries/topazyard-wire/src/api.rs
@@ -56,6 +56,8 @@
     NoCounter,
     /// the node has no fresh word from control
     StaleFeed,
+    /// the relay takes nothing new
+    Draining,
     /// the shard that keeps the parcel can't be reached
     NoShard,
     /// no control primary can be reached
@@ -89,7 +91,8 @@
             | Self::NoCounter
             | Self::StaleFeed
             | Self::NoShard
-            | Self::NoPrimary => 503,
+            | Self::NoPrimary
+            | Self::Draining => 503,
             Self::EngineFailed => 502,
             Self::EngineTimeout | Self::OutcomeUnknown => 504,
         }
--- a/programs/topazyard-relay/src/front/parcels.rs
+++ b/programs/topazyard-relay/src/front/parcels.rs
@@ -161,6 +161,10 @@
     })
 }
 
+fn hex(body: &bytes::Bytes) -> String {
+    body.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 fn shown_return(item_return: &ItemReturn) -> serde_json::Value {
     let (outcome, status, body) = match &item_return.end {
         ItemEnd::Whole { status, body } => ("whole", Some(*status), Some(body)),
@@ -173,6 +177,7 @@
         "item": item_return.item,
         "outcome": outcome,
         "status": status,
-        "body": body.map(|body| String::from_utf8_lossy(body)),
+        "body": body.and_then(|body| std::str::from_utf8(body).ok()),
+        "body_hex": body.filter(|body| std::str::from_utf8(body).is_err()).map(hex),
     })
 }
--- a/programs/topazyard-relay/src/machine/admission.rs
+++ b/programs/topazyard-relay/src/machine/admission.rs
@@ -125,7 +125,7 @@
     /// The checks that need no other process, cheapest first.
     fn judge(&self, prompt: &Prompt, now: MonotonicMs) -> Result<PoolName, ApiError> {
         let refused = |code| Err(ApiError::not_run(code));
-        if let Some(code @ (Code::StaleFeed | Code::NoCounter)) = self.unready(now) {
+        if let Some(code) = self.unready(now).filter(|code| *code != Code::NoEngine) {
             return refused(code);
         }
         let Some((_, bundle)) = &self.view.spec else { return refused(Code::StaleFeed) };
@@ -252,7 +252,7 @@
         kind: LaneKind,
         now: MonotonicMs,
     ) -> Result<MonotonicMs, Code> {
-        if let Some(code @ (Code::StaleFeed | Code::NoCounter)) = self.unready(now) {
+        if let Some(code) = self.cut_off(now) {
             return Err(code);
         }
         let Some((_, bundle)) = &self.view.spec else { return Err(Code::StaleFeed) };
@@ -348,13 +348,13 @@
     /// Gives up on those whose deadline can't be met any more, or that waited long enough. Their
     /// final answer goes out at once.
     fn give_up_late(&mut self, now: MonotonicMs, out: &mut Out) {
-        let unready = self.unready(now).filter(|code| *code != Code::NoEngine);
+        let cut_off = self.cut_off(now);
         let mut late = Vec::new();
         for inbox in self.admission.inboxes.values() {
             let best_ms = inbox.pace.best_service_ms as u64;
             for id in &inbox.order {
                 let Some(entry) = self.admission.entries.get(id) else { continue };
-                let code = if let Some(code) = unready {
+                let code = if let Some(code) = cut_off {
                     Some(code)
                 } else if entry.prompt.deadline.since(now).0 <= best_ms {
                     Some(Code::Deadline)
--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -15,8 +15,10 @@
 const MOST_ITEMS: usize = 24;
 /// Items asked for in one lease.
 const MOST_LEASED: u32 = 4;
-/// How often a shard is asked for items.
+/// How often a shard that has items is asked for more.
 const LEASE_EVERY: DurationMs = DurationMs(120);
+/// How often one that had none is asked, at the least.
+const LEASE_IDLE: DurationMs = DurationMs(600);
 /// How long no items are asked for after the counter had no room for one.
 const NO_ROOM_PAUSE: DurationMs = DurationMs(200);
 /// How long a leased item may wait here for room; below the shard's lease.
@@ -56,7 +58,7 @@
 pub(crate) struct Items {
     entries: std::collections::BTreeMap<Run, Entry>,
     leasing: std::collections::BTreeSet<ShardId>,
-    last_lease: std::collections::BTreeMap<ShardId, MonotonicMs>,
+    next_lease: std::collections::BTreeMap<ShardId, (MonotonicMs, DurationMs)>,
     no_room_until: MonotonicMs,
     last_spoken: MonotonicMs,
 }
@@ -102,10 +104,10 @@
             self.view.shards.keys().copied().filter(|shard| !shard.is_counter()).collect();
         for shard in shards {
             let under_way = self.items.leasing.len() * MOST_LEASED as usize;
-            let last = self.items.last_lease.get(&shard);
+            let next = self.items.next_lease.get(&shard);
             if self.items.entries.len() + under_way >= MOST_ITEMS
                 || self.items.leasing.contains(&shard)
-                || last.is_some_and(|at| now.since(*at) < LEASE_EVERY)
+                || next.is_some_and(|(at, _)| now < *at)
             {
                 continue;
             }
@@ -114,7 +116,6 @@
                 return;
             }
             self.items.leasing.insert(shard);
-            self.items.last_lease.insert(shard, now);
             let call = ParcelCall::Lease { most: MOST_LEASED, models };
             let limit = DurationMs(1_000);
             self.send_parcel(Caller::Leasing, shard, call, limit, now, out);
@@ -129,6 +130,14 @@
         out: &mut Out,
     ) {
         self.items.lease_over(shard);
+        // A shard without items is asked less and less often, so that a large idle fleet does
+        // not weigh on its storage nodes.
+        let before = self.items.next_lease.get(&shard).map_or(LEASE_EVERY, |(_, gap)| *gap);
+        let gap = match leased.is_empty() {
+            true => DurationMs((before.0 * 2).min(LEASE_IDLE.0)),
+            false => LEASE_EVERY,
+        };
+        self.items.next_lease.insert(shard, (now.plus(gap), gap));
         for LeasedItem { run, item } in leased {
             let lane = self
                 .view
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -82,6 +82,8 @@
     ItemEnded(Run, RunEnd),
     /// What a look at an engine's health gave.
     Looked(EngineName, bool),
+    /// Take nothing new from now on, and finish what is under way.
+    Drain,
     /// Is the relay ready?
     Ready,
     /// How does it fare?
@@ -173,6 +175,8 @@
     allowed: u64,
     refused: std::collections::BTreeMap<Code, u64>,
     refused_for_room: u32,
+    /// Whether it takes nothing new.
+    drains: bool,
 }
 
 impl RelayMachine {
@@ -193,6 +197,7 @@
             allowed: 0,
             refused: std::collections::BTreeMap::new(),
             refused_for_room: 0,
+            drains: false,
         }
     }
 
@@ -201,12 +206,23 @@
         self.follower.confirmed_at().map_or(MonotonicMs(0), |at| at.plus(FRESH_FOR))
     }
 
-    /// Why the relay can't serve now, if it can't.
-    pub(crate) fn unready(&self, now: MonotonicMs) -> Option<Code> {
+    /// Which of the others this relay must hear and doesn't.
+    pub(crate) fn cut_off(&self, now: MonotonicMs) -> Option<Code> {
         if now >= self.fresh_until() || self.view.spec.is_none() {
             Some(Code::StaleFeed)
         } else if now >= self.counting.leased_until() {
             Some(Code::NoCounter)
+        } else {
+            None
+        }
+    }
+
+    /// Why the relay takes nothing new now, if it doesn't.
+    pub(crate) fn unready(&self, now: MonotonicMs) -> Option<Code> {
+        if self.drains {
+            Some(Code::Draining)
+        } else if let Some(code) = self.cut_off(now) {
+            Some(code)
         } else if self.view.engines.values().all(|engine| !self.engines.is_usable(engine)) {
             Some(Code::NoEngine)
         } else {
@@ -298,6 +314,10 @@
                 self.engines.looked(engine, is_well, now);
                 RelayReturn::Noted
             }
+            RelayCall::Drain => {
+                self.drains = true;
+                RelayReturn::Noted
+            }
             RelayCall::Ready => match self.unready(now) {
                 None => RelayReturn::Noted,
                 Some(code) => RelayReturn::Refused(ApiError::not_run(code)),
--- a/programs/topazyard-relay/src/machine/parcels.rs
+++ b/programs/topazyard-relay/src/machine/parcels.rs
@@ -81,7 +81,9 @@
         now: MonotonicMs,
         out: &mut Out,
     ) {
-        let refused = if now >= self.fresh_until() {
+        let refused = if self.drains {
+            Some(Code::Draining)
+        } else if now >= self.fresh_until() {
             Some(Code::StaleFeed)
         } else if self.parcels.pending.len() >= MOST_CALLS {
             Some(Code::NoShard)
