Probe silent storage nodes out of turn; let finished parcels go in time

Control drops a node that was silent on the feed for 1.5 s only if the cohort doubts it too, and with 27 members the doubt came 2 to 3 s after the kill, by whoever's turn it was and then by gossip. Ruled out: the pair (serves 0.2 s after its record) and the relays (they hear within 0.2 s).

Change: control probes a storage node that was silent on the feed for 0.5 s at its next turn. A probe that is answered changes nothing.

Also: finished parcels were kept for ever; they now go keep_finished_s after their last return, a week unless the spec says otherwise.

--- a/libraries/topazyard-cohort/src/cohort.rs
+++ b/libraries/topazyard-cohort/src/cohort.rs
@@ -115,6 +115,15 @@
             .map(|known| known.news.member.address)
     }
 
+    /// Probes a member next, as somebody has cause to doubt it.
+    pub fn probe_next(&mut self, id: NodeId) {
+        let is_probed = self.probe.as_ref().is_some_and(|probe| probe.target == id);
+        let is_alive = self.standing(id) == Some(Standing::Alive);
+        if is_alive && !is_probed && self.turn.last() != Some(&id) {
+            self.turn.push(id);
+        }
+    }
+
     fn next_nonce(&mut self) -> u64 {
         self.last_nonce += 1;
         self.last_nonce
--- a/libraries/topazyard-spec/src/bundle.rs
+++ b/libraries/topazyard-spec/src/bundle.rs
@@ -90,11 +90,20 @@
     /// Largest item body.
     #[garde(range(min = 1, max = 1_048_576))]
     pub max_item_bytes: u32,
+    /// For how long a parcel is kept after its last return.
+    #[garde(range(min = 60, max = 31_536_000))]
+    #[serde(default = "default_keep")]
+    pub keep_finished_s: u32,
 }
 
 impl Default for ParcelLimits {
     fn default() -> Self {
-        Self { waiting_ceiling_tokens: Tokens(2_000_000), max_items: 1_000, max_item_bytes: 65_536 }
+        Self {
+            waiting_ceiling_tokens: Tokens(2_000_000),
+            max_items: 1_000,
+            max_item_bytes: 65_536,
+            keep_finished_s: default_keep(),
+        }
     }
 }
 
@@ -119,6 +128,9 @@
     }
 }
 
+fn default_keep() -> u32 {
+    604_800
+}
 fn default_limit() -> Tokens {
     Tokens(40_000)
 }
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -293,6 +293,7 @@
         }
         if now.since(self.last_plan) >= crate::planner::EVERY {
             self.last_plan = now;
+            self.probe_the_silent(now);
             self.plan(now);
         }
     }
--- a/programs/topazyard-control/src/machine/vitals.rs
+++ b/programs/topazyard-control/src/machine/vitals.rs
@@ -7,6 +7,8 @@
 use topazyard_wire::message::control::{ShardWish, Wish};
 use topazyard_wire::message::feed::Vitals;
 
+/// After how long without a word a node is probed out of turn.
+const DOUBT_AFTER: DurationMs = DurationMs(500);
 /// After how long without a word a node that the cohort doubts too counts as down.
 const DOWN_AFTER: DurationMs = DurationMs(1_500);
 /// After how long without a word it counts as down whatever the cohort says.
@@ -70,6 +72,17 @@
         standings
     }
 
+    /// Probes storage nodes that have gone silent on the feed, so that a doubt which is right is
+    /// confirmed soon and one which is wrong does no harm.
+    pub(super) fn probe_the_silent(&mut self, now: MonotonicMs) {
+        let silent = self.seen.nodes.iter().filter(|(_, seen)| {
+            matches!(seen.vitals, Vitals::Storage { .. }) && now.since(seen.at) >= DOUBT_AFTER
+        });
+        for id in silent.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.cohort.probe_next(id);
+        }
+    }
+
     /// Takes a shard primary's wish, if it was made in the shard's present epoch.
     pub(super) fn take_wish(&mut self, sender: NodeId, wish: &ShardWish, _now: MonotonicMs) {
         if !self.pair.is_serving() || self.pair.has_changes_pending() {
--- a/programs/topazyard-storage/src/machine/serving.rs
+++ b/programs/topazyard-storage/src/machine/serving.rs
@@ -64,10 +64,10 @@
                 (Vec::new(), ParcelAnswer::Returns(parcel, after))
             }
             ParcelCall::Recall(parcel, item) => {
-                let (answer, changes) = parcels.recall(parcel, item);
+                let (answer, changes) = parcels.recall(parcel, item, now);
                 (changes, ParcelAnswer::Ready(answer))
             }
-            ParcelCall::End(parcel) => match parcels.end(parcel) {
+            ParcelCall::End(parcel) => match parcels.end(parcel, now) {
                 Some(changes) => (changes, ParcelAnswer::Standing(parcel, false)),
                 None => (Vec::new(), ParcelAnswer::Ready(ParcelReturn::Unknown)),
             },
@@ -80,7 +80,7 @@
                 (changes, ParcelAnswer::Ready(ParcelReturn::MayStart(may_start)))
             }
             ParcelCall::Finish(run, end) => {
-                let changes = parcels.finish(relay, run, end);
+                let changes = parcels.finish(relay, run, end, now);
                 (changes, ParcelAnswer::Ready(ParcelReturn::Noted))
             }
             ParcelCall::Running(runs) => {
@@ -155,7 +155,16 @@
         let changes = match &mut hosted.work {
             Work::None => Vec::new(),
             Work::Counter(counter) => counter.beat(now),
-            Work::Parcels(parcels) => parcels.beat(now),
+            Work::Parcels(parcels) => {
+                let limits = self.view.spec.as_ref().map(|(_, bundle)| &bundle.parcels);
+                let keep_s = limits.map(|limits| u64::from(limits.keep_finished_s));
+                let mut changes = parcels.beat(now);
+                if let Some(keep_s) = keep_s {
+                    let keep = topazyard_types::DurationMs(keep_s * 1_000);
+                    changes.extend(parcels.let_go(keep, now));
+                }
+                changes
+            }
         };
         if !changes.is_empty() {
             hosted.submit(changes, Waiting::Nobody);
--- a/programs/topazyard-storage/src/parcels/changes.rs
+++ b/programs/topazyard-storage/src/parcels/changes.rs
@@ -1,7 +1,7 @@
 //! Commands: each changes an item's state in one place and gives the rows that record it.
 
 use super::{ItemFacts, ItemState, LEASE, Lease, Parcel, ParcelRow, Parcels, RUN_SILENT, rows};
-use topazyard_types::{ItemNumber, ModelName, MonotonicMs, NodeId, ParcelId, Tokens};
+use topazyard_types::{DurationMs, ItemNumber, ModelName, MonotonicMs, NodeId, ParcelId, Tokens};
 use topazyard_wire::RowChange;
 use topazyard_wire::message::parcel::{
     Item, ItemEnd, ItemReturn, LeasedItem, ParcelReturn, Run, RunEnd,
@@ -44,11 +44,20 @@
     }
 
     /// The one place where an item gets its final return, at the next position.
-    fn give_return(&mut self, parcel: ParcelId, item: ItemNumber, end: ItemEnd) -> Vec<RowChange> {
+    fn give_return(
+        &mut self,
+        parcel: ParcelId,
+        item: ItemNumber,
+        end: ItemEnd,
+        now: MonotonicMs,
+    ) -> Vec<RowChange> {
         let cost = self.facts(parcel, item).map_or(Tokens(0), |facts| facts.cost);
         let Some(kept) = self.parcels.get_mut(&parcel.number) else { return Vec::new() };
         kept.row.returned += 1;
         let row = kept.row;
+        if row.returned == row.items {
+            self.finished.push_back((now, parcel.number));
+        }
         self.waiting = Tokens(self.waiting.0.saturating_sub(cost.0));
         let position = row.returned;
         vec![
@@ -59,10 +68,10 @@
     }
 
     /// Lets an item wait for its next run.
-    fn wait_again(&mut self, run: Run) -> Vec<RowChange> {
+    fn wait_again(&mut self, run: Run, now: MonotonicMs) -> Vec<RowChange> {
         let ended = self.parcels.get(&run.parcel.number).is_some_and(|parcel| parcel.row.ended);
         if ended {
-            return self.give_return(run.parcel, run.item, ItemEnd::Ended);
+            return self.give_return(run.parcel, run.item, ItemEnd::Ended, now);
         }
         self.inbox.push_front((run.parcel.number, run.item));
         vec![self.set_state(run.parcel, run.item, ItemState::Waiting)]
@@ -125,7 +134,13 @@
     }
 
     /// Takes how a run ended. What is not the present run of its item is passed over.
-    pub fn finish(&mut self, relay: NodeId, run: Run, end: RunEnd) -> Vec<RowChange> {
+    pub fn finish(
+        &mut self,
+        relay: NodeId,
+        run: Run,
+        end: RunEnd,
+        now: MonotonicMs,
+    ) -> Vec<RowChange> {
         let Some(facts) = self.facts(run.parcel, run.item) else { return Vec::new() };
         let repeatable = facts.repeatable;
         if facts.state == ItemState::Waiting {
@@ -142,11 +157,11 @@
         self.heard.remove(&run);
         match end {
             RunEnd::Whole { status, body } => {
-                self.give_return(run.parcel, run.item, ItemEnd::Whole { status, body })
+                self.give_return(run.parcel, run.item, ItemEnd::Whole { status, body }, now)
             }
-            RunEnd::NotRun => self.wait_again(run),
-            RunEnd::Unknown if repeatable => self.wait_again(run),
-            RunEnd::Unknown => self.give_return(run.parcel, run.item, ItemEnd::OutcomeUnknown),
+            RunEnd::NotRun => self.wait_again(run, now),
+            RunEnd::Unknown if repeatable => self.wait_again(run, now),
+            RunEnd::Unknown => self.give_return(run.parcel, run.item, ItemEnd::OutcomeUnknown, now),
         }
     }
 
@@ -160,12 +175,17 @@
     }
 
     /// Asks an item back.
-    pub fn recall(&mut self, parcel: ParcelId, item: ItemNumber) -> (ParcelReturn, Vec<RowChange>) {
+    pub fn recall(
+        &mut self,
+        parcel: ParcelId,
+        item: ItemNumber,
+        now: MonotonicMs,
+    ) -> (ParcelReturn, Vec<RowChange>) {
         match self.facts(parcel, item).map(|facts| facts.state) {
             None => (ParcelReturn::Unknown, Vec::new()),
             Some(ItemState::Waiting) => {
                 self.leases.retain(|run, _| (run.parcel, run.item) != (parcel, item));
-                (ParcelReturn::Recalled, self.give_return(parcel, item, ItemEnd::Recalled))
+                (ParcelReturn::Recalled, self.give_return(parcel, item, ItemEnd::Recalled, now))
             }
             Some(ItemState::Started { .. }) => {
                 (ParcelReturn::TooLate { returned: false }, Vec::new())
@@ -177,7 +197,7 @@
     }
 
     /// Ends a parcel: what has not started never will.
-    pub fn end(&mut self, parcel: ParcelId) -> Option<Vec<RowChange>> {
+    pub fn end(&mut self, parcel: ParcelId, now: MonotonicMs) -> Option<Vec<RowChange>> {
         let kept = self.parcels.get_mut(&parcel.number)?;
         if kept.row.ended {
             return Some(Vec::new());
@@ -193,11 +213,26 @@
         self.leases.retain(|run, _| run.parcel != parcel);
         let mut changes = vec![rows::parcel(parcel.number, &row)];
         for item in waiting {
-            changes.extend(self.give_return(parcel, item, ItemEnd::Ended));
+            changes.extend(self.give_return(parcel, item, ItemEnd::Ended, now));
         }
         Some(changes)
     }
 
+    /// Notes parcels that have all their returns, and lets go of those kept long enough.
+    pub fn let_go(&mut self, keep: DurationMs, now: MonotonicMs) -> Vec<RowChange> {
+        let mut changes = Vec::new();
+        while let Some((since, number)) = self.finished.front().copied() {
+            if now.since(since) < keep {
+                break;
+            }
+            self.finished.pop_front();
+            if let Some(parcel) = self.parcels.remove(&number) {
+                changes.extend(rows::all_gone(number, parcel.row.items));
+            }
+        }
+        changes
+    }
+
     /// Takes back leases that ran out, and settles runs that nobody speaks of any more.
     pub fn beat(&mut self, now: MonotonicMs) -> Vec<RowChange> {
         let lapsed: Vec<Run> =
@@ -217,7 +252,7 @@
             if let Some(ItemState::Started { relay, .. }) =
                 self.facts(run.parcel, run.item).map(|facts| facts.state)
             {
-                changes.extend(self.finish(relay, run, RunEnd::Unknown));
+                changes.extend(self.finish(relay, run, RunEnd::Unknown, now));
             }
             self.heard.remove(&run);
         }
--- a/programs/topazyard-storage/src/parcels/mod.rs
+++ b/programs/topazyard-storage/src/parcels/mod.rs
@@ -74,6 +74,8 @@
     leases: std::collections::BTreeMap<Run, Lease>,
     heard: std::collections::BTreeMap<Run, MonotonicMs>,
     waiting: Tokens,
+    /// Parcels with all their returns, and since when that is known here.
+    finished: std::collections::VecDeque<(MonotonicMs, u64)>,
     last_lease: u64,
 }
 
@@ -92,6 +94,7 @@
             leases: std::collections::BTreeMap::new(),
             heard: std::collections::BTreeMap::new(),
             waiting: Tokens(0),
+            finished: std::collections::VecDeque::new(),
             last_lease: life.first_number(),
         };
         for (number, row) in rows::parcels(copy) {
@@ -121,6 +124,10 @@
                     cost: facts.cost,
                 });
             }
+            // A successor counts anew: a parcel may be kept longer than it must, never shorter.
+            if row.returned == row.items {
+                parcels.finished.push_back((now, number));
+            }
             parcels.parcels.insert(number, Parcel { row, items });
         }
         parcels
--- a/programs/topazyard-storage/src/parcels/rows.rs
+++ b/programs/topazyard-storage/src/parcels/rows.rs
@@ -39,6 +39,16 @@
     RowChange::put(return_key(number, value.position), value)
 }
 
+/// Takes every row of a parcel away.
+pub(super) fn all_gone(number: u64, items: u32) -> Vec<RowChange> {
+    let of_items = (0..items).map(ItemNumber).flat_map(|item| {
+        let keys =
+            [item_key(number, item), state_key(number, item), return_key(number, item.0 + 1)];
+        keys.map(RowChange::gone)
+    });
+    of_items.chain([RowChange::gone(parcel_key(number))]).collect()
+}
+
 pub(super) fn parcels(
     copy: &topazyard_replication::Copy,
 ) -> impl Iterator<Item = (u64, ParcelRow)> {
--- a/programs/topazyard-storage/tests/parcels.rs
+++ b/programs/topazyard-storage/tests/parcels.rs
@@ -52,7 +52,7 @@
     }
 
     fn finish(&mut self, relay: NodeId, run: Run, end: RunEnd) {
-        let changes = self.parcels.finish(relay, run, end);
+        let changes = self.parcels.finish(relay, run, end, MonotonicMs(50));
         self.keep(changes);
     }
 }
@@ -110,7 +110,7 @@
 fn an_ended_parcel_starts_nothing_more() {
     let mut shard = Shard::with_items(3);
     let leased = shard.lease(A, MonotonicMs(0));
-    let changes = shard.parcels.end(shard.parcel).expect("it is known");
+    let changes = shard.parcels.end(shard.parcel, MonotonicMs(1)).expect("it is known");
     shard.keep(changes);
     assert!(!shard.start(A, leased, MonotonicMs(1)));
     let listed = returns(&shard.copy, shard.parcel, 0).expect("it is known");
@@ -123,9 +123,9 @@
     let run = shard.lease(A, MonotonicMs(0));
     let other = ItemNumber(1 - run.item.0);
     assert!(shard.start(A, run, MonotonicMs(1)));
-    let (answer, _) = shard.parcels.recall(shard.parcel, run.item);
+    let (answer, _) = shard.parcels.recall(shard.parcel, run.item, MonotonicMs(1));
     assert_eq!(answer, ParcelReturn::TooLate { returned: false });
-    let (answer, changes) = shard.parcels.recall(shard.parcel, other);
+    let (answer, changes) = shard.parcels.recall(shard.parcel, other, MonotonicMs(1));
     shard.keep(changes);
     assert_eq!(answer, ParcelReturn::Recalled);
     let models: [ModelName; 1] = ["m".into()];
@@ -144,3 +144,29 @@
     assert_eq!(successor.waiting(), Tokens(20));
     assert_eq!(returns(&copy, shard.parcel, 0), returns(&shard.copy, shard.parcel, 0));
 }
+
+#[test]
+fn a_finished_parcel_is_kept_as_long_as_the_spec_says_and_leaves_no_row() {
+    let mut shard = Shard::with_items(2);
+    for _ in 0..2 {
+        let run = shard.lease(A, MonotonicMs(0));
+        assert!(shard.start(A, run, MonotonicMs(1)));
+        shard.finish(A, run, whole("done"));
+    }
+    let keep = topazyard_types::DurationMs(1_000);
+    assert!(shard.parcels.let_go(keep, MonotonicMs(1_049)).is_empty());
+    let changes = shard.parcels.let_go(keep, MonotonicMs(1_050));
+    shard.keep(changes);
+    assert!(shard.copy.rows().is_empty());
+    assert!(!shard.parcels.contains(shard.parcel));
+}
+
+#[test]
+fn an_unfinished_parcel_is_kept_for_ever() {
+    let mut shard = Shard::with_items(2);
+    let run = shard.lease(A, MonotonicMs(0));
+    assert!(shard.start(A, run, MonotonicMs(1)));
+    shard.finish(A, run, whole("one of two"));
+    let keep = topazyard_types::DurationMs(0);
+    assert!(shard.parcels.let_go(keep, MonotonicMs(9_000_000)).is_empty());
+}
