--- a/programs/topazyard-relay/src/machine/admission.rs
+++ b/programs/topazyard-relay/src/machine/admission.rs
@@ -29,6 +29,8 @@
     call: CallId,
     prompt: Prompt,
     pool: PoolName,
+    /// What its lane says it is worth.
+    value: u32,
     since: MonotonicMs,
     stage: Stage,
 }
@@ -66,6 +68,13 @@
         self.inboxes.values().map(|inbox| inbox.order.len()).sum()
     }
 
+    /// How many in an inbox go before one that is worth so much: those worth as much or more.
+    fn ahead_of(&self, pool: &PoolName, value: u32) -> usize {
+        let Some(inbox) = self.inboxes.get(pool) else { return 0 };
+        let is_less = |id: &PromptId| self.entries.get(id).is_none_or(|e| e.value < value);
+        inbox.order.iter().position(is_less).unwrap_or(inbox.order.len())
+    }
+
     pub(crate) fn holding(&self) -> usize {
         self.entries.values().filter(|e| matches!(e.stage, Stage::Held(..))).count()
     }
@@ -106,12 +115,21 @@
     pub(super) fn allow(&mut self, call: CallId, prompt: Prompt, now: MonotonicMs, out: &mut Out) {
         match self.judge(&prompt, now) {
             Err(error) => self.refuse(call, error, out),
-            Ok(pool) => {
+            Ok((pool, value)) => {
                 let id = prompt.id;
-                self.admission.inboxes.entry(pool.clone()).or_default().order.push_back(id);
-                let entry =
-                    Entry { call, prompt, pool: pool.clone(), since: now, stage: Stage::Waiting };
+                let ahead = self.admission.ahead_of(&pool, value);
+                let inbox = self.admission.inboxes.entry(pool.clone()).or_default();
+                inbox.order.insert(ahead, id);
+                let entry = Entry {
+                    call,
+                    prompt,
+                    pool: pool.clone(),
+                    value,
+                    since: now,
+                    stage: Stage::Waiting,
+                };
                 self.admission.entries.insert(id, entry);
+                self.displace_last(&pool, out);
                 self.ask_in_order(&pool, now, out);
             }
         }
@@ -123,7 +141,7 @@
     }
 
     /// The checks that need no other process, cheapest first.
-    fn judge(&self, prompt: &Prompt, now: MonotonicMs) -> Result<PoolName, ApiError> {
+    fn judge(&self, prompt: &Prompt, now: MonotonicMs) -> Result<(PoolName, u32), ApiError> {
         let refused = |code| Err(ApiError::not_run(code));
         if let Some(code) = self.unready(now).filter(|code| *code != Code::NoEngine) {
             return refused(code);
@@ -133,7 +151,7 @@
             return Err(ApiError::not_run(Code::NoLane).at("Topazyard-Model"));
         };
         let inbox = self.admission.inboxes.get(&lane.pool);
-        let ahead = inbox.map_or(0, |inbox| inbox.order.len());
+        let ahead = self.admission.ahead_of(&lane.pool, lane.value);
         let wait = inbox.map_or(DurationMs(0), |inbox| inbox.pace.wait_behind(ahead));
         let best_ms = inbox.map_or(0.0, |inbox| inbox.pace.best_service_ms);
         let left = prompt.deadline.since(now);
@@ -143,14 +161,43 @@
         if !self.has_engine(&lane.pool, &prompt.model) {
             return refused(Code::NoEngine);
         }
-        let depth = bundle.pool(&lane.pool).map_or(0, |pool| pool.inbox_depth as usize);
-        if ahead > depth {
+        if ahead > self.depth(&lane.pool) {
             return refused(Code::InboxFull);
         }
         if wait >= LONGEST_WAIT {
             return refused(Code::Budget);
         }
-        Ok(lane.pool.clone())
+        Ok((lane.pool.clone(), lane.value))
+    }
+
+    fn depth(&self, pool: &PoolName) -> usize {
+        let bundle = self.view.spec.as_ref().map(|(_, bundle)| bundle);
+        let pool = bundle.and_then(|bundle| bundle.pool(pool));
+        pool.map_or(0, |pool| pool.inbox_depth as usize)
+    }
+
+    /// Gives up on the last of an inbox that has become too long: it is worth least, and of those
+    /// it came last.
+    fn displace_last(&mut self, pool: &PoolName, out: &mut Out) {
+        let depth = self.depth(pool);
+        let Some(inbox) = self.admission.inboxes.get_mut(pool) else { return };
+        // One more than the inbox holds is the one that asks.
+        if inbox.order.len() <= depth + 1 {
+            return;
+        }
+        if let Some(last) = inbox.order.pop_back() {
+            self.forget_asking(last, out);
+            self.give_up(last, Code::InboxFull, out);
+        }
+    }
+
+    /// Lets go of what a waiting prompt has asked for.
+    fn forget_asking(&mut self, id: PromptId, out: &mut Out) {
+        if let Some(Entry { stage: Stage::Asking(hold), .. }) = self.admission.entries.get(&id) {
+            let hold = *hold;
+            self.admission.askings.remove(&hold);
+            self.release_hold(hold, out);
+        }
     }
 
     /// Lets those at the front ask the counter. When it has refused the first, only the first
@@ -369,10 +416,7 @@
         for (id, code) in late {
             let Some(entry) = self.admission.entries.get(&id) else { continue };
             let pool = entry.pool.clone();
-            if let Stage::Asking(hold) = entry.stage {
-                self.admission.askings.remove(&hold);
-                self.release_hold(hold, out);
-            }
+            self.forget_asking(id, out);
             if let Some(inbox) = self.admission.inboxes.get_mut(&pool) {
                 inbox.order.retain(|other| *other != id);
             }
