Let nodes with a disk start alike, and send a cohort's messages in one place

Change: one DiskStart and one daemon() in the wire library, one effects() in the cohort library; dead parameters and fields are gone.

--- a/fleet-simulator/src/people/mod.rs
+++ b/fleet-simulator/src/people/mod.rs
@@ -94,7 +94,6 @@
     ready: std::collections::BTreeSet<NodeIndex>,
     parcels: Vec<parcels::ParcelVisitor>,
     specs: Vec<operators::SpecOperator>,
-    newest_known: u64,
     /// Engines that the platform wants listed as ready.
     pub listed_ready: std::collections::BTreeSet<String>,
 }
--- a/fleet-simulator/src/people/operators.rs
+++ b/fleet-simulator/src/people/operators.rs
@@ -181,7 +181,6 @@
             Step::Look => {
                 let newest = shown["specs"].as_array().and_then(|specs| specs.last()).cloned();
                 let newest = newest.and_then(|spec| spec["version"].as_u64()).unwrap_or(0);
-                self.people.newest_known = newest;
                 Step::Submit(newest)
             }
             Step::Submit(_) => {
--- a/fleet-simulator/src/people/parcels.rs
+++ b/fleet-simulator/src/people/parcels.rs
@@ -74,7 +74,8 @@
         });
         let ends = self.draw(0..6) == 0;
         let ends_at = ends.then(|| self.time + 1_000_000 + 500_000 * (first_work as u64 % 7));
-        let recalls = (self.draw(0..5) == 0).then(|| self.rng_item(habits.parcel_items));
+        let recalls =
+            (self.draw(0..5) == 0).then(|| self.draw(0..habits.parcel_items.max(1)) as u32);
         self.people.parcels.push(ParcelVisitor {
             serial: 0,
             asked: None,
@@ -94,10 +95,6 @@
             .all(|(seen, visitor)| seen.accepted.is_none() || visitor.lists_whole >= CONTENT)
     }
 
-    fn rng_item(&mut self, items: u64) -> u32 {
-        self.draw(0..items.max(1)) as u32
-    }
-
     fn next_asked(&mut self, parcel: usize) -> Asked {
         let time = self.time;
         let seen = &self.history.parcels[parcel];
--- a/fleet-simulator/src/world/nodes.rs
+++ b/fleet-simulator/src/world/nodes.rs
@@ -7,6 +7,7 @@
 use topazyard_relay::{RelayCall, RelayMachine, RelayReturn, RelayTask};
 use topazyard_storage::StorageMachine;
 use topazyard_types::{CallId, MonotonicMs, NodeId};
+use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::cohort::{Duty, Member};
 use topazyard_wire::message::operate::{Operate, OperateOutcome};
 use topazyard_wire::{Effect, Input, Machine as _, Message, RowChange, WriteToken};
@@ -169,13 +170,13 @@
         let mut first = Vec::new();
         let body = match kind {
             Kind::Control => {
-                let start = topazyard_control::Start { member, seeds, chance, loaded };
+                let start = DiskStart { member, seeds, chance, loaded };
                 let (machine, effects) = ControlMachine::new(start, now);
                 first = effects;
                 Body::Control(Box::new(machine))
             }
             Kind::Storage => {
-                let start = topazyard_storage::Start { member, seeds, chance, loaded };
+                let start = DiskStart { member, seeds, chance, loaded };
                 Body::Storage(Box::new(StorageMachine::new(start)))
             }
             Kind::Agent => {
--- a/libraries/topazyard-cohort/src/cohort.rs
+++ b/libraries/topazyard-cohort/src/cohort.rs
@@ -318,9 +318,4 @@
             self.gossip.spread(self.own.clone(), self.roll.members.len());
         }
     }
-
-    /// The incarnation under which a member is known here.
-    pub fn incarnation(&self, id: NodeId) -> Option<Incarnation> {
-        self.roll.incarnation(id)
-    }
 }
--- a/libraries/topazyard-cohort/src/roll.rs
+++ b/libraries/topazyard-cohort/src/roll.rs
@@ -1,6 +1,6 @@
 //! What is known of each member.
 
-use topazyard_types::{Incarnation, MonotonicMs, NodeId};
+use topazyard_types::{MonotonicMs, NodeId};
 use topazyard_wire::message::cohort::{News, Standing};
 
 /// A member as it is known here.
@@ -71,9 +71,4 @@
     pub(crate) fn present(&self) -> impl Iterator<Item = &Known> {
         self.members.values().filter(|known| known.news.standing != Standing::Removed)
     }
-
-    /// The incarnation under which a member is known.
-    pub(crate) fn incarnation(&self, id: NodeId) -> Option<Incarnation> {
-        self.members.get(&id).map(|known| known.news.incarnation)
-    }
 }
--- /dev/null
+++ b/libraries/topazyard-wire/src/driver/disked.rs
@@ -0,0 +1,62 @@
+//! Starting a node that has a disk: control and storage begin alike.
+
+use super::{Place, StartError};
+use crate::message::cohort::{Duty, Member};
+
+/// From what a node with a disk starts.
+#[derive(Debug)]
+pub struct DiskStart {
+    /// Who and where it is.
+    pub member: Member,
+    /// The three seeds.
+    pub seeds: Vec<std::net::SocketAddr>,
+    /// Drawn for this life.
+    pub chance: u64,
+    /// What its disk held.
+    pub loaded: crate::rows::Loaded,
+}
+
+/// Opens the data folder, starts the log there and settles who the node is.
+///
+/// # Errors
+/// Settings that are missing, a folder that can't be used, or a log that can't be started.
+pub fn start_with_disk(
+    settings: &topazyard_spec::NodeSettings,
+    duty: Duty,
+) -> Result<(DiskStart, Place, redb::Database), StartError> {
+    let folder = settings.need_data()?;
+    let disk = crate::disk::open(&folder)?;
+    crate::log::start(Some(folder)).map_err(|_| StartError::Log)?;
+    let node = super::settled_id(&disk)?;
+    let member = Member {
+        id: node,
+        address: settings.address,
+        http: settings.http,
+        duty,
+        domain: settings.domain.clone(),
+    };
+    let place = Place { fleet: settings.fleet, node, address: settings.address };
+    let seeds = settings.seeds.clone();
+    let start = DiskStart { member, seeds, chance: rand::random(), loaded: disk.loaded };
+    Ok((start, place, disk.database))
+}
+
+impl DiskStart {
+    /// Addresses of control nodes that the node remembered when it last ran.
+    pub fn remembered(&self) -> Vec<std::net::SocketAddr> {
+        let rows = self.loaded.get(&crate::Group::Node);
+        let value = rows.and_then(|rows| rows.get("remembered"));
+        value.and_then(|value| crate::rows::decode(value)).unwrap_or_default()
+    }
+
+    /// The seeds and the remembered addresses, each once.
+    pub fn known_control(&self) -> Vec<std::net::SocketAddr> {
+        let mut known = self.seeds.clone();
+        for address in self.remembered() {
+            if !known.contains(&address) {
+                known.push(address);
+            }
+        }
+        known
+    }
+}
--- a/libraries/topazyard-wire/src/driver/spawn.rs
+++ b/libraries/topazyard-wire/src/driver/spawn.rs
@@ -177,3 +177,12 @@
     }
     actor.wait_for_shutdown().await;
 }
+
+/// A daemon's whole `main`: runs it on its flags and gives the exit code.
+pub fn daemon(
+    flags: topazyard_spec::Settings,
+    run: impl FnOnce(topazyard_spec::NodeSettings) -> Result<(), StartError>,
+) -> std::process::ExitCode {
+    let settings = topazyard_spec::NodeSettings::check(flags).map_err(StartError::from);
+    exit_code(settings.and_then(run))
+}
--- a/programs/topazyard-control/src/lib.rs
+++ b/programs/topazyard-control/src/lib.rs
@@ -6,4 +6,4 @@
 pub mod planner;
 pub mod tuner;
 
-pub use machine::{ControlCall, ControlMachine, ControlTask, Start};
+pub use machine::{ControlCall, ControlMachine, ControlTask};
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -12,7 +12,8 @@
 use topazyard_cohort::Cohort;
 use topazyard_replication::{Copy, Pair, PairOutput, Ticket, Witness};
 use topazyard_types::{MonotonicMs, NodeId, ShardId};
-use topazyard_wire::message::cohort::{Duty, Member};
+use topazyard_wire::driver::DiskStart;
+use topazyard_wire::message::cohort::Duty;
 use topazyard_wire::message::control::{CoreMessage, CoreNode};
 use topazyard_wire::message::operate::{Operate, OperateOutcome};
 use topazyard_wire::message::{Message, pair::PairMessage};
@@ -37,19 +38,6 @@
 /// The effects of a control node.
 pub(crate) type Out = Vec<Effect<OperateOutcome, ControlTask>>;
 
-/// From what a control node starts.
-#[derive(Debug)]
-pub struct Start {
-    /// Who and where it is.
-    pub member: Member,
-    /// The three seeds.
-    pub seeds: Vec<std::net::SocketAddr>,
-    /// Seeds its chances.
-    pub chance: u64,
-    /// What its disk held.
-    pub loaded: topazyard_wire::rows::Loaded,
-}
-
 /// One control node.
 pub struct ControlMachine {
     pub(crate) me: CoreNode,
@@ -98,17 +86,12 @@
 
 impl ControlMachine {
     /// A control node as it starts.
-    pub fn new(mut start: Start, now: MonotonicMs) -> (Self, Out) {
+    pub fn new(mut start: DiskStart, now: MonotonicMs) -> (Self, Out) {
         let me = CoreNode { id: start.member.id, address: start.member.address };
         let copy = Copy::loaded(start.loaded.remove(&Group::Control).unwrap_or_default());
         let witness_rows = start.loaded.remove(&Group::Witness).unwrap_or_default();
-        let node_rows = start.loaded.remove(&Group::Node).unwrap_or_default();
-        let remembered: Vec<std::net::SocketAddr> = node_rows
-            .get("remembered")
-            .and_then(|value| topazyard_wire::rows::decode(value))
-            .unwrap_or_default();
-        let mut ask = start.seeds.clone();
-        ask.extend(remembered.iter().filter(|address| !start.seeds.contains(address)));
+        let remembered = start.remembered();
+        let ask = start.known_control();
         let life = topazyard_types::Life(start.chance);
         let mut machine = Self {
             me,
@@ -276,11 +259,7 @@
 
     fn beat(&mut self, now: MonotonicMs, out: &mut Out) {
         let outgoing = self.cohort.beat(now);
-        out.extend(
-            outgoing
-                .into_iter()
-                .map(|(to, message)| Effect::Send { to, message: Message::Cohort(message) }),
-        );
+        out.extend(topazyard_cohort::effects(outgoing));
         self.remember_addresses(out);
         self.core_beat(now, out);
         self.claim_beat(now, out);
@@ -342,15 +321,12 @@
             Input::Frame { sender, from, message } => match message {
                 Message::Cohort(message) => {
                     let outgoing = self.cohort.receive(from, message, now);
-                    out.extend(outgoing.into_iter().map(|(to, message)| Effect::Send {
-                        to,
-                        message: Message::Cohort(message),
-                    }));
+                    out.extend(topazyard_cohort::effects(outgoing));
                 }
                 Message::Core(message) => self.receive_core(sender, from, message, now, &mut out),
                 Message::Pair(message) => self.receive_pair(sender, from, message, now, &mut out),
                 Message::Feed(message) => self.receive_feed(sender, from, message, now, &mut out),
-                Message::Wish(wish) => self.take_wish(sender, &wish, now),
+                Message::Wish(wish) => self.take_wish(sender, &wish),
                 Message::Operate(message) => self.receive_operate(from, message, now, &mut out),
                 Message::Counter(_) | Message::Parcel(_) => {}
             },
--- a/programs/topazyard-control/src/machine/vitals.rs
+++ b/programs/topazyard-control/src/machine/vitals.rs
@@ -84,7 +84,7 @@
     }
 
     /// Takes a shard primary's wish, if it was made in the shard's present epoch.
-    pub(super) fn take_wish(&mut self, sender: NodeId, wish: &ShardWish, _now: MonotonicMs) {
+    pub(super) fn take_wish(&mut self, sender: NodeId, wish: &ShardWish) {
         if !self.pair.is_serving() || self.pair.has_changes_pending() {
             return;
         }
--- a/programs/topazyard-control/src/main.rs
+++ b/programs/topazyard-control/src/main.rs
@@ -1,8 +1,8 @@
 //! A control node.
 
 use clap::Parser as _;
-use topazyard_wire::driver::StartError;
-use topazyard_wire::message::cohort::{Duty, Member};
+use topazyard_wire::driver::{StartError, start_with_disk};
+use topazyard_wire::message::cohort::Duty;
 
 /// Keeps the fleet's specs, engines, placement and weights
 #[derive(clap::Parser)]
@@ -13,35 +13,17 @@
 }
 
 fn main() -> std::process::ExitCode {
-    topazyard_wire::driver::exit_code(run(Flags::parse().settings))
+    topazyard_wire::driver::daemon(Flags::parse().settings, run)
 }
 
-fn run(settings: topazyard_spec::Settings) -> Result<(), StartError> {
-    let settings = topazyard_spec::NodeSettings::check(settings)?;
+fn run(settings: topazyard_spec::NodeSettings) -> Result<(), StartError> {
     let http = settings.need_http()?;
-    let folder = settings.need_data()?;
-    let disk = topazyard_wire::disk::open(&folder)?;
-    topazyard_wire::log::start(Some(folder)).map_err(|_| StartError::Log)?;
-    let node = topazyard_wire::driver::settled_id(&disk)?;
-    let start = topazyard_control::Start {
-        member: Member {
-            id: node,
-            address: settings.address,
-            http: Some(http),
-            duty: Duty::Control,
-            domain: settings.domain.clone(),
-        },
-        seeds: settings.seeds.clone(),
-        chance: rand::random(),
-        loaded: disk.loaded,
-    };
-    let place =
-        topazyard_wire::driver::Place { fleet: settings.fleet, node, address: settings.address };
+    let (start, place, database) = start_with_disk(&settings, Duty::Control)?;
     topazyard_wire::driver::run_process(async move {
         let listener = topazyard_wire::http::inward::bind(http).await?;
         let (tasks, mut begun) = tokio::sync::mpsc::channel(64);
         let make = |now| topazyard_control::ControlMachine::new(start, now);
-        let handle = topazyard_wire::driver::spawn(make, place, Some(disk.database), tasks)?;
+        let handle = topazyard_wire::driver::spawn(make, place, Some(database), tasks)?;
         let loads = handle.clone();
         tokio::spawn(async move {
             while let Some(topazyard_control::ControlTask::AskLoads(engines)) = begun.recv().await {
--- a/programs/topazyard-edge-agent/src/machine.rs
+++ b/programs/topazyard-edge-agent/src/machine.rs
@@ -151,11 +151,7 @@
         // An agent answers for its relay: without one it doesn't return probes, nor sends any.
         if self.relay_is_heard(now) {
             let outgoing = self.cohort.beat(now);
-            out.extend(
-                outgoing
-                    .into_iter()
-                    .map(|(to, message)| Effect::Send { to, message: Message::Cohort(message) }),
-            );
+            out.extend(topazyard_cohort::effects(outgoing));
         }
     }
 
@@ -176,10 +172,7 @@
             Input::Frame { from, message: Message::Cohort(message), .. } => {
                 if self.relay_is_heard(now) {
                     let outgoing = self.cohort.receive(from, message, now);
-                    out.extend(outgoing.into_iter().map(|(to, message)| Effect::Send {
-                        to,
-                        message: Message::Cohort(message),
-                    }));
+                    out.extend(topazyard_cohort::effects(outgoing));
                 }
             }
             Input::Frame { from, message: Message::Feed(message), .. } => {
--- a/programs/topazyard-relay/src/machine/admission.rs
+++ b/programs/topazyard-relay/src/machine/admission.rs
@@ -244,7 +244,7 @@
         }
         let (model, prefix, cost) =
             (entry.prompt.model.clone(), entry.prompt.prefix.clone(), entry.prompt.cost);
-        let target = self.choose_engine(&pool, &model, &prefix, None, now);
+        let target = self.choose_engine(&pool, &model, &prefix, None);
         if let Some(inbox) = self.admission.inboxes.get_mut(&pool) {
             inbox.order.retain(|other| *other != id);
             inbox.full_since = None;
@@ -332,7 +332,7 @@
         };
         let (hold, held) = (*hold, held.clone());
         let (pool, prompt) = (entry.pool.clone(), entry.prompt.clone());
-        let target = self.choose_engine(&pool, &prompt.model, &prompt.prefix, Some(failed), now);
+        let target = self.choose_engine(&pool, &prompt.model, &prompt.prefix, Some(failed));
         let Some(target) = target else {
             return RelayReturn::Refused(ApiError::not_run(Code::NoEngine));
         };
--- a/programs/topazyard-relay/src/machine/engines.rs
+++ b/programs/topazyard-relay/src/machine/engines.rs
@@ -125,7 +125,6 @@
         model: &ModelName,
         prefix: &[String],
         not: Option<&EngineName>,
-        _now: MonotonicMs,
     ) -> Option<Target> {
         let usable: Vec<&Engine> =
             self.usable(pool, model).filter(|engine| Some(&engine.name) != not).collect();
--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -228,7 +228,7 @@
         let in_time = now.since(asked) < START_WITHIN;
         let (pool, model) = (entry.pool.clone(), entry.item.model.clone());
         let (body, cost) = (entry.item.body.clone(), entry.item.cost);
-        let target = self.choose_engine(&pool, &model, &[], None, now);
+        let target = self.choose_engine(&pool, &model, &[], None);
         match target.filter(|_| may && in_time) {
             Some(target) => {
                 self.engines.begin(&target.engine, cost, &[]);
--- a/programs/topazyard-relay/src/main.rs
+++ b/programs/topazyard-relay/src/main.rs
@@ -12,11 +12,10 @@
 }
 
 fn main() -> std::process::ExitCode {
-    topazyard_wire::driver::exit_code(run(Flags::parse().settings))
+    topazyard_wire::driver::daemon(Flags::parse().settings, run)
 }
 
-fn run(settings: topazyard_spec::Settings) -> Result<(), StartError> {
-    let settings = topazyard_spec::NodeSettings::check(settings)?;
+fn run(settings: topazyard_spec::NodeSettings) -> Result<(), StartError> {
     let http = settings.need_http()?;
     let agent = settings.need_beside()?;
     topazyard_wire::log::start(settings.data.clone()).map_err(|_| StartError::Log)?;
--- a/programs/topazyard-storage/src/lib.rs
+++ b/programs/topazyard-storage/src/lib.rs
@@ -4,4 +4,4 @@
 pub mod machine;
 pub mod parcels;
 
-pub use machine::{Start, StorageMachine};
+pub use machine::StorageMachine;
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -9,6 +9,7 @@
 use topazyard_cohort::Cohort;
 use topazyard_replication::{Follower, follower::Followed};
 use topazyard_types::{Life, MonotonicMs, NodeId, ShardId};
+use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::Message;
 use topazyard_wire::message::cohort::{Duty, Member};
 use topazyard_wire::message::control::{ShardWish, Wish};
@@ -41,19 +42,6 @@
     pub holds: Option<usize>,
 }
 
-/// From what a storage node starts.
-#[derive(Debug)]
-pub struct Start {
-    /// Who and where it is.
-    pub member: Member,
-    /// The three seeds.
-    pub seeds: Vec<std::net::SocketAddr>,
-    /// Seeds its chances.
-    pub chance: u64,
-    /// What its disk held.
-    pub loaded: topazyard_wire::rows::Loaded,
-}
-
 /// One storage node.
 pub struct StorageMachine {
     pub(crate) member: Member,
@@ -73,22 +61,14 @@
 
 impl StorageMachine {
     /// A storage node as it starts.
-    pub fn new(mut start: Start) -> Self {
+    pub fn new(mut start: DiskStart) -> Self {
+        let remembered = start.remembered();
+        let sources = start.known_control();
         let node_rows = start.loaded.remove(&Group::Node).unwrap_or_default();
-        let remembered: Vec<std::net::SocketAddr> = node_rows
-            .get("remembered")
-            .and_then(|value| topazyard_wire::rows::decode(value))
-            .unwrap_or_default();
         let stopped = node_rows
             .get("stopped")
             .and_then(|value| topazyard_wire::rows::decode(value))
             .unwrap_or_default();
-        let mut sources = start.seeds;
-        for address in &remembered {
-            if !sources.contains(address) {
-                sources.push(*address);
-            }
-        }
         let life = Life(start.chance);
         Self {
             life,
@@ -189,11 +169,7 @@
 
     fn beat(&mut self, now: MonotonicMs, out: &mut Out) {
         let outgoing = self.cohort.beat(now);
-        out.extend(
-            outgoing
-                .into_iter()
-                .map(|(to, message)| Effect::Send { to, message: Message::Cohort(message) }),
-        );
+        out.extend(topazyard_cohort::effects(outgoing));
         self.remember_addresses(out);
         let vitals = self.vitals(now);
         self.follower.learn_sources(self.cohort.addresses(Duty::Control));
@@ -264,10 +240,7 @@
             Input::Frame { sender, from, message } => match message {
                 Message::Cohort(message) => {
                     let outgoing = self.cohort.receive(from, message, now);
-                    out.extend(outgoing.into_iter().map(|(to, message)| Effect::Send {
-                        to,
-                        message: Message::Cohort(message),
-                    }));
+                    out.extend(topazyard_cohort::effects(outgoing));
                 }
                 Message::Feed(message) => {
                     if self.follower.receive(from, message) == Followed::Changed {
--- a/programs/topazyard-storage/src/main.rs
+++ b/programs/topazyard-storage/src/main.rs
@@ -1,8 +1,8 @@
 //! A storage node.
 
 use clap::Parser as _;
-use topazyard_wire::driver::StartError;
-use topazyard_wire::message::cohort::{Duty, Member};
+use topazyard_wire::driver::{StartError, start_with_disk};
+use topazyard_wire::message::cohort::Duty;
 
 /// Keeps the in-flight counter and parcel shards
 #[derive(clap::Parser)]
@@ -13,33 +13,15 @@
 }
 
 fn main() -> std::process::ExitCode {
-    topazyard_wire::driver::exit_code(run(Flags::parse().settings))
+    topazyard_wire::driver::daemon(Flags::parse().settings, run)
 }
 
-fn run(settings: topazyard_spec::Settings) -> Result<(), StartError> {
-    let settings = topazyard_spec::NodeSettings::check(settings)?;
-    let folder = settings.need_data()?;
-    let disk = topazyard_wire::disk::open(&folder)?;
-    topazyard_wire::log::start(Some(folder)).map_err(|_| StartError::Log)?;
-    let node = topazyard_wire::driver::settled_id(&disk)?;
-    let start = topazyard_storage::Start {
-        member: Member {
-            id: node,
-            address: settings.address,
-            http: settings.http,
-            duty: Duty::Storage,
-            domain: settings.domain.clone(),
-        },
-        seeds: settings.seeds.clone(),
-        chance: rand::random(),
-        loaded: disk.loaded,
-    };
-    let place =
-        topazyard_wire::driver::Place { fleet: settings.fleet, node, address: settings.address };
+fn run(settings: topazyard_spec::NodeSettings) -> Result<(), StartError> {
+    let (start, place, database) = start_with_disk(&settings, Duty::Storage)?;
     topazyard_wire::driver::run_process(async move {
         let (tasks, _no_tasks) = tokio::sync::mpsc::channel(1);
         let make = |_| (topazyard_storage::StorageMachine::new(start), Vec::new());
-        let handle = topazyard_wire::driver::spawn(make, place, Some(disk.database), tasks)?;
+        let handle = topazyard_wire::driver::spawn(make, place, Some(database), tasks)?;
         match settings.http {
             None => std::future::pending().await,
             Some(http) => {
