Never say of an item that may have run that it did not

A repeatable item ran at a relay that was cut off for over 5 s; its run counted as unknown and the item waited for another, as if it had never started. Then its visitor asked it back and was told that it never runs. Ruled out: a second run (there was one) and a late start (the run began before the recall).

Change: a waiting item keeps, on both copies, whether an earlier start came to nothing known. Asked back or ended, such an item gets outcome_unknown, and the recall says that it came too late. The checker now holds repeatable items to this too, not only those that may not be repeated.

--- a/fleet-simulator/src/check/parcels.rs
+++ b/fleet-simulator/src/check/parcels.rs
@@ -38,7 +38,7 @@
         let said_not_run = parcel.lists.iter().flat_map(|(_, list)| list).any(|listed| {
             listed.item == item && matches!(listed.text.as_str(), "recalled" | "ended")
         });
-        if said_not_run && !history.works[work].repeatable {
+        if said_not_run {
             let text = format!("run {at}: item {item} of parcel {number} is listed as not run");
             crossed(violations, Line::RanTwiceOrRefused, text);
         }
--- a/fleet-simulator/tests/lines.rs
+++ b/fleet-simulator/tests/lines.rs
@@ -5,9 +5,10 @@
 use fleet_simulator::{Deployment, Scenario, run};
 
 /// Seeds that once crossed a line.
-const REGRESSIONS: [(&str, Scenario, u64); 5] = [
+const REGRESSIONS: [(&str, Scenario, u64); 6] = [
     ("cristallo", Scenario::Cuts, 11),
     ("cristallo", Scenario::Cuts, 108),
+    ("cristallo", Scenario::Cuts, 5008),
     ("cristallo", Scenario::Chaos, 111),
     ("cristallo", Scenario::Chaos, 117),
     ("cristallo", Scenario::Chaos, 127),
--- a/programs/topazyard-storage/src/parcels/changes.rs
+++ b/programs/topazyard-storage/src/parcels/changes.rs
@@ -7,12 +7,17 @@
     Item, ItemEnd, ItemReturn, LeasedItem, ParcelReturn, Run, RunEnd,
 };
 
+/// How an item ends that is not run any more: as said, unless it may have run before.
+fn unrun_end(may_have_run: bool, end: ItemEnd) -> ItemEnd {
+    if may_have_run { ItemEnd::OutcomeUnknown } else { end }
+}
+
 impl Parcels {
     /// Takes a parcel that is not known yet.
     pub fn submit(&mut self, parcel: ParcelId, items: &[Item]) -> Vec<RowChange> {
         let number = parcel.number;
         let row = ParcelRow { items: items.len() as u32, returned: 0, ended: false };
-        let state = ItemState::Waiting;
+        let state = ItemState::Waiting { may_have_run: false };
         let mut changes = vec![rows::parcel(number, &row)];
         let mut kept = Vec::new();
         for (item_number, item) in (0..).map(ItemNumber).zip(items) {
@@ -68,13 +73,14 @@
     }
 
     /// Lets an item wait for its next run.
-    fn wait_again(&mut self, run: Run, now: MonotonicMs) -> Vec<RowChange> {
+    fn wait_again(&mut self, run: Run, may_have_run: bool, now: MonotonicMs) -> Vec<RowChange> {
         let ended = self.parcels.get(&run.parcel.number).is_some_and(|parcel| parcel.row.ended);
         if ended {
-            return self.give_return(run.parcel, run.item, ItemEnd::Ended, now);
+            let end = unrun_end(may_have_run, ItemEnd::Ended);
+            return self.give_return(run.parcel, run.item, end, now);
         }
         self.inbox.push_front((run.parcel.number, run.item));
-        vec![self.set_state(run.parcel, run.item, ItemState::Waiting)]
+        vec![self.set_state(run.parcel, run.item, ItemState::Waiting { may_have_run })]
     }
 
     /// Leases the oldest items of these models to a relay.
@@ -93,7 +99,7 @@
             let parcel = self.id(number);
             let Some(facts) = self.facts(parcel, item) else { continue };
             // An entry may be old: only what still waits is leased.
-            if facts.state != ItemState::Waiting {
+            if !matches!(facts.state, ItemState::Waiting { .. }) {
                 continue;
             }
             if !models.contains(&facts.model) {
@@ -118,19 +124,20 @@
 
     /// Whether a leased run may start. The same relay may ask again.
     pub fn start(&mut self, relay: NodeId, run: Run, now: MonotonicMs) -> (bool, Vec<RowChange>) {
-        let state = self.facts(run.parcel, run.item).map(|facts| facts.state);
-        let started = ItemState::Started { lease: run.lease, relay };
-        if state == Some(started) {
-            return (true, Vec::new());
-        }
         let lease = self.leases.get(&run);
         let leased = lease.is_some_and(|lease| lease.relay == relay && now < lease.until);
-        if !leased || state != Some(ItemState::Waiting) {
-            return (false, Vec::new());
+        match self.facts(run.parcel, run.item).map(|facts| facts.state) {
+            Some(ItemState::Started { lease, relay: at, .. }) => {
+                (lease == run.lease && at == relay, Vec::new())
+            }
+            Some(ItemState::Waiting { may_have_run }) if leased => {
+                self.leases.remove(&run);
+                self.heard.insert(run, now);
+                let started = ItemState::Started { lease: run.lease, relay, may_have_run };
+                (true, vec![self.set_state(run.parcel, run.item, started)])
+            }
+            _ => (false, Vec::new()),
         }
-        self.leases.remove(&run);
-        self.heard.insert(run, now);
-        (true, vec![self.set_state(run.parcel, run.item, started)])
     }
 
     /// Takes how a run ended. What is not the present run of its item is passed over.
@@ -143,24 +150,29 @@
     ) -> Vec<RowChange> {
         let Some(facts) = self.facts(run.parcel, run.item) else { return Vec::new() };
         let repeatable = facts.repeatable;
-        if facts.state == ItemState::Waiting {
-            // A lease handed back.
-            if self.leases.get(&run).is_some_and(|lease| lease.relay == relay) {
-                self.leases.remove(&run);
-                self.inbox.push_front((run.parcel.number, run.item));
+        let may_have_run = match facts.state {
+            ItemState::Started { lease, relay: at, may_have_run }
+                if lease == run.lease && at == relay =>
+            {
+                may_have_run
             }
-            return Vec::new();
-        }
-        if facts.state != (ItemState::Started { lease: run.lease, relay }) {
-            return Vec::new();
-        }
+            ItemState::Waiting { .. } => {
+                // A lease handed back.
+                if self.leases.get(&run).is_some_and(|lease| lease.relay == relay) {
+                    self.leases.remove(&run);
+                    self.inbox.push_front((run.parcel.number, run.item));
+                }
+                return Vec::new();
+            }
+            ItemState::Started { .. } | ItemState::Returned { .. } => return Vec::new(),
+        };
         self.heard.remove(&run);
         match end {
             RunEnd::Whole { status, body } => {
                 self.give_return(run.parcel, run.item, ItemEnd::Whole { status, body }, now)
             }
-            RunEnd::NotRun => self.wait_again(run, now),
-            RunEnd::Unknown if repeatable => self.wait_again(run, now),
+            RunEnd::NotRun => self.wait_again(run, may_have_run, now),
+            RunEnd::Unknown if repeatable => self.wait_again(run, true, now),
             RunEnd::Unknown => self.give_return(run.parcel, run.item, ItemEnd::OutcomeUnknown, now),
         }
     }
@@ -183,9 +195,14 @@
     ) -> (ParcelReturn, Vec<RowChange>) {
         match self.facts(parcel, item).map(|facts| facts.state) {
             None => (ParcelReturn::Unknown, Vec::new()),
-            Some(ItemState::Waiting) => {
+            Some(ItemState::Waiting { may_have_run }) => {
                 self.leases.retain(|run, _| (run.parcel, run.item) != (parcel, item));
-                (ParcelReturn::Recalled, self.give_return(parcel, item, ItemEnd::Recalled, now))
+                let end = unrun_end(may_have_run, ItemEnd::Recalled);
+                let answer = match may_have_run {
+                    false => ParcelReturn::Recalled,
+                    true => ParcelReturn::TooLate { returned: true },
+                };
+                (answer, self.give_return(parcel, item, end, now))
             }
             Some(ItemState::Started { .. }) => {
                 (ParcelReturn::TooLate { returned: false }, Vec::new())
@@ -204,16 +221,19 @@
         }
         kept.row.ended = true;
         let row = kept.row;
-        let waiting: Vec<ItemNumber> = (0..)
+        let waiting: Vec<(ItemNumber, bool)> = (0..)
             .map(ItemNumber)
             .zip(&kept.items)
-            .filter(|(_, facts)| matches!(facts.state, ItemState::Waiting))
-            .map(|(item, _)| item)
+            .filter_map(|(item, facts)| match facts.state {
+                ItemState::Waiting { may_have_run } => Some((item, may_have_run)),
+                _ => None,
+            })
             .collect();
         self.leases.retain(|run, _| run.parcel != parcel);
         let mut changes = vec![rows::parcel(parcel.number, &row)];
-        for item in waiting {
-            changes.extend(self.give_return(parcel, item, ItemEnd::Ended, now));
+        for (item, may_have_run) in waiting {
+            let end = unrun_end(may_have_run, ItemEnd::Ended);
+            changes.extend(self.give_return(parcel, item, end, now));
         }
         Some(changes)
     }
--- a/programs/topazyard-storage/src/parcels/mod.rs
+++ b/programs/topazyard-storage/src/parcels/mod.rs
@@ -20,13 +20,18 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub(crate) enum ItemState {
     /// It may be leased.
-    Waiting,
+    Waiting {
+        /// Whether it was started before and nobody knows what came of it.
+        may_have_run: bool,
+    },
     /// It runs at a relay.
     Started {
         /// Under which lease.
         lease: u64,
         /// Where.
         relay: NodeId,
+        /// Whether it was started before and nobody knows what came of that.
+        may_have_run: bool,
     },
     /// It has its final return at a position.
     Returned {
@@ -107,7 +112,7 @@
                 };
                 let run = |lease| Run { parcel: ParcelId { shard, number }, item, lease };
                 match state {
-                    ItemState::Waiting => parcels.inbox.push_back((number, item)),
+                    ItemState::Waiting { .. } => parcels.inbox.push_back((number, item)),
                     // A run that is still going will be heard of; one that isn't times out.
                     ItemState::Started { lease, .. } => {
                         parcels.heard.insert(run(lease), now);
--- a/programs/topazyard-storage/src/parcels/read.rs
+++ b/programs/topazyard-storage/src/parcels/read.rs
@@ -14,7 +14,7 @@
     let (mut waiting, mut running) = (0, 0);
     for state in states {
         match state {
-            ItemState::Waiting => waiting += 1,
+            ItemState::Waiting { .. } => waiting += 1,
             ItemState::Started { .. } => running += 1,
             ItemState::Returned { .. } => {}
         }
--- a/programs/topazyard-storage/tests/parcels.rs
+++ b/programs/topazyard-storage/tests/parcels.rs
@@ -170,3 +170,45 @@
     let keep = topazyard_types::DurationMs(0);
     assert!(shard.parcels.let_go(keep, MonotonicMs(9_000_000)).is_empty());
 }
+
+#[test]
+fn an_item_that_may_have_run_is_never_said_not_to_have() {
+    // Seen as cristallo, cuts, seed 5008: a repeatable item ran at a relay that was then cut off,
+    // waited for its next run, was asked back, and was listed as one that never ran.
+    let parcel = ParcelId { shard: ShardId(1), number: 5 };
+    let mut shard = Shard::with_items(0);
+    let item = Item {
+        model: "m".into(),
+        body: bytes::Bytes::from_static(b"{}"),
+        repeatable: true,
+        cost: Tokens(1),
+    };
+    let other = ParcelId { number: 6, ..parcel };
+    for id in [parcel, other] {
+        let changes = shard.parcels.submit(id, std::slice::from_ref(&item));
+        shard.keep(changes);
+    }
+    for _ in 0..2 {
+        let run = shard.lease(A, MonotonicMs(0));
+        assert!(shard.start(A, run, MonotonicMs(1)));
+    }
+    let changes = shard.parcels.beat(MonotonicMs(20_000));
+    shard.keep(changes);
+    // A successor knows it too.
+    let copy = Copy::loaded(shard.copy.rows().clone());
+    shard.parcels = Parcels::taken_over(ShardId(1), &copy, Life(9), MonotonicMs(20_000));
+    // Its next run is handed back before it was sent.
+    let run = shard.lease(B, MonotonicMs(20_001));
+    assert!(shard.start(B, run, MonotonicMs(20_002)));
+    shard.finish(B, run, RunEnd::NotRun);
+    let now = MonotonicMs(20_010);
+    let (answer, changes) = shard.parcels.recall(parcel, ItemNumber(0), now);
+    shard.keep(changes);
+    assert_eq!(answer, ParcelReturn::TooLate { returned: true });
+    let changes = shard.parcels.end(other, now).expect("it is known");
+    shard.keep(changes);
+    for id in [parcel, other] {
+        let listed = returns(&shard.copy, id, 0).expect("it is known");
+        assert_eq!(listed[0].end, topazyard_wire::message::parcel::ItemEnd::OutcomeUnknown);
+    }
+}
