Answer reads of parcels through takeovers, and count a refused read as a failed one

Cause: the checker took only "not known" for a failure, so a read that was refused or unanswered while a shard's or control's primary was gone passed.

Ruled out: waiting for takeovers (2 to 4 s), a read lease for backups (longer takeovers), showing any copy (lists go back).

Change: a read left unanswered for 150 ms is asked aside of primary and backup; either answers once control has confirmed, after the read came, that the record stands, except of what the last batch touched while nobody knows whether it was committed. A restarted primary hands over to its backup. A relay without fresh word of control still passes reads on. Nothing is moved for 1 s after no storage node was heard: a healed split moved shards to the first one heard.

--- a/fleet-simulator/src/check/mod.rs
+++ b/fleet-simulator/src/check/mod.rs
@@ -102,6 +102,10 @@
     pub most_tokens: u64,
     /// When the last item that ran had ended.
     pub items_done_ms: u64,
+    /// Reads of parcels asked more than a second after they were accepted.
+    pub reads: usize,
+    /// Reads of these that failed though at most one machine with a disk was out.
+    pub reads_failed: usize,
     /// The most waiting parcel work that is certain.
     pub most_waiting: u64,
 }
--- a/fleet-simulator/src/check/parcels.rs
+++ b/fleet-simulator/src/check/parcels.rs
@@ -1,10 +1,16 @@
 //! Parcels: readable, listed for good, ended for good, within their ceiling.
 
 use super::{Bounds, Figures, Line, Violation, crossed};
-use crate::history::{History, ListedReturn, ParcelSeen, Us};
+use crate::history::{History, ListedReturn, ParcelSeen, ReadTold, Us};
 
 /// How long after its acceptance a parcel may not be readable yet.
 const READABLE_US: Us = 1_000_000;
+/// Within which time a read must then be answered.
+const READ_WITHIN_US: Us = 1_000_000;
+/// How long after a machine with a disk is back its copies may still be on one machine only.
+const MENDED_US: Us = 5_000_000;
+/// How long after several machines were out a read may still fail.
+const AFTER_SEVERAL_US: Us = 12_000_000;
 /// How long after its end an item may still start.
 const ENDED_US: Us = 3_000_000;
 
@@ -18,7 +24,7 @@
         if parcel.accepted.is_some() {
             figures.items += parcel.items as usize;
         }
-        check_reads(at, parcel, violations);
+        check_reads(at, parcel, history, violations, figures);
         check_lists(at, parcel, history, violations);
     }
     for (at, run) in history.runs.iter().enumerate() {
@@ -46,16 +52,53 @@
     check_ceiling(history, bounds, violations, figures);
 }
 
-fn check_reads(at: usize, parcel: &ParcelSeen, violations: &mut Vec<Violation>) {
+/// A read that is refused, unanswered or late counts as one that can't be made, unless the relay
+/// that was asked was struck itself or more than one machine with a disk was out.
+fn check_reads(
+    at: usize,
+    parcel: &ParcelSeen,
+    history: &History,
+    violations: &mut Vec<Violation>,
+    figures: &mut Figures,
+) {
     let Some(accepted) = parcel.accepted else { return };
-    for (when, known) in &parcel.reads {
-        if !known && *when > accepted + READABLE_US {
+    for read in parcel.reads.iter().filter(|read| read.asked >= accepted + READABLE_US) {
+        figures.reads += 1;
+        if let Some((_, ReadTold::Unknown)) = read.told {
             let text = format!("parcel {at} was accepted and is not known");
             crossed(violations, Line::ParcelList, text);
         }
+        let until = read.asked + READ_WITHIN_US;
+        let given = matches!(read.told, Some((told, ReadTold::Given)) if told <= until);
+        let excused = history.struck.iter().any(|struck| {
+            struck.name == read.relay && struck.from <= until && struck.lasts_to() >= read.asked
+        });
+        if !given && !excused && !several_are_out(history, read.asked, until) {
+            figures.reads_failed += 1;
+            let (asked, relay) = (read.asked / 1_000, &read.relay);
+            let text =
+                format!("parcel {at} asked of {relay} at {asked} ms could not be read: {read:?}");
+            crossed(violations, Line::ParcelList, text);
+        }
     }
 }
 
+/// Whether more than one machine with a disk was out at some time, or had just been, so that both
+/// copies of something may have been out of reach then.
+fn several_are_out(history: &History, from: Us, until: Us) -> bool {
+    let out: Vec<_> = history.struck.iter().filter(|struck| struck.has_disk).collect();
+    out.iter().enumerate().any(|(at, one)| {
+        out[at + 1..].iter().any(|other| {
+            let began = one.from.max(other.from);
+            let mended = (one.lasts_to() + MENDED_US).min(other.lasts_to() + MENDED_US);
+            one.name != other.name
+                && began < mended
+                && began <= until
+                && mended + AFTER_SEVERAL_US >= from
+        })
+    })
+}
+
 fn check_lists(at: usize, parcel: &ParcelSeen, history: &History, violations: &mut Vec<Violation>) {
     let mut longest: &[ListedReturn] = &[];
     for (_, list) in &parcel.lists {
--- a/fleet-simulator/src/faults/mod.rs
+++ b/fleet-simulator/src/faults/mod.rs
@@ -1,6 +1,6 @@
 //! Faults, as they are caused.
 
-use crate::history::FaultSeen;
+use crate::history::{FaultSeen, Struck};
 use crate::world::{Caller, EngineMood, Event, Kind, NodeIndex, Plant, World};
 use topazyard_types::ShardId;
 use topazyard_wire::message::operate::{Command, Operate};
@@ -135,6 +135,7 @@
             Fault::CutOff(_, way) => {
                 if let Some(index) = struck {
                     let address = self.nodes[index.0].address;
+                    self.strike_for(index, Struck::Cut);
                     self.cut_where(|from, to| match way {
                         Way::Both => from == address || to == address,
                         Way::Outward => from == address,
@@ -154,22 +155,29 @@
                 });
             }
             Fault::CutDomain(domain) => {
-                let inside: std::collections::BTreeSet<_> = self
-                    .nodes
-                    .iter()
-                    .filter(|node| node.domain == domain)
-                    .map(|node| node.address)
-                    .collect();
+                let of_domain = |at: &NodeIndex| self.nodes[at.0].domain == domain;
+                let inside: Vec<NodeIndex> =
+                    (0..self.nodes.len()).map(NodeIndex).filter(of_domain).collect();
+                inside.iter().for_each(|index| self.strike_for(*index, Struck::Cut));
+                let inside: std::collections::BTreeSet<_> =
+                    inside.into_iter().map(|index| self.nodes[index.0].address).collect();
                 self.cut_where(|from, to| inside.contains(&from) != inside.contains(&to));
             }
-            Fault::Mend => self.network.mend(),
+            Fault::Mend => {
+                self.network.mend();
+                self.mend(Struck::Cut);
+            }
             Fault::Lossy(share) => self.network.loss_per_10000 = share,
             Fault::SlowDisk(_, ms) => {
                 if let Some(index) = struck {
                     self.nodes[index.0].disk.slow_us = ms * 1_000;
+                    self.strike_for(index, Struck::SlowDisk);
                 }
             }
-            Fault::FastDisks => self.nodes.iter_mut().for_each(|node| node.disk.slow_us = 0),
+            Fault::FastDisks => {
+                self.nodes.iter_mut().for_each(|node| node.disk.slow_us = 0);
+                self.mend(Struck::SlowDisk);
+            }
             Fault::Engine(at, mood) => self.set_mood(usize::from(at), mood),
             Fault::EngineLeaves(at) => {
                 let name = self.engines[usize::from(at)].name.clone();
--- a/fleet-simulator/src/history.rs
+++ b/fleet-simulator/src/history.rs
@@ -100,6 +100,63 @@
     pub body: Option<bytes::Bytes>,
 }
 
+/// A read of a parcel as its visitor saw it.
+#[derive(Debug, Clone)]
+pub struct ReadSeen {
+    /// When it was asked.
+    pub asked: Us,
+    /// The relay that was asked.
+    pub relay: String,
+    /// What came back, and when.
+    pub told: Option<(Us, ReadTold)>,
+}
+
+/// What a read of a parcel gave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadTold {
+    /// How it stands, or a page of its list.
+    Given,
+    /// That there is no such parcel.
+    Unknown,
+    /// An error.
+    Refused,
+}
+
+/// What a machine is struck by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Struck {
+    /// It is off.
+    Off,
+    /// It is frozen.
+    Frozen,
+    /// It is cut off, at least one way.
+    Cut,
+    /// Its disk is slow.
+    SlowDisk,
+}
+
+/// A time during which a machine was struck: off, frozen, cut off, or with a slow disk.
+#[derive(Debug, Clone)]
+pub struct StruckSeen {
+    /// The process on it.
+    pub name: String,
+    /// By what.
+    pub by: Struck,
+    /// Whether it keeps something on a disk.
+    pub has_disk: bool,
+    /// From when.
+    pub from: Us,
+    /// Until when; none if it was never mended.
+    pub until: Option<Us>,
+}
+
+impl StruckSeen {
+    /// When it was well again, or for ever.
+    pub fn lasts_to(&self) -> Us {
+        self.until.unwrap_or(Us::MAX / 2)
+    }
+}
+
 /// A parcel as its visitor saw it.
 #[derive(Debug, Clone)]
 pub struct ParcelSeen {
@@ -115,8 +172,8 @@
     pub sent: Us,
     /// When it was accepted.
     pub accepted: Option<Us>,
-    /// Reads after it was accepted: when answered, and whether it was known.
-    pub reads: Vec<(Us, bool)>,
+    /// Reads after it was accepted, of how it stands and of its list.
+    pub reads: Vec<ReadSeen>,
     /// Every list read from the first position: when answered, and what it showed.
     pub lists: Vec<(Us, Vec<ListedReturn>)>,
     /// When its end was asked and acknowledged.
@@ -188,6 +245,8 @@
     pub engine_lists: Vec<EngineListSeen>,
     /// Faults, for the trace.
     pub faults: Vec<FaultSeen>,
+    /// Machines that were struck, and for how long.
+    pub struck: Vec<StruckSeen>,
     /// Holds at the counter at the very end, when nothing runs any more.
     pub holds_at_rest: Option<usize>,
 }
--- a/fleet-simulator/src/people/mod.rs
+++ b/fleet-simulator/src/people/mod.rs
@@ -153,6 +153,16 @@
         Some(nodes[at])
     }
 
+    /// The relay that the platform hands a visitor to: a ready one, or any if none is.
+    fn draw_relay(&mut self) -> Option<NodeIndex> {
+        let ready: Vec<NodeIndex> = self.people.ready.iter().copied().collect();
+        if ready.is_empty() {
+            return self.draw_node(crate::world::Kind::Relay);
+        }
+        let at = self.draw(0..ready.len() as u64) as usize;
+        Some(ready[at])
+    }
+
     pub(crate) fn person_does(&mut self, doing: Doing) {
         match doing {
             Doing::NextPrompt => self.next_prompt(),
--- a/fleet-simulator/src/people/parcels.rs
+++ b/fleet-simulator/src/people/parcels.rs
@@ -1,8 +1,8 @@
 //! Visitors with parcels: they hand in, read, list, ask items back and end.
 
 use super::Doing;
-use crate::history::{ListedReturn, ParcelSeen, Us};
-use crate::world::{Caller, Event, Kind, Plant, World};
+use crate::history::{ListedReturn, ParcelSeen, ReadSeen, ReadTold, Us};
+use crate::world::{Caller, Event, Plant, World};
 use topazyard_relay::{RelayCall, RelayReturn};
 use topazyard_types::{DurationMs, ItemNumber, ParcelId, Tokens};
 use topazyard_wire::message::parcel::{Item, ItemEnd, ParcelCall, ParcelReturn};
@@ -37,6 +37,8 @@
 
 /// After how many whole lists with all returns a visitor is content.
 const CONTENT: u32 = 3;
+/// For how long after its acceptance a parcel is read at the least.
+const READS_FOR_US: Us = 10_000_000;
 
 impl World {
     pub(super) fn next_parcel(&mut self) {
@@ -113,7 +115,9 @@
     }
 
     pub(super) fn look_after_parcel(&mut self, parcel: usize) {
-        if self.people.parcels[parcel].lists_whole >= CONTENT {
+        let accepted = self.history.parcels[parcel].accepted;
+        let reads_on = accepted.is_some_and(|at| self.time < at + READS_FOR_US);
+        if self.people.parcels[parcel].lists_whole >= CONTENT && !reads_on {
             return;
         }
         self.after(400_000, Event::Person(Doing::Parcel(parcel)));
@@ -121,7 +125,7 @@
         if asked.is_some_and(|asked| self.time - asked < 6_000_000) {
             return;
         }
-        let Some(relay) = self.draw_node(Kind::Relay) else { return };
+        let Some(relay) = self.draw_relay() else { return };
         let asked = self.next_asked(parcel);
         let seen = &self.history.parcels[parcel];
         let id = seen.id;
@@ -148,6 +152,11 @@
             Asked::End => RelayCall::Parcel(ParcelCall::End(id), limit),
         };
         let time = self.time;
+        if matches!(asked, Asked::Read | Asked::List) {
+            let relay = self.nodes[relay.0].name.clone();
+            let read = ReadSeen { asked: time, relay, told: None };
+            self.history.parcels[parcel].reads.push(read);
+        }
         let visitor = &mut self.people.parcels[parcel];
         visitor.serial += 1;
         visitor.asked = Some(time);
@@ -166,18 +175,24 @@
             return;
         }
         self.people.parcels[parcel].asked = None;
-        let RelayReturn::Parcel(value) = value else { return };
         let time = self.time;
+        if matches!(asked, Asked::Read | Asked::List) {
+            let told = match &value {
+                RelayReturn::Parcel(ParcelReturn::Unknown) => ReadTold::Unknown,
+                RelayReturn::Parcel(ParcelReturn::Standing(_) | ParcelReturn::Returns(_)) => {
+                    ReadTold::Given
+                }
+                _ => ReadTold::Refused,
+            };
+            if let Some(read) = self.history.parcels[parcel].reads.last_mut() {
+                read.told = Some((time, told));
+            }
+        }
+        let RelayReturn::Parcel(value) = value else { return };
         match (asked, value) {
             (Asked::Submit, ParcelReturn::Accepted(_)) => {
                 self.history.parcels[parcel].accepted.get_or_insert(time);
             }
-            (Asked::Read | Asked::List, ParcelReturn::Unknown) => {
-                self.history.parcels[parcel].reads.push((time, false));
-            }
-            (Asked::Read, ParcelReturn::Standing(_)) => {
-                self.history.parcels[parcel].reads.push((time, true));
-            }
             (Asked::List, ParcelReturn::Returns(returns)) => self.listed(parcel, &returns),
             (Asked::Recall(item), ParcelReturn::Recalled) => {
                 self.history.parcels[parcel].recalls.push((time, *item, true));
--- a/fleet-simulator/src/people/prompts.rs
+++ b/fleet-simulator/src/people/prompts.rs
@@ -2,7 +2,7 @@
 
 use super::Doing;
 use crate::history::{PromptEnd, PromptSeen};
-use crate::world::{Kind, NodeIndex, World};
+use crate::world::{NodeIndex, World};
 
 impl World {
     pub(super) fn next_prompt(&mut self) {
@@ -37,13 +37,7 @@
         let repeatable = self.draw(0..4) == 0;
         let words = self.draw(habits.words / 2..habits.words * 3 / 2 + 1);
         let work = self.new_work(&model, words, habits.new_tokens, repeatable, None);
-        let ready: Vec<NodeIndex> = self.people.ready.iter().copied().collect();
-        let relay = if ready.is_empty() {
-            self.draw_node(Kind::Relay)
-        } else {
-            let at = self.draw(0..ready.len() as u64) as usize;
-            Some(ready[at])
-        };
+        let relay = self.draw_relay();
         let wait = [1_500_000, 3_000_000, 8_000_000][self.draw(0..3) as usize];
         let name = relay.map_or("none".to_owned(), |relay| self.nodes[relay.0].name.clone());
         let seen = PromptSeen {
--- a/fleet-simulator/src/world/nodes.rs
+++ b/fleet-simulator/src/world/nodes.rs
@@ -1,7 +1,7 @@
 //! Simulated processes, each with one of the real machines.
 
 use super::{Caller, Disk, Event, Plant, World};
-use crate::history::Us;
+use crate::history::{Struck, StruckSeen, Us};
 use topazyard_control::ControlMachine;
 use topazyard_edge_agent::AgentMachine;
 use topazyard_relay::{RelayCall, RelayMachine, RelayReturn, RelayTask};
@@ -131,6 +131,8 @@
         let chance = self.draw(0..u64::MAX);
         let fresh = NodeId(self.draw(1..u64::MAX) | 1);
         let time = self.time;
+        let name = self.nodes[index.0].name.clone();
+        self.mend_where(|struck| struck.by == Struck::Off && struck.name == name);
         let node = &mut self.nodes[index.0];
         let seeds = node.seeds.clone();
         node.life += 1;
@@ -200,6 +202,9 @@
     /// Ends a process; `power` says whether the power goes with it.
     pub fn stop(&mut self, index: NodeIndex, power: bool) {
         let more = self.draw(0..4) as usize;
+        if self.nodes[index.0].is_on() {
+            self.strike_for(index, Struck::Off);
+        }
         let node = &mut self.nodes[index.0];
         node.body = Body::Off;
         node.life += 1;
@@ -214,12 +219,37 @@
 
     /// Freezes a process: nothing of it happens until it wakes.
     pub fn freeze(&mut self, index: NodeIndex, us: Us) {
-        self.nodes[index.0].frozen_until = Some(self.time + us);
+        let until = self.time + us;
+        self.nodes[index.0].frozen_until = Some(until);
+        self.strike_for(index, Struck::Frozen);
+        if let Some(struck) = self.history.struck.last_mut() {
+            struck.until = Some(until);
+        }
         if self.plant == Some(Plant::StoppedClock) {
             self.nodes[index.0].stood_still += us;
         }
     }
 
+    /// Notes that a process's machine is struck from now on.
+    pub(crate) fn strike_for(&mut self, index: NodeIndex, by: Struck) {
+        let node = &self.nodes[index.0];
+        let has_disk = matches!(node.kind, Kind::Control | Kind::Storage);
+        let (name, from) = (node.name.clone(), self.time);
+        self.history.struck.push(StruckSeen { name, by, has_disk, from, until: None });
+    }
+
+    /// Notes that all that were struck so are well again.
+    pub(crate) fn mend(&mut self, by: Struck) {
+        self.mend_where(|struck| struck.by == by);
+    }
+
+    fn mend_where(&mut self, is_mended: impl Fn(&StruckSeen) -> bool) {
+        let open = self.history.struck.iter_mut().filter(|struck| struck.until.is_none());
+        for struck in open.filter(|struck| is_mended(struck)) {
+            struck.until = Some(self.time);
+        }
+    }
+
     /// Whether a process is frozen now.
     pub(crate) fn is_frozen(&self, index: NodeIndex) -> bool {
         self.nodes[index.0].frozen_until.is_some_and(|until| until > self.time)
--- a/fleet-simulator/tests/lines.rs
+++ b/fleet-simulator/tests/lines.rs
@@ -5,10 +5,13 @@
 use fleet_simulator::{Deployment, Scenario, run};
 
 /// Seeds that once crossed a line.
-const REGRESSIONS: [(&str, Scenario, u64); 6] = [
+const REGRESSIONS: [(&str, Scenario, u64); 9] = [
     ("cristallo", Scenario::Cuts, 11),
     ("cristallo", Scenario::Cuts, 108),
     ("cristallo", Scenario::Cuts, 5008),
+    ("cristallo", Scenario::Cuts, 9000),
+    ("quito", Scenario::Cuts, 9001),
+    ("cristallo", Scenario::Drains, 9000),
     ("cristallo", Scenario::Chaos, 111),
     ("cristallo", Scenario::Chaos, 117),
     ("cristallo", Scenario::Chaos, 127),
--- a/libraries/topazyard-replication/src/copy.rs
+++ b/libraries/topazyard-replication/src/copy.rs
@@ -171,6 +171,12 @@
         topazyard_wire::rows::decode(self.rows.get(key)?)
     }
 
+    /// The keys changed by the batch applied last, as far as it is remembered.
+    pub fn last_changed(&self) -> impl Iterator<Item = &str> {
+        let last = self.batches.back().into_iter();
+        last.flat_map(|(_, changes)| changes.iter().map(|change| change.key.as_str()))
+    }
+
     /// The changes after a place, if this copy remembers all of them.
     pub fn changes_after(&self, after: Place) -> Option<Vec<RowChange>> {
         if after == self.place {
--- a/libraries/topazyard-replication/src/follower.rs
+++ b/libraries/topazyard-replication/src/follower.rs
@@ -6,6 +6,8 @@
 
 /// How often a follower asks.
 pub const ASK_EVERY: DurationMs = DurationMs(200);
+/// How often one asks for which something waits.
+const HURRIED_EVERY: DurationMs = DurationMs(50);
 /// How long it waits for a return before it asks elsewhere.
 const PATIENCE: DurationMs = DurationMs(450);
 
@@ -27,6 +29,7 @@
     last_asked: Option<MonotonicMs>,
     last_nonce: u64,
     confirmed: Option<MonotonicMs>,
+    hurried: bool,
 }
 
 /// What a return of the feed changed.
@@ -57,6 +60,7 @@
             last_asked: None,
             last_nonce: life.first_number(),
             confirmed: None,
+            hurried: false,
         }
     }
 
@@ -85,6 +89,11 @@
         }
     }
 
+    /// Asks more often while something waits for the next confirmation, or no longer.
+    pub fn hurry(&mut self, hurried: bool) {
+        self.hurried = hurried;
+    }
+
     /// Asks if it is time to.
     pub fn beat(
         &mut self,
@@ -97,8 +106,11 @@
             }
             self.leader = None;
             self.asked = None;
-        } else if self.last_asked.is_some_and(|at| now.since(at) < ASK_EVERY) {
-            return None;
+        } else {
+            let every = if self.hurried { HURRIED_EVERY } else { ASK_EVERY };
+            if self.last_asked.is_some_and(|at| now.since(at) < every) {
+                return None;
+            }
         }
         let to = match self.leader {
             Some(leader) => leader,
--- a/libraries/topazyard-replication/src/lib.rs
+++ b/libraries/topazyard-replication/src/lib.rs
@@ -9,4 +9,4 @@
 pub use copy::Copy;
 pub use epoch::{Proposal, Witness};
 pub use follower::Follower;
-pub use pair::{Pair, PairOutput, Ticket};
+pub use pair::{Doubt, Pair, PairOutput, Ticket};
--- a/libraries/topazyard-replication/src/pair/follow.rs
+++ b/libraries/topazyard-replication/src/pair/follow.rs
@@ -1,6 +1,6 @@
 //! The follower's side: a backup, or a learner that is to become one.
 
-use super::{From, Pair, PairOutput, Role};
+use super::{Doubt, From, Pair, PairOutput, Role};
 use topazyard_types::{Digest, MonotonicMs, NodeId, Place, Sequence};
 use topazyard_wire::message::pair::PairBody;
 
@@ -94,6 +94,10 @@
             return;
         }
         follow.last_append = Some(round);
+        // A primary begins a round only once the one before is committed.
+        if !repeated {
+            self.doubt = if changes.is_empty() { Doubt::Nothing } else { Doubt::LastBatch };
+        }
         if changes.is_empty() || repeated {
             self.send(from.address, PairBody::Appended { round }, out);
             return;
@@ -116,6 +120,7 @@
         now: MonotonicMs,
         out: &mut Vec<PairOutput>,
     ) {
+        self.doubt = Doubt::All;
         let own = self.copy.digests();
         let Role::Follower(follow) = &mut self.role else { return };
         let Some(compared) = &mut follow.compared else { return };
--- a/libraries/topazyard-replication/src/pair/lead.rs
+++ b/libraries/topazyard-replication/src/pair/lead.rs
@@ -1,6 +1,6 @@
 //! The primary's side: batches, the comparison that brings a copy in step, and the learner.
 
-use super::{From, Pair, PairOutput, Role, Ticket};
+use super::{Doubt, From, Pair, PairOutput, Role, Ticket};
 use topazyard_types::{DurationMs, Life, MonotonicMs, Sequence};
 use topazyard_wire::RowChange;
 use topazyard_wire::message::control::CoreNode;
@@ -193,6 +193,7 @@
             None
         } else {
             let rows = self.copy.apply(self.epoch, sequence, changes.clone());
+            self.doubt = Doubt::LastBatch;
             self.write(rows, now, &mut out)
         };
         if let Role::Primary(lead) = &mut self.role {
@@ -350,8 +351,9 @@
         lead.phase = Phase::Serving;
         lead.comparison = None;
         // The copy compared holds the batch that was under way.
-        if let Some(batch) = &mut lead.under_way {
-            batch.confirmed = true;
+        match &mut lead.under_way {
+            Some(batch) => batch.confirmed = true,
+            None => self.doubt = Doubt::Nothing,
         }
         out.push(PairOutput::Serving);
         self.finish_batch(out);
@@ -399,9 +401,9 @@
             return;
         }
         let done = lead.under_way.take_if(|batch| batch.confirmed && batch.write.is_none());
-        if let Some(batch) = done
-            && !batch.tickets.is_empty()
-        {
+        let Some(batch) = done else { return };
+        self.doubt = Doubt::Nothing;
+        if !batch.tickets.is_empty() {
             out.push(PairOutput::Committed(batch.tickets));
         }
     }
--- a/libraries/topazyard-replication/src/pair/mod.rs
+++ b/libraries/topazyard-replication/src/pair/mod.rs
@@ -45,6 +45,17 @@
     Follower(follow::Follow),
 }
 
+/// How much of a copy may never have been committed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
+    /// Nothing: all of it was.
+    Nothing,
+    /// What the batch applied last changed.
+    LastBatch,
+    /// Any of it: the copy was compared or read from disk, and no word came since.
+    All,
+}
+
 /// One node's part in a group.
 #[derive(Debug)]
 pub struct Pair {
@@ -54,6 +65,7 @@
     epoch: Epoch,
     copy: crate::Copy,
     role: Role,
+    doubt: Doubt,
     settled: bool,
     last_write: u64,
     writes: std::collections::BTreeMap<u64, MonotonicMs>,
@@ -86,6 +98,7 @@
             epoch: copy.place().epoch,
             copy,
             role: Role::Idle,
+            doubt: Doubt::All,
             settled: false,
             last_write: 0,
             writes: std::collections::BTreeMap::new(),
@@ -97,6 +110,11 @@
         &self.copy
     }
 
+    /// How much of the copy may never have been committed, and so may go again.
+    pub fn doubt(&self) -> Doubt {
+        self.doubt
+    }
+
     /// The epoch.
     pub fn epoch(&self) -> Epoch {
         self.epoch
--- a/libraries/topazyard-wire/src/message/control.rs
+++ b/libraries/topazyard-wire/src/message/control.rs
@@ -162,4 +162,6 @@
     DropBackup,
     /// The learner holds all: make it the backup. Nothing is answered from now on.
     PromoteLearner,
+    /// This primary restarted and may lack what its backup has shown since: let the backup lead.
+    HandOver,
 }
--- a/libraries/topazyard-wire/src/message/parcel.rs
+++ b/libraries/topazyard-wire/src/message/parcel.rs
@@ -22,6 +22,9 @@
     Call(ParcelCall),
     /// Returned to it.
     Return(ParcelReturn),
+    /// A read that its primary leaves unanswered, asked of every node that holds a copy. Whoever
+    /// can't be sure says nothing.
+    Aside(ParcelCall),
 }
 
 /// One item as handed in.
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -19,6 +19,9 @@
 use topazyard_wire::message::{Message, pair::PairMessage};
 use topazyard_wire::{Effect, Group, Input, Machine, RowChange, WriteToken};
 
+/// For how long placement is left alone once storage nodes are heard again after none was.
+const ALONE: topazyard_types::DurationMs = topazyard_types::DurationMs(1_000);
+
 /// What may be asked of a control node from within its process.
 #[derive(Debug)]
 pub enum ControlCall {
@@ -59,6 +62,8 @@
     after_write: std::collections::BTreeMap<u64, Vec<AfterWrite>>,
     last_write: u64,
     last_plan: MonotonicMs,
+    /// When no storage node was heard at all: then it is this node that is cut off.
+    last_alone: Option<MonotonicMs>,
     remembered: Vec<std::net::SocketAddr>,
 }
 
@@ -115,6 +120,7 @@
             after_write: std::collections::BTreeMap::new(),
             last_write: 0,
             last_plan: MonotonicMs(0),
+            last_alone: None,
             remembered,
         };
         let mut out = Vec::new();
@@ -284,8 +290,16 @@
             return;
         }
         let view = topazyard_wire::state::FleetView::read(self.pair.copy().rows());
-        let changes =
-            crate::planner::plan(&view, &self.storage_standings(&view, serving_since, now));
+        let standings = self.storage_standings(&view, serving_since, now);
+        if !view.storage.is_empty() && standings.down.len() == view.storage.len() {
+            self.last_alone = Some(now);
+        }
+        // Who comes back after all were silent does so one by one: the first is no better a
+        // primary than the others, which were never down.
+        if self.last_alone.is_some_and(|at| now.since(at) < ALONE) {
+            return;
+        }
+        let changes = crate::planner::plan(&view, &standings);
         if !changes.is_empty() {
             self.submit(changes, Waiting::Planner);
         }
@@ -327,7 +341,7 @@
                 Message::Core(message) => self.receive_core(sender, from, message, now, &mut out),
                 Message::Pair(message) => self.receive_pair(sender, from, message, now, &mut out),
                 Message::Feed(message) => self.receive_feed(sender, from, message, now, &mut out),
-                Message::Wish(wish) => self.take_wish(sender, &wish),
+                Message::Wish(wish) => self.take_wish(sender, &wish, now),
                 Message::Operate(message) => self.receive_operate(from, message, now, &mut out),
                 Message::Counter(_) | Message::Parcel(_) => {}
             },
--- a/programs/topazyard-control/src/machine/vitals.rs
+++ b/programs/topazyard-control/src/machine/vitals.rs
@@ -84,7 +84,7 @@
     }
 
     /// Takes a shard primary's wish, if it was made in the shard's present epoch.
-    pub(super) fn take_wish(&mut self, sender: NodeId, wish: &ShardWish) {
+    pub(super) fn take_wish(&mut self, sender: NodeId, wish: &ShardWish, now: MonotonicMs) {
         if !self.pair.is_serving() || self.pair.has_changes_pending() {
             return;
         }
@@ -92,9 +92,12 @@
         if record.epoch != wish.epoch || record.primary.id != sender {
             return;
         }
+        let view = topazyard_wire::state::FleetView::read(self.pair.copy().rows());
+        let standings = self.storage_standings(&view, self.serving_since.unwrap_or(now), now);
         let next = match wish.wish {
-            Wish::DropBackup => crate::planner::dropped_backup(&record),
+            Wish::DropBackup => crate::planner::without_backup(&view, &standings, &record),
             Wish::PromoteLearner => crate::planner::promoted_learner(&record),
+            Wish::HandOver => crate::planner::handed_over(&view, &standings, &record),
         };
         if let Some(next) = next {
             let key = topazyard_wire::state::shard_key(wish.shard);
--- a/programs/topazyard-control/src/planner.rs
+++ b/programs/topazyard-control/src/planner.rs
@@ -56,6 +56,37 @@
     })
 }
 
+/// The record after its backup is let go, with whom to fill in its place.
+pub fn without_backup(
+    view: &FleetView,
+    standings: &Standings,
+    record: &ShardRecord,
+) -> Option<ShardRecord> {
+    let dropped = dropped_backup(record)?;
+    let learner = dropped.learner.or_else(|| choose_learner(view, standings, &dropped));
+    Some(ShardRecord { learner, ..dropped })
+}
+
+/// The record after the primary and its backup change places; a backup that doesn't work is let go
+/// instead.
+pub fn handed_over(
+    view: &FleetView,
+    standings: &Standings,
+    record: &ShardRecord,
+) -> Option<ShardRecord> {
+    let backup = record.backup?;
+    if !standings.works(backup.id) {
+        return without_backup(view, standings, record);
+    }
+    Some(ShardRecord {
+        epoch: record.epoch.next(),
+        primary: backup,
+        backup: Some(record.primary),
+        learner: None,
+        ..record.clone()
+    })
+}
+
 /// The record after its learner becomes the backup.
 pub fn promoted_learner(record: &ShardRecord) -> Option<ShardRecord> {
     let learner = record.learner?;
@@ -240,12 +271,8 @@
         if hand_over && !standings.slow.contains(&backup.id) {
             let stays = !unfit(&backup);
             return stays
-                .then(|| ShardRecord {
-                    primary: backup,
-                    backup: Some(record.primary),
-                    learner: None,
-                    ..next()
-                })
+                .then(|| handed_over(view, standings, record))
+                .flatten()
                 .or_else(|| learner_if_missing(view, standings, record));
         }
     }
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -142,6 +142,8 @@
     pub holding: usize,
     /// Parcel items leased or running here.
     pub items: usize,
+    /// Visitors' calls on parcels under way.
+    pub parcel_calls: usize,
     /// Engines that may be used.
     pub engines: usize,
     /// Prompts let in since the start.
@@ -247,6 +249,7 @@
             waiting: self.admission.waiting(),
             holding: self.admission.holding(),
             items: self.items.len(),
+            parcel_calls: self.parcels.of_visitors(),
             engines: self.view.engines.values().filter(|e| self.engines.is_usable(e)).count(),
             allowed: self.allowed,
             refused: self
--- a/programs/topazyard-relay/src/machine/parcels.rs
+++ b/programs/topazyard-relay/src/machine/parcels.rs
@@ -13,6 +13,8 @@
 const SEND_AGAIN: DurationMs = DurationMs(400);
 /// After how long a call is sent again to one that said it can't.
 const SEND_AGAIN_SOON: DurationMs = DurationMs(100);
+/// After how long without a return a read is asked aside, of every node that holds a copy.
+const ASK_ASIDE: DurationMs = DurationMs(150);
 /// How long a visitor's call may take.
 pub(super) const VISITOR_LIMIT: DurationMs = DurationMs(5_000);
 /// Visitors' calls that may be under way.
@@ -38,6 +40,7 @@
     call: ParcelCall,
     until: MonotonicMs,
     send_at: MonotonicMs,
+    aside_at: MonotonicMs,
     /// Whether it was sent to one that may have acted on it without saying so.
     maybe_done: bool,
 }
@@ -55,6 +58,14 @@
     }
 }
 
+impl ParcelCalls {
+    /// Visitors' calls under way.
+    pub(super) fn of_visitors(&self) -> usize {
+        let of_visitor = |pending: &&Pending| matches!(pending.caller, Caller::Visitor(_));
+        self.pending.values().filter(of_visitor).count()
+    }
+}
+
 fn shard_of(call: &ParcelCall) -> Option<ShardId> {
     match call {
         ParcelCall::Submit { parcel, .. }
@@ -67,6 +78,10 @@
     }
 }
 
+fn is_read(call: &ParcelCall) -> bool {
+    matches!(call, ParcelCall::Read(_) | ParcelCall::Returns { .. })
+}
+
 fn changes_state(call: &ParcelCall) -> bool {
     matches!(call, ParcelCall::Submit { .. } | ParcelCall::Recall(..) | ParcelCall::End(_))
 }
@@ -81,9 +96,12 @@
         now: MonotonicMs,
         out: &mut Out,
     ) {
-        let refused = if self.drains {
+        // A read reaches no engine and is confirmed by the shard itself, so that it may go on
+        // while control changes hands, and until this process ends.
+        let changes = !is_read(&request);
+        let refused = if changes && self.drains {
             Some(Code::Draining)
-        } else if now >= self.fresh_until() {
+        } else if changes && now >= self.fresh_until() {
             Some(Code::StaleFeed)
         } else if self.parcels.pending.len() >= MOST_CALLS {
             Some(Code::NoShard)
@@ -154,7 +172,9 @@
         self.parcels.last += 1;
         let id = self.parcels.last;
         let until = now.plus(limit);
-        let pending = Pending { caller, shard, call, until, send_at: now, maybe_done: false };
+        let aside_at = now.plus(ASK_ASIDE);
+        let pending =
+            Pending { caller, shard, call, until, send_at: now, aside_at, maybe_done: false };
         self.parcels.pending.insert(id, pending);
         self.send_pending(id, now, out);
     }
@@ -252,5 +272,23 @@
         for id in due {
             self.send_pending(id, now, out);
         }
+        self.ask_aside(now, out);
+    }
+
+    /// Asks reads that a primary leaves unanswered of every node that holds a copy.
+    fn ask_aside(&mut self, now: MonotonicMs, out: &mut Out) {
+        for (id, pending) in &mut self.parcels.pending {
+            let Some(record) = self.view.shards.get(&pending.shard) else { continue };
+            if now < pending.aside_at || !is_read(&pending.call) {
+                continue;
+            }
+            pending.aside_at = now.plus(ASK_ASIDE);
+            for holder in [Some(record.primary), record.backup].into_iter().flatten() {
+                let body = ParcelBody::Aside(pending.call.clone());
+                let (shard, epoch) = (pending.shard, record.epoch);
+                let message = ParcelMessage { shard, epoch, call: *id, body };
+                out.push(Effect::Send { to: holder.address, message: Message::Parcel(message) });
+            }
+        }
     }
 }
--- a/programs/topazyard-relay/src/main.rs
+++ b/programs/topazyard-relay/src/main.rs
@@ -61,7 +61,7 @@
     while std::time::Instant::now() < until {
         tokio::time::sleep(std::time::Duration::from_millis(100)).await;
         match handle.call(RelayCall::Vitals).await {
-            Ok(RelayReturn::Vitals(v)) if v.waiting + v.holding + v.items > 0 => {}
+            Ok(RelayReturn::Vitals(v)) if v.waiting + v.holding + v.items + v.parcel_calls > 0 => {}
             _ => return,
         }
     }
--- /dev/null
+++ b/programs/topazyard-storage/src/machine/aside.rs
@@ -0,0 +1,107 @@
+//! Reads asked aside, when a shard's primary leaves them unanswered.
+//!
+//! Whoever a shard's record names primary or backup holds all that was ever answered under it. So
+//! either may answer a read once control has confirmed, after the read came, that the record still
+//! stands. Left out is what the last batch touched as long as nobody knows whether it was
+//! committed: it might go again. A parcel that isn't held is never said not to exist.
+
+use super::hosted::{Aside, ParcelAnswer, ParcelCaller};
+use super::{Out, StorageMachine};
+use topazyard_replication::{Copy, Doubt, Pair};
+use topazyard_types::{DurationMs, MonotonicMs, ParcelId, ShardId};
+use topazyard_wire::message::parcel::{ParcelCall, ParcelReturn};
+
+/// Reads asked aside that may wait at a shard.
+const MOST_ASIDES: usize = 256;
+/// How long one waits; its relay asks again.
+const WAITS: DurationMs = DurationMs(600);
+
+impl ParcelAnswer {
+    /// What a read is answered with, if it is one.
+    pub(super) fn of_read(call: &ParcelCall) -> Option<Self> {
+        match call {
+            ParcelCall::Read(parcel) => Some(Self::Standing(*parcel, false)),
+            ParcelCall::Returns { parcel, after } => Some(Self::Returns(*parcel, *after)),
+            _ => None,
+        }
+    }
+
+    fn parcel(&self) -> Option<ParcelId> {
+        match self {
+            Self::Ready(_) => None,
+            Self::Standing(parcel, _) | Self::Returns(parcel, _) => Some(*parcel),
+        }
+    }
+
+    /// The return, as a copy has it.
+    pub(super) fn answered_by(self, copy: &Copy) -> Option<ParcelReturn> {
+        match self {
+            Self::Ready(value) => Some(value),
+            Self::Standing(parcel, accepted) => {
+                let standing = crate::parcels::standing(copy, parcel);
+                standing.map(|standing| match accepted {
+                    true => ParcelReturn::Accepted(standing),
+                    false => ParcelReturn::Standing(standing),
+                })
+            }
+            Self::Returns(parcel, after) => {
+                crate::parcels::returns(copy, parcel, after).map(ParcelReturn::Returns)
+            }
+        }
+    }
+}
+
+/// Whether all that a copy has of a parcel is surely committed and synced here.
+fn is_sure(pair: &Pair, parcel: ParcelId) -> bool {
+    let touched =
+        || pair.copy().last_changed().any(|key| crate::parcels::rows::is_of(key, parcel.number));
+    match pair.doubt() {
+        Doubt::Nothing => true,
+        Doubt::LastBatch => !touched(),
+        Doubt::All => false,
+    }
+}
+
+impl StorageMachine {
+    pub(super) fn take_aside(
+        &mut self,
+        shard: ShardId,
+        caller: ParcelCaller,
+        call: &ParcelCall,
+        now: MonotonicMs,
+    ) {
+        let Some(hosted) = self.hosted.get_mut(&shard) else { return };
+        hosted.asides.retain(|aside| now.since(aside.since) < WAITS);
+        if let Some(answer) = ParcelAnswer::of_read(call)
+            && hosted.asides.len() < MOST_ASIDES
+        {
+            hosted.asides.push(Aside { caller, answer, since: now });
+        }
+    }
+
+    /// Answers reads that came before the asking that control has confirmed last.
+    pub(super) fn answer_asides(&mut self, now: MonotonicMs, out: &mut Out) {
+        let Some(confirmed) = self.follower.confirmed_at() else { return };
+        let me = self.member.id;
+        for (shard, hosted) in &mut self.hosted {
+            let Some(record) = self.view.shards.get(shard) else { continue };
+            let is_named = record.primary.id == me || record.backup.is_some_and(|b| b.id == me);
+            hosted.asides.retain(|aside| now.since(aside.since) < WAITS);
+            if !is_named || record.epoch != hosted.pair.epoch() {
+                continue;
+            }
+            let epoch = record.epoch;
+            hosted.asides.retain(|aside| {
+                let sure = |parcel| is_sure(&hosted.pair, parcel);
+                if aside.since > confirmed || !aside.answer.parcel().is_some_and(sure) {
+                    return true;
+                }
+                let value = aside.answer.clone().answered_by(hosted.pair.copy());
+                if let Some(value) = value {
+                    super::serving::send(*shard, epoch, aside.caller, value, out);
+                }
+                false
+            });
+        }
+    }
+}
--- a/programs/topazyard-storage/src/machine/hosted.rs
+++ b/programs/topazyard-storage/src/machine/hosted.rs
@@ -29,6 +29,16 @@
     /// A wish for another record, with when it was last sent; none while it is being synced.
     pub(crate) wish: Option<(ShardWish, Option<MonotonicMs>)>,
     pub(crate) raising: Raising,
+    /// Reads asked aside, until control confirms that this copy still counts.
+    pub(crate) asides: Vec<Aside>,
+}
+
+/// A read asked aside.
+#[derive(Debug)]
+pub(crate) struct Aside {
+    pub(crate) caller: ParcelCaller,
+    pub(crate) answer: ParcelAnswer,
+    pub(crate) since: MonotonicMs,
 }
 
 /// Who waits for a ticket.
@@ -50,7 +60,7 @@
 }
 
 /// What a relay's call returns once its ticket is committed.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) enum ParcelAnswer {
     /// This.
     Ready(ParcelReturn),
@@ -87,6 +97,7 @@
             last_ticket: 0,
             wish: None,
             raising: Raising::default(),
+            asides: Vec::new(),
         }
     }
 
@@ -112,6 +123,12 @@
         }
     }
 
+    /// Whether something here waits for the next word of control.
+    pub(crate) fn waits_for_control(&self) -> bool {
+        let unsettled = self.pair.is_primary() && !self.pair.is_serving();
+        self.wish.is_some() || unsettled || !self.asides.is_empty()
+    }
+
     /// Whether this primary may work in its epoch.
     pub(crate) fn is_serving_in(&self, epoch: Epoch) -> bool {
         self.pair.epoch() == epoch && self.pair.is_serving() && !matches!(self.work, Work::None)
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -1,5 +1,6 @@
 //! The storage node's machine: the shards it hosts, each with its part in a pair.
 
+mod aside;
 mod counting;
 mod hosted;
 mod roles;
@@ -173,6 +174,7 @@
         self.remember_addresses(out);
         let vitals = self.vitals(now);
         self.follower.learn_sources(self.cohort.addresses(Duty::Control));
+        self.follower.hurry(self.hosted.values().any(Hosted::waits_for_control));
         if let Some((to, message)) = self.follower.beat(now, || vitals) {
             out.push(Effect::Send { to, message: Message::Feed(message) });
         }
@@ -247,6 +249,7 @@
                         self.view = FleetView::read(self.follower.copy().rows());
                         self.settle_roles(now, &mut out);
                     }
+                    self.answer_asides(now, &mut out);
                 }
                 Message::Pair(message) => {
                     if let Group::Shard(shard) = message.group
--- a/programs/topazyard-storage/src/machine/roles.rs
+++ b/programs/topazyard-storage/src/machine/roles.rs
@@ -52,6 +52,8 @@
         let stopped = self.stopped.get(&shard).is_some_and(|epoch| *epoch >= record.epoch);
         let hosted = self.host(shard);
         hosted.wish = None;
+        let has_restarted = !hosted.pair.has_role()
+            && hosted.pair.copy().place() != topazyard_types::Place::default();
         let outputs = if record.primary.id == me {
             // One that stopped in this epoch before it restarted serves no more in it: it fills
             // the learner, or wishes for one.
@@ -66,6 +68,12 @@
             }
         };
         self.take_pair(shard, outputs, now, out);
+        if has_restarted && record.primary.id == me && record.backup.is_some() {
+            // Its backup may have answered reads meanwhile from a batch that was lost here.
+            let wish = ShardWish { shard, epoch: record.epoch, wish: Wish::HandOver };
+            self.stop_and_wish(wish, out);
+            return;
+        }
         let wishes = stopped && record.primary.id == me && record.learner.is_none();
         if wishes && record.backup.is_some() && !shard.is_counter() {
             let wish = ShardWish { shard, epoch: record.epoch, wish: Wish::DropBackup };
--- a/programs/topazyard-storage/src/machine/serving.rs
+++ b/programs/topazyard-storage/src/machine/serving.rs
@@ -20,8 +20,12 @@
         now: MonotonicMs,
         out: &mut Out,
     ) {
-        let ParcelBody::Call(call) = message.body else { return };
         let (shard, caller) = (message.shard, ParcelCaller { to: from, call: message.call });
+        let call = match message.body {
+            ParcelBody::Call(call) => call,
+            ParcelBody::Aside(call) => return self.take_aside(shard, caller, &call, now),
+            ParcelBody::Return(_) => return,
+        };
         let epoch = self.hosted.get(&shard).map_or(message.epoch, |hosted| hosted.pair.epoch());
         let served = match self.hosted.get_mut(&shard) {
             Some(hosted) if hosted.is_serving_in(message.epoch) => {
@@ -59,9 +63,11 @@
                 return true;
             }
             ParcelCall::Submit { parcel, .. } => (Vec::new(), ParcelAnswer::Standing(parcel, true)),
-            ParcelCall::Read(parcel) => (Vec::new(), ParcelAnswer::Standing(parcel, false)),
-            ParcelCall::Returns { parcel, after } => {
-                (Vec::new(), ParcelAnswer::Returns(parcel, after))
+            ParcelCall::Read(_) | ParcelCall::Returns { .. } => {
+                match ParcelAnswer::of_read(&call) {
+                    Some(answer) => (Vec::new(), answer),
+                    None => return false,
+                }
             }
             ParcelCall::Recall(parcel, item) => {
                 let (answer, changes) = parcels.recall(parcel, item, now);
@@ -125,20 +131,7 @@
             Waiting::Nobody => {}
             Waiting::Counter(to, body) => super::counting::send(to, epoch, body, out),
             Waiting::Parcel(caller, answer) => {
-                let copy = hosted.pair.copy();
-                let value = match answer {
-                    ParcelAnswer::Ready(value) => Some(value),
-                    ParcelAnswer::Standing(parcel, accepted) => {
-                        let standing = crate::parcels::standing(copy, parcel);
-                        standing.map(|standing| match accepted {
-                            true => ParcelReturn::Accepted(standing),
-                            false => ParcelReturn::Standing(standing),
-                        })
-                    }
-                    ParcelAnswer::Returns(parcel, after) => {
-                        crate::parcels::returns(copy, parcel, after).map(ParcelReturn::Returns)
-                    }
-                };
+                let value = answer.answered_by(hosted.pair.copy());
                 send(shard, epoch, caller, value.unwrap_or(ParcelReturn::Unknown), out);
             }
         }
--- a/programs/topazyard-storage/src/parcels/mod.rs
+++ b/programs/topazyard-storage/src/parcels/mod.rs
@@ -2,7 +2,7 @@
 
 mod changes;
 mod read;
-mod rows;
+pub(crate) mod rows;
 
 use topazyard_types::{
     DurationMs, ItemNumber, Life, MonotonicMs, NodeId, ParcelId, ShardId, Tokens,
--- a/programs/topazyard-storage/src/parcels/rows.rs
+++ b/programs/topazyard-storage/src/parcels/rows.rs
@@ -39,6 +39,11 @@
     RowChange::put(return_key(number, value.position), value)
 }
 
+/// Whether a row is of that parcel.
+pub(crate) fn is_of(key: &str, number: u64) -> bool {
+    key.split('/').nth(1).and_then(|hex| u64::from_str_radix(hex, 16).ok()) == Some(number)
+}
+
 /// Takes every row of a parcel away.
 pub(super) fn all_gone(number: u64, items: u32) -> Vec<RowChange> {
     let of_items = (0..items).map(ItemNumber).flat_map(|item| {
