--- a/fleet-simulator/src/check/prompts.rs
+++ b/fleet-simulator/src/check/prompts.rs
@@ -23,7 +23,7 @@
                 let text = format!("prompt {at} was said not to have run and ran");
                 crossed(violations, Line::RanTwiceOrRefused, text);
             }
-            if matches!(status, 429 | 503) && !says_when || *status == 413 {
+            if matches!(status, 429 | 502..=504) && !says_when || *status == 413 {
                 let text = format!("prompt {at} got {status} without when to come back");
                 crossed(violations, Line::Answer, text);
             }
--- a/libraries/topazyard-wire/src/api.rs
+++ b/libraries/topazyard-wire/src/api.rs
@@ -107,7 +107,7 @@
     pub fn retry_after_s(self) -> Option<u32> {
         match self.status() {
             429 => Some(1),
-            503 => Some(2),
+            502..=504 => Some(2),
             _ => None,
         }
     }
--- a/libraries/topazyard-wire/src/http/inward.rs
+++ b/libraries/topazyard-wire/src/http/inward.rs
@@ -6,6 +6,8 @@
 const MOST_CONNECTIONS: usize = 8_192;
 const HEADERS_MS: u64 = 10_000;
 const BODY_MS: u64 = 30_000;
+/// For how long a caller may take nothing of what is sent to it before its connection is closed.
+const UNREAD_MS: u32 = 30_000;
 
 /// Binds a listener that serves can be run on.
 ///
@@ -30,6 +32,7 @@
         let Ok(permit) = room.clone().acquire_owned().await else { return };
         let Ok((stream, _)) = listener.accept().await else { continue };
         let _ = stream.set_nodelay(true);
+        let _ = rustix::net::sockopt::set_tcp_user_timeout(&stream, UNREAD_MS);
         let handle = handle.clone();
         tokio::spawn(async move {
             let service = hyper::service::service_fn(|request| {
--- a/programs/topazyard-relay/src/front/engine.rs
+++ b/programs/topazyard-relay/src/front/engine.rs
@@ -30,12 +30,12 @@
 /// The request can't be built.
 pub fn request(
     address: std::net::SocketAddr,
-    stream: bool,
+    path: &'static str,
     body: bytes::Bytes,
 ) -> Result<hyper::Request<topazyard_wire::http::Body>, OutwardError> {
     hyper::Request::builder()
         .method(hyper::Method::POST)
-        .uri(if stream { "/generate_stream" } else { "/generate" })
+        .uri(path)
         .header(hyper::header::HOST, address.to_string())
         .header(hyper::header::CONTENT_TYPE, "application/json")
         .body(topazyard_wire::http::whole(body))
--- a/programs/topazyard-relay/src/front/session.rs
+++ b/programs/topazyard-relay/src/front/session.rs
@@ -32,10 +32,20 @@
     ending: Ending,
     chart: Chart,
     deadline: MonotonicMs,
+    path: &'static str,
+    /// Whether the return is passed on piece by piece.
     stream: bool,
     body: bytes::Bytes,
 }
 
+/// What an engine gave.
+enum Given {
+    /// Its whole return.
+    Whole(hyper::Response<Body>),
+    /// The head of a stream, and when the prompt was sent.
+    Stream(hyper::Response<hyper::body::Incoming>, MonotonicMs),
+}
+
 /// Serves a prompt.
 ///
 /// # Errors
@@ -55,7 +65,9 @@
         ending: Ending { handle, id, engine_use: EngineUse::BrokenOff },
         chart: Chart::arrived(facts.repeatable, deadline),
         deadline,
-        stream,
+        path: if stream { "/generate_stream" } else { "/generate" },
+        // A visitor of HTTP/1.0 could not tell a cut stream from a whole one: it gets it whole.
+        stream: stream && head.version >= hyper::Version::HTTP_11,
         body,
     };
     let prompt =
@@ -64,7 +76,8 @@
     let mut target = session.ask(RelayCall::Allow(prompt)).await?;
     loop {
         match session.try_engine(&target).await {
-            Ok(response) => return Ok(response),
+            Ok(Given::Whole(response)) => return Ok(response),
+            Ok(Given::Stream(response, sent_at)) => return Ok(session.relay(response, sent_at)),
             Err(Next::Answer(error)) => return Err(error),
             // Before the head of a return nothing was relayed that would have to be broken.
             Err(Next::Break) => return Err(ApiError::may_have_run(Code::EngineFailed)),
@@ -93,13 +106,13 @@
     }
 
     /// Connects, checks a last time, sends, and relays what comes back.
-    async fn try_engine(&mut self, target: &Target) -> Result<hyper::Response<Body>, Next> {
+    async fn try_engine(&mut self, target: &Target) -> Result<Given, Next> {
         let left = self.deadline.since(self.now());
         let connection = match super::engine::connect(target.address, left).await {
             Ok(connection) => connection,
             Err(_) => return Err(self.chart.fail(Failure::NotConnected, self.now())),
         };
-        let request = super::engine::request(target.address, self.stream, self.body.clone());
+        let request = super::engine::request(target.address, self.path, self.body.clone());
         let Ok(request) = request else {
             return Err(self.chart.fail(Failure::NotConnected, self.now()));
         };
@@ -130,9 +143,9 @@
             return Err(self.engine_failed(Failure::Broken));
         }
         if self.stream {
-            Ok(self.relay_stream(response, sent_at))
+            Ok(Given::Stream(response, sent_at))
         } else {
-            self.relay_whole(response, sent_at).await
+            self.relay_whole(response, sent_at).await.map(Given::Whole)
         }
     }
 
@@ -162,67 +175,104 @@
     }
 
     /// Relays a stream piece by piece. A cut breaks the visitor's connection.
-    fn relay_stream(
-        &mut self,
+    fn relay(
+        mut self,
         response: hyper::Response<hyper::body::Incoming>,
         sent_at: MonotonicMs,
     ) -> hyper::Response<Body> {
         self.chart.relay();
         let (head, body) = response.into_parts();
-        let ending = Ending {
-            handle: self.ending.handle.clone(),
-            id: self.ending.id,
-            engine_use: EngineUse::BrokenOff,
-        };
-        // From here on the stream ends the prompt; a second telling changes nothing.
-        let finished = std::mem::replace(&mut self.ending, ending);
-        let chart = std::mem::replace(&mut self.chart, Chart::arrived(false, self.deadline));
-        let relayed = Relayed { body, ending: finished, chart, deadline: self.deadline, sent_at };
-        self.ending.id = PromptId(0);
-        let frames = futures_util::stream::unfold(Some(relayed), next_frame);
+        let (sender, receiver) = tokio::sync::mpsc::channel(PIECES);
+        tokio::spawn(self.pump(body, sent_at, sender));
+        let frames = futures_util::stream::unfold(Some(receiver), next_piece);
         passed_on(&head, http_body_util::StreamBody::new(frames).boxed())
     }
+
+    /// Takes pieces from the engine and hands them to the visitor's connection, until the stream
+    /// ends or breaks, or the visitor left or took nothing until its time was over.
+    async fn pump(
+        mut self,
+        mut body: hyper::body::Incoming,
+        sent_at: MonotonicMs,
+        sender: tokio::sync::mpsc::Sender<Piece>,
+    ) {
+        loop {
+            let limit = span(self.deadline.since(self.now()));
+            let got = tokio::select! {
+                biased;
+                () = sender.closed() => return,
+                got = tokio::time::timeout(limit, body.frame()) => got,
+            };
+            let piece = match got {
+                Ok(Some(Ok(frame))) => Piece::Frame(frame),
+                Ok(None) => {
+                    self.chart.complete();
+                    self.ending.engine_use = EngineUse::Whole(self.now().since(sent_at));
+                    Piece::End
+                }
+                Ok(Some(Err(_))) => return drop(self.engine_failed(Failure::Broken)),
+                Err(_) => return drop(self.engine_failed(Failure::TimedOut)),
+            };
+            let is_end = matches!(piece, Piece::End);
+            let limit = span(self.deadline.since(self.now()));
+            let taken = tokio::time::timeout(limit, sender.send(piece)).await;
+            if is_end || !matches!(taken, Ok(Ok(()))) {
+                return;
+            }
+        }
+    }
 }
 
-/// A stream that is being relayed.
-struct Relayed {
-    body: hyper::body::Incoming,
-    ending: Ending,
-    chart: Chart,
-    deadline: MonotonicMs,
-    sent_at: MonotonicMs,
+/// Pieces of a stream that wait for their visitor.
+const PIECES: usize = 16;
+
+/// A piece of a stream.
+enum Piece {
+    /// As the engine sent it.
+    Frame(hyper::body::Frame<bytes::Bytes>),
+    /// All of it came.
+    End,
 }
 
-type Piece = Result<hyper::body::Frame<bytes::Bytes>, BodyError>;
-
-async fn next_frame(relayed: Option<Relayed>) -> Option<(Piece, Option<Relayed>)> {
-    let mut relayed = relayed?;
-    let now = relayed.ending.handle.clock().now();
-    let limit = span(relayed.deadline.since(now));
-    match tokio::time::timeout(limit, relayed.body.frame()).await {
-        Ok(Some(Ok(frame))) => Some((Ok(frame), Some(relayed))),
-        Ok(None) => {
-            relayed.chart.complete();
-            let took = now.since(relayed.sent_at);
-            relayed.ending.engine_use = EngineUse::Whole(took);
-            None
-        }
-        failed => {
-            let failure = if failed.is_err() { Failure::TimedOut } else { Failure::Broken };
-            relayed.chart.fail(failure, now);
-            relayed.ending.engine_use = EngineUse::Failed;
-            Some((Err(BodyError), None))
-        }
+type Pieces = tokio::sync::mpsc::Receiver<Piece>;
+
+/// The next piece; a stream that stops without its end is an error.
+async fn next_piece(
+    pieces: Option<Pieces>,
+) -> Option<(Result<hyper::body::Frame<bytes::Bytes>, BodyError>, Option<Pieces>)> {
+    let mut pieces = pieces?;
+    match pieces.recv().await {
+        Some(Piece::Frame(frame)) => Some((Ok(frame), Some(pieces))),
+        Some(Piece::End) => None,
+        None => Some((Err(BodyError), None)),
     }
 }
 
-/// The engine's status and content type, with the body as it came.
+/// Headers that speak of one connection only, or that the library sets anew.
+const OF_ONE_LINK: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// The engine's status and all its end-to-end headers, with the body as it came.
 fn passed_on(head: &hyper::http::response::Parts, body: Body) -> hyper::Response<Body> {
     let mut response = hyper::Response::new(body);
     *response.status_mut() = head.status;
-    for name in [hyper::header::CONTENT_TYPE, hyper::header::CACHE_CONTROL] {
-        if let Some(value) = head.headers.get(&name) {
-            response.headers_mut().insert(name, value.clone());
+    let named = head.headers.get_all(hyper::header::CONNECTION).iter();
+    let named: Vec<String> = named
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()))
+        .collect();
+    for (name, value) in &head.headers {
+        let of_one_link = OF_ONE_LINK.contains(&name.as_str());
+        if !of_one_link && !named.iter().any(|named| named == name.as_str()) {
+            response.headers_mut().append(name, value.clone());
         }
     }
     response
--- a/programs/topazyard-relay/src/front/tasks.rs
+++ b/programs/topazyard-relay/src/front/tasks.rs
@@ -35,7 +35,7 @@
     let Ok(connection) = super::engine::connect(target.address, limit).await else {
         return RunEnd::NotRun;
     };
-    let Ok(request) = super::engine::request(target.address, false, body) else {
+    let Ok(request) = super::engine::request(target.address, "/generate", body) else {
         return RunEnd::NotRun;
     };
     match handle.call(RelayCall::DispatchItem(run, target.engine.clone())).await {
