Plant a kept old spec and an undeclared lane, so that these two checkers can fail too

Cause: the status page said that each line had been made red by a planted bug; `no configuration allowed` and `not in force after 2 s` had only a late dispatch. Change: the feed's news loses the spec in force (operators), or reads a lane into it that nobody declared (calm). Ruled out: planting in the relay, which would be a switch in shipped code. Before: no such plants.

--- a/fleet-simulator/src/world/mod.rs
+++ b/fleet-simulator/src/world/mod.rs
@@ -124,6 +124,10 @@
     MuteRefusals,
     /// A relay that is asked to drain goes at once.
     HastyDrain,
+    /// Changes of the spec in force are lost on their way to whoever follows the feed.
+    KeepOldSpec,
+    /// Whoever follows the feed reads a lane into the spec that nobody declared.
+    MapAll,
     /// Syncs are said before they happen, so that a power loss takes acknowledged writes.
     LyingDisk,
 }
--- a/fleet-simulator/src/world/network.rs
+++ b/fleet-simulator/src/world/network.rs
@@ -2,6 +2,7 @@
 
 use super::{Event, Plant, World};
 use topazyard_wire::message::counter::CounterBody;
+use topazyard_wire::message::feed::{FeedMessage, Matter};
 
 /// Which ways are cut, and how lossy the rest is.
 #[derive(Debug, Default)]
@@ -56,6 +57,9 @@
 
 /// Spoils a frame as the planted bug would; gives whether it is lost.
 fn spoil(plant: Plant, message: &mut topazyard_wire::Message) -> bool {
+    if let topazyard_wire::Message::Feed(FeedMessage::News { matter, .. }) = message {
+        spoil_news(plant, matter);
+    }
     let topazyard_wire::Message::Counter(message) = message else { return false };
     match (plant, &mut message.body) {
         (Plant::GrantBudget, CounterBody::Added { granted, .. })
@@ -69,6 +73,31 @@
     false
 }
 
+fn spoil_news(plant: Plant, matter: &mut Matter) {
+    use topazyard_wire::rows::{decode, encode};
+    use topazyard_wire::state::{IN_FORCE, InForceRow};
+    let mapped = |value: &mut bytes::Bytes| {
+        if let Some(row) = decode::<InForceRow>(value) {
+            let text = row.text.replacen("[\"m\"]", "[\"m\",\"unmapped\"]", 1);
+            *value = encode(&InForceRow { text, ..row });
+        }
+    };
+    match (plant, matter) {
+        (Plant::KeepOldSpec, Matter::Changes(changes)) => {
+            changes.retain(|change| change.key != IN_FORCE);
+        }
+        (Plant::MapAll, Matter::Changes(changes)) => {
+            let of_spec = changes.iter_mut().filter(|change| change.key == IN_FORCE);
+            of_spec.filter_map(|change| change.value.as_mut()).for_each(mapped);
+        }
+        (Plant::MapAll, Matter::View(rows)) => {
+            let of_spec = rows.iter_mut().filter(|(key, _)| key == IN_FORCE);
+            of_spec.for_each(|(_, value)| mapped(value));
+        }
+        _ => {}
+    }
+}
+
 fn kind_of(message: &topazyard_wire::Message) -> &'static str {
     use topazyard_wire::Message;
     match message {
--- a/fleet-simulator/tests/planted.rs
+++ b/fleet-simulator/tests/planted.rs
@@ -83,6 +83,16 @@
     goes_red(Plant::GrantCeiling, Scenario::Ceiling, Line::Ceiling);
 }
 
+#[test]
+fn work_that_no_spec_maps_is_seen() {
+    goes_red(Plant::MapAll, Scenario::Calm, Line::Unmapped);
+}
+
+#[test]
+fn a_spec_that_is_not_in_force_in_time_is_seen() {
+    goes_red(Plant::KeepOldSpec, Scenario::Operators, Line::SpecLate);
+}
+
 #[test]
 fn a_leaked_hold_is_seen() {
     goes_red(Plant::LoseReleases, Scenario::Calm, Line::LeakedHold);
