--- a/libraries/topazyard-wire/src/disk/mod.rs
+++ b/libraries/topazyard-wire/src/disk/mod.rs
@@ -3,5 +3,5 @@
 pub mod open;
 pub mod writer;
 
-pub use open::{DiskError, OpenDisk, open};
+pub use open::{DiskError, OpenDisk, open, read_all};
 pub use writer::{DiskWrite, Writer};
--- a/libraries/topazyard-wire/src/disk/open.rs
+++ b/libraries/topazyard-wire/src/disk/open.rs
@@ -40,6 +40,14 @@
     let file = folder.join("node.redb");
     let database = redb::Database::create(&file)
         .map_err(|error| DiskError::Damaged(file.clone(), error.to_string()))?;
+    read_all(database, file)
+}
+
+/// Checks the format of a file that was opened, and reads everything in it.
+///
+/// # Errors
+/// As with [`open`].
+pub fn read_all(database: redb::Database, file: std::path::PathBuf) -> Result<OpenDisk, DiskError> {
     let damaged = |error: redb::Error| DiskError::Damaged(file.clone(), error.to_string());
     match check_format(&database).map_err(damaged)? {
         FORMAT => {}
--- a/libraries/topazyard-wire/tests/disks.rs
+++ b/libraries/topazyard-wire/tests/disks.rs
@@ -61,3 +61,18 @@
     assert!(matches!(open(&folder).map(drop), Err(DiskError::UnknownTable(..))));
     std::fs::remove_dir_all(&folder).expect("its own folder");
 }
+
+#[test]
+fn a_newer_format_is_refused() {
+    let folder = folder("newer");
+    std::fs::create_dir_all(&folder).expect("a folder");
+    {
+        let database = redb::Database::create(folder.join("node.redb")).expect("a file");
+        let transaction = database.begin_write().expect("a transaction");
+        let format = redb::TableDefinition::<&str, u32>::new("format");
+        transaction.open_table(format).expect("a table").insert("version", 9).expect("a row");
+        transaction.commit().expect("a commit");
+    }
+    assert!(matches!(open(&folder).map(drop), Err(DiskError::UnknownFormat(_, 9))));
+    std::fs::remove_dir_all(&folder).expect("its own folder");
+}
--- a/programs/topazyard-relay/tests/edge.rs
+++ b/programs/topazyard-relay/tests/edge.rs
@@ -16,6 +16,13 @@
 
 const FLEET: FleetId = FleetId(3);
 
+/// One runtime for all tests: a relay's machine lives on a thread of its own, and ends the process
+/// if what it works with goes away under it.
+fn runtime() -> &'static tokio::runtime::Runtime {
+    static RUNTIME: std::sync::OnceLock<tokio::runtime::Runtime> = std::sync::OnceLock::new();
+    RUNTIME.get_or_init(|| tokio::runtime::Runtime::new().expect("a runtime"))
+}
+
 fn free_address() -> Address {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     listener.local_addr().expect("its address")
@@ -284,62 +291,69 @@
     assert!(got.contains(r#""ran":"may_have_run""#), "{got}");
 }
 
-#[tokio::test]
-async fn a_return_cut_anywhere_is_an_error_and_nothing_else() {
-    for then in [
-        Then::Close(""),
-        Then::Close("HTTP/1.1 200 OK\r\ncontent-le"),
-        Then::Close("HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\n{\"generated"),
-        Then::Close("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\n{\"gen\r\n"),
-        Then::Close("HTTP/1.1 200 OK\r\n\r\n{\"generated_text\":\"till the end\"}"),
-        Then::Reset("HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\n{\"generated"),
-        Then::Reset(""),
-        Then::Close("SSH-2.0-nothing of ours\r\n"),
-    ] {
-        gave_up(&ends(then, "/generate", 5_000).await, "502");
-    }
+#[test]
+fn a_return_cut_anywhere_is_an_error_and_nothing_else() {
+    runtime().block_on(async {
+        for then in [
+            Then::Close(""),
+            Then::Close("HTTP/1.1 200 OK\r\ncontent-le"),
+            Then::Close("HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\n{\"generated"),
+            Then::Close("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\n{\"gen\r\n"),
+            Then::Close("HTTP/1.1 200 OK\r\n\r\n{\"generated_text\":\"till the end\"}"),
+            Then::Reset("HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\n{\"generated"),
+            Then::Reset(""),
+            Then::Close("SSH-2.0-nothing of ours\r\n"),
+        ] {
+            gave_up(&ends(then, "/generate", 5_000).await, "502");
+        }
+    });
 }
 
-#[tokio::test]
-async fn an_engine_that_says_nothing_is_given_up_at_the_deadline() {
-    for text in ["", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf"] {
-        let mut edge = Edge::ready(Then::Hang(text)).await;
-        gave_up(&edge.ask(&request("/generate", "1.1", 250)).await, "504");
-        // The run is broken off: its engine sees the connection end.
-        let mut saw = edge.until_released().await;
-        while !saw.contains(&Saw::Left) {
-            saw.push(edge.next().await);
+#[test]
+fn an_engine_that_says_nothing_is_given_up_at_the_deadline() {
+    runtime().block_on(async {
+        for text in ["", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf"] {
+            let mut edge = Edge::ready(Then::Hang(text)).await;
+            gave_up(&edge.ask(&request("/generate", "1.1", 250)).await, "504");
+            // The run is broken off: its engine sees the connection end.
+            let mut saw = edge.until_released().await;
+            while !saw.contains(&Saw::Left) {
+                saw.push(edge.next().await);
+            }
         }
-    }
+    });
 }
 
-#[tokio::test]
-async fn whatever_the_engine_says_is_passed_on_with_its_headers() {
-    let text = "HTTP/1.1 429 Too Many Requests\r\nretry-after: 7\r\ncontent-encoding: gzip\r\n\
+#[test]
+fn whatever_the_engine_says_is_passed_on_with_its_headers() {
+    runtime().block_on(async {
+        let text = "HTTP/1.1 429 Too Many Requests\r\nretry-after: 7\r\ncontent-encoding: gzip\r\n\
                 x-one: a\r\nx-one: b\r\nx-link: c\r\nconnection: x-link\r\n\
                 content-length: 4\r\n\r\nabcdHTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nnot";
-    for path in ["/generate", "/generate_stream"] {
-        let got = ends(Then::Close(text), path, 5_000).await;
-        assert_eq!(status(&got), "429", "{got}");
-        for header in ["retry-after: 7", "content-encoding: gzip", "x-one: a", "x-one: b"] {
-            assert!(got.contains(header), "{header} in {got}");
+        for path in ["/generate", "/generate_stream"] {
+            let got = ends(Then::Close(text), path, 5_000).await;
+            assert_eq!(status(&got), "429", "{got}");
+            for header in ["retry-after: 7", "content-encoding: gzip", "x-one: a", "x-one: b"] {
+                assert!(got.contains(header), "{header} in {got}");
+            }
+            assert!(!got.contains("x-link"), "{got}");
+            // What an engine sends beyond its length is nobody's.
+            assert!(got.ends_with("\r\n\r\nabcd"), "{got}");
         }
-        assert!(!got.contains("x-link"), "{got}");
-        // What an engine sends beyond its length is nobody's.
-        assert!(got.ends_with("\r\n\r\nabcd"), "{got}");
-    }
-    for code in ["500", "503"] {
-        let text: &'static str =
-            Box::leak(format!("HTTP/1.1 {code} X\r\ncontent-length: 1\r\n\r\n!").into());
-        assert_eq!(status(&ends(Then::Close(text), "/generate", 5_000).await), code);
-    }
+        for code in ["500", "503"] {
+            let text: &'static str =
+                Box::leak(format!("HTTP/1.1 {code} X\r\ncontent-length: 1\r\n\r\n!").into());
+            assert_eq!(status(&ends(Then::Close(text), "/generate", 5_000).await), code);
+        }
+    });
 }
 
 const STREAM: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
                       transfer-encoding: chunked\r\n\r\n4\r\none \r\n";
 
-#[tokio::test]
-async fn a_stream_never_looks_complete_when_it_is_cut() {
+#[test]
+fn a_stream_never_looks_complete_when_it_is_cut() {
+    runtime().block_on(async {
     for then in [Then::Close(STREAM), Then::Reset(STREAM), Then::Hang(STREAM)] {
         let got = ends(then, "/generate_stream", 400).await;
         assert!(!got.contains("\r\n0\r\n"), "{got}");
@@ -351,64 +365,73 @@
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\none \r\n3\r\ntwo\r\n0\r\n\r\n";
     let got = ends(Then::Close(whole), "/generate_stream", 5_000).await;
     assert!(got.contains("one ") && got.ends_with("two\r\n0\r\n\r\n"), "{got}");
+    });
 }
 
-#[tokio::test]
-async fn a_visitor_of_http_1_0_gets_a_stream_whole_or_an_error() {
-    let edge = Edge::ready(Then::Close(STREAM)).await;
-    gave_up(&edge.ask(&request("/generate_stream", "1.0", 5_000)).await, "502");
-    let whole = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n";
-    let edge = Edge::ready(Then::Close(whole)).await;
-    let got = edge.ask(&request("/generate_stream", "1.0", 5_000)).await;
-    assert!(got.contains("content-length: 3") && got.ends_with("\r\n\r\ntwo"), "{got}");
+#[test]
+fn a_visitor_of_http_1_0_gets_a_stream_whole_or_an_error() {
+    runtime().block_on(async {
+        let edge = Edge::ready(Then::Close(STREAM)).await;
+        gave_up(&edge.ask(&request("/generate_stream", "1.0", 5_000)).await, "502");
+        let whole = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n";
+        let edge = Edge::ready(Then::Close(whole)).await;
+        let got = edge.ask(&request("/generate_stream", "1.0", 5_000)).await;
+        assert!(got.contains("content-length: 3") && got.ends_with("\r\n\r\ntwo"), "{got}");
+    });
 }
 
-#[tokio::test]
-async fn a_visitor_that_leaves_ends_its_run() {
-    for (path, text) in [("/generate", ""), ("/generate_stream", STREAM)] {
-        let mut edge = Edge::ready(Then::Hang(text)).await;
+#[test]
+fn a_visitor_that_leaves_ends_its_run() {
+    runtime().block_on(async {
+        for (path, text) in [("/generate", ""), ("/generate_stream", STREAM)] {
+            let mut edge = Edge::ready(Then::Hang(text)).await;
+            let mut visitor = edge.connect().await;
+            let request = request(path, "1.1", 60_000);
+            visitor.write_all(request.as_bytes()).await.expect("the relay takes it");
+            while !matches!(edge.next().await, Saw::Ran(_)) {}
+            drop(visitor);
+            let mut saw = edge.until_released().await;
+            while !saw.contains(&Saw::Left) {
+                saw.push(edge.next().await);
+            }
+        }
+    });
+}
+
+#[test]
+fn a_visitor_that_never_reads_keeps_nothing_beyond_its_time() {
+    runtime().block_on(async {
+        let mut edge = Edge::ready(Then::Flood(STREAM)).await;
         let mut visitor = edge.connect().await;
-        let request = request(path, "1.1", 60_000);
+        let request = request("/generate_stream", "1.1", 700);
         visitor.write_all(request.as_bytes()).await.expect("the relay takes it");
-        while !matches!(edge.next().await, Saw::Ran(_)) {}
-        drop(visitor);
         let mut saw = edge.until_released().await;
         while !saw.contains(&Saw::Left) {
             saw.push(edge.next().await);
         }
-    }
-}
-
-#[tokio::test]
-async fn a_visitor_that_never_reads_keeps_nothing_beyond_its_time() {
-    let mut edge = Edge::ready(Then::Flood(STREAM)).await;
-    let mut visitor = edge.connect().await;
-    let request = request("/generate_stream", "1.1", 700);
-    visitor.write_all(request.as_bytes()).await.expect("the relay takes it");
-    let mut saw = edge.until_released().await;
-    while !saw.contains(&Saw::Left) {
-        saw.push(edge.next().await);
-    }
+    });
 }
 
-#[tokio::test]
-async fn a_visitor_that_sends_in_pieces_is_served_and_one_that_stops_runs_nothing() {
-    let whole = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
-    let mut edge = Edge::ready(Then::Close(whole)).await;
-    let mut gone = edge.connect().await;
-    let text = request("/generate", "1.1", 5_000);
-    let (first, second) = text.split_at(text.len() - 7);
-    gone.write_all(first.as_bytes()).await.expect("the relay takes it");
-    drop(gone);
-    let mut visitor = edge.connect().await;
-    for byte in first.as_bytes().chunks(9) {
-        visitor.write_all(byte).await.expect("the relay takes it");
-        visitor.flush().await.expect("the relay takes it");
-    }
-    visitor.write_all(second.as_bytes()).await.expect("the relay takes it");
-    let mut got = String::new();
-    visitor.read_to_string(&mut got).await.expect("a whole answer");
-    assert!(got.ends_with("\r\n\r\nok"), "{got}");
-    let saw = edge.until_released().await;
-    assert_eq!(saw.iter().filter(|saw| matches!(saw, Saw::Ran(_))).count(), 1, "{saw:?}");
+#[test]
+fn a_visitor_that_sends_in_pieces_is_served_and_one_that_stops_runs_nothing() {
+    runtime().block_on(async {
+        let whole = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        let mut edge = Edge::ready(Then::Close(whole)).await;
+        let mut gone = edge.connect().await;
+        let text = request("/generate", "1.1", 5_000);
+        let (first, second) = text.split_at(text.len() - 7);
+        gone.write_all(first.as_bytes()).await.expect("the relay takes it");
+        drop(gone);
+        let mut visitor = edge.connect().await;
+        for byte in first.as_bytes().chunks(9) {
+            visitor.write_all(byte).await.expect("the relay takes it");
+            visitor.flush().await.expect("the relay takes it");
+        }
+        visitor.write_all(second.as_bytes()).await.expect("the relay takes it");
+        let mut got = String::new();
+        visitor.read_to_string(&mut got).await.expect("a whole answer");
+        assert!(got.ends_with("\r\n\r\nok"), "{got}");
+        let saw = edge.until_released().await;
+        assert_eq!(saw.iter().filter(|saw| matches!(saw, Saw::Ran(_))).count(), 1, "{saw:?}");
+    });
 }
