--- a/fleet-simulator/src/run.rs
+++ b/fleet-simulator/src/run.rs
@@ -432,6 +432,14 @@
                 faults.push((at, Fault::Replace(named("control", n))));
                 at += 18_000;
             }
+            // The whole edge starts anew with settings that name none of the present seeds.
+            for n in 1..=relays {
+                for whom in [named("relay", n), named("agent", n)] {
+                    faults.push((at, Fault::Kill(whom.clone())));
+                    faults.push((at + 1_000, Fault::Start(whom)));
+                }
+            }
+            at += 16_000;
             faults.push((at, Fault::Kill(Whom::ControlPrimary)));
         }
         Scenario::Counter => {
--- a/fleet-simulator/src/world/nodes.rs
+++ b/fleet-simulator/src/world/nodes.rs
@@ -199,7 +199,14 @@
                 Body::Storage(Box::new(StorageMachine::new(start)))
             }
             Kind::Agent => {
-                let start = topazyard_edge_agent::Start { member, seeds, relay: beside, chance };
+                let remembered = topazyard_wire::driver::disked::Remembered::read(&loaded);
+                let start = topazyard_edge_agent::Start {
+                    member,
+                    seeds,
+                    remembered: Some(remembered),
+                    relay: beside,
+                    chance,
+                };
                 Body::Agent(Box::new(AgentMachine::new(start)))
             }
             Kind::Relay => {
@@ -380,8 +387,10 @@
                 let effects = input.map(|input| machine.step(input, now)).unwrap_or_default();
                 self.put_back(index, body, life);
                 for effect in effects {
-                    if let Effect::Send { to, message } = effect {
-                        self.send_from(index, to, message);
+                    match effect {
+                        Effect::Send { to, message } => self.send_from(index, to, message),
+                        Effect::Write { token, changes } => self.write(index, token, changes),
+                        _ => {}
                     }
                 }
             }
--- a/libraries/topazyard-wire/src/driver/disked.rs
+++ b/libraries/topazyard-wire/src/driver/disked.rs
@@ -43,20 +43,51 @@
 
 impl DiskStart {
     /// Addresses of control nodes that the node remembered when it last ran.
-    pub fn remembered(&self) -> Vec<std::net::SocketAddr> {
-        let rows = self.loaded.get(&crate::Group::Node);
-        let value = rows.and_then(|rows| rows.get("remembered"));
-        value.and_then(|value| crate::rows::decode(value)).unwrap_or_default()
+    pub fn remembered(&self) -> Remembered {
+        Remembered::read(&self.loaded)
     }
 
     /// The seeds and the remembered addresses, each once.
     pub fn known_control(&self) -> Vec<std::net::SocketAddr> {
-        let mut known = self.seeds.clone();
-        for address in self.remembered() {
-            if !known.contains(&address) {
-                known.push(address);
-            }
-        }
+        self.remembered().with_seeds(&self.seeds)
+    }
+}
+
+/// Where control nodes were when they were last heard of, so that old seeds strand nobody.
+#[derive(Debug, Default)]
+pub struct Remembered(Vec<std::net::SocketAddr>);
+
+impl Remembered {
+    /// What a disk remembers.
+    ///
+    /// ```
+    /// use topazyard_wire::driver::disked::Remembered;
+    /// assert!(Remembered::read(&Default::default()).with_seeds(&[]).is_empty());
+    /// ```
+    pub fn read(loaded: &crate::rows::Loaded) -> Self {
+        let rows = loaded.get(&crate::Group::Node);
+        let value = rows.and_then(|rows| rows.get("remembered"));
+        Self(value.and_then(|value| crate::rows::decode(value)).unwrap_or_default())
+    }
+
+    /// The seeds and what is remembered, each once.
+    pub fn with_seeds(&self, seeds: &[std::net::SocketAddr]) -> Vec<std::net::SocketAddr> {
+        let mut known = seeds.to_vec();
+        known.extend(self.0.iter().copied().filter(|address| !seeds.contains(address)));
         known
     }
+
+    /// Takes the addresses known now; gives the row to write if they are others.
+    pub fn learn(
+        &mut self,
+        addresses: impl Iterator<Item = std::net::SocketAddr>,
+    ) -> Option<crate::RowChange> {
+        let mut addresses: Vec<std::net::SocketAddr> = addresses.collect();
+        addresses.sort();
+        if addresses.is_empty() || addresses == self.0 {
+            return None;
+        }
+        self.0 = addresses;
+        Some(crate::RowChange::put("remembered", &self.0))
+    }
 }
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -64,7 +64,7 @@
     last_plan: MonotonicMs,
     /// When no storage node was heard at all: then it is this node that is cut off.
     last_alone: Option<MonotonicMs>,
-    remembered: Vec<std::net::SocketAddr>,
+    remembered: topazyard_wire::driver::disked::Remembered,
 }
 
 /// What must wait until a write of this node's own rows is synced.
@@ -253,13 +253,8 @@
 
     /// Remembers where others are, so that stale seeds don't strand this node.
     fn remember_addresses(&mut self, out: &mut Out) {
-        let mut addresses: Vec<std::net::SocketAddr> =
-            self.cohort.addresses(Duty::Control).collect();
-        addresses.sort();
-        if !addresses.is_empty() && addresses != self.remembered {
-            let row = RowChange::put("remembered", &addresses);
+        if let Some(row) = self.remembered.learn(self.cohort.addresses(Duty::Control)) {
             self.write_own(Group::Node, vec![row], Vec::new(), out);
-            self.remembered = addresses;
         }
     }
 
--- a/programs/topazyard-edge-agent/src/machine.rs
+++ b/programs/topazyard-edge-agent/src/machine.rs
@@ -4,10 +4,11 @@
 
 use topazyard_cohort::Cohort;
 use topazyard_types::{DurationMs, MonotonicMs};
+use topazyard_wire::driver::disked::Remembered;
 use topazyard_wire::message::Message;
 use topazyard_wire::message::cohort::{Duty, Member};
 use topazyard_wire::message::feed::{FeedMessage, Vitals};
-use topazyard_wire::{Effect, Input, Machine};
+use topazyard_wire::{Effect, Group, Input, Machine, WriteToken};
 
 /// After how long without a return another control node is asked.
 const PATIENCE: DurationMs = DurationMs(350);
@@ -23,6 +24,8 @@
     pub member: Member,
     /// The three seeds.
     pub seeds: Vec<std::net::SocketAddr>,
+    /// What its data folder remembers, if it has one.
+    pub remembered: Option<Remembered>,
     /// The relay beside it.
     pub relay: std::net::SocketAddr,
     /// Seeds its chances.
@@ -49,6 +52,8 @@
     leader: Option<std::net::SocketAddr>,
     passed: Option<Passed>,
     last_nonce: u64,
+    last_write: u64,
+    remembered: Option<Remembered>,
     relay_heard: Option<MonotonicMs>,
 }
 
@@ -61,18 +66,23 @@
     /// let at = |port| std::net::SocketAddr::from(([127, 0, 0, 1], port));
     /// let member = Member { id: topazyard_types::NodeId(1), address: at(1), http: Some(at(2)),
     ///     duty: Duty::Edge, domain: "north".into() };
-    /// let start = Start { member, seeds: vec![at(3), at(4), at(5)], relay: at(6), chance: 1 };
+    /// let start = Start { member, seeds: vec![at(3), at(4), at(5)], remembered: None,
+    ///     relay: at(6), chance: 1 };
     /// AgentMachine::new(start);
     /// ```
     pub fn new(start: Start) -> Self {
+        let known = start.remembered.as_ref().map(|kept| kept.with_seeds(&start.seeds));
+        let sources = known.unwrap_or(start.seeds);
         Self {
-            cohort: Cohort::new(start.member, start.seeds.clone(), start.chance),
+            cohort: Cohort::new(start.member, sources.clone(), start.chance),
             relay: start.relay,
-            sources: start.seeds,
+            sources,
             next_source: 0,
             leader: None,
             passed: None,
             last_nonce: topazyard_types::Life(start.chance).first_number(),
+            last_write: 0,
+            remembered: start.remembered,
             relay_heard: None,
         }
     }
@@ -147,6 +157,13 @@
                 self.sources.push(address);
             }
         }
+        let remembered = self.remembered.as_mut();
+        let row = remembered.and_then(|kept| kept.learn(self.cohort.addresses(Duty::Control)));
+        if let Some(row) = row {
+            self.last_write += 1;
+            let token = WriteToken { group: Group::Node, number: self.last_write };
+            out.push(Effect::Write { token, changes: vec![row] });
+        }
         if self.passed.as_ref().is_some_and(|passed| now.since(passed.at) >= PATIENCE) {
             self.leader = None;
             self.pass_on(now, out);
--- a/programs/topazyard-edge-agent/src/main.rs
+++ b/programs/topazyard-edge-agent/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::Parser as _;
 use topazyard_wire::driver::StartError;
+use topazyard_wire::driver::disked::Remembered;
 use topazyard_wire::message::cohort::{Duty, Member};
 
 /// Links the relay beside it to the control plane
@@ -18,7 +19,9 @@
 
 fn run(settings: topazyard_spec::NodeSettings) -> Result<(), StartError> {
     let relay = settings.need_beside()?;
+    let disk = settings.data.as_deref().map(topazyard_wire::disk::open).transpose()?;
     topazyard_wire::log::start(settings.data.clone()).map_err(|_| StartError::Log)?;
+    let remembered = disk.as_ref().map(|disk| Remembered::read(&disk.loaded));
     let node = topazyard_wire::driver::fresh_id();
     let start = topazyard_edge_agent::Start {
         member: Member {
@@ -29,6 +32,7 @@
             domain: settings.domain.clone(),
         },
         seeds: settings.seeds.clone(),
+        remembered,
         relay,
         chance: rand::random(),
     };
@@ -37,7 +41,8 @@
     topazyard_wire::driver::run_process(async move {
         let (tasks, _no_tasks) = tokio::sync::mpsc::channel(1);
         let make = |_| (topazyard_edge_agent::AgentMachine::new(start), Vec::new());
-        let _handle = topazyard_wire::driver::spawn(make, place, None, tasks)?;
+        let _handle =
+            topazyard_wire::driver::spawn(make, place, disk.map(|disk| disk.database), tasks)?;
         std::future::pending().await
     })
 }
--- a/programs/topazyard-operator/src/main.rs
+++ b/programs/topazyard-operator/src/main.rs
@@ -1,13 +1,20 @@
 //! The operators' command line.
 
+mod bundle_file;
+
 use clap::Parser as _;
 
 /// Drives a topazyard fleet
 #[derive(clap::Parser)]
-#[command(version)]
+#[command(
+    version,
+    after_help = "Exit codes: 0 done, or nothing to do; 1 refused, or `spec diff` \
+found differences; 2 a wrong flag or a file that can't be used; 3 no control node could be reached, \
+or the outcome is unknown"
+)]
 struct Flags {
-    /// HTTP addresses of control nodes, tried in turn
-    #[arg(long, value_delimiter = ',', required = true)]
+    /// HTTP addresses of control nodes, tried in turn; all but `spec check` need one
+    #[arg(long, value_delimiter = ',')]
     control: Vec<std::net::SocketAddr>,
     #[command(subcommand)]
     what: What,
@@ -30,6 +37,24 @@
 
 #[derive(clap::Subcommand)]
 enum Spec {
+    /// Check a bundle without a fleet
+    Check {
+        /// The bundle, as JSON
+        file: std::path::PathBuf,
+    },
+    /// Show in what a bundle differs from the one in force
+    Diff {
+        /// The bundle, as JSON
+        file: std::path::PathBuf,
+    },
+    /// Submit, sign off and roll out a bundle, unless it is in force already
+    Apply {
+        /// The bundle, as JSON
+        file: std::path::PathBuf,
+        /// Who signs
+        #[arg(long)]
+        by: String,
+    },
     /// Submit a bundle that builds on a version
     Submit {
         /// The bundle, as JSON
@@ -97,6 +122,10 @@
 enum OperatorError {
     /// the file {0:?} can't be read: {1}
     File(std::path::PathBuf, std::io::ErrorKind),
+    /// {0:?} has faults:\n{1}
+    Faults(std::path::PathBuf, String),
+    /// no control node was named: --control
+    NoAddress,
     /// no control node could be reached
     NoControl,
     /// the outcome is unknown: the connection broke after the command was sent
@@ -107,6 +136,16 @@
 
 impl std::error::Error for OperatorError {}
 
+impl OperatorError {
+    fn exit_code(&self) -> u8 {
+        match self {
+            Self::Refused(..) => 1,
+            Self::File(..) | Self::Faults(..) | Self::NoAddress => 2,
+            Self::NoControl | Self::Unknown => 3,
+        }
+    }
+}
+
 /// What is sent: method, path and body.
 type Call = (hyper::Method, String, String);
 
@@ -120,14 +159,13 @@
     let get = |path: &str| Ok((Method::GET, path.to_owned(), String::new()));
     let post = |path: String, body: String| Ok((Method::POST, path, body));
     match what {
-        What::Spec(Spec::Submit { file, base }) => {
-            let bundle = read_file(file)?;
-            post("/specs".to_owned(), format!("{{\"base\":{base},\"bundle\":{bundle}}}"))
-        }
+        What::Spec(Spec::Submit { file, base }) => Ok(submit(&read_file(file)?, *base)),
         What::Spec(Spec::SignOff { version, by }) => {
             let body = serde_json::json!({ "by": by }).to_string();
             post(format!("/specs/{version}/sign-off"), body)
         }
+        // Worked on before, since they take several calls or none.
+        What::Spec(Spec::Check { .. } | Spec::Diff { .. } | Spec::Apply { .. }) => get("/specs"),
         What::Spec(Spec::RollOut { version }) => {
             post(format!("/specs/{version}/roll-out"), String::new())
         }
@@ -173,23 +211,104 @@
     Err(OperatorError::NoControl)
 }
 
-#[tokio::main(flavor = "current_thread")]
-async fn main() -> std::process::ExitCode {
-    let flags = Flags::parse();
-    let outcome = match call_for(&flags.what) {
-        Ok(call) => send(&flags.control, &call).await,
+fn submit(bundle: &str, base: u64) -> Call {
+    let body = format!("{{\"base\":{base},\"bundle\":{bundle}}}");
+    (hyper::Method::POST, "/specs".to_owned(), body)
+}
+
+/// Sends a command and reads its return.
+async fn ask(
+    control: &[std::net::SocketAddr],
+    what: &What,
+) -> Result<serde_json::Value, OperatorError> {
+    let text = send(control, &call_for(what)?).await?;
+    Ok(serde_json::from_str(&text).unwrap_or_default())
+}
+
+/// The spec in force, if there is one yet.
+async fn in_force(
+    control: &[std::net::SocketAddr],
+) -> Result<Option<serde_json::Value>, OperatorError> {
+    match ask(control, &What::Spec(Spec::Read { version: None })).await {
+        Ok(value) => Ok(Some(value)),
+        Err(OperatorError::Refused(404, _)) => Ok(None),
         Err(error) => Err(error),
+    }
+}
+
+/// Brings a bundle in force. Said again after a lost answer it goes on where it stood: a version
+/// that was submitted last, holds the same and is not in force yet is taken up.
+async fn apply(
+    control: &[std::net::SocketAddr],
+    file: &std::path::Path,
+    by: &str,
+) -> Result<String, OperatorError> {
+    let wanted = bundle_file::read(file)?;
+    let present = in_force(control).await?;
+    let is_wanted = |answer: &serde_json::Value| {
+        bundle_file::shown(answer).is_some_and(|bundle| bundle == wanted.bundle)
+    };
+    if let Some(present) = present.as_ref().filter(|present| is_wanted(present)) {
+        return Ok(format!("nothing to do: version {} is in force", present["version"]));
+    }
+    let all = ask(control, &What::Spec(Spec::List)).await?;
+    let newest = all["specs"].as_array().and_then(|specs| specs.last()).cloned();
+    let newest = newest.and_then(|spec| spec["version"].as_u64()).unwrap_or(0);
+    let begun = match newest {
+        0 => None,
+        _ => Some(ask(control, &What::Spec(Spec::Read { version: Some(newest) })).await?),
     };
-    match outcome {
-        Ok(text) => {
+    let goes_on = begun.is_some_and(|spec| is_wanted(&spec) && spec["stage"] != "rolled_out");
+    let version = if goes_on {
+        newest
+    } else {
+        let text = send(control, &submit(&wanted.text, newest)).await?;
+        let told: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+        told["version"].as_u64().ok_or(OperatorError::Unknown)?
+    };
+    ask(control, &What::Spec(Spec::SignOff { version, by: by.to_owned() })).await?;
+    ask(control, &What::Spec(Spec::RollOut { version })).await?;
+    Ok(format!("version {version} is in force"))
+}
+
+async fn run(flags: &Flags) -> Result<(String, u8), OperatorError> {
+    if let What::Spec(Spec::Check { file }) = &flags.what {
+        let checked = bundle_file::read(file)?;
+        let (pools, lanes) = (checked.bundle.pools.len(), checked.bundle.lanes.len());
+        return Ok((format!("sound: {pools} pools, {lanes} lanes"), 0));
+    }
+    if flags.control.is_empty() {
+        return Err(OperatorError::NoAddress);
+    }
+    match &flags.what {
+        What::Spec(Spec::Diff { file }) => {
+            let wanted = bundle_file::read(file)?;
+            let present = in_force(&flags.control).await?;
+            let present = present.as_ref().and_then(bundle_file::shown);
+            let found = bundle_file::differences(present.as_ref(), &wanted.bundle);
+            let text = if found.is_empty() { "no difference".to_owned() } else { found.join("\n") };
+            Ok((text, u8::from(!found.is_empty())))
+        }
+        What::Spec(Spec::Apply { file, by }) => Ok((apply(&flags.control, file, by).await?, 0)),
+        what => {
+            let text = send(&flags.control, &call_for(what)?).await?;
             let value: Option<serde_json::Value> = serde_json::from_str(&text).ok();
             let pretty = value.and_then(|value| serde_json::to_string_pretty(&value).ok());
-            println!("{}", pretty.unwrap_or(text));
-            std::process::ExitCode::SUCCESS
+            Ok((pretty.unwrap_or(text), 0))
+        }
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> std::process::ExitCode {
+    match run(&Flags::parse()).await {
+        Ok((text, code)) => {
+            println!("{text}");
+            std::process::ExitCode::from(code)
         }
         Err(error) => {
             eprintln!("{error}");
-            std::process::ExitCode::FAILURE
+            std::process::ExitCode::from(error.exit_code())
         }
     }
 }
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -59,7 +59,7 @@
     last_sweep: MonotonicMs,
     /// When a frame told of an epoch that the feed has not told of yet.
     behind_since: Option<MonotonicMs>,
-    remembered: Vec<std::net::SocketAddr>,
+    remembered: topazyard_wire::driver::disked::Remembered,
 }
 
 impl StorageMachine {
@@ -203,12 +203,8 @@
     }
 
     fn remember_addresses(&mut self, out: &mut Out) {
-        let mut addresses: Vec<std::net::SocketAddr> =
-            self.cohort.addresses(Duty::Control).collect();
-        addresses.sort();
-        if !addresses.is_empty() && addresses != self.remembered {
-            self.write_own(RowChange::put("remembered", &addresses), None, out);
-            self.remembered = addresses;
+        if let Some(row) = self.remembered.learn(self.cohort.addresses(Duty::Control)) {
+            self.write_own(row, None, out);
         }
     }
 
