--- a/programs/topazyard-relay/tests/admission.rs
+++ b/programs/topazyard-relay/tests/admission.rs
@@ -70,10 +70,16 @@
     }
 
     fn hear_feed(&mut self) {
+        self.hear_news(1, "m", topazyard_spec::EngineState::Ready);
+    }
+
+    /// Hears that the usual lane takes that model, and that the engine stands so.
+    fn hear_news(&mut self, sequence: u64, model: &str, state: topazyard_spec::EngineState) {
         let text = r#"{"pools":[{"name":"main","limit_tokens":1000,"inbox_depth":3}],"lanes":[
             {"name":"worth","kind":"live","models":["worth"],"pool":"main","value":9},
             {"name":"usual","kind":"live","models":["m"],"pool":"main"}]}"#;
-        let version = topazyard_types::SpecVersion(1);
+        let text = text.replace("[\"m\"]", &format!("[{model:?}]"));
+        let version = topazyard_types::SpecVersion(sequence);
         let node = |port| CoreNode { id: NodeId(u64::from(port)), address: at(port) };
         let record = ShardRecord {
             epoch: Epoch(1),
@@ -87,15 +93,15 @@
             address: at(9),
             pool: "main".into(),
             models: vec!["m".into(), "worth".into()],
-            state: topazyard_spec::EngineState::Ready,
+            state,
         };
         let rows = [
-            RowChange::put(IN_FORCE, &InForceRow { version, text: text.to_owned() }),
+            RowChange::put(IN_FORCE, &InForceRow { version, text }),
             RowChange::put(shard_key(ShardId::COUNTER), &record),
             RowChange::put(engine_key(&engine.name), &engine),
         ];
         let rows = rows.into_iter().filter_map(|row| Some((row.key, row.value?))).collect();
-        let place = Place { epoch: Epoch(1), sequence: Sequence(1) };
+        let place = Place { epoch: Epoch(1), sequence: Sequence(sequence) };
         let news = FeedMessage::News { nonce: self.feed_nonce, place, matter: Matter::View(rows) };
         self.step(Input::Frame {
             sender: NodeId(1),
@@ -180,6 +186,20 @@
     assert_eq!(relay.code(call), Some(Code::StaleFeed));
 }
 
+#[test]
+fn what_changed_since_it_was_held_is_seen_by_the_last_check() {
+    use topazyard_spec::EngineState::{Leaving, Ready};
+    for (model, state, code) in [("other", Ready, Code::NoLane), ("m", Leaving, Code::NoEngine)] {
+        let mut relay = Relay::ready();
+        relay.allow(1, 60_000);
+        relay.settle(true);
+        relay.beat(300);
+        relay.hear_news(2, model, state);
+        let call = relay.call(RelayCall::Dispatch(PromptId(1), "e1".into()));
+        assert_eq!(relay.code(call), Some(code));
+    }
+}
+
 #[test]
 fn a_hold_is_released_once_whichever_way_its_prompt_ends() {
     let mut relay = Relay::ready();
