Make one promoted record, one set of plain effects and one block of relay calls

Cause: read once more, the change had written three things twice: the record of a holder that takes over alone (a primary that is down, one whose disk is slow), the simulator's effects of machines without calls (storage, agent), and an impl block.

Ruled out: joining the two loops over the edge tests' streams and the disk tests' files, which are alike in shape only.

--- a/fleet-simulator/src/world/nodes.rs
+++ b/fleet-simulator/src/world/nodes.rs
@@ -372,27 +372,13 @@
                 let input = input.into_plain();
                 let effects = input.map(|input| machine.step(input, now)).unwrap_or_default();
                 self.put_back(index, body, life);
-                for effect in effects {
-                    match effect {
-                        Effect::Send { to, message } => self.send_from(index, to, message),
-                        Effect::Write { token, changes } => self.write(index, token, changes),
-                        Effect::Note { text, .. } => self.note(index, &text),
-                        Effect::Return { .. } => {}
-                        Effect::Start(never) => match never {},
-                    }
-                }
+                effects.into_iter().for_each(|effect| self.make_plain(index, effect));
             }
             Body::Agent(machine) => {
                 let input = input.into_plain();
                 let effects = input.map(|input| machine.step(input, now)).unwrap_or_default();
                 self.put_back(index, body, life);
-                for effect in effects {
-                    match effect {
-                        Effect::Send { to, message } => self.send_from(index, to, message),
-                        Effect::Write { token, changes } => self.write(index, token, changes),
-                        _ => {}
-                    }
-                }
+                effects.into_iter().for_each(|effect| self.make_plain(index, effect));
             }
             Body::Relay(machine) => {
                 let input = input.into_relay();
@@ -419,6 +405,21 @@
         }
     }
 
+    /// Makes an effect of a machine happen that nobody outside calls and that begins no tasks.
+    fn make_plain<R>(
+        &mut self,
+        index: NodeIndex,
+        effect: Effect<R, topazyard_wire::machine::NoTask>,
+    ) {
+        match effect {
+            Effect::Send { to, message } => self.send_from(index, to, message),
+            Effect::Write { token, changes } => self.write(index, token, changes),
+            Effect::Note { text, .. } => self.note(index, &text),
+            Effect::Return { .. } => {}
+            Effect::Start(never) => match never {},
+        }
+    }
+
     fn make_control(
         &mut self,
         index: NodeIndex,
--- a/programs/topazyard-control/src/planner.rs
+++ b/programs/topazyard-control/src/planner.rs
@@ -245,6 +245,24 @@
     fallback.or(all.first()).copied()
 }
 
+/// The record after a holder takes over alone, with whom to fill; the old primary stays as fallback.
+fn promoted(
+    view: &FleetView,
+    standings: &Standings,
+    record: &ShardRecord,
+    successor: CoreNode,
+) -> ShardRecord {
+    let promoted = ShardRecord {
+        epoch: record.epoch.next(),
+        primary: successor,
+        backup: None,
+        fallback: Some(record.primary),
+        learner: None,
+    };
+    let learner = choose_learner(view, standings, &promoted);
+    ShardRecord { learner, ..promoted }
+}
+
 /// What a shard's record should become, if it should change.
 fn mend(
     view: &FleetView,
@@ -252,7 +270,6 @@
     shard: ShardId,
     record: &ShardRecord,
 ) -> Option<ShardRecord> {
-    let next = || ShardRecord { epoch: record.epoch.next(), ..record.clone() };
     let works = |node: &CoreNode| standings.works(node.id);
     if standings.down.contains(&record.primary.id) {
         // Whoever is named here holds all that was ever answered.
@@ -264,15 +281,7 @@
                 None
             };
         };
-        let promoted = ShardRecord {
-            primary: successor,
-            backup: None,
-            fallback: Some(record.primary),
-            learner: None,
-            ..next()
-        };
-        let learner = choose_learner(view, standings, &promoted);
-        return Some(ShardRecord { learner, ..promoted });
+        return Some(promoted(view, standings, record, successor));
     }
     let unfit = |node: &CoreNode| {
         standings.down.contains(&node.id)
@@ -282,16 +291,9 @@
         let is_slow = standings.slow.contains(&record.primary.id);
         if is_slow && !unfit(&backup) && !standings.slow.contains(&backup.id) {
             // A disk that stalls would hold up its successor's first batch, were it the backup.
-            let promoted = ShardRecord {
-                primary: backup,
-                backup: None,
-                fallback: Some(record.primary),
-                learner: None,
-                ..next()
-            };
-            let learner = choose_learner(view, standings, &promoted);
-            if learner.is_some_and(|learner| !standings.slow.contains(&learner.id)) {
-                return Some(ShardRecord { learner, ..promoted });
+            let promoted = promoted(view, standings, record, backup);
+            if promoted.learner.is_some_and(|learner| !standings.slow.contains(&learner.id)) {
+                return Some(promoted);
             }
         }
         let hand_over = unfit(&record.primary) || is_slow;
--- a/programs/topazyard-relay/src/machine/parcels.rs
+++ b/programs/topazyard-relay/src/machine/parcels.rs
@@ -59,9 +59,7 @@
     pub(super) fn new(life: Life) -> Self {
         Self { last: life.first_number(), ..Self::default() }
     }
-}
 
-impl ParcelCalls {
     /// Visitors' calls under way.
     pub(super) fn of_visitors(&self) -> usize {
         let of_visitor = |pending: &&Pending| matches!(pending.caller, Caller::Visitor(_));
