Declare routes, bounds and one-step specs; begin the adapter to the users' platform

Cause: the users' platform speaks of routes by host and path, numbers its own configurations and tells each process its bounds in a file; the product knew lanes by model and constants. Ruled out: translating routes to lanes by made-up models, since a route also carries timeouts, attempts and targets.

The bundle has routes, pools may tell an engine's shape, a spec can be taken in one step under the operator's own version and is fed route by route.

--- a/libraries/topazyard-spec/src/bundle.rs
+++ b/libraries/topazyard-spec/src/bundle.rs
@@ -10,8 +10,17 @@
     #[garde(length(min = 1, max = 64), dive)]
     pub pools: Vec<Pool>,
     /// Lanes, tried in order: the first that takes a request's kind and model maps it.
-    #[garde(length(min = 1, max = 4096), dive)]
+    #[garde(length(max = 4096), dive)]
+    #[serde(default)]
     pub lanes: Vec<Lane>,
+    /// Which pools requests to a host and path go to. A bundle has lanes, routes or both.
+    #[garde(length(max = 65_536), dive)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub routes: Vec<crate::Route>,
+    /// What a client may send on routes, and for how long it may be idle.
+    #[garde(dive)]
+    #[serde(default)]
+    pub clients: crate::ClientLimits,
     /// Limits on handed-in work.
     #[garde(dive)]
     #[serde(default)]
@@ -41,6 +50,27 @@
     #[garde(range(min = 0, max = 10_000))]
     #[serde(default = "default_inbox")]
     pub inbox_depth: u32,
+    /// The most connections that all nodes together may hold to one engine; 0 where it isn't said.
+    #[garde(skip)]
+    #[serde(default)]
+    pub max_connections: u32,
+    /// What one engine of the pool can hold, where the operators know it. With it the budget is
+    /// counted from the engines there are, and `limit_tokens` is not used.
+    #[garde(dive)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub engine: Option<EngineShape>,
+}
+
+/// What one engine can hold.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize, garde::Validate)]
+#[serde(deny_unknown_fields)]
+pub struct EngineShape {
+    /// Requests that it works on at once.
+    #[garde(range(min = 1, max = 65_536))]
+    pub slots: u32,
+    /// Tokens that its memory holds.
+    #[garde(range(min = 1, max = 1_000_000_000_000))]
+    pub kv_tokens: u64,
 }
 
 /// Which requests a lane takes, where they may go and what they are worth.
@@ -144,7 +174,7 @@
     1
 }
 
-fn short_name<N: std::fmt::Display>(name: &N, _: &()) -> garde::Result {
+pub(crate) fn short_name<N: std::fmt::Display>(name: &N, _: &()) -> garde::Result {
     let length = name.to_string().len();
     if (1..=128).contains(&length) {
         Ok(())
@@ -173,6 +203,11 @@
                 });
             }
         }
+        if self.lanes.is_empty() && self.routes.is_empty() {
+            let reason = crate::FaultReason::OutOfBounds("a bundle has lanes or routes".to_owned());
+            faults.push(crate::Fault { place: "lanes".to_owned(), reason });
+        }
+        crate::routes::cross_check(self, faults);
         let bounds = &self.weights;
         let ordered = bounds.live_floor_percent <= bounds.live_start_percent
             && bounds.live_start_percent <= bounds.live_ceiling_percent;
--- a/libraries/topazyard-spec/src/engines.rs
+++ b/libraries/topazyard-spec/src/engines.rs
@@ -25,6 +25,12 @@
     pub models: Vec<ModelName>,
     /// Whether it may be given work.
     pub state: EngineState,
+    /// The failure domain that it runs in, where the platform says so.
+    #[serde(default)]
+    pub domain: Option<topazyard_types::DomainName>,
+    /// Requests that it works on at once; 0 where nobody says it.
+    #[serde(default)]
+    pub slots: u32,
 }
 
 /// Whether an engine may be given work.
--- a/libraries/topazyard-spec/src/lib.rs
+++ b/libraries/topazyard-spec/src/lib.rs
@@ -4,9 +4,11 @@
 pub mod bundle;
 pub mod engines;
 pub mod faults;
+pub mod routes;
 pub mod settings;
 
-pub use bundle::{Bundle, Lane, LaneKind, ParcelLimits, Pool, WeightBounds};
+pub use bundle::{Bundle, EngineShape, Lane, LaneKind, ParcelLimits, Pool, WeightBounds};
 pub use engines::{Engine, EngineList, EngineState};
 pub use faults::{Fault, FaultReason, ReadError};
-pub use settings::{NodeSettings, Settings, SettingsError};
+pub use routes::{BatchTerms, ClientLimits, PoolShare, Route, RouteKind};
+pub use settings::{Bounds, NodeSettings, Resources, Settings, SettingsError};
--- a/libraries/topazyard-spec/src/settings/check.rs
+++ b/libraries/topazyard-spec/src/settings/check.rs
@@ -5,12 +5,16 @@
 /// A process's place, checked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct NodeSettings {
+    /// The node's name, where it has one.
+    pub name: Option<String>,
     /// The fleet.
     pub fleet: FleetId,
     /// Where frames arrive.
     pub address: std::net::SocketAddr,
     /// Where HTTP is served, for those that serve it.
     pub http: Option<std::net::SocketAddr>,
+    /// Where readiness is asked, if not at `http`.
+    pub ready: Option<std::net::SocketAddr>,
     /// The failure domain.
     pub domain: DomainName,
     /// Three control processes.
@@ -19,6 +23,12 @@
     pub data: Option<std::path::PathBuf>,
     /// The agent beside a relay.
     pub beside: Option<std::net::SocketAddr>,
+    /// The bounds of the place that the fleet runs at.
+    pub bounds: crate::Bounds,
+    /// What the process may use.
+    pub resources: crate::Resources,
+    /// Whether an empty data folder may be the beginning of a new fleet.
+    pub may_found: bool,
 }
 
 /// Why a process won't start with its settings.
@@ -96,6 +106,8 @@
             return Err(SettingsError::Seeds(seeds.len()));
         }
         Ok(Self {
+            name: None,
+            ready: None,
             fleet,
             address: address("address", &own)?,
             http: settings.http.map(|text| address("http", &text)).transpose()?,
@@ -103,6 +115,9 @@
             seeds,
             data: settings.data,
             beside: settings.beside.map(|text| address("beside", &text)).transpose()?,
+            bounds: crate::Bounds::default(),
+            resources: crate::Resources::default(),
+            may_found: true,
         })
     }
 
--- a/libraries/topazyard-spec/src/settings/mod.rs
+++ b/libraries/topazyard-spec/src/settings/mod.rs
@@ -1,7 +1,9 @@
 //! A process's place: from flags, or from a settings file that flags go before.
 
+pub mod bounds;
 pub mod check;
 pub mod raw;
 
+pub use bounds::{Bounds, Resources};
 pub use check::{NodeSettings, SettingsError};
 pub use raw::Settings;
--- a/libraries/topazyard-types/src/ids.rs
+++ b/libraries/topazyard-types/src/ids.rs
@@ -44,6 +44,10 @@
     /// A pool of engines that share one budget.
     PoolName
 );
+crate::name_type!(
+    /// A route's name in the spec.
+    RouteName
+);
 
 crate::number_type!(
     /// One run of a process, drawn anew at each start. What a process numbers within its life
--- a/libraries/topazyard-types/src/lib.rs
+++ b/libraries/topazyard-types/src/lib.rs
@@ -11,7 +11,7 @@
 pub use digest::Digest;
 pub use ids::{
     CallId, DomainName, EngineName, FleetId, HoldId, ItemNumber, LaneName, Life, ModelName, NodeId,
-    ParcelId, PoolName, ShardId,
+    ParcelId, PoolName, RouteName, ShardId,
 };
 pub use times::{DurationMs, MonotonicMs};
 pub use tokens::Tokens;
--- a/libraries/topazyard-wire/src/message/operate.rs
+++ b/libraries/topazyard-wire/src/message/operate.rs
@@ -52,6 +52,20 @@
         /// Which.
         version: SpecVersion,
     },
+    /// Check a bundle, take it and put it in force in one step, under a version that the operator
+    /// gave. Said again with the same source it is acknowledged again.
+    TakeSpec {
+        /// The version in force that it builds on; 0 for the first.
+        base: SpecVersion,
+        /// Its own version, above the one in force.
+        version: SpecVersion,
+        /// The bundle as JSON.
+        text: String,
+        /// What an outer adapter made it from; it is read back byte for byte.
+        source: bytes::Bytes,
+    },
+    /// Replace the engine list by one that this process was given by the platform.
+    ListEngines(Vec<topazyard_spec::Engine>),
     /// Replace the engine list.
     PutEngines {
         /// The list as JSON.
@@ -79,6 +93,8 @@
 pub enum Query {
     /// The spec in force, or a version.
     ReadSpec(Option<SpecVersion>),
+    /// The source of the newest spec taken by [`Command::TakeSpec`].
+    ReadSource,
     /// All versions and how they stand.
     ListSpecs,
     /// The engine list.
--- a/libraries/topazyard-wire/src/state.rs
+++ b/libraries/topazyard-wire/src/state.rs
@@ -12,6 +12,8 @@
 pub const SHARDS: &str = "shard/";
 /// Rows of weights start so.
 pub const WEIGHTS: &str = "weight/";
+/// Rows of the routes of the spec in force start so: a change of one route moves one row.
+pub const ROUTES: &str = "route/";
 /// Rows of submitted specs start so; the feed leaves them out.
 pub const SPECS: &str = "spec/";
 
@@ -46,6 +48,11 @@
     format!("{WEIGHTS}{pool}")
 }
 
+/// The key of a route of the spec in force.
+pub fn route_key(name: &topazyard_types::RouteName) -> String {
+    format!("{ROUTES}{name}")
+}
+
 /// How far a spec has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -71,6 +78,8 @@
     pub signed_by: Option<String>,
     /// The bundle as it was handed in.
     pub text: String,
+    /// The declaration that an outer adapter made the bundle from, byte for byte.
+    pub source: Option<bytes::Bytes>,
 }
 
 /// The spec in force.
@@ -78,7 +87,7 @@
 pub struct InForceRow {
     /// Its version.
     pub version: SpecVersion,
-    /// The bundle as it was handed in.
+    /// The bundle without its routes, which have rows of their own.
     pub text: String,
 }
 
@@ -115,6 +124,8 @@
 pub struct FleetView {
     /// The spec in force.
     pub spec: Option<(SpecVersion, topazyard_spec::Bundle)>,
+    /// The routes of the spec in force.
+    pub routes: RouteTable,
     /// The platform's engines.
     pub engines: std::collections::BTreeMap<EngineName, topazyard_spec::Engine>,
     /// Who holds each shard.
@@ -148,8 +159,11 @@
         use crate::rows::decode;
         if key == IN_FORCE {
             let row: InForceRow = decode(value)?;
-            // It was checked before it was taken; a bundle that can't be read is not in force.
-            self.spec = topazyard_spec::Bundle::read(&row.text).ok().map(|b| (row.version, b));
+            // It was checked before it was taken; one that can't be read is not in force. Without
+            // its routes it may lack what a whole bundle must have.
+            self.spec = serde_json::from_str(&row.text).ok().map(|bundle| (row.version, bundle));
+        } else if suffix(key, ROUTES).is_some() {
+            self.routes.insert(decode(value)?);
         } else if let Some(name) = suffix(key, ENGINES) {
             self.engines.insert(name.into(), decode(value)?);
         } else if let Some(shard) = suffix(key, SHARDS) {
@@ -180,3 +194,40 @@
         topazyard_types::Tokens(limit.0 * 100_u64.saturating_sub(live) / 100)
     }
 }
+
+/// The routes of the spec in force, by host and path.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RouteTable {
+    /// For each host its routes, the longest prefix first.
+    by_host: std::collections::BTreeMap<String, Vec<topazyard_spec::Route>>,
+}
+
+impl RouteTable {
+    /// Adds a route.
+    pub fn insert(&mut self, route: topazyard_spec::Route) {
+        let routes = self.by_host.entry(route.host.clone()).or_default();
+        let at = routes.partition_point(|r| r.path_prefix.len() >= route.path_prefix.len());
+        routes.insert(at, route);
+    }
+
+    /// The route of a request: of its host, the one with the longest prefix that begins its path.
+    ///
+    /// ```
+    /// let table = topazyard_wire::state::RouteTable::default();
+    /// assert!(table.find("a.example", "/x/1").is_none());
+    /// ```
+    pub fn find(&self, host: &str, path: &str) -> Option<&topazyard_spec::Route> {
+        let routes = self.by_host.get(host)?;
+        routes.iter().find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// The route of that name.
+    pub fn named(&self, name: &topazyard_types::RouteName) -> Option<&topazyard_spec::Route> {
+        self.iter().find(|route| route.name == *name)
+    }
+
+    /// All routes.
+    pub fn iter(&self) -> impl Iterator<Item = &topazyard_spec::Route> {
+        self.by_host.values().flatten()
+    }
+}
--- a/programs/topazyard-control/src/lib.rs
+++ b/programs/topazyard-control/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod http;
 pub mod machine;
 pub mod planner;
+pub mod run;
 pub mod tuner;
 
 pub use machine::{ControlCall, ControlMachine, ControlTask};
+pub use run::run;
--- a/programs/topazyard-control/src/machine/commands.rs
+++ b/programs/topazyard-control/src/machine/commands.rs
@@ -6,12 +6,16 @@
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::operate::Command;
 use topazyard_wire::state::{
-    ENGINES, FleetView, IN_FORCE, InForceRow, SPECS, SpecRow, SpecStage, StorageRow, StorageStage,
-    WeightRow, engine_key, spec_key, storage_key, weight_key,
+    ENGINES, FleetView, IN_FORCE, InForceRow, ROUTES, SPECS, SpecRow, SpecStage, StorageRow,
+    StorageStage, WeightRow, engine_key, route_key, spec_key, storage_key, weight_key,
 };
 
 /// The changes and what is returned once they are committed.
-type Judged = Result<(Vec<RowChange>, serde_json::Value), ApiError>;
+type Judged = Result<Done, ApiError>;
+type Done = (Vec<RowChange>, serde_json::Value);
+
+/// How many submitted specs are kept; older ones can't be read, signed or acknowledged again.
+const SPECS_KEPT: usize = 64;
 
 impl ControlMachine {
     pub(super) fn judge(&self, command: &Command, now: MonotonicMs) -> Judged {
@@ -19,6 +23,10 @@
             Command::SubmitSpec { base, text } => self.submit_spec(*base, text),
             Command::SignOff { version, by } => self.sign_off(*version, by),
             Command::RollOut { version } => self.roll_out(*version),
+            Command::TakeSpec { base, version, text, source } => {
+                self.take_spec(*base, *version, text, source)
+            }
+            Command::ListEngines(engines) => Ok(self.list_engines(engines)),
             Command::PutEngines { text } => self.put_engines(text),
             Command::EmptyStorage(id) => self.empty_storage(*id, now),
             Command::AddStorage(id) => self.add_storage(*id),
@@ -53,11 +61,80 @@
             stage: SpecStage::Submitted,
             signed_by: None,
             text: text.to_owned(),
+            source: None,
         };
         let change = RowChange::put(spec_key(version), &row);
         Ok((vec![change], serde_json::json!({ "version": version })))
     }
 
+    /// Checks, takes and rolls out in one step. A source that was taken under its version before is
+    /// acknowledged again, whatever came after it.
+    fn take_spec(
+        &self,
+        base: SpecVersion,
+        version: SpecVersion,
+        text: &str,
+        source: &bytes::Bytes,
+    ) -> Judged {
+        let done = serde_json::json!({ "version": version, "in_force": true });
+        let taken: Option<SpecRow> = self.pair.copy().get(&spec_key(version));
+        if taken.is_some_and(|row| row.source.as_ref() == Some(source)) {
+            return Ok((Vec::new(), done));
+        }
+        let bundle = topazyard_spec::Bundle::read(text).map_err(ApiError::of_read)?;
+        let in_force: Option<InForceRow> = self.pair.copy().get(IN_FORCE);
+        let newest = in_force.map(|row| row.version).unwrap_or_default();
+        if base != newest {
+            return Err(ApiError::not_run(Code::StaleBase).at("base"));
+        }
+        if version <= newest || version <= self.newest_version() {
+            let reason = "a version is above all before it".to_owned();
+            let fault = topazyard_spec::Fault {
+                place: "version".to_owned(),
+                reason: topazyard_spec::FaultReason::OutOfBounds(reason),
+            };
+            let refused = ApiError::not_run(Code::InvalidSpec).at("version");
+            return Err(ApiError { faults: vec![fault], ..refused });
+        }
+        let row = SpecRow {
+            version,
+            base,
+            stage: SpecStage::RolledOut,
+            signed_by: None,
+            text: text.to_owned(),
+            source: Some(source.clone()),
+        };
+        let mut changes = vec![RowChange::put(spec_key(version), &row)];
+        changes.extend(self.in_force(version, bundle));
+        changes.extend(self.old_specs());
+        Ok((changes, done))
+    }
+
+    /// The rows that put a bundle in force: each route in a row of its own, so that followers are
+    /// told only what changed.
+    fn in_force(&self, version: SpecVersion, mut bundle: topazyard_spec::Bundle) -> Vec<RowChange> {
+        let routes = std::mem::take(&mut bundle.routes);
+        let text = serde_json::to_string(&bundle).unwrap_or_default();
+        let mut changes = vec![RowChange::put(IN_FORCE, &InForceRow { version, text })];
+        let mut gone: std::collections::BTreeSet<String> =
+            self.pair.copy().with_prefix(ROUTES).map(|(key, _)| key.to_owned()).collect();
+        for route in &routes {
+            let change = RowChange::put(route_key(&route.name), route);
+            gone.remove(&change.key);
+            if self.pair.copy().rows().get(&change.key) != change.value.as_ref() {
+                changes.push(change);
+            }
+        }
+        changes.extend(gone.into_iter().map(RowChange::gone));
+        changes
+    }
+
+    fn old_specs(&self) -> Vec<RowChange> {
+        let keys: Vec<&str> = self.pair.copy().with_prefix(SPECS).map(|(key, _)| key).collect();
+        let old = keys.len().saturating_sub(SPECS_KEPT);
+        keys[..old].iter().map(|key| RowChange::gone(*key)).collect()
+    }
+
     fn sign_off(&self, version: SpecVersion, by: &str) -> Judged {
         let row = self.spec(version)?;
         let done = serde_json::json!({ "version": version, "signed_by": by });
@@ -83,12 +160,11 @@
         match row.stage {
             SpecStage::RolledOut if version == now_in_force => Ok((Vec::new(), done)),
             SpecStage::Signed if version > now_in_force => {
-                let text = row.text.clone();
+                let bundle = topazyard_spec::Bundle::read(&row.text).map_err(ApiError::of_read)?;
                 let rolled = SpecRow { stage: SpecStage::RolledOut, ..row };
-                let changes = vec![
-                    RowChange::put(spec_key(version), &rolled),
-                    RowChange::put(IN_FORCE, &InForceRow { version, text }),
-                ];
+                let mut changes = vec![RowChange::put(spec_key(version), &rolled)];
+                changes.extend(self.in_force(version, bundle));
+                changes.extend(self.old_specs());
                 Ok((changes, done))
             }
             // Unsigned, or older than what is in force: an old text comes back as a new version.
@@ -98,22 +174,26 @@
 
     fn put_engines(&self, text: &str) -> Judged {
         let list = topazyard_spec::EngineList::read(text).map_err(ApiError::of_read)?;
+        Ok(self.list_engines(&list.engines))
+    }
+
+    fn list_engines(&self, engines: &[topazyard_spec::Engine]) -> Done {
         let mut changes = Vec::new();
         let keep: std::collections::BTreeSet<String> =
-            list.engines.iter().map(|engine| engine_key(&engine.name)).collect();
+            engines.iter().map(|engine| engine_key(&engine.name)).collect();
         for (key, _) in self.pair.copy().with_prefix(ENGINES) {
             if !keep.contains(key) {
                 changes.push(RowChange::gone(key));
             }
         }
-        for engine in &list.engines {
+        for engine in engines {
             let key = engine_key(&engine.name);
             if self.pair.copy().get::<topazyard_spec::Engine>(&key).as_ref() != Some(engine) {
                 changes.push(RowChange::put(key, engine));
             }
         }
-        let done = serde_json::json!({ "engines": list.engines.len(), "changed": changes.len() });
-        Ok((changes, done))
+        let done = serde_json::json!({ "engines": engines.len(), "changed": changes.len() });
+        (changes, done)
     }
 
     fn storage(&self, id: NodeId) -> Result<StorageRow, ApiError> {
@@ -168,7 +248,8 @@
             return Err(ApiError::not_run(Code::StaleBase).at("epoch"));
         }
         let in_force: Option<InForceRow> = self.pair.copy().get(IN_FORCE);
-        let bundle = in_force.and_then(|row| topazyard_spec::Bundle::read(&row.text).ok());
+        let bundle =
+            in_force.and_then(|row| serde_json::from_str::<topazyard_spec::Bundle>(&row.text).ok());
         let missing = || ApiError::not_run(Code::NotFound).at("pool");
         let bundle = bundle.filter(|bundle| bundle.pool(pool).is_some()).ok_or_else(missing)?;
         let bounds = &bundle.weights;
--- a/programs/topazyard-control/src/machine/queries.rs
+++ b/programs/topazyard-control/src/machine/queries.rs
@@ -11,6 +11,7 @@
     pub(super) fn query(&self, query: &Query, now: MonotonicMs) -> OperateOutcome {
         let found = match query {
             Query::ReadSpec(version) => self.read_spec(*version),
+            Query::ReadSource => return self.read_source(),
             Query::ListSpecs => Some(self.list_specs()),
             Query::ListEngines => {
                 let view = FleetView::read(self.pair.copy().rows());
@@ -26,6 +27,18 @@
         }
     }
 
+    /// The source of the spec in force, as it came.
+    fn read_source(&self) -> OperateOutcome {
+        let copy = self.pair.copy();
+        let in_force = copy.get::<InForceRow>(IN_FORCE);
+        let row = in_force.and_then(|row| copy.get::<SpecRow>(&spec_key(row.version)));
+        let source = row.and_then(|row| String::from_utf8(row.source?.to_vec()).ok());
+        match source {
+            Some(source) => OperateOutcome::Done(source),
+            None => OperateOutcome::Refused(ApiError::not_run(Code::NotFound).at("version")),
+        }
+    }
+
     fn read_spec(&self, version: Option<SpecVersion>) -> Option<serde_json::Value> {
         let copy = self.pair.copy();
         let version = match version {
--- a/programs/topazyard-edge-agent/src/lib.rs
+++ b/programs/topazyard-edge-agent/src/lib.rs
@@ -1,5 +1,7 @@
 //! Beside each relay: its place in the membership and its link to the control plane.
 
 pub mod machine;
+pub mod run;
 
 pub use machine::{AgentMachine, Start};
+pub use run::run;
--- a/programs/topazyard-relay/src/lib.rs
+++ b/programs/topazyard-relay/src/lib.rs
@@ -4,5 +4,7 @@
 pub mod front;
 pub mod machine;
 pub mod prompt;
+pub mod run;
 
 pub use machine::{RelayCall, RelayMachine, RelayReturn, RelayTask, Start};
+pub use run::run;
--- a/programs/topazyard-relay/tests/admission.rs
+++ b/programs/topazyard-relay/tests/admission.rs
@@ -94,6 +94,8 @@
             pool: "main".into(),
             models: vec!["m".into(), "worth".into()],
             state,
+            domain: None,
+            slots: 0,
         };
         let rows = [
             RowChange::put(IN_FORCE, &InForceRow { version, text }),
--- a/programs/topazyard-relay/tests/edge.rs
+++ b/programs/topazyard-relay/tests/edge.rs
@@ -244,6 +244,8 @@
         pool: "main".into(),
         models: vec!["m".into()],
         state: topazyard_spec::EngineState::Ready,
+        domain: None,
+        slots: 0,
     };
     let shard = ShardRecord {
         epoch: Epoch(1),
--- a/programs/topazyard-storage/src/lib.rs
+++ b/programs/topazyard-storage/src/lib.rs
@@ -3,5 +3,7 @@
 pub mod counter;
 pub mod machine;
 pub mod parcels;
+pub mod run;
 
 pub use machine::StorageMachine;
+pub use run::run;
--- a/programs/topazyard-storage/src/main.rs
+++ b/programs/topazyard-storage/src/main.rs
@@ -1,8 +1,6 @@
 //! A storage node.
 
 use clap::Parser as _;
-use topazyard_wire::driver::{StartError, start_with_disk};
-use topazyard_wire::message::cohort::Duty;
 
 /// Keeps the in-flight counter and parcel shards
 #[derive(clap::Parser)]
@@ -13,41 +11,5 @@
 }
 
 fn main() -> std::process::ExitCode {
-    topazyard_wire::driver::daemon(Flags::parse().settings, run)
-}
-
-fn run(settings: topazyard_spec::NodeSettings) -> Result<(), StartError> {
-    let (start, place, database) = start_with_disk(&settings, Duty::Storage)?;
-    topazyard_wire::driver::run_process(async move {
-        let (tasks, _no_tasks) = tokio::sync::mpsc::channel(1);
-        let make = |_| (topazyard_storage::StorageMachine::new(start), Vec::new());
-        let handle = topazyard_wire::driver::spawn(make, place, Some(database), tasks)?;
-        match settings.http {
-            None => std::future::pending().await,
-            Some(http) => {
-                let listener = topazyard_wire::http::inward::bind(http).await?;
-                topazyard_wire::http::inward::serve(listener, move |request| {
-                    answer(handle.clone(), request)
-                })
-                .await;
-                Ok(())
-            }
-        }
-    })
-}
-
-/// Says how this node fares, at `GET /vitals`.
-async fn answer(
-    handle: topazyard_wire::driver::Handle<topazyard_storage::StorageMachine>,
-    request: hyper::Request<hyper::body::Incoming>,
-) -> hyper::Response<topazyard_wire::http::Body> {
-    use topazyard_wire::api::{ApiError, Code};
-    if request.uri().path() != "/vitals" {
-        let error = ApiError::not_run(Code::NoSuchPath).at(request.uri().path());
-        return topazyard_wire::http::error(&error);
-    }
-    match handle.call(topazyard_storage::machine::StorageCall::Vitals).await {
-        Ok(vitals) => topazyard_wire::http::json(200, &vitals),
-        Err(_) => topazyard_wire::http::error(&ApiError::not_run(Code::NoShard)),
-    }
+    topazyard_wire::driver::daemon(Flags::parse().settings, topazyard_storage::run)
 }
