--- a/libraries/topazyard-wire/src/api.rs
+++ b/libraries/topazyard-wire/src/api.rs
@@ -34,6 +34,8 @@
     NoSuchPath,
     /// no lane takes this model
     NoLane,
+    /// no route takes this host and path
+    NoRoute,
     /// there is no such parcel, item, node or version
     NotFound,
     /// another version was put in between
@@ -52,6 +54,8 @@
     ParcelCeiling,
     /// no engine is ready for it
     NoEngine,
+    /// the engine turned it away without running it
+    TurnedAway,
     /// the counter can't be reached
     NoCounter,
     /// the node has no fresh word from control
@@ -83,11 +87,12 @@
     pub fn status(self) -> u16 {
         match self {
             Self::Malformed | Self::BodyTooLarge => 400,
-            Self::NoSuchPath | Self::NoLane | Self::NotFound => 404,
+            Self::NoSuchPath | Self::NoLane | Self::NoRoute | Self::NotFound => 404,
             Self::StaleBase | Self::WrongState | Self::NoRoom | Self::HoldsCopies => 409,
             Self::InvalidSpec => 422,
             Self::Deadline | Self::Budget | Self::InboxFull | Self::ParcelCeiling => 429,
             Self::NoEngine
+            | Self::TurnedAway
             | Self::NoCounter
             | Self::StaleFeed
             | Self::NoShard
--- a/libraries/topazyard-wire/src/driver/spawn.rs
+++ b/libraries/topazyard-wire/src/driver/spawn.rs
@@ -76,11 +76,13 @@
 /// # Errors
 /// What the work itself gives, or a runtime that can't be made.
 pub fn run_process(work: impl Future<Output = Result<(), StartError>>) -> Result<(), StartError> {
-    tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .map_err(|error| StartError::Runtime(error.kind()))?
-        .block_on(work)
+    // One processor is best used by one thread: a second one would only be woken in between.
+    let alone = std::thread::available_parallelism().is_ok_and(|processors| processors.get() == 1);
+    let mut builder = match alone {
+        true => tokio::runtime::Builder::new_current_thread(),
+        false => tokio::runtime::Builder::new_multi_thread(),
+    };
+    builder.enable_all().build().map_err(|error| StartError::Runtime(error.kind()))?.block_on(work)
 }
 
 /// Starts a machine with its links, disk and beats on a thread of its own. `make` gives the
--- a/libraries/topazyard-wire/src/http/inward.rs
+++ b/libraries/topazyard-wire/src/http/inward.rs
@@ -21,8 +21,22 @@
         .map_err(|error| crate::driver::StartError::Address(address, error.kind()))
 }
 
+/// Tells servers to end in order: no connection is kept after what is under way on it.
+pub type Drain = tokio::sync::watch::Receiver<bool>;
+
 /// Serves for ever. When a caller goes away, the future that works for it is dropped.
 pub async fn serve<F, R>(listener: tokio::net::TcpListener, handle: F)
+where
+    F: Fn(hyper::Request<hyper::body::Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = hyper::Response<super::Body>> + Send + 'static,
+{
+    let (_never, drain) = tokio::sync::watch::channel(false);
+    serve_draining(listener, handle, drain).await;
+}
+
+/// Serves for ever; once told to drain it goes on taking connections, but keeps none after what is
+/// under way on it.
+pub async fn serve_draining<F, R>(listener: tokio::net::TcpListener, handle: F, drain: Drain)
 where
     F: Fn(hyper::Request<hyper::body::Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = hyper::Response<super::Body>> + Send + 'static,
@@ -34,23 +48,51 @@
         let _ = stream.set_nodelay(true);
         let _ = rustix::net::sockopt::set_tcp_user_timeout(&stream, UNREAD_MS);
         let handle = handle.clone();
+        let drain = drain.clone();
         tokio::spawn(async move {
-            let service = hyper::service::service_fn(|request| {
-                let returned = handle(request);
-                async move { Ok::<_, std::convert::Infallible>(returned.await) }
-            });
-            let served = hyper::server::conn::http1::Builder::new()
-                .timer(hyper_util::rt::TokioTimer::new())
-                .header_read_timeout(std::time::Duration::from_millis(HEADERS_MS))
-                .serve_connection(hyper_util::rt::TokioIo::new(stream), service)
-                .await;
-            // A cut return ends here as an error, by which the caller's connection breaks.
-            drop(served);
+            serve_one(stream, handle, drain).await;
             drop(permit);
         });
     }
 }
 
+async fn serve_one<F, R>(stream: tokio::net::TcpStream, handle: F, mut drain: Drain)
+where
+    F: Fn(hyper::Request<hyper::body::Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = hyper::Response<super::Body>> + Send + 'static,
+{
+    let drains = drain.clone();
+    let service = hyper::service::service_fn(move |request| {
+        let returned = handle(request);
+        let drains = drains.clone();
+        async move {
+            let mut response = returned.await;
+            if *drains.borrow() {
+                let close = hyper::header::HeaderValue::from_static("close");
+                response.headers_mut().insert(hyper::header::CONNECTION, close);
+            }
+            Ok::<_, std::convert::Infallible>(response)
+        }
+    });
+    let served = hyper::server::conn::http1::Builder::new()
+        .timer(hyper_util::rt::TokioTimer::new())
+        .header_read_timeout(std::time::Duration::from_millis(HEADERS_MS))
+        .serve_connection(hyper_util::rt::TokioIo::new(stream), service);
+    tokio::pin!(served);
+    // A cut return ends here as an error, by which the caller's connection breaks.
+    tokio::select! {
+        ended = &mut served => return drop(ended),
+        told = async { drain.wait_for(|drains| *drains).await.is_ok() } => {
+            if !told {
+                // Nobody is left who could tell.
+                return drop(served.await);
+            }
+        }
+    }
+    served.as_mut().graceful_shutdown();
+    drop(served.await);
+}
+
 /// Reads a body whole, up to a limit.
 ///
 /// # Errors
--- a/libraries/topazyard-wire/src/http/mod.rs
+++ b/libraries/topazyard-wire/src/http/mod.rs
@@ -4,7 +4,7 @@
 pub mod outward;
 
 /// A body of either side.
-pub type Body = http_body_util::combinators::BoxBody<bytes::Bytes, BodyError>;
+pub type Body = http_body_util::combinators::UnsyncBoxBody<bytes::Bytes, BodyError>;
 
 /// the body broke off
 #[derive(Debug, displaydoc::Display)]
@@ -20,7 +20,7 @@
 /// ```
 pub fn whole(bytes: impl Into<bytes::Bytes>) -> Body {
     use http_body_util::BodyExt as _;
-    http_body_util::Full::new(bytes.into()).map_err(|never| match never {}).boxed()
+    http_body_util::Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
 /// A return with a JSON body.
--- a/libraries/topazyard-wire/src/message/counter.rs
+++ b/libraries/topazyard-wire/src/message/counter.rs
@@ -20,6 +20,10 @@
     Live,
     /// A parcel item: may use only what the weights leave.
     Item,
+    /// Room that a relay keeps for the requests of routes, from which it takes without asking.
+    /// It stands until its expiry, not only until the relay's lease: its relay may go on while
+    /// the counter changes hands.
+    Block,
 }
 
 /// A hold, named by the relay that asks and its own rising id.
--- a/libraries/topazyard-wire/src/state.rs
+++ b/libraries/topazyard-wire/src/state.rs
@@ -14,6 +14,8 @@
 pub const WEIGHTS: &str = "weight/";
 /// Rows of the routes of the spec in force start so: a change of one route moves one row.
 pub const ROUTES: &str = "route/";
+/// The share of what the engines hold that is let in: 80 to 85 % of the knee, as the source says.
+pub const KNEE_PERCENT: u64 = 85;
 /// Rows of submitted specs start so; the feed leaves them out.
 pub const SPECS: &str = "spec/";
 
@@ -176,6 +178,35 @@
         Some(())
     }
 
+    /// A pool's budget. Where the shape of its engines is told it is [`KNEE_PERCENT`] of what the
+    /// engines on the list hold, else what the spec says.
+    pub fn limit(&self, pool: &topazyard_spec::Pool) -> topazyard_types::Tokens {
+        let Some(shape) = &pool.engine else { return pool.limit_tokens };
+        let engines = self.engines.values().filter(|engine| {
+            engine.pool == pool.name && engine.state != topazyard_spec::EngineState::Leaving
+        });
+        topazyard_types::Tokens(engines.count() as u64 * shape.kv_tokens * KNEE_PERCENT / 100)
+    }
+
+    /// What a request of so many tokens takes of a pool's budget: at least the memory that goes
+    /// with one of an engine's slots, since slots run out before memory where prompts are short.
+    ///
+    /// ```
+    /// # use topazyard_wire::state::FleetView;
+    /// let pool = topazyard_spec::Bundle::read(r#"{"pools":[{"name":"m",
+    ///     "engine":{"slots":4,"kv_tokens":4000}}],"lanes":[{"name":"l","kind":"live",
+    ///     "models":["m"],"pool":"m"}]}"#).unwrap().pools.remove(0);
+    /// assert_eq!(FleetView::charge(&pool, topazyard_types::Tokens(20)).0, 1_000);
+    /// assert_eq!(FleetView::charge(&pool, topazyard_types::Tokens(1_500)).0, 1_500);
+    /// ```
+    pub fn charge(
+        pool: &topazyard_spec::Pool,
+        tokens: topazyard_types::Tokens,
+    ) -> topazyard_types::Tokens {
+        let slot = pool.engine.as_ref().map_or(0, |shape| shape.kv_tokens / u64::from(shape.slots));
+        topazyard_types::Tokens(tokens.0.max(slot))
+    }
+
     /// The part of a pool's budget that parcel items may hold.
     ///
     /// ```
--- a/programs/topazyard-relay/src/front/mod.rs
+++ b/programs/topazyard-relay/src/front/mod.rs
@@ -1,8 +1,12 @@
 //! HTTP for visitors.
 
+pub mod connections;
+pub mod dialect;
 pub mod engine;
+pub mod events;
 pub mod parcels;
 pub mod read;
+pub mod routed;
 pub mod session;
 pub mod tasks;
 
@@ -38,3 +42,38 @@
     };
     outcome.unwrap_or_else(|error| topazyard_wire::http::error(&error))
 }
+
+/// Headers that speak of one connection only, or that the library sets anew.
+const OF_ONE_LINK: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Copies all headers that go from end to end.
+pub(crate) fn copy_end_to_end(from: &hyper::HeaderMap, to: &mut hyper::HeaderMap) {
+    let named = from.get_all(hyper::header::CONNECTION).iter();
+    let named: Vec<String> = named
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()))
+        .collect();
+    for (name, value) in from {
+        let of_one_link = OF_ONE_LINK.contains(&name.as_str());
+        if !of_one_link && !named.iter().any(|named| named == name.as_str()) {
+            to.append(name, value.clone());
+        }
+    }
+}
+
+/// The engine's status and all its end-to-end headers, with the body as it came.
+pub(crate) fn passed_on(head: &hyper::http::response::Parts, body: Body) -> hyper::Response<Body> {
+    let mut response = hyper::Response::new(body);
+    *response.status_mut() = head.status;
+    copy_end_to_end(&head.headers, response.headers_mut());
+    response
+}
--- a/programs/topazyard-relay/src/front/session.rs
+++ b/programs/topazyard-relay/src/front/session.rs
@@ -1,7 +1,7 @@
 //! One prompt, from its arrival to its end, led by its state chart.
 
 use super::engine::span;
-use super::{Handle, read};
+use super::{Handle, passed_on, read};
 use crate::machine::{EngineUse, Prompt, PromptId, RelayCall, RelayReturn, Target};
 use crate::prompt::{Chart, Failure, Next};
 use http_body_util::BodyExt as _;
@@ -12,8 +12,6 @@
 /// The largest return that is held back until it is whole.
 const MOST_HELD_BACK: usize = 8 * 1024 * 1024;
 
-static LAST_PROMPT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
-
 /// Tells the machine that a prompt ended, whichever way this value goes out of use.
 struct Ending {
     handle: Handle,
@@ -60,7 +58,7 @@
     let body = topazyard_wire::http::inward::read_body(body, read::MOST_BYTES).await?;
     let facts = read::read(&head.headers, &body)?;
     let deadline = arrived.plus(facts.wait);
-    let id = PromptId(1 + LAST_PROMPT.fetch_add(1, std::sync::atomic::Ordering::Relaxed));
+    let id = PromptId::next();
     let mut session = Session {
         ending: Ending { handle, id, engine_use: EngineUse::BrokenOff },
         chart: Chart::arrived(facts.repeatable, deadline),
@@ -185,7 +183,7 @@
         let (sender, receiver) = tokio::sync::mpsc::channel(PIECES);
         tokio::spawn(self.pump(body, sent_at, sender));
         let frames = futures_util::stream::unfold(Some(receiver), next_piece);
-        passed_on(&head, http_body_util::StreamBody::new(frames).boxed())
+        passed_on(&head, http_body_util::StreamBody::new(frames).boxed_unsync())
     }
 
     /// Takes pieces from the engine and hands them to the visitor's connection, until the stream
@@ -247,33 +245,3 @@
         None => Some((Err(BodyError), None)),
     }
 }
-
-/// Headers that speak of one connection only, or that the library sets anew.
-const OF_ONE_LINK: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
-/// The engine's status and all its end-to-end headers, with the body as it came.
-fn passed_on(head: &hyper::http::response::Parts, body: Body) -> hyper::Response<Body> {
-    let mut response = hyper::Response::new(body);
-    *response.status_mut() = head.status;
-    let named = head.headers.get_all(hyper::header::CONNECTION).iter();
-    let named: Vec<String> = named
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()))
-        .collect();
-    for (name, value) in &head.headers {
-        let of_one_link = OF_ONE_LINK.contains(&name.as_str());
-        if !of_one_link && !named.iter().any(|named| named == name.as_str()) {
-            response.headers_mut().append(name, value.clone());
-        }
-    }
-    response
-}
--- a/programs/topazyard-relay/src/front/tasks.rs
+++ b/programs/topazyard-relay/src/front/tasks.rs
@@ -20,6 +20,12 @@
                     handle.tell(RelayCall::ItemEnded(run, end));
                 });
             }
+            RelayTask::Reach(target) => {
+                tokio::spawn(async move {
+                    let reached = super::connections::reach(&target).await;
+                    handle.tell(RelayCall::Reached(target.engine, reached));
+                });
+            }
             RelayTask::Look(target) => {
                 tokio::spawn(async move {
                     let is_well = super::engine::is_well(target.address).await;
--- a/programs/topazyard-relay/src/lib.rs
+++ b/programs/topazyard-relay/src/lib.rs
@@ -7,4 +7,4 @@
 pub mod run;
 
 pub use machine::{RelayCall, RelayMachine, RelayReturn, RelayTask, Start};
-pub use run::run;
+pub use run::{Front, run};
--- /dev/null
+++ b/programs/topazyard-relay/src/machine/choice.rs
@@ -0,0 +1,233 @@
+//! Which engine a request of a route goes to, and what each engine's use teaches.
+//!
+//! Every relay ranks engines for a prompt's shared parts by the same digest, so that parts meet
+//! the engine that holds them without any relay telling another, and the parts of many prompts
+//! spread evenly. Of the best two the one with the shorter expected wait is taken.
+
+use super::engines::Engines;
+use super::requests::PromptPart;
+use super::{EngineUse, Out, RelayTask, Target};
+use topazyard_spec::{Engine, EngineState};
+use topazyard_types::{Digest, DurationMs, EngineName, MonotonicMs, NodeId, PoolName};
+use topazyard_wire::Effect;
+use topazyard_wire::state::FleetView;
+
+/// Failures in a row after which an engine is left alone.
+const STRIKES: u32 = 2;
+/// For how long an engine is first left alone; each time in a row doubles it.
+const FIRST_PAUSE: DurationMs = DurationMs(500);
+const LONGEST_PAUSE: DurationMs = DurationMs(4_000);
+/// For how long a doubted engine goes behind the others.
+const DOUBTED_FOR: DurationMs = DurationMs(400);
+/// For how long an engine that turned a request away goes behind the others.
+const FULL_FOR: DurationMs = DurationMs(100);
+/// Bounds on how long an engine may say nothing before it is doubted.
+const SHORTEST_DOUBT_MS: f64 = 80.0;
+const LONGEST_DOUBT_MS: f64 = 1_000.0;
+/// What an engine is taken to need for its first word while nothing is known.
+const UNKNOWN_FIRST_MS: f64 = 60.0;
+
+/// What is asked of an engine.
+#[derive(Debug)]
+pub(super) struct Wanted<'a> {
+    pub(super) pool: &'a PoolName,
+    pub(super) prefix: &'a [PromptPart],
+    /// Engines that had it already.
+    pub(super) not: &'a [EngineName],
+}
+
+/// What requests on routes taught of an engine.
+#[derive(Debug, Default)]
+pub(super) struct Learned {
+    /// Requests of this relay that it works on.
+    open: u32,
+    /// Moving average of the time to its first word.
+    first_ms: Option<f64>,
+    /// Failures since the last success.
+    strikes: u32,
+    behind_until: Option<MonotonicMs>,
+    /// Whether it is left alone until it takes a connection again.
+    pause: Option<DurationMs>,
+}
+
+impl Learned {
+    pub(super) fn is_busy(&self) -> bool {
+        self.open > 0
+    }
+}
+
+impl Engines {
+    /// Whether a pool has an engine that could be tried at all.
+    pub(super) fn has_usable(&self, view: &FleetView, pool: &PoolName) -> bool {
+        view.engines
+            .values()
+            .any(|engine| engine.pool == *pool && engine.state == EngineState::Ready)
+    }
+
+    /// The shortest time to a first word that any engine of the pool has shown lately, in ms.
+    pub(super) fn best_first_ms(&self, pool: &PoolName) -> u64 {
+        self.best_first_ms.get(pool).map_or(0, |best| *best as u64)
+    }
+
+    /// Chooses an engine, and says after how long without a word it is to be doubted.
+    pub(super) fn choose(
+        &self,
+        view: &FleetView,
+        wanted: &Wanted<'_>,
+        own: NodeId,
+        now: MonotonicMs,
+    ) -> Option<(Target, DurationMs)> {
+        let listed = || {
+            view.engines
+                .values()
+                .filter(|engine| engine.pool == *wanted.pool && engine.state == EngineState::Ready)
+        };
+        let is_new = |engine: &&Engine| !wanted.not.contains(&engine.name);
+        let mut usable: Vec<&Engine> =
+            listed().filter(is_new).filter(|engine| self.is_usable(engine)).collect();
+        if usable.is_empty() {
+            // Rather one that failed lately than none.
+            usable = listed().filter(is_new).collect();
+        }
+        let is_front = |engine: &&Engine| {
+            let behind = self.learned(&engine.name).and_then(|learned| learned.behind_until);
+            behind.is_none_or(|until| now >= until)
+        };
+        if usable.iter().any(|engine| is_front(&engine)) {
+            usable.retain(|engine| is_front(&engine));
+        }
+        let key = shared_key(wanted.prefix).unwrap_or(Digest(u128::from(own.0)));
+        let rank = |engine: &Engine| Digest::of(&[&key.0.to_be_bytes(), engine.name.0.as_bytes()]);
+        let mut ranked: Vec<(Digest, f64, &Engine)> =
+            usable.iter().map(|engine| (rank(engine), self.expected_ms(engine), *engine)).collect();
+        ranked.sort_by(|(one, ..), (other, ..)| other.cmp(one));
+        let mean = ranked.iter().map(|(_, wait, _)| wait).sum::<f64>() / ranked.len().max(1) as f64;
+        let laden = mean * 1.5 + UNKNOWN_FIRST_MS;
+        let favoured = ranked.iter().take(2).enumerate().map(|(at, (_, wait, engine))| {
+            // The second has to be clearly better: it may not hold the parts.
+            (wait * if at == 0 { 1.0 } else { 1.4 }, engine)
+        });
+        let best = favoured.min_by(|(one, _), (other, _)| one.total_cmp(other));
+        let chosen = match best {
+            Some((wait, engine)) if wait <= laden => Some(engine),
+            _ => {
+                let least = ranked.iter().min_by(|(_, one, _), (_, other, _)| one.total_cmp(other));
+                least.map(|(_, _, engine)| engine)
+            }
+        }?;
+        let target = Target { engine: chosen.name.clone(), address: chosen.address };
+        Some((target, self.doubt_after(&chosen.name)))
+    }
+
+    fn learned(&self, engine: &EngineName) -> Option<&Learned> {
+        self.known.get(engine).map(|known| &known.learned)
+    }
+
+    /// How long a request more would wait there, by this relay's own requests and what it learned.
+    fn expected_ms(&self, engine: &Engine) -> f64 {
+        let learned = self.learned(&engine.name);
+        let first_ms = learned.and_then(|l| l.first_ms).unwrap_or(UNKNOWN_FIRST_MS);
+        let open = learned.map_or(0, |l| l.open);
+        first_ms * f64::from(open + 1)
+    }
+
+    fn doubt_after(&self, engine: &EngineName) -> DurationMs {
+        let first_ms = self.learned(engine).and_then(|l| l.first_ms).unwrap_or(UNKNOWN_FIRST_MS);
+        DurationMs((first_ms * 4.0 + 40.0).clamp(SHORTEST_DOUBT_MS, LONGEST_DOUBT_MS) as u64)
+    }
+
+    /// A request goes there.
+    pub(super) fn open(&mut self, engine: &EngineName, now: MonotonicMs) {
+        self.now = now;
+        self.known.entry(engine.clone()).or_default().learned.open += 1;
+    }
+
+    /// A request there is over.
+    pub(super) fn close(&mut self, engine: &EngineName, engine_use: EngineUse, now: MonotonicMs) {
+        let Some(known) = self.known.get_mut(engine) else { return };
+        let learned = &mut known.learned;
+        learned.open = learned.open.saturating_sub(1);
+        match engine_use {
+            EngineUse::Whole(first) => {
+                let first_ms = first.0 as f64;
+                let before = learned.first_ms.get_or_insert(first_ms);
+                *before += (first_ms - *before) / 8.0;
+                learned.strikes = 0;
+                learned.pause = None;
+                known.ill_until = None;
+            }
+            EngineUse::TurnedAway => learned.behind_until = Some(now.plus(FULL_FOR)),
+            EngineUse::Failed => {
+                learned.strikes += 1;
+                if learned.strikes >= STRIKES {
+                    self.leave_alone(engine, now);
+                }
+            }
+            EngineUse::Unreachable => self.leave_alone(engine, now),
+            EngineUse::BrokenOff | EngineUse::Unsent => {}
+        }
+    }
+
+    /// Learns the pool's best time to a first word.
+    pub(super) fn first_word(&mut self, pool: &PoolName, first: DurationMs) {
+        let best = self.best_first_ms.entry(pool.clone()).or_insert(first.0 as f64);
+        if (first.0 as f64) < *best {
+            *best = first.0 as f64;
+        } else {
+            *best += (first.0 as f64 - *best) / 64.0;
+        }
+    }
+
+    /// An engine has said nothing for longer than it should: others go before it.
+    pub(super) fn doubt(&mut self, engine: &EngineName, now: MonotonicMs) {
+        let known = self.known.entry(engine.clone()).or_default();
+        known.learned.behind_until = Some(now.plus(DOUBTED_FOR));
+    }
+
+    fn leave_alone(&mut self, engine: &EngineName, now: MonotonicMs) {
+        let known = self.known.entry(engine.clone()).or_default();
+        let before = known.learned.pause;
+        let pause = before.map_or(FIRST_PAUSE, |p| DurationMs((p.0 * 2).min(LONGEST_PAUSE.0)));
+        if known.ill_until.is_none_or(|until| now >= until) {
+            known.learned.pause = Some(pause);
+            known.ill_until = Some(now.plus(pause));
+        }
+    }
+
+    /// Engines of routes that were left alone long enough are asked for a connection.
+    pub(super) fn reach_beat(&mut self, view: &FleetView, now: MonotonicMs, out: &mut Out) {
+        for engine in view.engines.values().filter(|e| e.state == EngineState::Ready) {
+            let Some(known) = self.known.get_mut(&engine.name) else { continue };
+            let Some(pause) = known.learned.pause else { continue };
+            if known.ill_until.is_some_and(|until| now.plus(DurationMs(50)) >= until) {
+                // It stays out until the answer is here.
+                known.ill_until = Some(now.plus(pause.max(DurationMs(1_000))));
+                let target = Target { engine: engine.name.clone(), address: engine.address };
+                out.push(Effect::Start(RelayTask::Reach(target)));
+            }
+        }
+    }
+
+    /// An engine that was left alone took a connection, or did not.
+    pub(super) fn reached(&mut self, engine: &EngineName, reached: bool, now: MonotonicMs) {
+        let Some(known) = self.known.get_mut(engine) else { return };
+        if reached {
+            known.ill_until = None;
+            // The next failure puts it out again, for twice as long.
+            known.learned.strikes = STRIKES - 1;
+        } else {
+            known.ill_until = None;
+            self.leave_alone(engine, now);
+        }
+    }
+}
+
+/// What tells the parts that a prompt shares with others: all but its last, or that one where it
+/// stands alone.
+fn shared_key(prefix: &[PromptPart]) -> Option<Digest> {
+    let shared = prefix.len().saturating_sub(1).max(1);
+    let parts = prefix.get(..shared)?;
+    Some(parts.iter().fold(Digest::default(), |so_far, part| {
+        Digest::of(&[&so_far.0.to_be_bytes(), &part.digest.0.to_be_bytes()])
+    }))
+}
--- a/programs/topazyard-relay/src/machine/counting.rs
+++ b/programs/topazyard-relay/src/machine/counting.rs
@@ -38,6 +38,11 @@
     }
 
     /// Until when what is held here surely stands.
+    /// When the newest renewal that was acknowledged was sent.
+    pub(crate) fn leased_from(&self) -> Option<MonotonicMs> {
+        self.leased_from
+    }
+
     pub(crate) fn leased_until(&self) -> MonotonicMs {
         self.leased_from.map_or(MonotonicMs(0), |from| from.plus(LEASE))
     }
@@ -55,12 +60,15 @@
     fn terms(&self, pool: &PoolName, kind: HoldKind) -> Terms {
         let bundle = self.view.spec.as_ref().map(|(_, bundle)| bundle);
         let known = bundle.and_then(|bundle| bundle.pool(pool));
-        let limit = known.map_or(Tokens(0), |pool| pool.limit_tokens);
+        let limit = known.map_or(Tokens(0), |pool| self.view.limit(pool));
         let part = match kind {
-            HoldKind::Live => limit,
+            HoldKind::Live | HoldKind::Block => limit,
             HoldKind::Item => self.view.item_part(pool, limit),
         };
-        let expiry = DurationMs(known.map_or(0, |pool| pool.hold_expiry_ms));
+        let expiry = match kind {
+            HoldKind::Block => self.block_expiry,
+            _ => DurationMs(known.map_or(0, |pool| pool.hold_expiry_ms)),
+        };
         Terms { limit, part, expiry }
     }
 
@@ -166,6 +174,8 @@
     fn hold_settled(&mut self, id: HoldId, granted: bool, now: MonotonicMs, out: &mut Out) {
         if self.admission.asks(id) {
             self.prompt_hold_settled(id, granted, now, out);
+        } else if self.requests.asks(id) {
+            self.block_settled(id, granted, now, out);
         } else {
             self.item_hold_settled(id, granted, now, out);
         }
--- a/programs/topazyard-relay/src/machine/engines.rs
+++ b/programs/topazyard-relay/src/machine/engines.rs
@@ -15,19 +15,21 @@
 const LADEN_PERCENT: u64 = 150;
 
 #[derive(Debug, Default)]
-struct Known {
+pub(super) struct Known {
     holds: Tokens,
-    ill_until: Option<MonotonicMs>,
+    pub(super) ill_until: Option<MonotonicMs>,
     last_look: Option<MonotonicMs>,
+    pub(super) learned: super::choice::Learned,
 }
 
 /// What this relay knows of engines beyond the platform's list.
 #[derive(Debug, Default)]
 pub(crate) struct Engines {
-    known: std::collections::BTreeMap<EngineName, Known>,
+    pub(super) known: std::collections::BTreeMap<EngineName, Known>,
+    pub(super) best_first_ms: std::collections::BTreeMap<PoolName, f64>,
     /// Where a prefix was last sent, the oldest first.
     prefixes: indexmap::IndexMap<Digest, EngineName>,
-    now: MonotonicMs,
+    pub(super) now: MonotonicMs,
 }
 
 /// The digests of each leading run of parts, the shortest first.
@@ -42,6 +44,12 @@
         .collect()
 }
 
+impl Known {
+    fn is_busy(&self) -> bool {
+        self.holds > Tokens(0) || self.learned.is_busy()
+    }
+}
+
 impl Engines {
     /// Whether an engine may be given work.
     pub(crate) fn is_usable(&self, engine: &Engine) -> bool {
@@ -157,9 +165,19 @@
         usable.iter().min_by_key(own).map(|engine| target(engine))
     }
 
+    /// Pools that lanes use. Engines that serve routes alone are judged by what their requests come
+    /// to: a look there would cost a slot.
+    fn pools_of_lanes(&self) -> std::collections::BTreeSet<PoolName> {
+        let bundle = self.view.spec.iter().flat_map(|(_, bundle)| &bundle.lanes);
+        bundle.map(|lane| lane.pool.clone()).collect()
+    }
+
     pub(super) fn engines_beat(&mut self, now: MonotonicMs, out: &mut Out) {
         self.engines.now = now;
-        for engine in self.view.engines.values().filter(|e| e.state == EngineState::Ready) {
+        self.engines.reach_beat(&self.view, now, out);
+        let lanes = self.pools_of_lanes();
+        let looked_at = |e: &&Engine| e.state == EngineState::Ready && lanes.contains(&e.pool);
+        for engine in self.view.engines.values().filter(looked_at) {
             let known = self.engines.known.entry(engine.name.clone()).or_default();
             if known.last_look.is_none_or(|at| now.since(at) >= LOOK_EVERY) {
                 known.last_look = Some(now);
@@ -168,6 +186,6 @@
             }
         }
         let listed = &self.view.engines;
-        self.engines.known.retain(|name, k| listed.contains_key(name) || k.holds > Tokens(0));
+        self.engines.known.retain(|name, k| listed.contains_key(name) || k.is_busy());
     }
 }
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -2,10 +2,12 @@
 //! parcel items it runs.
 
 mod admission;
+mod choice;
 mod counting;
 mod engines;
 pub mod items;
 mod parcels;
+pub mod requests;
 
 use topazyard_replication::{Follower, follower::Followed};
 use topazyard_types::{
@@ -22,10 +24,22 @@
 /// How old the last confirmation of the feed may be. Below the 2 s that operators are promised.
 pub const FRESH_FOR: DurationMs = DurationMs(1_800);
 
+/// A block of budget stands for so many times the time in which trouble is over.
+const BLOCK_EXPIRY_OF_CONTACT: u64 = 4;
+
 /// Names a prompt within this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PromptId(pub u64);
 
+static LAST_PROMPT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
+
+impl PromptId {
+    /// The next name in this process.
+    pub fn next() -> Self {
+        Self(1 + LAST_PROMPT.fetch_add(1, std::sync::atomic::Ordering::Relaxed))
+    }
+}
+
 /// What admission must know of a prompt.
 #[derive(Debug, Clone)]
 pub struct Prompt {
@@ -59,6 +73,12 @@
     Failed,
     /// The relay or the visitor broke off, or the engine was never used.
     BrokenOff,
+    /// It took no connection.
+    Unreachable,
+    /// It said that it didn't run it.
+    TurnedAway,
+    /// The time to send it went by before it was sent.
+    Unsent,
 }
 
 /// What may be asked of the relay's machine.
@@ -72,6 +92,16 @@
     Another(PromptId, EngineName),
     /// The prompt has ended, whichever way.
     Ended(PromptId, EngineUse),
+    /// Find the route of this request and let it in, now or after a brief wait.
+    Arrive(requests::Arrival),
+    /// That request needs another engine, for this reason.
+    Retry(PromptId, EngineUse),
+    /// That engine has said nothing for longer than it should.
+    Doubt(EngineName),
+    /// The request has ended, whichever way.
+    RequestEnded(PromptId, EngineUse),
+    /// Whether an engine that was left alone took a connection.
+    Reached(EngineName, bool),
     /// A call on parcels, within a limit.
     Parcel(ParcelCall, DurationMs),
     /// Hand in a parcel.
@@ -95,6 +125,12 @@
 pub enum RelayReturn {
     /// The prompt holds its cost: send it there.
     Held(Target),
+    /// The request was let in.
+    Admitted(Box<requests::Admitted>),
+    /// Another engine for the request.
+    Chosen(Box<requests::Chosen>),
+    /// The request is for this batch route.
+    OnBatchRoute(topazyard_types::RouteName),
     /// It may be sent if it is sent before that moment.
     GoUntil(MonotonicMs),
     /// What came of a call on parcels.
@@ -121,6 +157,8 @@
     },
     /// Look at an engine's health and report it.
     Look(Target),
+    /// Make a connection to an engine, keep it, and report it.
+    Reach(Target),
 }
 
 /// How the relay fares.
@@ -152,6 +190,13 @@
     pub refused: std::collections::BTreeMap<String, u64>,
 }
 
+impl RelayVitals {
+    /// Whether anything is under way that a relay should finish before it ends.
+    pub fn under_way(&self) -> bool {
+        self.waiting + self.holding + self.items + self.parcel_calls > 0
+    }
+}
+
 /// From what a relay starts.
 #[derive(Debug)]
 pub struct Start {
@@ -159,6 +204,8 @@
     pub node: NodeId,
     /// The agent beside it.
     pub agent: std::net::SocketAddr,
+    /// The bounds of the place that the fleet runs at.
+    pub bounds: topazyard_spec::Bounds,
 }
 
 pub(crate) type Out = Vec<Effect<RelayReturn, RelayTask>>;
@@ -171,6 +218,11 @@
     pub(crate) view: FleetView,
     pub(crate) counting: counting::Counting,
     pub(crate) admission: admission::Admission,
+    pub(crate) requests: requests::Requests,
+    /// How old the last confirmation of the feed may be for requests on routes.
+    routes_fresh_for: DurationMs,
+    /// After how long without a renewal the counter takes blocks back.
+    pub(crate) block_expiry: DurationMs,
     pub(crate) engines: engines::Engines,
     pub(crate) items: items::Items,
     pub(crate) parcels: parcels::ParcelCalls,
@@ -193,6 +245,11 @@
             view: FleetView::default(),
             counting: counting::Counting::new(life),
             admission: admission::Admission::default(),
+            requests: requests::Requests::default(),
+            routes_fresh_for: DurationMs(
+                (start.bounds.config_apply.0 + start.bounds.config_stretch.0).saturating_sub(200),
+            ),
+            block_expiry: DurationMs(start.bounds.contact.0 * BLOCK_EXPIRY_OF_CONTACT),
             engines: engines::Engines::default(),
             items: items::Items::default(),
             parcels: parcels::ParcelCalls::new(life),
@@ -219,11 +276,20 @@
         }
     }
 
+    /// Why neither lanes nor routes could be served now, if so.
+    fn cut_off_from_all(&self, now: MonotonicMs) -> Option<Code> {
+        let has_routes = self.view.routes.iter().next().is_some();
+        if has_routes && now < self.routes_until() && now < self.blocks_until() {
+            return None;
+        }
+        self.cut_off(now)
+    }
+
     /// Why the relay takes nothing new now, if it doesn't.
     pub(crate) fn unready(&self, now: MonotonicMs) -> Option<Code> {
         if self.drains {
             Some(Code::Draining)
-        } else if let Some(code) = self.cut_off(now) {
+        } else if let Some(code) = self.cut_off_from_all(now) {
             Some(code)
         } else if self.view.engines.values().all(|engine| !self.engines.is_usable(engine)) {
             Some(Code::NoEngine)
@@ -246,8 +312,8 @@
             spec: self.view.spec.as_ref().map(|(version, _)| *version),
             place: self.follower.copy().place().to_string(),
             feed_age_ms: self.follower.confirmed_at().map(|at| now.since(at)),
-            waiting: self.admission.waiting(),
-            holding: self.admission.holding(),
+            waiting: self.admission.waiting() + self.requests.waiting(),
+            holding: self.admission.holding() + self.requests.holding(),
             items: self.items.len(),
             parcel_calls: self.parcels.of_visitors(),
             engines: self.view.engines.values().filter(|e| self.engines.is_usable(e)).count(),
@@ -267,7 +333,7 @@
     fn beat(&mut self, now: MonotonicMs, out: &mut Out) {
         let vitals = Vitals::Edge {
             ready: self.unready(now).is_none(),
-            waiting: self.admission.waiting() as u32,
+            waiting: (self.admission.waiting() + self.requests.waiting()) as u32,
             refused: self.refused_for_room,
         };
         if let Some((to, message)) = self.follower.beat(now, || vitals) {
@@ -276,6 +342,7 @@
         }
         self.counting_beat(now, out);
         self.admission_beat(now, out);
+        self.requests_beat(now, out);
         self.engines_beat(now, out);
         self.items_beat(now, out);
         self.parcels_beat(now, out);
@@ -302,6 +369,20 @@
             RelayCall::Submit(parcel, items) => {
                 return self.submit_parcel(call, parcel, items, now, out);
             }
+            RelayCall::Arrive(arrival) => return self.arrive(call, arrival, now, out),
+            RelayCall::Retry(id, engine_use) => self.retry(id, engine_use, now),
+            RelayCall::Doubt(engine) => {
+                self.engines.doubt(&engine, now);
+                RelayReturn::Noted
+            }
+            RelayCall::RequestEnded(id, engine_use) => {
+                self.end_request(id, engine_use, now, out);
+                RelayReturn::Noted
+            }
+            RelayCall::Reached(engine, reached) => {
+                self.engines.reached(&engine, reached, now);
+                RelayReturn::Noted
+            }
             RelayCall::Dispatch(id, engine) => self.dispatch(id, &engine, now),
             RelayCall::Another(id, failed) => self.another(id, &failed, now),
             RelayCall::Ended(id, engine_use) => {
--- /dev/null
+++ b/programs/topazyard-relay/src/machine/requests.rs
@@ -0,0 +1,508 @@
+//! Requests on routes: found by host and path, checked cheapest first, let in against room that
+//! this relay keeps of the fleet's budget, and given an engine.
+//!
+//! The check and the add are one step of this one owner. The room comes in blocks from the counter,
+//! which checks and adds them the same way, so that all relays together stay within the limit
+//! while a request needs no round trip.
+
+use super::choice::Wanted;
+use super::{EngineUse, Out, PromptId, RelayMachine, RelayReturn, Target};
+use topazyard_spec::RouteKind;
+use topazyard_types::{
+    CallId, Digest, DurationMs, EngineName, HoldId, MonotonicMs, PoolName, Tokens,
+};
+use topazyard_wire::Effect;
+use topazyard_wire::api::{ApiError, Code};
+use topazyard_wire::message::counter::HoldKind;
+use topazyard_wire::state::FleetView;
+
+/// What a request without stated counts is taken to cost: the source's default answer length and
+/// as much again for its prompt.
+pub const UNSTATED_COST: Tokens = Tokens(512);
+/// For how long what was checked holds, so that the last look before a dispatch needs no asking.
+const HOLDS_FOR: DurationMs = DurationMs(200);
+/// How often a block is asked for again while requests wait.
+const ASK_EVERY: DurationMs = DurationMs(40);
+/// After how long a block that nothing needs is let go.
+const IDLE_BLOCK: DurationMs = DurationMs(2_000);
+/// A block is this part of the pool's budget, or one request's cost where that is more.
+const BLOCKS_OF_LIMIT: u64 = 256;
+/// The shortest that a request waits for room, whatever its target.
+const SHORTEST_WAIT: DurationMs = DurationMs(30);
+
+/// A part of a prompt that requests share, in order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// What it is.
+    pub digest: Digest,
+    /// Its tokens.
+    pub tokens: Tokens,
+}
+
+/// A request on a route, as its front read it.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Its name in this process.
+    pub id: PromptId,
+    /// The host that it names.
+    pub host: String,
+    /// Its path, without the query.
+    pub path: String,
+    /// Prompt tokens and most tokens out, if stated.
+    pub cost: Option<Tokens>,
+    /// When it arrived.
+    pub arrived: MonotonicMs,
+    /// How long its client waits.
+    pub wait: DurationMs,
+    /// The parts of its prompt.
+    pub prefix: Vec<PromptPart>,
+}
+
+/// On what terms a request was let in, and to which engine it goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Admitted {
+    /// Whether it may run again if it is not known to have run.
+    pub repeatable: bool,
+    /// Whether its response is a series of events, passed on as they come.
+    pub stream: bool,
+    /// Whether a stream may be gone on with from another engine.
+    pub resumable: bool,
+    /// The most engines that it may be sent to.
+    pub most_tries: u32,
+    /// When it is over.
+    pub deadline: MonotonicMs,
+    /// Where it goes.
+    pub chosen: Chosen,
+}
+
+/// An engine for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Chosen {
+    /// The engine.
+    pub target: Target,
+    /// Until when it may be sent there by what was checked.
+    pub until: MonotonicMs,
+    /// After how long without a word the engine is doubted.
+    pub doubt_after: DurationMs,
+}
+
+#[derive(Debug)]
+enum Stage {
+    /// It waits for room.
+    Waiting(CallId),
+    /// It has room and an engine.
+    Held(EngineName),
+}
+
+#[derive(Debug)]
+struct Entry {
+    pool: PoolName,
+    charge: Tokens,
+    priority: u32,
+    deadline: MonotonicMs,
+    give_up_at: MonotonicMs,
+    prefix: Vec<PromptPart>,
+    terms: Admitted,
+    tried: Vec<EngineName>,
+    stage: Stage,
+}
+
+/// The room that this relay keeps of a pool's budget.
+#[derive(Debug, Default)]
+struct Room {
+    /// What its requests hold.
+    used: Tokens,
+    /// Blocks that the counter granted.
+    blocks: std::collections::BTreeMap<HoldId, Tokens>,
+    /// A block that was asked for.
+    asked: Option<(HoldId, Tokens)>,
+    refused: bool,
+    last_ask: Option<MonotonicMs>,
+    spare_since: Option<MonotonicMs>,
+    /// Requests that wait, in order.
+    queue: std::collections::VecDeque<PromptId>,
+}
+
+impl Room {
+    fn granted(&self) -> Tokens {
+        self.blocks.values().copied().sum()
+    }
+
+    fn fits(&self, charge: Tokens) -> bool {
+        self.used.plus(charge) <= self.granted()
+    }
+}
+
+/// Requests on routes that wait or hold.
+#[derive(Debug, Default)]
+pub(crate) struct Requests {
+    entries: std::collections::BTreeMap<PromptId, Entry>,
+    rooms: std::collections::BTreeMap<PoolName, Room>,
+}
+
+impl Requests {
+    pub(crate) fn waiting(&self) -> usize {
+        self.rooms.values().map(|room| room.queue.len()).sum()
+    }
+
+    pub(crate) fn holding(&self) -> usize {
+        self.entries.len() - self.waiting()
+    }
+
+    pub(crate) fn asks(&self, id: HoldId) -> bool {
+        self.rooms.values().any(|room| room.asked.is_some_and(|(asked, _)| asked == id))
+    }
+}
+
+/// What was found for a request before any room is taken.
+struct Judged {
+    pool: PoolName,
+    charge: Tokens,
+    priority: u32,
+    give_up_at: MonotonicMs,
+    terms: Admitted,
+}
+
+impl RelayMachine {
+    /// Until when requests on routes may be handled by what is known of the spec.
+    pub(super) fn routes_until(&self) -> MonotonicMs {
+        let confirmed = self.follower.confirmed_at();
+        confirmed.map_or(MonotonicMs(0), |at| at.plus(self.routes_fresh_for))
+    }
+
+    /// Lets a request in, makes it wait briefly, or refuses it at once.
+    pub(super) fn arrive(
+        &mut self,
+        call: CallId,
+        arrival: Arrival,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        let judged = match self.judge_arrival(&arrival, now) {
+            Ok(judged) => judged,
+            Err(refused) => {
+                if let RelayReturn::Refused(error) = &refused {
+                    self.count_refusal(error.code);
+                }
+                return out.push(Effect::Return { call, value: refused });
+            }
+        };
+        let (pool, id) = (judged.pool.clone(), arrival.id);
+        let entry = Entry {
+            pool: judged.pool,
+            charge: judged.charge,
+            priority: judged.priority,
+            deadline: judged.terms.deadline,
+            give_up_at: judged.give_up_at,
+            prefix: arrival.prefix,
+            terms: judged.terms,
+            tried: Vec::new(),
+            stage: Stage::Waiting(call),
+        };
+        let ahead = self.requests.rooms.get(&pool).map_or(0, |room| {
+            room.queue.partition_point(|other| {
+                self.requests.entries.get(other).is_some_and(|o| o.priority <= entry.priority)
+            })
+        });
+        self.requests.entries.insert(id, entry);
+        self.requests.rooms.entry(pool.clone()).or_default().queue.insert(ahead, id);
+        self.serve_room(&pool, now, out);
+    }
+
+    /// The checks that need no other process, cheapest first.
+    fn judge_arrival(&self, arrival: &Arrival, now: MonotonicMs) -> Result<Judged, RelayReturn> {
+        let refused = |code| RelayReturn::Refused(ApiError::not_run(code));
+        if now >= self.routes_until() || self.view.spec.is_none() {
+            return Err(refused(Code::StaleFeed));
+        }
+        let Some((_, bundle)) = &self.view.spec else { return Err(refused(Code::StaleFeed)) };
+        let Some(route) = self.view.routes.find(&arrival.host, &arrival.path) else {
+            return Err(refused(Code::NoRoute));
+        };
+        if route.kind == RouteKind::Batch {
+            return Err(RelayReturn::OnBatchRoute(route.name.clone()));
+        }
+        let pool = share_of(route, arrival.id).and_then(|name| bundle.pool(name));
+        let Some(pool) = pool else { return Err(refused(Code::NoEngine)) };
+        let wait = DurationMs(arrival.wait.0.min(route.timeout_ms));
+        let deadline = arrival.arrived.plus(wait);
+        if deadline.since(now).0 <= self.engines.best_first_ms(&pool.name) {
+            return Err(refused(Code::Deadline));
+        }
+        if !self.engines.has_usable(&self.view, &pool.name) {
+            return Err(refused(Code::NoEngine));
+        }
+        let room = self.requests.rooms.get(&pool.name);
+        if room.is_some_and(|room| room.queue.len() >= pool.inbox_depth as usize) {
+            return Err(refused(Code::InboxFull));
+        }
+        let patience = DurationMs((route.target_latency_ms / 4).max(SHORTEST_WAIT.0));
+        Ok(Judged {
+            pool: pool.name.clone(),
+            charge: FleetView::charge(pool, arrival.cost.unwrap_or(UNSTATED_COST)),
+            priority: route.priority,
+            give_up_at: arrival.arrived.plus(patience).min(deadline),
+            terms: Admitted {
+                repeatable: route.is_repeatable(),
+                stream: route.kind == RouteKind::Streaming,
+                resumable: route.resumable && route.kind == RouteKind::Streaming,
+                most_tries: route.max_attempts,
+                deadline,
+                chosen: Chosen {
+                    target: Target { engine: EngineName::default(), address: self.agent },
+                    until: now,
+                    doubt_after: DurationMs(0),
+                },
+            },
+        })
+    }
+
+    /// Gives room to those that wait, in order, and asks for more where it doesn't do.
+    fn serve_room(&mut self, pool: &PoolName, now: MonotonicMs, out: &mut Out) {
+        let may_use = now < self.blocks_until();
+        loop {
+            let Some(room) = self.requests.rooms.get_mut(pool) else { return };
+            let Some(id) = room.queue.front().copied() else { return };
+            let Some(entry) = self.requests.entries.get_mut(&id) else {
+                room.queue.pop_front();
+                continue;
+            };
+            if !may_use || !room.fits(entry.charge) {
+                let charge = entry.charge;
+                return self.ask_for_block(pool, charge, now, out);
+            }
+            room.queue.pop_front();
+            room.used = room.used.plus(entry.charge);
+            room.spare_since = None;
+            let chosen = self.choose(id, now);
+            let Some(entry) = self.requests.entries.get_mut(&id) else { return };
+            let Stage::Waiting(call) = entry.stage else { continue };
+            match chosen {
+                Some(chosen) => {
+                    entry.stage = Stage::Held(chosen.target.engine.clone());
+                    entry.terms.chosen = chosen;
+                    let value = RelayReturn::Admitted(Box::new(entry.terms.clone()));
+                    self.allowed += 1;
+                    out.push(Effect::Return { call, value });
+                }
+                None => {
+                    self.forget_request(id, now);
+                    self.refuse_request(call, Code::NoEngine, out);
+                }
+            }
+        }
+    }
+
+    /// Until when blocks may be used: their counter takes them back only after that.
+    pub(super) fn blocks_until(&self) -> MonotonicMs {
+        let margin = DurationMs(self.block_expiry.0 - self.block_expiry.0 / 8);
+        self.counting.leased_from().map_or(MonotonicMs(0), |from| from.plus(margin))
+    }
+
+    fn ask_for_block(&mut self, pool: &PoolName, least: Tokens, now: MonotonicMs, out: &mut Out) {
+        let Some((_, bundle)) = &self.view.spec else { return };
+        let Some(declared) = bundle.pool(pool) else { return };
+        let limit = self.view.limit(declared);
+        let Some(room) = self.requests.rooms.get_mut(pool) else { return };
+        let due = room.last_ask.is_none_or(|at| now.since(at) >= ASK_EVERY);
+        if room.asked.is_some() || (room.refused && !due) {
+            return;
+        }
+        // One that was refused asks for no more than it needs.
+        let block =
+            if room.refused { least } else { Tokens(least.0.max(limit.0 / BLOCKS_OF_LIMIT)) };
+        room.last_ask = Some(now);
+        let id = self.ask_hold(pool.clone(), block, HoldKind::Block, now, out);
+        if let Some(room) = self.requests.rooms.get_mut(pool) {
+            room.asked = Some((id, block));
+        }
+    }
+
+    /// The counter answered for a block.
+    pub(super) fn block_settled(
+        &mut self,
+        id: HoldId,
+        granted: bool,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        let found = self.requests.rooms.iter_mut().find_map(|(pool, room)| {
+            let (_, block) = room.asked.take_if(|(asked, _)| *asked == id)?;
+            room.refused = !granted;
+            if granted {
+                room.blocks.insert(id, block);
+            }
+            Some(pool.clone())
+        });
+        if let Some(pool) = found {
+            self.serve_room(&pool, now, out);
+        }
+    }
+
+    fn choose(&mut self, id: PromptId, now: MonotonicMs) -> Option<Chosen> {
+        let entry = self.requests.entries.get(&id)?;
+        let wanted = Wanted { pool: &entry.pool, prefix: &entry.prefix, not: &entry.tried };
+        let (target, doubt_after) = self.engines.choose(&self.view, &wanted, self.node, now)?;
+        self.engines.open(&target.engine, now);
+        let until = self.routes_until().min(now.plus(HOLDS_FOR)).min(entry.deadline);
+        Some(Chosen { target, until, doubt_after })
+    }
+
+    /// Names another engine for a request that one failed or turned away, or whose time to
+    /// dispatch went by.
+    pub(super) fn retry(
+        &mut self,
+        id: PromptId,
+        engine_use: EngineUse,
+        now: MonotonicMs,
+    ) -> RelayReturn {
+        let refused = |code| RelayReturn::Refused(ApiError::not_run(code));
+        if now >= self.routes_until() {
+            return refused(Code::StaleFeed);
+        }
+        let Some(entry) = self.requests.entries.get_mut(&id) else {
+            return refused(Code::Deadline);
+        };
+        let Stage::Held(engine) = &entry.stage else { return refused(Code::Deadline) };
+        let engine = engine.clone();
+        if engine_use != EngineUse::Unsent {
+            entry.tried.push(engine.clone());
+        }
+        self.engines.close(&engine, engine_use, now);
+        let chosen = self.choose(id, now);
+        let Some(entry) = self.requests.entries.get_mut(&id) else {
+            return refused(Code::Deadline);
+        };
+        match chosen {
+            Some(chosen) => {
+                entry.stage = Stage::Held(chosen.target.engine.clone());
+                RelayReturn::Chosen(Box::new(chosen))
+            }
+            None => {
+                // It has no engine any more; what it holds goes with its end.
+                entry.stage = Stage::Held(EngineName::default());
+                refused(Code::NoEngine)
+            }
+        }
+    }
+
+    /// A request ended, whichever way: its room is free again, once.
+    pub(super) fn end_request(
+        &mut self,
+        id: PromptId,
+        engine_use: EngineUse,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        let Some(entry) = self.requests.entries.remove(&id) else { return };
+        if let Some(room) = self.requests.rooms.get_mut(&entry.pool) {
+            match &entry.stage {
+                Stage::Waiting(_) => room.queue.retain(|other| *other != id),
+                Stage::Held(_) => room.used = Tokens(room.used.0.saturating_sub(entry.charge.0)),
+            }
+        }
+        if let Stage::Held(engine) = &entry.stage {
+            self.engines.close(engine, engine_use, now);
+        }
+        if let EngineUse::Whole(first) = engine_use {
+            self.engines.first_word(&entry.pool, first);
+        }
+        self.serve_room(&entry.pool, now, out);
+    }
+
+    fn forget_request(&mut self, id: PromptId, now: MonotonicMs) {
+        let Some(entry) = self.requests.entries.remove(&id) else { return };
+        if let Some(room) = self.requests.rooms.get_mut(&entry.pool) {
+            room.used = Tokens(room.used.0.saturating_sub(entry.charge.0));
+            room.spare_since.get_or_insert(now);
+        }
+    }
+
+    fn refuse_request(&mut self, call: CallId, code: Code, out: &mut Out) {
+        self.count_refusal(code);
+        let value = RelayReturn::Refused(ApiError::not_run(code));
+        out.push(Effect::Return { call, value });
+    }
+
+    pub(super) fn requests_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+        self.give_up_waiting(now, out);
+        let pools: Vec<PoolName> = self.requests.rooms.keys().cloned().collect();
+        for pool in pools {
+            self.let_block_go(&pool, now, out);
+            self.serve_room(&pool, now, out);
+        }
+    }
+
+    /// Those that waited as long as it makes sense get their final answer at once.
+    fn give_up_waiting(&mut self, now: MonotonicMs, out: &mut Out) {
+        let stale = now >= self.routes_until();
+        let no_counter = now >= self.blocks_until();
+        let mut late = Vec::new();
+        for room in self.requests.rooms.values_mut() {
+            let refused = room.refused;
+            let entries = &self.requests.entries;
+            room.queue.retain(|id| {
+                let Some(entry) = entries.get(id) else { return false };
+                if !stale && now < entry.give_up_at {
+                    return true;
+                }
+                let code = match (stale, now >= entry.deadline) {
+                    (true, _) => Code::StaleFeed,
+                    (_, true) => Code::Deadline,
+                    _ if no_counter || !refused => Code::NoCounter,
+                    _ => Code::Budget,
+                };
+                late.push((*id, code));
+                false
+            });
+        }
+        for (id, code) in late {
+            let Some(entry) = self.requests.entries.remove(&id) else { continue };
+            if let Stage::Waiting(call) = entry.stage {
+                self.refuse_request(call, code, out);
+            }
+        }
+    }
+
+    /// Lets a block go that nothing has needed for a while, and those of pools that are gone.
+    fn let_block_go(&mut self, pool: &PoolName, now: MonotonicMs, out: &mut Out) {
+        let is_known = self.view.spec.as_ref().is_some_and(|(_, b)| b.pool(pool).is_some());
+        let Some(room) = self.requests.rooms.get_mut(pool) else { return };
+        let largest = room.blocks.iter().max_by_key(|(_, block)| **block);
+        let Some((id, block)) = largest.map(|(id, block)| (*id, *block)) else {
+            if !is_known && room.queue.is_empty() && room.used == Tokens(0) {
+                self.requests.rooms.remove(pool);
+            }
+            return;
+        };
+        let spare = room.granted().0.saturating_sub(room.used.0);
+        // Twice what is let go stays spare, so that a usual swing asks for nothing.
+        let keeps = if is_known && room.used > Tokens(0) { 3 } else { 1 };
+        if spare < block.0 * keeps {
+            room.spare_since = None;
+            return;
+        }
+        let since = *room.spare_since.get_or_insert(now);
+        if now.since(since) >= IDLE_BLOCK {
+            room.spare_since = None;
+            room.blocks.remove(&id);
+            self.release_hold(id, out);
+        }
+    }
+}
+
+/// The pool that a request goes to, by the weights of its route.
+fn share_of(route: &topazyard_spec::Route, id: PromptId) -> Option<&PoolName> {
+    let total: u64 = route.pools.iter().map(|share| u64::from(share.weight)).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut at = Digest::of(&[&id.0.to_be_bytes()]).0 as u64 % total;
+    for share in &route.pools {
+        if at < u64::from(share.weight) {
+            return Some(&share.pool);
+        }
+        at -= u64::from(share.weight);
+    }
+    None
+}
--- a/programs/topazyard-relay/src/main.rs
+++ b/programs/topazyard-relay/src/main.rs
@@ -11,5 +11,7 @@
 }
 
 fn main() -> std::process::ExitCode {
-    topazyard_wire::driver::daemon(Flags::parse().settings, topazyard_relay::run)
+    topazyard_wire::driver::daemon(Flags::parse().settings, |settings| {
+        topazyard_relay::run(settings, topazyard_relay::Front::Own)
+    })
 }
--- a/programs/topazyard-relay/src/prompt/chart.rs
+++ b/programs/topazyard-relay/src/prompt/chart.rs
@@ -41,6 +41,8 @@
     Broken,
     /// Nothing came in time.
     TimedOut,
+    /// The engine said that it did not run it, and never will.
+    TurnedAway,
 }
 
 /// What is to be done about a failure.
@@ -54,7 +56,8 @@
     Break,
 }
 
-/// How often a prompt may be sent to an engine or find one that takes no connection.
+/// How often a prompt without a route may be sent to an engine, and any may find one that takes no
+/// connection.
 const MOST_TRIES: u32 = 3;
 
 /// A prompt's way.
@@ -62,10 +65,18 @@
 pub struct Chart {
     state: State,
     repeatable: bool,
+    /// Whether a return that was begun may be gone on with from another engine.
+    resumable: bool,
     deadline: MonotonicMs,
+    most_tries: u32,
     tries: u32,
-    /// Whether any try was sent.
+    unconnected: u32,
+    /// Whether any try may have run.
     sent: bool,
+    /// Whether an earlier try than the present one may have run.
+    sent_before: bool,
+    /// Whether a head was relayed.
+    begun: bool,
 }
 
 impl Chart {
@@ -84,7 +95,43 @@
     /// assert_eq!(chart.state(), State::Refused);
     /// ```
     pub fn arrived(repeatable: bool, deadline: MonotonicMs) -> Self {
-        Self { state: State::Arrived, repeatable, deadline, tries: 0, sent: false }
+        Self {
+            state: State::Arrived,
+            repeatable,
+            resumable: false,
+            deadline,
+            most_tries: MOST_TRIES,
+            tries: 0,
+            unconnected: 0,
+            sent: false,
+            sent_before: false,
+            begun: false,
+        }
+    }
+
+    /// A request on a route that has just been let in: what its route says decides.
+    ///
+    /// ```
+    /// use topazyard_relay::prompt::{Chart, Failure, Next};
+    /// use topazyard_types::MonotonicMs;
+    /// let mut chart = Chart::on_route(true, true, 2, MonotonicMs(1_000));
+    /// chart.wait();
+    /// chart.hold();
+    /// chart.dispatch();
+    /// chart.relay();
+    /// // A resumable stream that broke midway goes on elsewhere, once.
+    /// assert_eq!(chart.fail(Failure::Broken, MonotonicMs(10)), Next::Another);
+    /// chart.hold();
+    /// chart.dispatch();
+    /// assert_eq!(chart.fail(Failure::Broken, MonotonicMs(10)), Next::Break);
+    /// ```
+    pub fn on_route(
+        repeatable: bool,
+        resumable: bool,
+        most_tries: u32,
+        deadline: MonotonicMs,
+    ) -> Self {
+        Self { resumable, most_tries, ..Self::arrived(repeatable, deadline) }
     }
 
     /// Where it is.
@@ -104,18 +151,28 @@
 
     /// It holds its cost and has an engine.
     pub fn hold(&mut self) {
-        self.change(&[State::Waiting, State::Held, State::Dispatched], State::Held);
+        let before = [State::Waiting, State::Held, State::Dispatched, State::Relaying];
+        self.change(&before, State::Held);
     }
 
     /// Its bytes go out with the next step.
     pub fn dispatch(&mut self) {
         self.tries += 1;
+        self.sent_before = self.sent;
         self.sent = true;
         self.change(&[State::Held], State::Dispatched);
     }
 
+    /// Its bytes did not go out after all: the connection was closed before the first of them.
+    pub fn unsent(&mut self) {
+        self.tries -= 1;
+        self.sent = self.sent_before;
+        self.change(&[State::Dispatched], State::Held);
+    }
+
     /// The head of the return is here and goes to the visitor.
     pub fn relay(&mut self) {
+        self.begun = true;
         self.change(&[State::Dispatched], State::Relaying);
     }
 
@@ -131,37 +188,61 @@
         if self.sent { ApiError { ran: topazyard_wire::Ran::MayHaveRun, ..error } } else { error }
     }
 
+    /// Whether no other engine may be tried after this one.
+    pub fn is_last_try(&self) -> bool {
+        self.tries >= self.most_tries
+    }
+
     /// For how long the head of the return may be waited for. A prompt that may be repeated
     /// leaves time for another try.
     pub fn patience(&self, now: MonotonicMs) -> DurationMs {
         let left = self.deadline.since(now);
-        let last = !self.repeatable || self.tries >= MOST_TRIES;
+        let last = !self.repeatable || self.tries >= self.most_tries;
         if last { left } else { DurationMs(left.0 / 2) }
     }
 
+    /// Whether a head was relayed, so that what follows can only go on or break off.
+    pub fn is_begun(&self) -> bool {
+        self.begun
+    }
+
     /// What a failure means here.
     pub fn fail(&mut self, failure: Failure, now: MonotonicMs) -> Next {
         let in_time = now < self.deadline;
         match self.state {
-            State::Relaying => {
-                self.change(&[State::Relaying], State::Cut);
+            State::Relaying | State::Dispatched if self.begun => {
+                if self.resumable && in_time && self.tries < self.most_tries {
+                    return Next::Another;
+                }
+                self.change(&[State::Relaying, State::Dispatched], State::Cut);
                 Next::Break
             }
             State::Dispatched => {
-                if self.repeatable && in_time && self.tries < MOST_TRIES {
+                if failure == Failure::TurnedAway {
+                    self.sent = self.sent_before;
+                }
+                let may_repeat = self.repeatable || failure == Failure::TurnedAway;
+                if may_repeat && in_time && self.tries < self.most_tries {
                     return Next::Another;
                 }
-                let code = match failure {
-                    Failure::TimedOut => Code::EngineTimeout,
-                    Failure::Broken | Failure::NotConnected => Code::EngineFailed,
+                let error = match failure {
+                    Failure::TurnedAway => ApiError::not_run(Code::TurnedAway),
+                    Failure::TimedOut => ApiError::may_have_run(Code::EngineTimeout),
+                    Failure::Broken | Failure::NotConnected => {
+                        ApiError::may_have_run(Code::EngineFailed)
+                    }
                 };
-                Next::Answer(self.refuse(ApiError::may_have_run(code)))
+                Next::Answer(self.refuse(error))
             }
             _ => {
-                self.tries += 1;
-                if in_time && self.tries < MOST_TRIES {
+                self.unconnected += 1;
+                if in_time && self.unconnected + self.tries < self.most_tries.max(MOST_TRIES) {
                     return Next::Another;
                 }
+                if self.begun {
+                    self.change(&[State::Held, State::Relaying], State::Cut);
+                    return Next::Break;
+                }
                 Next::Answer(self.refuse(ApiError::not_run(Code::NoEngine)))
             }
         }
--- a/programs/topazyard-storage/src/counter/mod.rs
+++ b/programs/topazyard-storage/src/counter/mod.rs
@@ -92,7 +92,7 @@
 
     /// Live tokens held in all pools.
     pub fn live_tokens(&self) -> Tokens {
-        let live = self.held.values().filter(|held| held.hold.kind == HoldKind::Live);
+        let live = self.held.values().filter(|held| held.hold.kind != HoldKind::Item);
         live.map(|held| held.charge).sum()
     }
 
@@ -121,7 +121,7 @@
         let charge = Tokens(hold.cost.0.min(limit.0));
         let fits = limit > Tokens(0) && used.plus(charge) <= limit;
         let within_part = match hold.kind {
-            HoldKind::Live => true,
+            HoldKind::Live | HoldKind::Block => true,
             HoldKind::Item => {
                 let part = hold.terms.part;
                 let items = self.used(&hold.pool, Some(HoldKind::Item));
@@ -183,7 +183,10 @@
         let due: Vec<(NodeId, HoldId)> = self
             .held
             .iter()
-            .filter(|((relay, _), held)| lapsed.contains(relay) || now >= held.expires)
+            .filter(|((relay, _), held)| {
+                let lapses = held.hold.kind != HoldKind::Block && lapsed.contains(relay);
+                lapses || now >= held.expires
+            })
             .map(|(key, _)| *key)
             .collect();
         due.into_iter().flat_map(|(relay, id)| self.release(relay, id)).collect()
--- a/stand-ins/src/bin/stand-in-engine.rs
+++ b/stand-ins/src/bin/stand-in-engine.rs
@@ -174,7 +174,7 @@
             let pieces =
                 vec![Ok(hyper::body::Frame::data(bytes::Bytes::from("{\"gen"))), Err(BodyError)];
             let stream = futures_util::stream::iter(pieces);
-            return hyper::Response::new(http_body_util::StreamBody::new(stream).boxed());
+            return hyper::Response::new(http_body_util::StreamBody::new(stream).boxed_unsync());
         }
         return json(200, &serde_json::json!({ "generated_text": digest }));
     }
@@ -193,7 +193,7 @@
         };
         Some((piece, (events, guard)))
     });
-    let mut response = hyper::Response::new(http_body_util::StreamBody::new(frames).boxed());
+    let mut response = hyper::Response::new(http_body_util::StreamBody::new(frames).boxed_unsync());
     let kind = hyper::header::HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
     response
