Take configurations, engine lists, retirements and moved seeds from the users' platform

The control side had no interface but its own, a fleet could be founded anew by a node that lost its disk, and SIGHUP ended every program. Control now speaks through an adapter; the primary reads the list of engines; settings are read again while a program runs.

--- a/fleet-simulator/src/world/nodes.rs
+++ b/fleet-simulator/src/world/nodes.rs
@@ -176,12 +176,14 @@
         };
         let member = Member {
             id: node.id,
+            name: Some(format!("node-{}", node.id)),
             address: node.address,
             http: None,
             duty,
             domain: topazyard_types::DomainName(format!("domain-{}", node.domain)),
         };
         let loaded = node.disk.synced.clone();
+        let bounds = topazyard_spec::Bounds::default();
         let kind = node.kind;
         let beside = node.beside.unwrap_or(node.address);
         let id = node.id;
@@ -189,13 +191,13 @@
         let mut first = Vec::new();
         let body = match kind {
             Kind::Control => {
-                let start = DiskStart { member, seeds, chance, loaded };
+                let start = DiskStart { member, seeds, chance, loaded, bounds, may_found: true };
                 let (machine, effects) = ControlMachine::new(start, now);
                 first = effects;
                 Body::Control(Box::new(machine))
             }
             Kind::Storage => {
-                let start = DiskStart { member, seeds, chance, loaded };
+                let start = DiskStart { member, seeds, chance, loaded, bounds, may_found: true };
                 Body::Storage(Box::new(StorageMachine::new(start)))
             }
             Kind::Agent => {
@@ -430,6 +432,8 @@
             Effect::Write { token, changes } => self.write(index, token, changes),
             Effect::Return { call, value } => self.returned(index, call, Outcome::Operate(value)),
             Effect::Note { text, .. } => self.note(index, &text),
+            // The platform hands the list of engines in.
+            Effect::Start(topazyard_control::ControlTask::ListEngines) => {}
             Effect::Start(topazyard_control::ControlTask::AskLoads(engines)) => {
                 let life = self.nodes[index.0].life;
                 let names = engines.into_iter().map(|engine| engine.name).collect();
--- a/libraries/topazyard-cohort/src/cohort.rs
+++ b/libraries/topazyard-cohort/src/cohort.rs
@@ -20,6 +20,8 @@
 const JOIN_ALONE: DurationMs = DurationMs(500);
 /// How often one that knows others asks a seed or a lost member, so that splits heal.
 const JOIN_AGAIN: DurationMs = DurationMs(3_000);
+/// The most addresses that are kept to join by.
+const SEEDS_KEPT: usize = 32;
 /// How many are asked for a second opinion.
 const OPINIONS: usize = 2;
 
@@ -67,8 +69,8 @@
     /// use topazyard_cohort::Cohort;
     /// use topazyard_types::{MonotonicMs, NodeId};
     /// use topazyard_wire::message::cohort::{Duty, Member};
-    /// let own = Member { id: NodeId(1), address: "127.0.0.1:1".parse().unwrap(), http: None,
-    ///     duty: Duty::Control, domain: "north".into() };
+    /// let own = Member { id: NodeId(1), name: None, address: "127.0.0.1:1".parse().unwrap(),
+    ///     http: None, duty: Duty::Control, domain: "north".into() };
     /// let mut cohort = Cohort::new(own, vec!["127.0.0.1:2".parse().unwrap()], 7);
     /// assert_eq!(cohort.beat(MonotonicMs(1_000)).len(), 1); // asks its seed for the roster
     /// ```
@@ -124,6 +126,14 @@
         }
     }
 
+    /// Joins by these from now on, besides the ones it was given before.
+    pub fn take_seeds(&mut self, seeds: Vec<std::net::SocketAddr>) {
+        let before = self.seeds.iter().copied().filter(|old| !seeds.contains(old));
+        // What is older than two exchanges of all seeds is let go.
+        let kept: Vec<_> = seeds.iter().copied().chain(before).take(SEEDS_KEPT).collect();
+        self.seeds = kept;
+    }
+
     fn next_nonce(&mut self) -> u64 {
         self.last_nonce += 1;
         self.last_nonce
--- a/libraries/topazyard-spec/src/bundle.rs
+++ b/libraries/topazyard-spec/src/bundle.rs
@@ -222,6 +222,25 @@
     }
 }
 
+impl Pool {
+    /// A pool of that name with the project's own figures.
+    ///
+    /// ```
+    /// let pool = topazyard_spec::Pool::named("main".into());
+    /// assert_eq!(pool.limit_tokens, topazyard_types::Tokens(40_000));
+    /// ```
+    pub fn named(name: PoolName) -> Self {
+        Self {
+            name,
+            limit_tokens: default_limit(),
+            hold_expiry_ms: default_expiry(),
+            inbox_depth: default_inbox(),
+            max_connections: 0,
+            engine: None,
+        }
+    }
+}
+
 impl Bundle {
     /// Reads a bundle, or gives every fault with its place.
     ///
--- a/libraries/topazyard-spec/src/lib.rs
+++ b/libraries/topazyard-spec/src/lib.rs
@@ -11,4 +11,4 @@
 pub use engines::{Engine, EngineList, EngineState};
 pub use faults::{Fault, FaultReason, ReadError};
 pub use routes::{BatchTerms, ClientLimits, PoolShare, Route, RouteKind};
-pub use settings::{Bounds, NodeSettings, Resources, Settings, SettingsError};
+pub use settings::{Bounds, NodeSettings, Reread, Resources, Settings, SettingsError};
--- a/libraries/topazyard-spec/src/settings/check.rs
+++ b/libraries/topazyard-spec/src/settings/check.rs
@@ -17,7 +17,7 @@
     pub ready: Option<std::net::SocketAddr>,
     /// The failure domain.
     pub domain: DomainName,
-    /// Three control processes.
+    /// Control processes to begin with: three, or fewer where the fleet has fewer.
     pub seeds: Vec<std::net::SocketAddr>,
     /// The data folder, for those that keep files.
     pub data: Option<std::path::PathBuf>,
@@ -29,8 +29,45 @@
     pub resources: crate::Resources,
     /// Whether an empty data folder may be the beginning of a new fleet.
     pub may_found: bool,
+    /// How to read them again.
+    pub reread: Reread,
 }
 
+/// How a process reads its settings again after they may have changed.
+#[derive(Clone)]
+pub struct Reread(std::sync::Arc<dyn Fn() -> Option<NodeSettings> + Send + Sync>);
+
+impl Reread {
+    /// Reads by a function, which gives none where there is nothing usable.
+    ///
+    /// ```
+    /// assert!(topazyard_spec::Reread::by(|| None).read().is_none());
+    /// ```
+    pub fn by(read: impl Fn() -> Option<NodeSettings> + Send + Sync + 'static) -> Self {
+        Self(std::sync::Arc::new(read))
+    }
+
+    /// The settings as they are now, if they can be used.
+    pub fn read(&self) -> Option<NodeSettings> {
+        (self.0)()
+    }
+}
+
+impl std::fmt::Debug for Reread {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Reread")
+    }
+}
+
+/// How settings are read says nothing about what they say.
+impl PartialEq for Reread {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+impl Eq for Reread {}
+
 /// Why a process won't start with its settings.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
 pub enum SettingsError {
@@ -78,6 +115,7 @@
     /// # Errors
     /// The first setting that is missing or wrong.
     pub fn check(flags: crate::Settings) -> Result<Self, SettingsError> {
+        let again = flags.clone();
         let settings = match flags.settings.clone() {
             None => flags,
             Some(file) => {
@@ -118,6 +156,7 @@
             bounds: crate::Bounds::default(),
             resources: crate::Resources::default(),
             may_found: true,
+            reread: Reread::by(move || Self::check(again.clone()).ok()),
         })
     }
 
--- a/libraries/topazyard-spec/src/settings/mod.rs
+++ b/libraries/topazyard-spec/src/settings/mod.rs
@@ -5,5 +5,5 @@
 pub mod raw;
 
 pub use bounds::{Bounds, Resources};
-pub use check::{NodeSettings, SettingsError};
+pub use check::{NodeSettings, Reread, SettingsError};
 pub use raw::Settings;
--- a/libraries/topazyard-wire/src/driver/disked.rs
+++ b/libraries/topazyard-wire/src/driver/disked.rs
@@ -8,12 +8,16 @@
 pub struct DiskStart {
     /// Who and where it is.
     pub member: Member,
-    /// The three seeds.
+    /// Control nodes to begin with.
     pub seeds: Vec<std::net::SocketAddr>,
     /// Drawn for this life.
     pub chance: u64,
     /// What its disk held.
     pub loaded: crate::rows::Loaded,
+    /// The bounds of the place that the fleet runs at.
+    pub bounds: topazyard_spec::Bounds,
+    /// Whether an empty disk may be the beginning of a new fleet.
+    pub may_found: bool,
 }
 
 /// Opens the data folder, starts the log there and settles who the node is.
@@ -30,6 +34,7 @@
     let node = super::settled_id(&disk)?;
     let member = Member {
         id: node,
+        name: settings.name.clone(),
         address: settings.address,
         http: settings.http,
         duty,
@@ -37,7 +42,14 @@
     };
     let place = Place { fleet: settings.fleet, node, address: settings.address };
     let seeds = settings.seeds.clone();
-    let start = DiskStart { member, seeds, chance: rand::random(), loaded: disk.loaded };
+    let start = DiskStart {
+        member,
+        seeds,
+        chance: rand::random(),
+        loaded: disk.loaded,
+        bounds: settings.bounds.clone(),
+        may_found: settings.may_found,
+    };
     Ok((start, place, disk.database))
 }
 
--- a/libraries/topazyard-wire/src/driver/mod.rs
+++ b/libraries/topazyard-wire/src/driver/mod.rs
@@ -4,10 +4,12 @@
 pub mod clock;
 pub mod disked;
 pub mod identity;
+pub mod signals;
 pub mod spawn;
 
 pub use actor::{CallError, Handle};
 pub use clock::Clock;
 pub use disked::{DiskStart, start_with_disk};
 pub use identity::{fresh_id, settled_id};
+pub use signals::{follow_settings, terminated};
 pub use spawn::{Place, StartError, daemon, exit_code, run_process, spawn};
--- a/libraries/topazyard-wire/src/driver/spawn.rs
+++ b/libraries/topazyard-wire/src/driver/spawn.rs
@@ -80,7 +80,10 @@
         .enable_all()
         .build()
         .map_err(|error| StartError::Runtime(error.kind()))?
-        .block_on(work)
+        .block_on(async move {
+            super::signals::outlive_hangups();
+            work.await
+        })
 }
 
 /// Starts a machine with its links, disk and beats on a thread of its own. `make` gives the
--- a/libraries/topazyard-wire/src/message/cohort.rs
+++ b/libraries/topazyard-wire/src/message/cohort.rs
@@ -21,6 +21,8 @@
 pub struct Member {
     /// Its id.
     pub id: NodeId,
+    /// The name its operators know it by, if it has one.
+    pub name: Option<String>,
     /// Where it takes frames.
     pub address: std::net::SocketAddr,
     /// Where it serves HTTP, if it does.
--- a/libraries/topazyard-wire/src/message/operate.rs
+++ b/libraries/topazyard-wire/src/message/operate.rs
@@ -73,6 +73,8 @@
     },
     /// Move everything off a storage node.
     EmptyStorage(NodeId),
+    /// Move everything off the storage node of that name, and retire it once that is done.
+    RetireNamed(String),
     /// Let a storage node host shards again.
     AddStorage(NodeId),
     /// Forget an emptied storage node.
@@ -101,6 +103,8 @@
     ListEngines,
     /// Storage nodes and shards.
     ListStorage,
+    /// How far the retirement of the storage node of that name has come.
+    Retirement(String),
     /// Everything about the fleet.
     FleetState,
     /// What the duty of tuning weights goes by.
--- a/libraries/topazyard-wire/src/state.rs
+++ b/libraries/topazyard-wire/src/state.rs
@@ -101,6 +101,8 @@
     Emptying,
     /// It holds nothing and is given nothing; it is forgotten once it is down.
     Retired,
+    /// Its shards are being moved off, and once they are it is retired.
+    Retiring,
 }
 
 /// A storage node.
--- a/programs/topazyard-control/src/lib.rs
+++ b/programs/topazyard-control/src/lib.rs
@@ -3,9 +3,11 @@
 pub mod engine_load;
 pub mod http;
 pub mod machine;
+pub mod outside;
 pub mod planner;
 pub mod run;
 pub mod tuner;
 
 pub use machine::{ControlCall, ControlMachine, ControlTask};
+pub use outside::{Outside, OwnInterface};
 pub use run::run;
--- a/programs/topazyard-control/src/machine/commands.rs
+++ b/programs/topazyard-control/src/machine/commands.rs
@@ -29,6 +29,7 @@
             Command::ListEngines(engines) => Ok(self.list_engines(engines)),
             Command::PutEngines { text } => self.put_engines(text),
             Command::EmptyStorage(id) => self.empty_storage(*id, now),
+            Command::RetireNamed(name) => self.retire_named(name, now),
             Command::AddStorage(id) => self.add_storage(*id),
             Command::RetireStorage(id) => self.retire_storage(*id),
             Command::SetWeight { epoch, pool, live_percent } => {
@@ -196,6 +197,11 @@
         (changes, done)
     }
 
+    /// Whether a list says anything that the committed one doesn't.
+    pub(super) fn changes_engines(&self, engines: &[topazyard_spec::Engine]) -> bool {
+        !self.list_engines(engines).0.is_empty()
+    }
+
     fn storage(&self, id: NodeId) -> Result<StorageRow, ApiError> {
         let missing = || ApiError::not_run(Code::NotFound).at("node");
         self.pair.copy().get(&storage_key(id)).ok_or_else(missing)
@@ -205,7 +211,7 @@
         let row = self.storage(id)?;
         let view = FleetView::read(self.pair.copy().rows());
         let standings = self.storage_standings(&view, self.serving_since.unwrap_or(now), now);
-        if !crate::planner::has_room_without(&view, &standings, id) {
+        if !crate::planner::has_room_without(&view, &standings, id, 2) {
             return Err(ApiError::not_run(Code::NoRoom).at("node"));
         }
         let row = StorageRow { stage: StorageStage::Emptying, ..row };
@@ -213,6 +219,35 @@
         Ok((vec![RowChange::put(storage_key(id), &row)], done))
     }
 
+    /// Has the storage node of that name emptied and then retired by itself.
+    fn retire_named(&self, name: &str, now: MonotonicMs) -> Judged {
+        let view = FleetView::read(self.pair.copy().rows());
+        let missing = || ApiError::not_run(Code::NotFound).at("node");
+        let id = self.named(&view, name, now).ok_or_else(missing)?;
+        let row = self.storage(id)?;
+        let done = serde_json::json!({ "node": id, "stage": StorageStage::Retiring });
+        match row.stage {
+            StorageStage::Retired => return Ok((Vec::new(), done)),
+            StorageStage::Retiring => return Err(ApiError::not_run(Code::WrongState).at("node")),
+            StorageStage::Active | StorageStage::Emptying => {}
+        }
+        let standings = self.storage_standings(&view, self.serving_since.unwrap_or(now), now);
+        let left = usize::from(self.bounds.lost_machines) + 1;
+        if !crate::planner::has_room_without(&view, &standings, id, left) {
+            return Err(ApiError::not_run(Code::NoRoom).at("node"));
+        }
+        let row = StorageRow { stage: StorageStage::Retiring, ..row };
+        Ok((vec![RowChange::put(storage_key(id), &row)], done))
+    }
+
+    /// The storage node of that name; of several lives of it the one that is heard.
+    pub(super) fn named(&self, view: &FleetView, name: &str, now: MonotonicMs) -> Option<NodeId> {
+        let named = view.storage.iter().filter(|(_, row)| row.member.name.as_deref() == Some(name));
+        let silence = |id: &NodeId| self.seen.nodes.get(id).map(|seen| now.since(seen.at));
+        let unheard = topazyard_types::DurationMs(u64::MAX);
+        named.min_by_key(|(id, _)| silence(id).unwrap_or(unheard)).map(|(id, _)| *id)
+    }
+
     fn add_storage(&self, id: NodeId) -> Judged {
         let row = match self.storage(id) {
             Ok(row) => row,
--- a/programs/topazyard-control/src/machine/core.rs
+++ b/programs/topazyard-control/src/machine/core.rs
@@ -72,9 +72,11 @@
         self.found_if_due(now, out);
     }
 
-    /// The first seed founds a fleet once all three seeds hear each other and none knows of one.
+    /// The first seed founds a fleet once all seeds hear each other and none knows of one. A node
+    /// whose disk was lost, or that was added later, may not.
     fn found_if_due(&mut self, now: MonotonicMs, out: &mut Out) {
-        if self.witness.record().is_some() || self.seeds.first() != Some(&self.me.address) {
+        let is_first = self.seeds.first() == Some(&self.me.address);
+        if !self.may_found || !is_first || self.witness.record().is_some() {
             return;
         }
         let mut witnesses = vec![self.me];
@@ -88,8 +90,9 @@
             let Some(heard) = found else { return };
             witnesses.push(heard.node);
         }
-        let record =
-            EpochRecord { epoch: Epoch(1), primary: self.me, backup: witnesses[1], witnesses };
+        // A pair needs two: a single node can't acknowledge anything.
+        let Some(backup) = witnesses.get(1).copied() else { return };
+        let record = EpochRecord { epoch: Epoch(1), primary: self.me, backup, witnesses };
         self.learn_record(&record, now, out);
     }
 
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod core;
 mod feed;
+mod listing;
 mod operate;
 mod queries;
 mod tuning;
@@ -26,6 +27,10 @@
     Operate(Operate),
     /// What engines said of their load.
     Loads(Vec<crate::tuner::EngineLoad>),
+    /// The platform's whole list of engines, if it could be read.
+    Engines(Option<Vec<topazyard_spec::Engine>>),
+    /// The settings name other control nodes now.
+    Seeds(Vec<std::net::SocketAddr>),
 }
 
 /// What a control node begins outside.
@@ -33,6 +38,8 @@
 pub enum ControlTask {
     /// Ask engines for their load and report it.
     AskLoads(Vec<topazyard_spec::Engine>),
+    /// Read the platform's list of engines and report it.
+    ListEngines,
 }
 
 /// The effects of a control node.
@@ -43,6 +50,7 @@
     pub(crate) me: CoreNode,
     pub(crate) life: topazyard_types::Life,
     pub(crate) seeds: Vec<std::net::SocketAddr>,
+    pub(crate) bounds: topazyard_spec::Bounds,
     pub(crate) cohort: Cohort,
     pub(crate) witness: Witness,
     pub(crate) pair: Pair,
@@ -55,6 +63,9 @@
     pub(crate) operate: operate::OperateInbox,
     pub(crate) seen: vitals::Seen,
     tuning: tuning::Tuning,
+    listing: listing::Listing,
+    /// Whether this node may be the first of a new fleet.
+    pub(crate) may_found: bool,
     pub(crate) serving_since: Option<MonotonicMs>,
     after_write: std::collections::BTreeMap<u64, Vec<AfterWrite>>,
     last_write: u64,
@@ -90,6 +101,9 @@
     /// A control node as it starts.
     pub fn new(mut start: DiskStart, now: MonotonicMs) -> (Self, Out) {
         let me = CoreNode { id: start.member.id, address: start.member.address };
+        // A disk that holds anything of a fleet is no beginning.
+        let held = |group| start.loaded.get(&group).is_some_and(|rows| !rows.is_empty());
+        let may_found = start.may_found && !held(Group::Control) && !held(Group::Witness);
         let copy = Copy::loaded(start.loaded.remove(&Group::Control).unwrap_or_default());
         let witness_rows = start.loaded.remove(&Group::Witness).unwrap_or_default();
         let remembered = start.remembered();
@@ -100,6 +114,7 @@
             life,
             cohort: Cohort::new(start.member, ask, start.chance),
             seeds: start.seeds,
+            bounds: start.bounds,
             witness: Witness::loaded(&witness_rows),
             pair: Pair::new(Group::Control, true, copy, life),
             core: core::CoreView::default(),
@@ -113,6 +128,8 @@
             operate: operate::OperateInbox::new(life),
             seen: vitals::Seen::default(),
             tuning: tuning::Tuning::default(),
+            listing: listing::Listing::default(),
+            may_found,
             serving_since: None,
             after_write: std::collections::BTreeMap::new(),
             last_write: 0,
@@ -265,6 +282,7 @@
         self.take_pair(outputs, now, out);
         self.operate_beat(now, out);
         self.tuning_beat(now, out);
+        self.listing_beat(now, out);
         if !self.pair.is_serving() {
             self.serving_since = None;
         }
@@ -322,6 +340,13 @@
                 self.take_operate(operate::Origin::Local(call), request, now, &mut out);
             }
             Input::Call { request: ControlCall::Loads(loads), .. } => self.take_loads(loads, now),
+            Input::Call { request: ControlCall::Engines(list), .. } => {
+                self.take_list(list, now, &mut out);
+            }
+            Input::Call { request: ControlCall::Seeds(seeds), .. } => {
+                self.seeds.clone_from(&seeds);
+                self.cohort.take_seeds(seeds);
+            }
             Input::Frame { sender, from, message } => match message {
                 Message::Cohort(message) => {
                     let outgoing = self.cohort.receive(from, message, now);
--- a/programs/topazyard-control/src/machine/operate.rs
+++ b/programs/topazyard-control/src/machine/operate.rs
@@ -23,6 +23,8 @@
     Passed(std::net::SocketAddr, u64),
     /// This node's own duty of tuning weights.
     Tuner,
+    /// This node's own duty of reading the list of engines.
+    Listing,
 }
 
 #[derive(Debug)]
@@ -126,6 +128,8 @@
     ) {
         out.push(match origin {
             Origin::Tuner => return self.tuner_told(&outcome, now, out),
+            // The next list says it again.
+            Origin::Listing => return,
             Origin::Local(call) => Effect::Return { call, value: outcome },
             Origin::Passed(to, id) => Effect::Send {
                 to,
--- a/programs/topazyard-control/src/machine/queries.rs
+++ b/programs/topazyard-control/src/machine/queries.rs
@@ -5,7 +5,9 @@
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::feed::Vitals;
 use topazyard_wire::message::operate::{OperateOutcome, Query};
-use topazyard_wire::state::{FleetView, IN_FORCE, InForceRow, SPECS, SpecRow, spec_key};
+use topazyard_wire::state::{
+    FleetView, IN_FORCE, InForceRow, SPECS, SpecRow, StorageStage, spec_key,
+};
 
 impl ControlMachine {
     pub(super) fn query(&self, query: &Query, now: MonotonicMs) -> OperateOutcome {
@@ -18,6 +20,7 @@
                 Some(serde_json::json!({ "engines": view.engines.values().collect::<Vec<_>>() }))
             }
             Query::ListStorage => Some(self.list_storage(now)),
+            Query::Retirement(name) => return self.retirement(name, now),
             Query::FleetState => Some(self.fleet_state(now)),
             Query::Load => self.load(),
         };
@@ -27,6 +30,17 @@
         }
     }
 
+    /// How far a retirement has come: `active` or `completed`.
+    fn retirement(&self, name: &str, now: MonotonicMs) -> OperateOutcome {
+        let view = FleetView::read(self.pair.copy().rows());
+        let row = self.named(&view, name, now).and_then(|id| view.storage.get(&id));
+        match row.map(|row| row.stage) {
+            None => OperateOutcome::Refused(ApiError::not_run(Code::NotFound).at("node")),
+            Some(StorageStage::Retired) => OperateOutcome::Done(r#"{"state":"completed"}"#.into()),
+            Some(_) => OperateOutcome::Done(r#"{"state":"active"}"#.into()),
+        }
+    }
+
     /// The source of the spec in force, as it came.
     fn read_source(&self) -> OperateOutcome {
         let copy = self.pair.copy();
@@ -85,6 +99,7 @@
                 });
                 serde_json::json!({
                     "node": id,
+                    "name": row.member.name,
                     "address": row.member.address,
                     "domain": row.member.domain,
                     "stage": row.stage,
@@ -123,6 +138,7 @@
             .map(|known| {
                 serde_json::json!({
                     "node": known.news.member.id,
+                    "name": known.news.member.name,
                     "address": known.news.member.address,
                     "http": known.news.member.http,
                     "duty": known.news.member.duty,
--- a/programs/topazyard-control/src/main.rs
+++ b/programs/topazyard-control/src/main.rs
@@ -11,5 +11,7 @@
 }
 
 fn main() -> std::process::ExitCode {
-    topazyard_wire::driver::daemon(Flags::parse().settings, topazyard_control::run)
+    topazyard_wire::driver::daemon(Flags::parse().settings, |settings| {
+        topazyard_control::run(settings, topazyard_control::OwnInterface)
+    })
 }
--- a/programs/topazyard-control/src/planner.rs
+++ b/programs/topazyard-control/src/planner.rs
@@ -114,12 +114,17 @@
     [Some(record.primary), record.backup, record.fallback, record.learner].into_iter().flatten()
 }
 
-/// Whether every shard could be kept on two nodes that work if this one were emptied.
-pub fn has_room_without(view: &FleetView, standings: &Standings, id: NodeId) -> bool {
-    let mut others = view.storage.iter().filter(|(other, row)| {
+/// Whether so many nodes that work would be left to keep shards on if this one were emptied.
+pub fn has_room_without(
+    view: &FleetView,
+    standings: &Standings,
+    id: NodeId,
+    needed: usize,
+) -> bool {
+    let others = view.storage.iter().filter(|(other, row)| {
         **other != id && row.stage == StorageStage::Active && standings.works(**other)
     });
-    others.next().is_some() && others.next().is_some()
+    others.count() >= needed
 }
 
 /// What should change now.
@@ -159,6 +164,12 @@
             changes.push(RowChange::put(storage_key(*id), &row));
         }
     }
+    for (id, row) in &view.storage {
+        if row.stage == StorageStage::Retiring && hosted(view, *id) == 0 {
+            let row = StorageRow { stage: StorageStage::Retired, ..row.clone() };
+            changes.push(RowChange::put(storage_key(*id), &row));
+        }
+    }
     for id in view.storage.keys() {
         if standings.down.contains(id) && hosted(view, *id) == 0 {
             changes.push(RowChange::gone(storage_key(*id)));
--- a/programs/topazyard-control/tests/placement.rs
+++ b/programs/topazyard-control/tests/placement.rs
@@ -8,6 +8,7 @@
 fn member(id: u64, domain: &str) -> Member {
     Member {
         id: NodeId(id),
+        name: None,
         address: std::net::SocketAddr::from(([127, 0, 0, 1], id as u16)),
         http: None,
         duty: Duty::Storage,
--- a/programs/topazyard-edge-agent/src/lib.rs
+++ b/programs/topazyard-edge-agent/src/lib.rs
@@ -3,5 +3,5 @@
 pub mod machine;
 pub mod run;
 
-pub use machine::{AgentMachine, Start};
+pub use machine::{AgentCall, AgentMachine, Start};
 pub use run::run;
--- a/programs/topazyard-edge-agent/src/machine.rs
+++ b/programs/topazyard-edge-agent/src/machine.rs
@@ -17,12 +17,19 @@
 
 type Out = Vec<Effect<(), topazyard_wire::machine::NoTask>>;
 
+/// What may be asked of an agent from within its process.
+#[derive(Debug)]
+pub enum AgentCall {
+    /// The settings name other control nodes now.
+    Seeds(Vec<std::net::SocketAddr>),
+}
+
 /// From what an agent starts.
 #[derive(Debug)]
 pub struct Start {
     /// Who and where it is; its HTTP is the relay's.
     pub member: Member,
-    /// The three seeds.
+    /// Control nodes to begin with.
     pub seeds: Vec<std::net::SocketAddr>,
     /// What its data folder remembers, if it has one.
     pub remembered: Option<Remembered>,
@@ -64,8 +71,8 @@
     /// use topazyard_edge_agent::{AgentMachine, Start};
     /// use topazyard_wire::message::cohort::{Duty, Member};
     /// let at = |port| std::net::SocketAddr::from(([127, 0, 0, 1], port));
-    /// let member = Member { id: topazyard_types::NodeId(1), address: at(1), http: Some(at(2)),
-    ///     duty: Duty::Edge, domain: "north".into() };
+    /// let member = Member { id: topazyard_types::NodeId(1), name: None, address: at(1),
+    ///     http: Some(at(2)), duty: Duty::Edge, domain: "north".into() };
     /// let start = Start { member, seeds: vec![at(3), at(4), at(5)], remembered: None,
     ///     relay: at(6), chance: 1 };
     /// AgentMachine::new(start);
@@ -151,6 +158,13 @@
         }
     }
 
+    /// Asks the seeds named now, besides every control node that it knows of.
+    fn take_seeds(&mut self, seeds: Vec<std::net::SocketAddr>) {
+        let new = seeds.iter().filter(|seed| !self.sources.contains(seed)).copied();
+        self.sources.extend(new.collect::<Vec<_>>());
+        self.cohort.take_seeds(seeds);
+    }
+
     fn beat(&mut self, now: MonotonicMs, out: &mut Out) {
         for address in self.cohort.addresses(Duty::Control) {
             if !self.sources.contains(&address) {
@@ -181,11 +195,11 @@
 }
 
 impl Machine for AgentMachine {
-    type Call = ();
+    type Call = AgentCall;
     type Return = ();
     type Task = topazyard_wire::machine::NoTask;
 
-    fn step(&mut self, input: Input<()>, now: MonotonicMs) -> Out {
+    fn step(&mut self, input: Input<AgentCall>, now: MonotonicMs) -> Out {
         let mut out = Vec::new();
         match input {
             Input::Beat => self.beat(now, &mut out),
@@ -198,7 +212,8 @@
             Input::Frame { from, message: Message::Feed(message), .. } => {
                 self.receive_feed(from, message, now, &mut out);
             }
-            Input::Frame { .. } | Input::Written(_) | Input::Call { .. } => {}
+            Input::Call { request: AgentCall::Seeds(seeds), .. } => self.take_seeds(seeds),
+            Input::Frame { .. } | Input::Written(_) => {}
         }
         out
     }
--- a/programs/topazyard-edge-agent/src/run.rs
+++ b/programs/topazyard-edge-agent/src/run.rs
@@ -17,6 +17,7 @@
     let start = crate::Start {
         member: Member {
             id: node,
+            name: settings.name.clone(),
             address: settings.address,
             http: settings.http,
             duty: Duty::Edge,
@@ -32,8 +33,16 @@
     topazyard_wire::driver::run_process(async move {
         let (tasks, _no_tasks) = tokio::sync::mpsc::channel(1);
         let make = |_| (crate::AgentMachine::new(start), Vec::new());
-        let _handle =
+        let handle =
             topazyard_wire::driver::spawn(make, place, disk.map(|disk| disk.database), tasks)?;
-        std::future::pending().await
+        let follow = topazyard_wire::driver::follow_settings(settings, |told| {
+            handle.tell(crate::AgentCall::Seeds(told.seeds));
+        });
+        tokio::select! {
+            biased;
+            () = topazyard_wire::driver::terminated() => {}
+            () = follow => {}
+        }
+        Ok(())
     })
 }
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -27,6 +27,8 @@
 /// What may be asked of a storage node from within its process.
 #[derive(Debug)]
 pub enum StorageCall {
+    /// The settings name other control nodes now.
+    Seeds(Vec<std::net::SocketAddr>),
     /// How does it fare?
     Vitals,
 }
@@ -279,6 +281,10 @@
                     }
                 }
             },
+            Input::Call { request: StorageCall::Seeds(seeds), .. } => {
+                self.follower.learn_sources(seeds.iter().copied());
+                self.cohort.take_seeds(seeds);
+            }
             Input::Call { call, request: StorageCall::Vitals } => {
                 out.push(Effect::Return { call, value: self.own_vitals(now) });
             }
--- a/programs/topazyard-storage/src/run.rs
+++ b/programs/topazyard-storage/src/run.rs
@@ -13,17 +13,22 @@
         let (tasks, _no_tasks) = tokio::sync::mpsc::channel(1);
         let make = |_| (crate::StorageMachine::new(start), Vec::new());
         let handle = topazyard_wire::driver::spawn(make, place, Some(database), tasks)?;
-        match settings.http {
-            None => std::future::pending().await,
-            Some(http) => {
-                let listener = topazyard_wire::http::inward::bind(http).await?;
-                topazyard_wire::http::inward::serve(listener, move |request| {
-                    answer(handle.clone(), request)
-                })
-                .await;
-                Ok(())
-            }
+        let vitals = handle.clone();
+        if let Some(http) = settings.http {
+            let listener = topazyard_wire::http::inward::bind(http).await?;
+            tokio::spawn(topazyard_wire::http::inward::serve(listener, move |request| {
+                answer(vitals.clone(), request)
+            }));
         }
+        let follow = topazyard_wire::driver::follow_settings(settings, |told| {
+            handle.tell(crate::machine::StorageCall::Seeds(told.seeds));
+        });
+        tokio::select! {
+            biased;
+            () = topazyard_wire::driver::terminated() => {}
+            () = follow => {}
+        }
+        Ok(())
     })
 }
 
