--- a/libraries/topazyard-wire/src/driver/spawn.rs
+++ b/libraries/topazyard-wire/src/driver/spawn.rs
@@ -82,7 +82,12 @@
         true => tokio::runtime::Builder::new_current_thread(),
         false => tokio::runtime::Builder::new_multi_thread(),
     };
-    builder.enable_all().build().map_err(|error| StartError::Runtime(error.kind()))?.block_on(work)
+    let runtime =
+        builder.enable_all().build().map_err(|error| StartError::Runtime(error.kind()))?;
+    runtime.block_on(async move {
+        super::signals::outlive_hangups();
+        work.await
+    })
 }
 
 /// Starts a machine with its links, disk and beats on a thread of its own. `make` gives the
