--- a/libraries/topazyard-wire/src/http/inward.rs
+++ b/libraries/topazyard-wire/src/http/inward.rs
@@ -21,8 +21,19 @@
         .map_err(|error| crate::driver::StartError::Address(address, error.kind()))
 }
 
-/// Tells servers to end in order: no connection is kept after what is under way on it.
-pub type Drain = tokio::sync::watch::Receiver<bool>;
+/// How far a server is on its way to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// It serves.
+    Serving,
+    /// It serves, and keeps no connection after a response on it.
+    Closing,
+    /// It closes each connection as soon as nothing is under way on it.
+    Ending,
+}
+
+/// Tells servers how far they are on their way to their end.
+pub type Drain = tokio::sync::watch::Receiver<Stage>;
 
 /// Serves for ever. When a caller goes away, the future that works for it is dropped.
 pub async fn serve<F, R>(listener: tokio::net::TcpListener, handle: F)
@@ -30,12 +41,12 @@
     F: Fn(hyper::Request<hyper::body::Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = hyper::Response<super::Body>> + Send + 'static,
 {
-    let (_never, drain) = tokio::sync::watch::channel(false);
+    let (_never, drain) = tokio::sync::watch::channel(Stage::Serving);
     serve_draining(listener, handle, drain).await;
 }
 
-/// Serves for ever; once told to drain it goes on taking connections, but keeps none after what is
-/// under way on it.
+/// Serves for ever, and closes connections as it is told to. Whoever ends a process lets its clients
+/// be sent elsewhere first: an idle connection that is closed may meet a request on its way.
 pub async fn serve_draining<F, R>(listener: tokio::net::TcpListener, handle: F, drain: Drain)
 where
     F: Fn(hyper::Request<hyper::body::Incoming>) -> R + Clone + Send + Sync + 'static,
@@ -67,7 +78,7 @@
         let drains = drains.clone();
         async move {
             let mut response = returned.await;
-            if *drains.borrow() {
+            if *drains.borrow() > Stage::Serving {
                 let close = hyper::header::HeaderValue::from_static("close");
                 response.headers_mut().insert(hyper::header::CONNECTION, close);
             }
@@ -82,7 +93,7 @@
     // A cut return ends here as an error, by which the caller's connection breaks.
     tokio::select! {
         ended = &mut served => return drop(ended),
-        told = async { drain.wait_for(|drains| *drains).await.is_ok() } => {
+        told = async { drain.wait_for(|stage| *stage == Stage::Ending).await.is_ok() } => {
             if !told {
                 // Nobody is left who could tell.
                 return drop(served.await);
--- a/libraries/topazyard-wire/src/log/mod.rs
+++ b/libraries/topazyard-wire/src/log/mod.rs
@@ -2,4 +2,4 @@
 
 pub mod ring;
 
-pub use ring::start;
+pub use ring::{start, to_output};
--- a/libraries/topazyard-wire/src/log/ring.rs
+++ b/libraries/topazyard-wire/src/log/ring.rs
@@ -5,6 +5,14 @@
 /// Lines that may wait for the owner thread.
 const INBOX: usize = 4_096;
 
+/// Whether each line also goes to standard output as it comes.
+static TO_OUTPUT: std::sync::atomic::AtomicBool = std::sync::atomic::AtomicBool::new(false);
+
+/// Lets each line go to standard output too, as it comes.
+pub fn to_output() {
+    TO_OUTPUT.store(true, std::sync::atomic::Ordering::Relaxed);
+}
+
 struct Line {
     grave: bool,
     text: String,
@@ -30,8 +38,11 @@
         let level = record.level().as_str();
         let line = Line {
             grave: matches!(record.level(), spdlog::Level::Critical | spdlog::Level::Error),
-            text: format!("{at_ms} {level} {}", record.payload()),
+            text: format!("at_ms={at_ms} level={level} {}", record.payload()),
         };
+        if TO_OUTPUT.load(std::sync::atomic::Ordering::Relaxed) {
+            println!("{}", line.text);
+        }
         // A full inbox drops the line: logging never holds work up.
         let _ = self.sender.try_send(line);
         Ok(())
--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -46,7 +46,7 @@
         let handle = topazyard_wire::driver::spawn(make, place, None, tasks)?;
         tokio::spawn(crate::front::tasks::run(handle.clone(), begun));
         tokio::spawn(sweep());
-        let (drain, drains) = tokio::sync::watch::channel(false);
+        let (drain, drains) = tokio::sync::watch::channel(inward::Stage::Serving);
         let linger = match &front {
             Front::Own => std::time::Duration::ZERO,
             Front::Routes { still_sent, .. } => *still_sent,
@@ -97,7 +97,7 @@
 /// Waits for SIGTERM, then until nothing is under way any more and nobody is sent here.
 async fn drained(
     handle: &Handle,
-    drain: &tokio::sync::watch::Sender<bool>,
+    drain: &tokio::sync::watch::Sender<inward::Stage>,
     linger: std::time::Duration,
     grace: std::time::Duration,
 ) {
@@ -112,13 +112,16 @@
     if handle.call(RelayCall::Drain).await.is_err() {
         return;
     }
-    let _ = drain.send(true);
+    let _ = drain.send(inward::Stage::Closing);
     while begun.elapsed() < grace {
         tokio::time::sleep(std::time::Duration::from_millis(DRAIN_LOOK_MS)).await;
         match handle.call(RelayCall::Vitals).await {
             Ok(RelayReturn::Vitals(v)) if v.under_way() => {}
             Ok(_) if begun.elapsed() < linger => {}
-            _ => return,
+            _ => break,
         }
     }
+    // What is idle is closed in order; what came in that moment is answered.
+    let _ = drain.send(inward::Stage::Ending);
+    tokio::time::sleep(std::time::Duration::from_millis(DRAIN_LOOK_MS)).await;
 }
