Grant blocks from half the limit while the counter gathers what it lost

Cause: after all machines lost power the relays served nothing for 3.5 s more than control and the shards, since a counter that lost both holders gathers first. Ruled out: a shorter gathering, since a relay may hold unaware.

--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -279,7 +279,7 @@
     /// Why neither lanes nor routes could be served now, if so.
     fn cut_off_from_all(&self, now: MonotonicMs) -> Option<Code> {
         let has_routes = self.view.routes.iter().next().is_some();
-        if has_routes && now < self.routes_until() && now < self.blocks_until() {
+        if has_routes && now < self.routes_until() && !self.requests.unanswered(now) {
             return None;
         }
         self.cut_off(now)
--- a/programs/topazyard-relay/src/machine/requests.rs
+++ b/programs/topazyard-relay/src/machine/requests.rs
@@ -23,6 +23,8 @@
 const HOLDS_FOR: DurationMs = DurationMs(200);
 /// How often a block is asked for again while requests wait.
 const ASK_EVERY: DurationMs = DurationMs(40);
+/// After how long without an answer the counter counts as out of reach.
+const COUNTER_SILENT: DurationMs = DurationMs(500);
 /// After how long a block that nothing needs is let go.
 const IDLE_BLOCK: DurationMs = DurationMs(2_000);
 /// A block is this part of the pool's budget, or one request's cost where that is more.
@@ -112,10 +114,10 @@
 struct Room {
     /// What its requests hold.
     used: Tokens,
-    /// Blocks that the counter granted.
-    blocks: std::collections::BTreeMap<HoldId, Tokens>,
-    /// A block that was asked for.
-    asked: Option<(HoldId, Tokens)>,
+    /// Blocks that the counter granted, and when each was asked for.
+    blocks: std::collections::BTreeMap<HoldId, (Tokens, MonotonicMs)>,
+    /// A block that was asked for, and when.
+    asked: Option<(HoldId, Tokens, MonotonicMs)>,
     refused: bool,
     last_ask: Option<MonotonicMs>,
     spare_since: Option<MonotonicMs>,
@@ -124,12 +126,10 @@
 }
 
 impl Room {
-    fn granted(&self) -> Tokens {
-        self.blocks.values().copied().sum()
-    }
-
-    fn fits(&self, charge: Tokens) -> bool {
-        self.used.plus(charge) <= self.granted()
+    /// What the blocks hold that may be used: those asked for, or renewed, after that moment.
+    fn granted(&self, renewed: MonotonicMs, oldest: MonotonicMs) -> Tokens {
+        let stands = |asked: &MonotonicMs| renewed.max(*asked) > oldest;
+        self.blocks.values().filter(|(_, asked)| stands(asked)).map(|(block, _)| *block).sum()
     }
 }
 
@@ -150,7 +150,13 @@
     }
 
     pub(crate) fn asks(&self, id: HoldId) -> bool {
-        self.rooms.values().any(|room| room.asked.is_some_and(|(asked, _)| asked == id))
+        self.rooms.values().any(|room| room.asked.is_some_and(|(asked, ..)| asked == id))
+    }
+
+    /// Whether the counter leaves an asking unanswered.
+    pub(crate) fn unanswered(&self, now: MonotonicMs) -> bool {
+        let late = |at: MonotonicMs| now.since(at) >= COUNTER_SILENT;
+        self.rooms.values().any(|room| room.asked.is_some_and(|(_, _, at)| late(at)))
     }
 }
 
@@ -259,7 +265,7 @@
 
     /// Gives room to those that wait, in order, and asks for more where it doesn't do.
     fn serve_room(&mut self, pool: &PoolName, now: MonotonicMs, out: &mut Out) {
-        let may_use = now < self.blocks_until();
+        let (renewed, oldest) = self.blocks_since(now);
         loop {
             let Some(room) = self.requests.rooms.get_mut(pool) else { return };
             let Some(id) = room.queue.front().copied() else { return };
@@ -267,7 +273,7 @@
                 room.queue.pop_front();
                 continue;
             };
-            if !may_use || !room.fits(entry.charge) {
+            if room.used.plus(entry.charge) > room.granted(renewed, oldest) {
                 let charge = entry.charge;
                 return self.ask_for_block(pool, charge, now, out);
             }
@@ -293,10 +299,12 @@
         }
     }
 
-    /// Until when blocks may be used: their counter takes them back only after that.
-    pub(super) fn blocks_until(&self) -> MonotonicMs {
-        let margin = DurationMs(self.block_expiry.0 - self.block_expiry.0 / 8);
-        self.counting.leased_from().map_or(MonotonicMs(0), |from| from.plus(margin))
+    /// When blocks were last renewed, and since when one must have been asked for or renewed to be
+    /// used: its counter takes it back only later.
+    fn blocks_since(&self, now: MonotonicMs) -> (MonotonicMs, MonotonicMs) {
+        let stands = self.block_expiry.0 - self.block_expiry.0 / 8;
+        let renewed = self.counting.leased_from().unwrap_or(MonotonicMs(0));
+        (renewed, MonotonicMs(now.0.saturating_sub(stands)))
     }
 
     fn ask_for_block(&mut self, pool: &PoolName, least: Tokens, now: MonotonicMs, out: &mut Out) {
@@ -314,7 +322,7 @@
         room.last_ask = Some(now);
         let id = self.ask_hold(pool.clone(), block, HoldKind::Block, now, out);
         if let Some(room) = self.requests.rooms.get_mut(pool) {
-            room.asked = Some((id, block));
+            room.asked = Some((id, block, now));
         }
     }
 
@@ -327,10 +335,10 @@
         out: &mut Out,
     ) {
         let found = self.requests.rooms.iter_mut().find_map(|(pool, room)| {
-            let (_, block) = room.asked.take_if(|(asked, _)| *asked == id)?;
+            let (_, block, asked_at) = room.asked.take_if(|(asked, ..)| *asked == id)?;
             room.refused = !granted;
             if granted {
-                room.blocks.insert(id, block);
+                room.blocks.insert(id, (block, asked_at));
             }
             Some(pool.clone())
         });
@@ -436,7 +444,7 @@
     /// Those that waited as long as it makes sense get their final answer at once.
     fn give_up_waiting(&mut self, now: MonotonicMs, out: &mut Out) {
         let stale = now >= self.routes_until();
-        let no_counter = now >= self.blocks_until();
+        let no_counter = self.requests.unanswered(now);
         let mut late = Vec::new();
         for room in self.requests.rooms.values_mut() {
             let refused = room.refused;
@@ -468,14 +476,15 @@
     fn let_block_go(&mut self, pool: &PoolName, now: MonotonicMs, out: &mut Out) {
         let is_known = self.view.spec.as_ref().is_some_and(|(_, b)| b.pool(pool).is_some());
         let Some(room) = self.requests.rooms.get_mut(pool) else { return };
-        let largest = room.blocks.iter().max_by_key(|(_, block)| **block);
-        let Some((id, block)) = largest.map(|(id, block)| (*id, *block)) else {
+        let largest = room.blocks.iter().max_by_key(|(_, (block, _))| *block);
+        let Some((id, block)) = largest.map(|(id, (block, _))| (*id, *block)) else {
             if !is_known && room.queue.is_empty() && room.used == Tokens(0) {
                 self.requests.rooms.remove(pool);
             }
             return;
         };
-        let spare = room.granted().0.saturating_sub(room.used.0);
+        let granted = room.granted(MonotonicMs(u64::MAX), now);
+        let spare = granted.0.saturating_sub(room.used.0);
         // Twice what is let go stays spare, so that a usual swing asks for nothing.
         let keeps = if is_known && room.used > Tokens(0) { 3 } else { 1 };
         if spare < block.0 * keeps {
--- a/programs/topazyard-storage/src/counter/mod.rs
+++ b/programs/topazyard-storage/src/counter/mod.rs
@@ -16,6 +16,9 @@
 /// within that time, and the leases of all others have run out.
 const GATHER: DurationMs = DurationMs(3_500);
 
+/// The part of the limit, in percent, from which blocks are granted while holds are gathered.
+const GATHERING_PERCENT: u64 = 50;
+
 #[derive(Debug, Clone)]
 struct Held {
     hold: Hold,
@@ -113,13 +116,17 @@
         if self.held.contains_key(&(relay, hold.id)) {
             return Checked::Added(Vec::new());
         }
-        if self.is_gathering(now) {
+        let gathering = self.is_gathering(now);
+        if gathering && hold.kind != HoldKind::Block {
             return Checked::Gathering;
         }
         let limit = hold.terms.limit;
         let used = self.used(&hold.pool, None);
         let charge = Tokens(hold.cost.0.min(limit.0));
-        let fits = limit > Tokens(0) && used.plus(charge) <= limit;
+        // What relays hold from before is told within moments; until all have, blocks are granted
+        // from a part of the limit, so that service after the loss of both holders does not wait.
+        let room = if gathering { Tokens(limit.0 * GATHERING_PERCENT / 100) } else { limit };
+        let fits = limit > Tokens(0) && used.plus(charge) <= room;
         let within_part = match hold.kind {
             HoldKind::Live | HoldKind::Block => true,
             HoldKind::Item => {
