--- a/fleet-simulator/src/people/parcels.rs
+++ b/fleet-simulator/src/people/parcels.rs
@@ -138,6 +138,7 @@
                     body: work.body.clone(),
                     repeatable: work.repeatable,
                     cost: Tokens(work.cost),
+                    directions: None,
                 });
                 RelayCall::Submit(id, items.collect())
             }
@@ -217,6 +218,7 @@
                 ItemEnd::OutcomeUnknown => ("outcome unknown".to_owned(), None),
                 ItemEnd::Recalled => ("recalled".to_owned(), None),
                 ItemEnd::Ended => ("ended".to_owned(), None),
+                ItemEnd::Abandoned => ("abandoned".to_owned(), None),
             };
             let item = item_return.item.0 + u32::from(changes);
             visitor.page.push(ListedReturn { position: item_return.position, item, text, body });
--- a/fleet-simulator/src/world/nodes.rs
+++ b/fleet-simulator/src/world/nodes.rs
@@ -189,13 +189,17 @@
         let mut first = Vec::new();
         let body = match kind {
             Kind::Control => {
-                let start = DiskStart { member, seeds, chance, loaded };
+                let bounds = topazyard_spec::Bounds::default();
+                let resources = topazyard_spec::Resources::default();
+                let start = DiskStart { member, seeds, chance, loaded, bounds, resources };
                 let (machine, effects) = ControlMachine::new(start, now);
                 first = effects;
                 Body::Control(Box::new(machine))
             }
             Kind::Storage => {
-                let start = DiskStart { member, seeds, chance, loaded };
+                let bounds = topazyard_spec::Bounds::default();
+                let resources = topazyard_spec::Resources::default();
+                let start = DiskStart { member, seeds, chance, loaded, bounds, resources };
                 Body::Storage(Box::new(StorageMachine::new(start)))
             }
             Kind::Agent => {
@@ -210,7 +214,11 @@
                 Body::Agent(Box::new(AgentMachine::new(start)))
             }
             Kind::Relay => {
-                let start = topazyard_relay::Start { node: id, agent: beside };
+                let start = topazyard_relay::Start {
+                    node: id,
+                    agent: beside,
+                    bounds: topazyard_spec::Bounds::default(),
+                };
                 Body::Relay(Box::new(RelayMachine::new(&start)))
             }
         };
@@ -490,6 +498,8 @@
         let life = self.nodes[index.0].life;
         match task {
             RelayTask::RunItem { run, target, body } => self.begin_item(index, run, target, body),
+            // Nobody here hands in routed items.
+            RelayTask::RunRouted(_) => {}
             RelayTask::Look(target) => {
                 let is_well = self.engine_takes_looks(&target.engine);
                 let us = if is_well { 2 * self.way() } else { 800_000 };
--- a/libraries/topazyard-types/src/ids.rs
+++ b/libraries/topazyard-types/src/ids.rs
@@ -148,4 +148,22 @@
         let shard = ShardId((digest as u64 % u64::from(ShardId::PARCEL_SHARDS)) as u16 + 1);
         Self { shard, number }
     }
+
+    /// The id of a batch that was handed in for a host under the caller's own id. All batches of
+    /// a host share a shard, so that one owner counts what waits on the host's routes.
+    ///
+    /// ```
+    /// use topazyard_types::ParcelId;
+    /// let id = ParcelId::of_host("a.example", "7c41e09b52d6a3f8");
+    /// assert_eq!(id.number, 0x7c41_e09b_52d6_a3f8);
+    /// assert_eq!(id.shard, ParcelId::of_host("a.example", "other").shard);
+    /// ```
+    pub fn of_host(host: &str, id: &str) -> Self {
+        let digest = crate::Digest::of(&[host.as_bytes()]).0;
+        let shard = ShardId((digest as u64 % u64::from(ShardId::PARCEL_SHARDS)) as u16 + 1);
+        let is_hex = (1..=16).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = u64::from_str_radix(id, 16).ok().filter(|_| is_hex);
+        let hashed = || (crate::Digest::of(&[id.as_bytes()]).0 >> 64) as u64;
+        Self { shard, number: number.unwrap_or_else(hashed) }
+    }
 }
--- a/libraries/topazyard-wire/src/driver/disked.rs
+++ b/libraries/topazyard-wire/src/driver/disked.rs
@@ -14,6 +14,10 @@
     pub chance: u64,
     /// What its disk held.
     pub loaded: crate::rows::Loaded,
+    /// The bounds of the place that the fleet runs at.
+    pub bounds: topazyard_spec::Bounds,
+    /// What the process may use.
+    pub resources: topazyard_spec::Resources,
 }
 
 /// Opens the data folder, starts the log there and settles who the node is.
@@ -37,7 +41,14 @@
     };
     let place = Place { fleet: settings.fleet, node, address: settings.address };
     let seeds = settings.seeds.clone();
-    let start = DiskStart { member, seeds, chance: rand::random(), loaded: disk.loaded };
+    let start = DiskStart {
+        member,
+        seeds,
+        chance: rand::random(),
+        loaded: disk.loaded,
+        bounds: settings.bounds.clone(),
+        resources: settings.resources.clone(),
+    };
     Ok((start, place, disk.database))
 }
 
--- a/libraries/topazyard-wire/src/message/parcel.rs
+++ b/libraries/topazyard-wire/src/message/parcel.rs
@@ -1,6 +1,8 @@
 //! Parcels: calls that relays make to a shard's primary, and their returns.
 
-use topazyard_types::{Epoch, ItemNumber, ModelName, ParcelId, ShardId, Tokens};
+use topazyard_types::{
+    DurationMs, Epoch, ItemNumber, ModelName, ParcelId, RouteName, ShardId, Tokens,
+};
 
 /// A message to or from a parcel shard's primary, under its epoch.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -38,6 +40,58 @@
     pub repeatable: bool,
     /// Its estimated cost.
     pub cost: Tokens,
+    /// Where a route directs it. An item without directions goes where its model's lane says.
+    pub directions: Option<Directions>,
+}
+
+/// How a routed item is sent to its engine. Such items may always run again.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Directions {
+    /// The caller's own id of the item.
+    pub id: String,
+    /// The path at the engine.
+    pub path: String,
+    /// Headers that go along, name and value.
+    pub headers: Vec<(String, String)>,
+    /// The shared prompt parts that it is built from, in order.
+    pub prefix: Vec<String>,
+}
+
+/// The terms of a batch of routed items, as they stood when it was handed in.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Terms {
+    /// The route that directs its items.
+    pub route: RouteName,
+    /// The host that its requests name.
+    pub host: String,
+    /// How long after it was handed in it is due.
+    pub run_target: DurationMs,
+    /// After how long an item that is not done is given up.
+    pub retention: DurationMs,
+    /// After how many failed attempts an item is given up.
+    pub max_attempts: u32,
+}
+
+/// A batch of routed items as it is handed in.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Batch {
+    /// Its id.
+    pub parcel: ParcelId,
+    /// Its terms.
+    pub terms: Terms,
+    /// Its items, each with directions.
+    pub items: Vec<Item>,
+    /// The ceiling on the route's waiting tokens by the spec in force at the relay; 0 for none.
+    pub ceiling: Tokens,
+}
+
+/// What is known of the output of a run that broke off midway.
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Progress {
+    /// The id of the last event received whole; none before the first.
+    pub last_event: Option<u64>,
+    /// The data of the events received so far, parted by line feeds.
+    pub text: String,
 }
 
 /// One run of one item.
@@ -64,10 +118,21 @@
         /// The engine's body, byte for byte.
         body: bytes::Bytes,
     },
-    /// No byte can have reached an engine.
+    /// No byte can have reached an engine, or the engine said that it did not run it.
     NotRun,
     /// It may have run.
     Unknown,
+    /// A routed item's stream is complete.
+    Done {
+        /// The data of all its events, parted by line feeds.
+        text: String,
+    },
+    /// The engine answered a routed item with a failure of its own.
+    Failed,
+    /// The engine said that the routed item can never be done.
+    Impossible,
+    /// A routed item's stream broke off after these events.
+    Broken(Progress),
 }
 
 /// What a relay may ask.
@@ -82,6 +147,22 @@
         /// The ceiling on waiting work by the spec in force at the relay.
         ceiling: Tokens,
     },
+    /// Take a batch of routed items; the same id again changes nothing.
+    SubmitBatch(Batch),
+    /// A batch's results after a position.
+    Results {
+        /// The batch.
+        parcel: ParcelId,
+        /// Positions up to this are known; 0 asks from the first.
+        after: u32,
+    },
+    /// The body of an item that has no result yet.
+    Body {
+        /// The batch.
+        parcel: ParcelId,
+        /// The caller's own id of the item.
+        id: String,
+    },
     /// How does the parcel stand?
     Read(ParcelId),
     /// Its returns after a position.
@@ -101,6 +182,8 @@
         most: u32,
         /// Models that have a ready engine.
         models: Vec<ModelName>,
+        /// Batch routes that have a ready engine.
+        routes: Vec<RouteName>,
     },
     /// May this run start?
     Start(Run),
@@ -144,6 +227,8 @@
     Recalled,
     /// The parcel ended before it started.
     Ended,
+    /// It was given up: an engine can't do it, too many attempts failed, or its time was over.
+    Abandoned,
 }
 
 /// A final return at its fixed position.
@@ -153,6 +238,8 @@
     pub position: u32,
     /// Of which item.
     pub item: ItemNumber,
+    /// The caller's own id of the item, if it is a routed one.
+    pub id: Option<String>,
     /// How it ended.
     pub end: ItemEnd,
 }
@@ -164,6 +251,10 @@
     pub run: Run,
     /// The item.
     pub item: Item,
+    /// The route and host of a routed item.
+    pub route: Option<(RouteName, String)>,
+    /// What an earlier run of it brought.
+    pub progress: Progress,
 }
 
 /// What a shard's primary returns.
@@ -177,6 +268,15 @@
     Standing(ParcelStanding),
     /// Returns in order.
     Returns(Vec<ItemReturn>),
+    /// A batch's results.
+    Results {
+        /// Items of the batch.
+        total: u32,
+        /// Results in order.
+        results: Vec<ItemReturn>,
+    },
+    /// The body of an item, byte for byte.
+    Body(bytes::Bytes),
     /// There is no such parcel or item.
     Unknown,
     /// The item will never run.
--- a/programs/topazyard-relay/src/front/mod.rs
+++ b/programs/topazyard-relay/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP for visitors.
 
 pub mod engine;
+pub mod items;
 pub mod parcels;
 pub mod read;
 pub mod session;
--- a/programs/topazyard-relay/src/front/parcels.rs
+++ b/programs/topazyard-relay/src/front/parcels.rs
@@ -112,6 +112,7 @@
             body: bytes::Bytes::copy_from_slice(text),
             repeatable: item.repeatable,
             cost,
+            directions: None,
         })
     });
     items.collect()
@@ -144,6 +145,8 @@
         ParcelReturn::Unknown => Err(ApiError::not_run(Code::NotFound).at("parcel")),
         ParcelReturn::CeilingReached => Err(ApiError::not_run(Code::ParcelCeiling)),
         ParcelReturn::Leased(_)
+        | ParcelReturn::Results { .. }
+        | ParcelReturn::Body(_)
         | ParcelReturn::MayStart(_)
         | ParcelReturn::Noted
         | ParcelReturn::NotHere => Err(ApiError::not_run(Code::NoShard)),
@@ -171,6 +174,7 @@
         ItemEnd::OutcomeUnknown => ("outcome_unknown", None, None),
         ItemEnd::Recalled => ("recalled", None, None),
         ItemEnd::Ended => ("ended", None, None),
+        ItemEnd::Abandoned => ("abandoned", None, None),
     };
     serde_json::json!({
         "position": item_return.position,
--- a/programs/topazyard-relay/src/front/tasks.rs
+++ b/programs/topazyard-relay/src/front/tasks.rs
@@ -10,7 +10,11 @@
 const MOST_BYTES: usize = 4 * 1024 * 1024;
 
 /// Begins tasks as the machine names them, until it ends.
-pub async fn run(handle: Handle, mut tasks: tokio::sync::mpsc::Receiver<RelayTask>) {
+pub async fn run(
+    handle: Handle,
+    mut tasks: tokio::sync::mpsc::Receiver<RelayTask>,
+    dialect: &'static dyn super::items::ItemDialect,
+) {
     while let Some(task) = tasks.recv().await {
         let handle = handle.clone();
         match task {
@@ -20,6 +24,12 @@
                     handle.tell(RelayCall::ItemEnded(run, end));
                 });
             }
+            RelayTask::RunRouted(run) => {
+                tokio::spawn(async move {
+                    let end = super::items::run_routed(&handle, &run, dialect).await;
+                    handle.tell(RelayCall::ItemEnded(run.run, end));
+                });
+            }
             RelayTask::Look(target) => {
                 tokio::spawn(async move {
                     let is_well = super::engine::is_well(target.address).await;
--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -2,19 +2,23 @@
 
 use super::parcels::Caller;
 use super::{Out, RelayMachine, RelayReturn, RelayTask};
-use topazyard_spec::LaneKind;
-use topazyard_types::{DurationMs, EngineName, HoldId, MonotonicMs, PoolName, ShardId};
+use topazyard_spec::{LaneKind, RouteKind};
+use topazyard_types::{
+    DurationMs, EngineName, HoldId, ModelName, MonotonicMs, ParcelId, PoolName, RouteName, ShardId,
+};
 use topazyard_wire::Effect;
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::counter::HoldKind;
-use topazyard_wire::message::parcel::{Item, LeasedItem, ParcelCall, Run, RunEnd};
+use topazyard_wire::message::parcel::{Item, LeasedItem, ParcelCall, Progress, Run, RunEnd};
 
 /// How long an item may run. A dark engine holds its budget no longer than this.
 pub const RUN_LIMIT: DurationMs = DurationMs(30_000);
-/// Items that one relay leases or runs at a time.
+/// Items that one relay leases or runs at a time where nobody says what engines can take.
 const MOST_ITEMS: usize = 24;
-/// Items asked for in one lease.
-const MOST_LEASED: u32 = 4;
+/// Of what engines can take at once, the part that one relay may lease: one in so many.
+const SLOTS_SHARE: usize = 4;
+/// Items asked for in one lease, at the least.
+const MOST_LEASED: usize = 4;
 /// How often a shard that has items is asked for more.
 const LEASE_EVERY: DurationMs = DurationMs(120);
 /// How often one that had none is asked, at the least.
@@ -41,7 +45,8 @@
     Asking(HoldId),
     /// It holds its cost and asked whether it may start.
     Starting(HoldId, MonotonicMs),
-    /// Its start is recorded; it is being sent, or runs.
+    /// Its start is recorded, or it needs no record; it is being sent, or runs. It may be sent
+    /// before that moment.
     Started(HoldId, MonotonicMs, EngineName),
 }
 
@@ -51,6 +56,17 @@
     pool: PoolName,
     since: MonotonicMs,
     stage: Stage,
+    routed: Option<Routed>,
+}
+
+/// What a leased item has that a route directs.
+#[derive(Debug)]
+struct Routed {
+    route: RouteName,
+    host: String,
+    progress: Progress,
+    /// Until when it may be sent under its lease.
+    start_until: MonotonicMs,
 }
 
 /// Items leased or running here.
@@ -100,25 +116,26 @@
         if now < self.items.no_room_until || self.unready(now).is_some() {
             return;
         }
-        let shards: Vec<ShardId> =
-            self.view.shards.keys().copied().filter(|shard| !shard.is_counter()).collect();
-        for shard in shards {
-            let under_way = self.items.leasing.len() * MOST_LEASED as usize;
+        let models = self.models_with_engine();
+        let routes = self.batch_routes_with_engine();
+        let most_items = self.most_items();
+        let most = (most_items / SLOTS_SHARE).max(MOST_LEASED);
+        for shard in self.shards_with_work(&models, &routes) {
+            let under_way = self.items.leasing.len() * most;
             let next = self.items.next_lease.get(&shard);
-            if self.items.entries.len() + under_way >= MOST_ITEMS
+            if self.items.entries.len() + under_way >= most_items
                 || self.items.leasing.contains(&shard)
                 || next.is_some_and(|(at, _)| now < *at)
             {
                 continue;
             }
-            let models = self.models_with_engine();
-            if models.is_empty() {
-                return;
-            }
+            let room = most_items - self.items.entries.len() - under_way;
             self.items.leasing.insert(shard);
-            let call = ParcelCall::Lease { most: MOST_LEASED, models };
+            let most = most.min(room) as u32;
+            let models = models.clone();
+            let call = ParcelCall::Lease { most, models, routes: routes.clone() };
             let limit = DurationMs(1_000);
-            self.send_parcel(Caller::Leasing, shard, call, limit, now, out);
+            self.send_parcel(Caller::Leasing(now), shard, call, limit, now, out);
         }
     }
 
@@ -126,6 +143,7 @@
         &mut self,
         shard: ShardId,
         leased: Vec<LeasedItem>,
+        asked: MonotonicMs,
         now: MonotonicMs,
         out: &mut Out,
     ) {
@@ -138,7 +156,13 @@
             false => LEASE_EVERY,
         };
         self.items.next_lease.insert(shard, (now.plus(gap), gap));
-        for LeasedItem { run, item } in leased {
+        for LeasedItem { run, item, route, progress } in leased {
+            if let Some((route, host)) = route {
+                let start_until = asked.plus(self.start_within());
+                let routed = Routed { route, host, progress, start_until };
+                self.take_routed(run, item, routed, now, out);
+                continue;
+            }
             let lane = self
                 .view
                 .spec
@@ -148,7 +172,7 @@
                 self.finish_run(run, RunEnd::NotRun, now, out);
                 continue;
             };
-            let entry = Entry { item, pool, since: now, stage: Stage::Leased(None) };
+            let entry = Entry { item, pool, since: now, stage: Stage::Leased(None), routed: None };
             self.items.entries.insert(run, entry);
             self.ask_for_item(run, now, out);
         }
@@ -217,6 +241,9 @@
             self.set_stage(run, Stage::Leased(Some(now)));
             return;
         }
+        if self.items.entries.get(&run).is_some_and(|entry| entry.routed.is_some()) {
+            return self.start_routed(run, hold, now, out);
+        }
         self.set_stage(run, Stage::Starting(hold, now));
         let call = ParcelCall::Start(run);
         self.send_parcel(Caller::Starting(run), run.parcel.shard, call, START_WITHIN, now, out);
@@ -232,7 +259,8 @@
         match target.filter(|_| may && in_time) {
             Some(target) => {
                 self.engines.begin(&target.engine, cost, &[]);
-                self.set_stage(run, Stage::Started(hold, asked, target.engine.clone()));
+                let until = asked.plus(START_WITHIN);
+                self.set_stage(run, Stage::Started(hold, until, target.engine.clone()));
                 out.push(Effect::Start(RelayTask::RunItem { run, target, body }));
             }
             None => {
@@ -252,20 +280,26 @@
     ) -> RelayReturn {
         let refused = |code| RelayReturn::Refused(ApiError::not_run(code));
         let Some(entry) = self.items.entries.get(&run) else { return refused(Code::NotFound) };
-        let Stage::Started(_, asked, chosen) = &entry.stage else {
+        let Stage::Started(_, start_until, chosen) = &entry.stage else {
             return refused(Code::NotFound);
         };
         if chosen != engine {
             return refused(Code::NoEngine);
         }
+        if let Some(routed) = &entry.routed {
+            return match self.routed_go_until(engine, &entry.pool, &routed.route, now) {
+                Err(code) => refused(code),
+                Ok(until) => RelayReturn::GoUntil(until.min(*start_until)),
+            };
+        }
         match self.go_until(engine, &entry.pool, &entry.item.model, LaneKind::Parcel, now) {
             Err(code) => refused(code),
-            Ok(until) => RelayReturn::GoUntil(until.min(asked.plus(START_WITHIN))),
+            Ok(until) => RelayReturn::GoUntil(until.min(*start_until)),
         }
     }
 
     pub(super) fn item_ended(&mut self, run: Run, end: RunEnd, now: MonotonicMs, out: &mut Out) {
-        if end == RunEnd::Unknown
+        if matches!(end, RunEnd::Unknown | RunEnd::Broken(_))
             && let Some(Entry { stage: Stage::Started(_, _, engine), .. }) =
                 self.items.entries.get(&run)
         {
@@ -281,3 +315,113 @@
         self.send_parcel(Caller::Finishing, run.parcel.shard, call, FINISH_LIMIT, now, out);
     }
 }
+
+/// What a route directs: such items need no recorded start, for they may run again.
+impl RelayMachine {
+    /// How long after a lease was asked for an item may be sent under it. It was given after it
+    /// was asked for, and nothing of a batch that ended since may start later than the bound.
+    fn start_within(&self) -> DurationMs {
+        DurationMs(self.bounds.cancel.0 * 2 / 3)
+    }
+
+    /// Batch routes that have an engine.
+    fn batch_routes_with_engine(&self) -> Vec<RouteName> {
+        let is_batch = |route: &&topazyard_spec::Route| route.kind == RouteKind::Batch;
+        let routes = self.view.routes.iter().filter(is_batch);
+        let ready = routes.filter(|route| {
+            let pool_of = |engine: &topazyard_spec::Engine| {
+                route.pools.iter().any(|share| share.weight > 0 && share.pool == engine.pool)
+            };
+            let mut engines = self.view.engines.values();
+            engines.any(|engine| pool_of(engine) && self.engines.is_usable(engine))
+        });
+        ready.map(|route| route.name.clone()).collect()
+    }
+
+    /// Shards that may have items of these models or routes.
+    fn shards_with_work(&self, models: &[ModelName], routes: &[RouteName]) -> Vec<ShardId> {
+        let hosts = routes.iter().filter_map(|name| self.view.routes.named(name));
+        let of_hosts: std::collections::BTreeSet<ShardId> =
+            hosts.map(|route| ParcelId::of_host(&route.host, "").shard).collect();
+        let shards = self.view.shards.keys().copied().filter(|shard| !shard.is_counter());
+        shards.filter(|shard| !models.is_empty() || of_hosts.contains(shard)).collect()
+    }
+
+    /// Items that this relay may lease or run at a time.
+    fn most_items(&self) -> usize {
+        let usable = self.view.engines.values().filter(|engine| self.engines.is_usable(engine));
+        let slots: usize = usable.map(|engine| engine.slots as usize).sum();
+        MOST_ITEMS.max(slots / SLOTS_SHARE)
+    }
+
+    /// Takes a leased item that a route directs, if the route still does.
+    fn take_routed(
+        &mut self,
+        run: Run,
+        item: Item,
+        routed: Routed,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        let route = self.view.routes.named(&routed.route);
+        let Some(pool) = route.and_then(|route| super::routed_items::pool_of(route, run)) else {
+            return self.finish_run(run, RunEnd::NotRun, now, out);
+        };
+        let stage = Stage::Leased(None);
+        let entry = Entry { item, pool, since: now, stage, routed: Some(routed) };
+        self.items.entries.insert(run, entry);
+        self.ask_for_item(run, now, out);
+    }
+
+    /// Starts a routed item that holds its cost.
+    fn start_routed(&mut self, run: Run, hold: HoldId, now: MonotonicMs, out: &mut Out) {
+        let Some(entry) = self.items.entries.get(&run) else { return };
+        let Some(routed) = &entry.routed else { return };
+        let prefix = entry.item.directions.as_ref().map_or(&[][..], |d| &d.prefix);
+        let target = self.choose_engine(&entry.pool, &entry.item.model, prefix, None);
+        let terms = self.view.routes.named(&routed.route);
+        let directed = (target, entry.item.directions.clone(), terms);
+        let (Some(target), Some(directions), Some(route)) = directed else {
+            self.set_stage(run, Stage::Asking(hold));
+            self.let_item_go(run, out);
+            return self.finish_run(run, RunEnd::NotRun, now, out);
+        };
+        let started = Stage::Started(hold, routed.start_until, target.engine.clone());
+        let (cost, prefix) = (entry.item.cost, directions.prefix.clone());
+        let routed_run = super::routed_items::RoutedRun {
+            run,
+            directions,
+            host: routed.host.clone(),
+            body: entry.item.body.clone(),
+            progress: routed.progress.clone(),
+            silence: super::routed_items::silence_of(route),
+            target,
+        };
+        self.engines.begin(&routed_run.target.engine, cost, &prefix);
+        self.set_stage(run, started);
+        out.push(Effect::Start(RelayTask::RunRouted(Box::new(routed_run))));
+    }
+
+    /// Until when a routed item may be sent to an engine.
+    fn routed_go_until(
+        &self,
+        engine: &EngineName,
+        pool: &PoolName,
+        route: &RouteName,
+        now: MonotonicMs,
+    ) -> Result<MonotonicMs, Code> {
+        if let Some(code) = self.cut_off(now) {
+            return Err(code);
+        }
+        // The routes may have changed while it waited.
+        let route = self.view.routes.named(route).ok_or(Code::NoLane)?;
+        if !route.pools.iter().any(|share| share.pool == *pool && share.weight > 0) {
+            return Err(Code::NoLane);
+        }
+        let engine = self.view.engines.get(engine);
+        if !engine.is_some_and(|e| e.pool == *pool && self.engines.is_usable(e)) {
+            return Err(Code::NoEngine);
+        }
+        Ok(self.fresh_until().min(self.counting.leased_until()))
+    }
+}
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -5,12 +5,13 @@
 mod counting;
 mod engines;
 pub mod items;
-mod parcels;
+pub mod parcels;
+pub mod routed_items;
 
 use topazyard_replication::{Follower, follower::Followed};
 use topazyard_types::{
-    DurationMs, EngineName, Life, ModelName, MonotonicMs, NodeId, ParcelId, ShardId, SpecVersion,
-    Tokens,
+    DurationMs, EngineName, Life, ModelName, MonotonicMs, NodeId, ParcelId, RouteName, ShardId,
+    SpecVersion, Tokens,
 };
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::Message;
@@ -76,6 +77,8 @@
     Parcel(ParcelCall, DurationMs),
     /// Hand in a parcel.
     Submit(ParcelId, Vec<Item>),
+    /// Hand in a batch of routed items, within a limit.
+    SubmitBatch(ParcelId, RouteName, Vec<Item>, DurationMs),
     /// May this item's run be sent to that engine now?
     DispatchItem(Run, EngineName),
     /// An item's run ended.
@@ -119,6 +122,8 @@
         /// The body, byte for byte.
         body: bytes::Bytes,
     },
+    /// Run a routed item and report its end.
+    RunRouted(Box<routed_items::RoutedRun>),
     /// Look at an engine's health and report it.
     Look(Target),
 }
@@ -159,6 +164,8 @@
     pub node: NodeId,
     /// The agent beside it.
     pub agent: std::net::SocketAddr,
+    /// The bounds of the place that the fleet runs at.
+    pub bounds: topazyard_spec::Bounds,
 }
 
 pub(crate) type Out = Vec<Effect<RelayReturn, RelayTask>>;
@@ -167,6 +174,7 @@
 pub struct RelayMachine {
     pub(crate) node: NodeId,
     agent: std::net::SocketAddr,
+    pub(crate) bounds: topazyard_spec::Bounds,
     follower: Follower,
     pub(crate) view: FleetView,
     pub(crate) counting: counting::Counting,
@@ -189,6 +197,7 @@
         Self {
             node: start.node,
             agent: start.agent,
+            bounds: start.bounds.clone(),
             follower: Follower::new(vec![start.agent], life),
             view: FleetView::default(),
             counting: counting::Counting::new(life),
@@ -302,6 +311,9 @@
             RelayCall::Submit(parcel, items) => {
                 return self.submit_parcel(call, parcel, items, now, out);
             }
+            RelayCall::SubmitBatch(parcel, route, items, limit) => {
+                return self.submit_batch(call, (parcel, &route), items, limit, now, out);
+            }
             RelayCall::Dispatch(id, engine) => self.dispatch(id, &engine, now),
             RelayCall::Another(id, failed) => self.another(id, &failed, now),
             RelayCall::Ended(id, engine_use) => {
--- a/programs/topazyard-relay/src/machine/parcels.rs
+++ b/programs/topazyard-relay/src/machine/parcels.rs
@@ -3,11 +3,15 @@
 
 use super::{FRESH_FOR, Out, RelayMachine, RelayReturn};
 use topazyard_spec::LaneKind;
-use topazyard_types::{CallId, DurationMs, Life, MonotonicMs, ParcelId, ShardId, Tokens};
+use topazyard_types::{
+    CallId, DurationMs, Life, MonotonicMs, ParcelId, RouteName, ShardId, Tokens,
+};
 use topazyard_wire::Effect;
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::Message;
-use topazyard_wire::message::parcel::{Item, ParcelBody, ParcelCall, ParcelMessage, ParcelReturn};
+use topazyard_wire::message::parcel::{
+    Batch, Item, ParcelBody, ParcelCall, ParcelMessage, ParcelReturn, Terms,
+};
 
 /// After how long without a return a call is sent again.
 const SEND_AGAIN: DurationMs = DurationMs(400);
@@ -19,7 +23,7 @@
 /// that it may wait there it stays below the 2 s within which a spec is in force.
 const SUBMIT_FRESH_FOR: DurationMs = DurationMs(800);
 /// How long a visitor's call may take.
-pub(super) const VISITOR_LIMIT: DurationMs = DurationMs(5_000);
+pub const VISITOR_LIMIT: DurationMs = DurationMs(5_000);
 /// Visitors' calls that may be under way.
 const MOST_CALLS: usize = 2_048;
 
@@ -28,8 +32,8 @@
 pub(super) enum Caller {
     /// A visitor's call.
     Visitor(CallId),
-    /// This relay, which leases items of a shard.
-    Leasing,
+    /// This relay, which leases items of a shard since that moment.
+    Leasing(MonotonicMs),
     /// This relay, for a run's start.
     Starting(topazyard_wire::message::parcel::Run),
     /// This relay, for a run's end.
@@ -69,7 +73,10 @@
 
 fn shard_of(call: &ParcelCall) -> Option<ShardId> {
     match call {
+        ParcelCall::SubmitBatch(batch) => Some(batch.parcel.shard),
         ParcelCall::Submit { parcel, .. }
+        | ParcelCall::Results { parcel, .. }
+        | ParcelCall::Body { parcel, .. }
         | ParcelCall::Returns { parcel, .. }
         | ParcelCall::Read(parcel)
         | ParcelCall::Recall(parcel, _)
@@ -80,11 +87,23 @@
 }
 
 fn is_read(call: &ParcelCall) -> bool {
-    matches!(call, ParcelCall::Read(_) | ParcelCall::Returns { .. })
+    matches!(
+        call,
+        ParcelCall::Read(_)
+            | ParcelCall::Returns { .. }
+            | ParcelCall::Results { .. }
+            | ParcelCall::Body { .. }
+    )
 }
 
 fn changes_state(call: &ParcelCall) -> bool {
-    matches!(call, ParcelCall::Submit { .. } | ParcelCall::Recall(..) | ParcelCall::End(_))
+    matches!(
+        call,
+        ParcelCall::Submit { .. }
+            | ParcelCall::SubmitBatch(_)
+            | ParcelCall::Recall(..)
+            | ParcelCall::End(_)
+    )
 }
 
 impl RelayMachine {
@@ -141,6 +160,38 @@
         }
     }
 
+    /// Hands in a batch of routed items.
+    pub(super) fn submit_batch(
+        &mut self,
+        call: CallId,
+        (parcel, route): (ParcelId, &RouteName),
+        items: Vec<Item>,
+        limit: DurationMs,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        let route = self.view.routes.named(route);
+        let of_batches = route.and_then(|route| Some((route, route.batch.as_ref()?)));
+        let Some((route, terms)) = of_batches else {
+            self.count_refusal(Code::NoLane);
+            let error = ApiError::not_run(Code::NoLane);
+            return out.push(Effect::Return { call, value: RelayReturn::Refused(error) });
+        };
+        let batch = Batch {
+            parcel,
+            terms: Terms {
+                route: route.name.clone(),
+                host: route.host.clone(),
+                run_target: DurationMs(terms.run_target_ms),
+                retention: DurationMs(terms.retention_ms),
+                max_attempts: route.max_attempts,
+            },
+            items,
+            ceiling: terms.ceiling_tokens,
+        };
+        self.call_parcel(call, ParcelCall::SubmitBatch(batch), limit, now, out);
+    }
+
     /// Checks items against the spec in force, and gives its ceiling on waiting work.
     fn check_items(&self, items: &[Item]) -> Result<Tokens, ApiError> {
         let Some((_, bundle)) = &self.view.spec else {
@@ -193,6 +244,13 @@
                 None => return pending.send_at = now.plus(SEND_AGAIN_SOON),
             }
         }
+        if let ParcelCall::SubmitBatch(batch) = &mut pending.call {
+            // The ceiling in force comes with each sending; a route that went takes nothing more.
+            match self.view.routes.named(&batch.terms.route).and_then(|r| r.batch.as_ref()) {
+                Some(terms) if heard_lately => batch.ceiling = terms.ceiling_tokens,
+                _ => return pending.send_at = now.plus(SEND_AGAIN_SOON),
+            }
+        }
         let Some(pending) = self.parcels.pending.get(&id) else { return };
         let Some((to, epoch)) = self.leads(pending.shard) else { return };
         let body = ParcelBody::Call(pending.call.clone());
@@ -238,10 +296,10 @@
             (Caller::Visitor(call), value) => {
                 out.push(Effect::Return { call, value: RelayReturn::Parcel(value) });
             }
-            (Caller::Leasing, ParcelReturn::Leased(items)) => {
-                self.items_leased(pending.shard, items, now, out);
+            (Caller::Leasing(since), ParcelReturn::Leased(items)) => {
+                self.items_leased(pending.shard, items, since, now, out);
             }
-            (Caller::Leasing, _) => self.items.lease_over(pending.shard),
+            (Caller::Leasing(_), _) => self.items.lease_over(pending.shard),
             (Caller::Starting(run), ParcelReturn::MayStart(may)) => {
                 self.start_settled(run, may, now, out);
             }
@@ -271,7 +329,7 @@
                     self.count_refusal(error.code);
                     out.push(Effect::Return { call, value: RelayReturn::Refused(error) });
                 }
-                Caller::Leasing => self.items.lease_over(pending.shard),
+                Caller::Leasing(_) => self.items.lease_over(pending.shard),
                 Caller::Starting(run) => self.start_settled(run, false, now, out),
                 Caller::Finishing => {}
             }
--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -11,7 +11,7 @@
     let agent = settings.need_beside()?;
     topazyard_wire::log::start(settings.data.clone()).map_err(|_| StartError::Log)?;
     let node = topazyard_wire::driver::fresh_id();
-    let start = crate::Start { node, agent };
+    let start = crate::Start { node, agent, bounds: settings.bounds.clone() };
     let place =
         topazyard_wire::driver::Place { fleet: settings.fleet, node, address: settings.address };
     topazyard_wire::driver::run_process(async move {
@@ -19,7 +19,11 @@
         let (tasks, begun) = tokio::sync::mpsc::channel(1_024);
         let make = move |_| (crate::RelayMachine::new(&start), Vec::new());
         let handle = topazyard_wire::driver::spawn(make, place, None, tasks)?;
-        tokio::spawn(crate::front::tasks::run(handle.clone(), begun));
+        tokio::spawn(crate::front::tasks::run(
+            handle.clone(),
+            begun,
+            &crate::front::items::NoRoutes,
+        ));
         let draining = handle.clone();
         let served = topazyard_wire::http::inward::serve(listener, move |request| {
             crate::front::answer(handle.clone(), request)
--- a/programs/topazyard-relay/tests/admission.rs
+++ b/programs/topazyard-relay/tests/admission.rs
@@ -32,7 +32,7 @@
 impl Relay {
     /// A relay that has just become ready.
     fn ready() -> Self {
-        let start = Start { node: NodeId(99), agent: at(AGENT) };
+        let start = Start { node: NodeId(99), agent: at(AGENT), bounds: Default::default() };
         let mut relay = Self {
             machine: RelayMachine::new(&start),
             now: MonotonicMs(86_400_000),
--- a/programs/topazyard-relay/tests/edge.rs
+++ b/programs/topazyard-relay/tests/edge.rs
@@ -66,12 +66,16 @@
         tokio::spawn(be_engine(engine, then, tell.clone()));
         let (agent, own) = (free_address(), free_address());
         tokio::spawn(be_core(agent, engine_at, tell));
-        let start = topazyard_relay::Start { node: NodeId(9), agent };
+        let start = topazyard_relay::Start { node: NodeId(9), agent, bounds: Default::default() };
         let place = topazyard_wire::driver::Place { fleet: FLEET, node: NodeId(9), address: own };
         let (tasks, begun) = tokio::sync::mpsc::channel(64);
         let make = move |_| (topazyard_relay::RelayMachine::new(&start), Vec::new());
         let handle = topazyard_wire::driver::spawn(make, place, None, tasks).expect("a relay");
-        tokio::spawn(topazyard_relay::front::tasks::run(handle.clone(), begun));
+        tokio::spawn(topazyard_relay::front::tasks::run(
+            handle.clone(),
+            begun,
+            &topazyard_relay::front::items::NoRoutes,
+        ));
         let http = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let relay = http.local_addr().expect("its address");
         let asked = handle.clone();
--- a/programs/topazyard-storage/src/machine/aside.rs
+++ b/programs/topazyard-storage/src/machine/aside.rs
@@ -22,6 +22,8 @@
         match call {
             ParcelCall::Read(parcel) => Some(Self::Standing(*parcel, false)),
             ParcelCall::Returns { parcel, after } => Some(Self::Returns(*parcel, *after)),
+            ParcelCall::Results { parcel, after } => Some(Self::Results(*parcel, *after)),
+            ParcelCall::Body { parcel, id } => Some(Self::Body(*parcel, id.clone())),
             _ => None,
         }
     }
@@ -29,7 +31,10 @@
     fn parcel(&self) -> Option<ParcelId> {
         match self {
             Self::Ready(_) => None,
-            Self::Standing(parcel, _) | Self::Returns(parcel, _) => Some(*parcel),
+            Self::Standing(parcel, _)
+            | Self::Returns(parcel, _)
+            | Self::Results(parcel, _)
+            | Self::Body(parcel, _) => Some(*parcel),
         }
     }
 
@@ -47,6 +52,13 @@
             Self::Returns(parcel, after) => {
                 crate::parcels::returns(copy, parcel, after).map(ParcelReturn::Returns)
             }
+            Self::Results(parcel, after) => {
+                let found = crate::parcels::batches::results(copy, parcel, after);
+                found.map(|(total, results)| ParcelReturn::Results { total, results })
+            }
+            Self::Body(parcel, id) => {
+                crate::parcels::batches::body(copy, parcel, &id).map(ParcelReturn::Body)
+            }
         }
     }
 }
--- a/programs/topazyard-storage/src/machine/hosted.rs
+++ b/programs/topazyard-storage/src/machine/hosted.rs
@@ -3,7 +3,7 @@
 use crate::counter::Counter;
 use crate::parcels::Parcels;
 use topazyard_replication::{Pair, Ticket};
-use topazyard_types::{Epoch, MonotonicMs, ParcelId, Tokens};
+use topazyard_types::{Epoch, MonotonicMs, NodeId, ParcelId, Tokens};
 use topazyard_wire::message::control::ShardWish;
 use topazyard_wire::message::counter::CounterBody;
 use topazyard_wire::message::parcel::{Item, ParcelReturn};
@@ -32,6 +32,8 @@
     /// A wish for another record, with when it was last sent; none while it is being synced.
     pub(crate) wish: Option<(ShardWish, Option<MonotonicMs>)>,
     pub(crate) raising: Raising,
+    /// Submissions of batches that were refused here: a late frame of one must not be taken.
+    pub(crate) refused: std::collections::VecDeque<(NodeId, u64)>,
     /// Reads asked aside, until control confirms that this copy still counts.
     pub(crate) asides: Vec<Aside>,
 }
@@ -71,6 +73,10 @@
     Standing(ParcelId, bool),
     /// Its returns after a position.
     Returns(ParcelId, u32),
+    /// A batch's results after a position.
+    Results(ParcelId, u32),
+    /// The body of a batch's item.
+    Body(ParcelId, String),
 }
 
 /// Submissions that wait for room below the ceiling, one asked for at a time.
@@ -103,6 +109,7 @@
             last_ticket: 0,
             wish: None,
             raising: Raising::default(),
+            refused: std::collections::VecDeque::new(),
             asides: Vec::new(),
         }
     }
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -63,6 +63,16 @@
     /// When a frame told of an epoch that the feed has not told of yet.
     behind_since: Option<MonotonicMs>,
     remembered: topazyard_wire::driver::disked::Remembered,
+    pub(crate) bounds: topazyard_spec::Bounds,
+    /// What the batches of a shard may weigh, in bytes.
+    pub(crate) room_bytes: u64,
+}
+
+/// What the batches of a shard may weigh. Each byte lies in memory once as a row and for a moment
+/// in frames; on disk a file of pages takes it up to four times.
+fn room_bytes(resources: &topazyard_spec::Resources) -> u64 {
+    let part = |all: u64, parts| if all == 0 { u64::MAX } else { all / parts };
+    part(resources.memory_bytes, 4).min(part(resources.disk_bytes, 6))
 }
 
 impl StorageMachine {
@@ -90,6 +100,8 @@
             last_sweep: MonotonicMs(0),
             behind_since: None,
             remembered,
+            room_bytes: room_bytes(&start.resources),
+            bounds: start.bounds,
         }
     }
 
@@ -162,7 +174,9 @@
             waiting: self
                 .hosted
                 .iter()
-                .filter_map(|(shard, hosted)| Some((*shard, hosted.parcels()?.waiting().0)))
+                .filter_map(|(shard, hosted)| {
+                    Some((*shard, hosted.parcels()?.waiting_with_batches().0))
+                })
                 .collect(),
             live_tokens: self
                 .hosted
--- a/programs/topazyard-storage/src/machine/serving.rs
+++ b/programs/topazyard-storage/src/machine/serving.rs
@@ -2,12 +2,15 @@
 
 use super::hosted::{ParcelAnswer, ParcelCaller, Submission, Waiting, Work};
 use super::{Out, StorageMachine};
+use crate::parcels::batches::Taken;
 use topazyard_replication::Ticket;
 use topazyard_types::{Epoch, MonotonicMs, NodeId, ShardId};
 use topazyard_wire::Effect;
 use topazyard_wire::message::Message;
 use topazyard_wire::message::parcel::{ParcelBody, ParcelCall, ParcelMessage, ParcelReturn};
 
+/// Refused submissions of batches that a shard remembers.
+const REFUSED: usize = 256;
 /// Submissions that may wait for room below the ceiling.
 const SUBMISSIONS: usize = 256;
 
@@ -29,7 +32,7 @@
         let epoch = self.hosted.get(&shard).map_or(message.epoch, |hosted| hosted.pair.epoch());
         let served = match self.hosted.get_mut(&shard) {
             Some(hosted) if hosted.is_serving_in(message.epoch) => {
-                Self::work(hosted, sender, caller, call, now)
+                Self::work(hosted, sender, caller, call, self.room_bytes, now)
             }
             _ => false,
         };
@@ -46,6 +49,7 @@
         relay: NodeId,
         caller: ParcelCaller,
         call: ParcelCall,
+        room_bytes: u64,
         now: MonotonicMs,
     ) -> bool {
         let Work::Parcels(parcels) = &mut hosted.work else { return false };
@@ -69,22 +73,45 @@
                 return true;
             }
             ParcelCall::Submit { parcel, .. } => (Vec::new(), ParcelAnswer::Standing(parcel, true)),
-            ParcelCall::Read(_) | ParcelCall::Returns { .. } => {
-                match ParcelAnswer::of_read(&call) {
-                    Some(answer) => (Vec::new(), answer),
-                    None => return false,
+            ParcelCall::SubmitBatch(batch) => {
+                let me = (relay, caller.call);
+                let taken = match hosted.refused.contains(&me) {
+                    true => Taken::CeilingReached,
+                    false => parcels.batches.submit(&batch, room_bytes, now),
+                };
+                match taken {
+                    Taken::Accepted(changes) => {
+                        (changes, ParcelAnswer::Standing(batch.parcel, true))
+                    }
+                    Taken::CeilingReached | Taken::NoRoom => {
+                        if hosted.refused.len() >= REFUSED {
+                            hosted.refused.pop_front();
+                        }
+                        hosted.refused.push_back(me);
+                        (Vec::new(), ParcelAnswer::Ready(ParcelReturn::CeilingReached))
+                    }
                 }
             }
+            ParcelCall::Read(_)
+            | ParcelCall::Returns { .. }
+            | ParcelCall::Results { .. }
+            | ParcelCall::Body { .. } => match ParcelAnswer::of_read(&call) {
+                Some(answer) => (Vec::new(), answer),
+                None => return false,
+            },
             ParcelCall::Recall(parcel, item) => {
                 let (answer, changes) = parcels.recall(parcel, item, now);
                 (changes, ParcelAnswer::Ready(answer))
             }
-            ParcelCall::End(parcel) => match parcels.end(parcel, now) {
+            ParcelCall::End(parcel) => match parcels.end_either(parcel, now) {
                 Some(changes) => (changes, ParcelAnswer::Standing(parcel, false)),
                 None => (Vec::new(), ParcelAnswer::Ready(ParcelReturn::Unknown)),
             },
-            ParcelCall::Lease { most, models } => {
-                let leased = parcels.lease(relay, most, &models, hosted.pair.copy(), now);
+            ParcelCall::Lease { most, models, routes } => {
+                let copy = hosted.pair.copy();
+                let mut leased = parcels.batches.lease(relay, most, &routes, copy, now);
+                let left = most - leased.len() as u32;
+                leased.extend(parcels.lease(relay, left, &models, copy, now));
                 (Vec::new(), ParcelAnswer::Ready(ParcelReturn::Leased(leased)))
             }
             ParcelCall::Start(run) => {
@@ -92,11 +119,15 @@
                 (changes, ParcelAnswer::Ready(ParcelReturn::MayStart(may_start)))
             }
             ParcelCall::Finish(run, end) => {
-                let changes = parcels.finish(relay, run, end, now);
+                let changes = match parcels.batches.contains(run.parcel) {
+                    true => parcels.batches.finish(relay, run, end, now),
+                    false => parcels.finish(relay, run, end, now),
+                };
                 (changes, ParcelAnswer::Ready(ParcelReturn::Noted))
             }
             ParcelCall::Running(runs) => {
                 parcels.running(&runs, now);
+                parcels.batches.running(relay, &runs, now);
                 (Vec::new(), ParcelAnswer::Ready(ParcelReturn::Noted))
             }
         };
@@ -158,6 +189,8 @@
                 let limits = self.view.spec.as_ref().map(|(_, bundle)| &bundle.parcels);
                 let keep_s = limits.map(|limits| u64::from(limits.keep_finished_s));
                 let mut changes = parcels.beat(now);
+                changes.extend(parcels.batches.beat(now));
+                changes.extend(parcels.batches.let_go(self.bounds.keep_batches, now));
                 if let Some(keep_s) = keep_s {
                     let keep = topazyard_types::DurationMs(keep_s * 1_000);
                     changes.extend(parcels.let_go(keep, now));
--- /dev/null
+++ b/programs/topazyard-storage/src/parcels/batches/mod.rs
@@ -0,0 +1,157 @@
+//! Batches of routed items, as a shard's primary holds them. Their items may run more than once,
+//! so that a lease is all that a run needs; the first result that is committed is the item's.
+
+mod changes;
+mod read;
+mod rows;
+
+use topazyard_types::{
+    DurationMs, ItemNumber, Life, MonotonicMs, NodeId, ParcelId, RouteName, ShardId, Tokens,
+};
+use topazyard_wire::message::parcel::{Progress, Run, Terms};
+
+pub use changes::Taken;
+pub use read::{body, results, standing};
+
+/// A batch's own row.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub(crate) struct BatchRow {
+    terms: Terms,
+    items: u32,
+    listed: u32,
+    ended: bool,
+    /// How old the batch was when this row was written: a successor goes on from there.
+    age: DurationMs,
+}
+
+/// What the primary keeps of an item without a result.
+#[derive(Debug, Clone)]
+struct Open {
+    id: String,
+    cost: Tokens,
+    bytes: u64,
+    failed_attempts: u32,
+    progress: Progress,
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    row: BatchRow,
+    /// When it became known here, and how old it was then.
+    since: MonotonicMs,
+    age_then: DurationMs,
+    open: std::collections::BTreeMap<ItemNumber, Open>,
+    /// Bytes of its results.
+    result_bytes: u64,
+}
+
+impl Held {
+    fn age(&self, now: MonotonicMs) -> DurationMs {
+        DurationMs(self.age_then.0 + now.since(self.since).0)
+    }
+
+    /// When it reaches an age; its beginning may lie before this process's clock does.
+    fn reaches(&self, age: DurationMs) -> MonotonicMs {
+        self.since.plus(DurationMs(age.0.saturating_sub(self.age_then.0)))
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    relay: NodeId,
+    until: MonotonicMs,
+}
+
+/// An item's place in the queue: when it is due, its batch and its number.
+type Place = (MonotonicMs, u64, ItemNumber);
+
+/// Batches of a shard.
+#[derive(Debug)]
+pub struct Batches {
+    shard: ShardId,
+    held: std::collections::BTreeMap<u64, Held>,
+    /// Items that may be leased, the first due first.
+    queue: std::collections::BTreeSet<Place>,
+    leases: std::collections::BTreeMap<Run, Lease>,
+    /// The cost of open items by route.
+    waiting: std::collections::BTreeMap<RouteName, Tokens>,
+    /// Batches with open items, by when these are given up.
+    give_up: std::collections::BTreeSet<(MonotonicMs, u64)>,
+    /// Batches that have ended or have all their results, in that order.
+    finished: std::collections::VecDeque<u64>,
+    /// Bytes of all bodies and results.
+    bytes: u64,
+    last_lease: u64,
+}
+
+impl Batches {
+    /// The batches that a copy holds.
+    pub(super) fn taken_over(
+        shard: ShardId,
+        copy: &topazyard_replication::Copy,
+        life: Life,
+        now: MonotonicMs,
+    ) -> Self {
+        let mut batches = Self {
+            shard,
+            held: std::collections::BTreeMap::new(),
+            queue: std::collections::BTreeSet::new(),
+            leases: std::collections::BTreeMap::new(),
+            waiting: std::collections::BTreeMap::new(),
+            give_up: std::collections::BTreeSet::new(),
+            finished: std::collections::VecDeque::new(),
+            bytes: 0,
+            last_lease: life.first_number(),
+        };
+        for (number, row) in rows::batches(copy) {
+            let items = (0..row.items).map(ItemNumber);
+            let open = items.filter_map(|item| {
+                let value = rows::item_of(copy, number, item)?;
+                Some((item, Open::new(&value)))
+            });
+            let results = (1..=row.listed).filter_map(|at| rows::result_of(copy, number, at));
+            let result_bytes = results.map(|result| changes::bytes_of(&result.end)).sum();
+            let (open, age_then) = (open.collect(), row.age);
+            batches.hold(number, Held { row, since: now, age_then, open, result_bytes });
+        }
+        batches
+    }
+
+    /// Begins to hold a batch.
+    fn hold(&mut self, number: u64, held: Held) {
+        let due = held.reaches(held.row.terms.run_target);
+        let route = self.waiting.entry(held.row.terms.route.clone()).or_default();
+        for (item, open) in &held.open {
+            *route = route.plus(open.cost);
+            self.queue.insert((due, number, *item));
+            self.bytes += open.bytes;
+        }
+        self.bytes += held.result_bytes;
+        if held.open.is_empty() {
+            self.finished.push_back(number);
+        } else {
+            self.give_up.insert((held.reaches(held.row.terms.retention), number));
+        }
+        self.held.insert(number, held);
+    }
+
+    /// The cost of all items without a result.
+    pub fn waiting(&self) -> Tokens {
+        self.waiting.values().copied().sum()
+    }
+
+    /// The cost of a route's items without a result.
+    pub fn waiting_on(&self, route: &RouteName) -> Tokens {
+        self.waiting.get(route).copied().unwrap_or_default()
+    }
+
+    /// Whether the batch is known.
+    pub fn contains(&self, parcel: ParcelId) -> bool {
+        parcel.shard == self.shard && self.held.contains_key(&parcel.number)
+    }
+
+    /// Bytes of all bodies and results.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+}
--- /dev/null
+++ b/programs/topazyard-storage/src/parcels/batches/rows.rs
@@ -0,0 +1,70 @@
+//! The rows of batches of routed items. An item's row is gone once it has its result or its batch
+//! has ended; what has a row waits.
+
+use super::BatchRow;
+use topazyard_types::ItemNumber;
+use topazyard_wire::RowChange;
+use topazyard_wire::message::parcel::{Item, ItemReturn};
+
+const BATCHES: &str = "batch/";
+
+fn item_key(number: u64, item: ItemNumber) -> String {
+    format!("work/{number:016x}/{:04}", item.0)
+}
+
+fn result_key(number: u64, position: u32) -> String {
+    format!("result/{number:016x}/{position:04}")
+}
+
+fn batch_key(number: u64) -> String {
+    format!("{BATCHES}{number:016x}")
+}
+
+pub(super) fn batch(number: u64, row: &BatchRow) -> RowChange {
+    RowChange::put(batch_key(number), row)
+}
+
+pub(super) fn item(number: u64, item: ItemNumber, value: &Item) -> RowChange {
+    RowChange::put(item_key(number, item), value)
+}
+
+pub(super) fn item_gone(number: u64, item: ItemNumber) -> RowChange {
+    RowChange::gone(item_key(number, item))
+}
+
+pub(super) fn result(number: u64, value: &ItemReturn) -> RowChange {
+    RowChange::put(result_key(number, value.position), value)
+}
+
+/// Takes every row of a batch away that has all its results or has ended.
+pub(super) fn all_gone(number: u64, listed: u32) -> Vec<RowChange> {
+    let results = (1..=listed).map(|position| RowChange::gone(result_key(number, position)));
+    results.chain([RowChange::gone(batch_key(number))]).collect()
+}
+
+pub(super) fn batches(copy: &topazyard_replication::Copy) -> impl Iterator<Item = (u64, BatchRow)> {
+    copy.with_prefix(BATCHES).filter_map(|(key, value)| {
+        let number = u64::from_str_radix(key.strip_prefix(BATCHES)?, 16).ok()?;
+        Some((number, topazyard_wire::rows::decode(value)?))
+    })
+}
+
+pub(super) fn batch_of(copy: &topazyard_replication::Copy, number: u64) -> Option<BatchRow> {
+    copy.get(&batch_key(number))
+}
+
+pub(super) fn item_of(
+    copy: &topazyard_replication::Copy,
+    number: u64,
+    item: ItemNumber,
+) -> Option<Item> {
+    copy.get(&item_key(number, item))
+}
+
+pub(super) fn result_of(
+    copy: &topazyard_replication::Copy,
+    number: u64,
+    position: u32,
+) -> Option<ItemReturn> {
+    copy.get(&result_key(number, position))
+}
--- a/programs/topazyard-storage/src/parcels/changes.rs
+++ b/programs/topazyard-storage/src/parcels/changes.rs
@@ -4,7 +4,7 @@
 use topazyard_types::{DurationMs, ItemNumber, ModelName, MonotonicMs, NodeId, ParcelId, Tokens};
 use topazyard_wire::RowChange;
 use topazyard_wire::message::parcel::{
-    Item, ItemEnd, ItemReturn, LeasedItem, ParcelReturn, Run, RunEnd,
+    Item, ItemEnd, ItemReturn, LeasedItem, ParcelReturn, Progress, Run, RunEnd,
 };
 
 /// How an item ends that is not run any more: as said, unless it may have run before.
@@ -67,7 +67,7 @@
         let position = row.returned;
         vec![
             self.set_state(parcel, item, ItemState::Returned { position }),
-            rows::item_return(parcel.number, &ItemReturn { position, item, end }),
+            rows::item_return(parcel.number, &ItemReturn { position, item, id: None, end }),
             rows::parcel(parcel.number, &row),
         ]
     }
@@ -114,7 +114,8 @@
             self.last_lease += 1;
             let run = Run { parcel, item, lease: self.last_lease };
             self.leases.insert(run, Lease { relay, until: now.plus(LEASE) });
-            leased.push(LeasedItem { run, item: whole });
+            let progress = Progress::default();
+            leased.push(LeasedItem { run, item: whole, route: None, progress });
         }
         for entry in passed_over.into_iter().rev() {
             self.inbox.push_front(entry);
@@ -172,8 +173,9 @@
                 self.give_return(run.parcel, run.item, ItemEnd::Whole { status, body }, now)
             }
             RunEnd::NotRun => self.wait_again(run, may_have_run, now),
-            RunEnd::Unknown if repeatable => self.wait_again(run, true, now),
-            RunEnd::Unknown => self.give_return(run.parcel, run.item, ItemEnd::OutcomeUnknown, now),
+            _ if repeatable => self.wait_again(run, true, now),
+            // The ends of routed items say no more of one that isn't.
+            _ => self.give_return(run.parcel, run.item, ItemEnd::OutcomeUnknown, now),
         }
     }
 
@@ -238,6 +240,14 @@
         Some(changes)
     }
 
+    /// Ends a parcel or a batch of routed items.
+    pub fn end_either(&mut self, parcel: ParcelId, now: MonotonicMs) -> Option<Vec<RowChange>> {
+        if self.batches.contains(parcel) {
+            return self.batches.end(parcel, now);
+        }
+        self.end(parcel, now)
+    }
+
     /// Notes parcels that have all their returns, and lets go of those kept long enough.
     pub fn let_go(&mut self, keep: DurationMs, now: MonotonicMs) -> Vec<RowChange> {
         let mut changes = Vec::new();
--- a/programs/topazyard-storage/src/parcels/mod.rs
+++ b/programs/topazyard-storage/src/parcels/mod.rs
@@ -1,5 +1,6 @@
 //! The parcels of one shard, as its primary holds them.
 
+pub mod batches;
 mod changes;
 mod read;
 pub(crate) mod rows;
@@ -82,6 +83,8 @@
     /// Parcels with all their returns, and since when that is known here.
     finished: std::collections::VecDeque<(MonotonicMs, u64)>,
     last_lease: u64,
+    /// Batches of routed items, which have rows and rules of their own.
+    pub batches: batches::Batches,
 }
 
 impl Parcels {
@@ -101,6 +104,7 @@
             waiting: Tokens(0),
             finished: std::collections::VecDeque::new(),
             last_lease: life.first_number(),
+            batches: batches::Batches::taken_over(shard, copy, life, now),
         };
         for (number, row) in rows::parcels(copy) {
             let mut items = Vec::new();
@@ -138,11 +142,16 @@
         parcels
     }
 
-    /// The cost of all items without a final return.
+    /// The cost of all items without a final return, those of batches left out.
     pub fn waiting(&self) -> Tokens {
         self.waiting
     }
 
+    /// The cost of all items without a final return or result.
+    pub fn waiting_with_batches(&self) -> Tokens {
+        self.waiting.plus(self.batches.waiting())
+    }
+
     /// Whether the parcel is known.
     pub fn contains(&self, parcel: ParcelId) -> bool {
         parcel.shard == self.shard && self.parcels.contains_key(&parcel.number)
--- a/programs/topazyard-storage/src/parcels/read.rs
+++ b/programs/topazyard-storage/src/parcels/read.rs
@@ -20,7 +20,9 @@
 
 /// How a parcel stands.
 pub fn standing(copy: &topazyard_replication::Copy, parcel: ParcelId) -> Option<ParcelStanding> {
-    let row = rows::parcel_of(copy, parcel.number)?;
+    let Some(row) = rows::parcel_of(copy, parcel.number) else {
+        return super::batches::standing(copy, parcel);
+    };
     let states = (0..row.items).filter_map(|n| rows::state_of(copy, parcel.number, ItemNumber(n)));
     let (mut waiting, mut running) = (0, 0);
     for state in states {
--- a/programs/topazyard-storage/tests/parcels.rs
+++ b/programs/topazyard-storage/tests/parcels.rs
@@ -28,6 +28,7 @@
             body: bytes::Bytes::from_static(b"{}"),
             repeatable: false,
             cost: Tokens(10),
+            directions: None,
         };
         let changes = shard.parcels.submit(parcel, &vec![item; count as usize]);
         shard.keep(changes);
@@ -182,6 +183,7 @@
         body: bytes::Bytes::from_static(b"{}"),
         repeatable: true,
         cost: Tokens(1),
+        directions: None,
     };
     let other = ParcelId { number: 6, ..parcel };
     for id in [parcel, other] {
