--- a/libraries/topazyard-wire/src/disk/open.rs
+++ b/libraries/topazyard-wire/src/disk/open.rs
@@ -7,6 +7,10 @@
 const FORMAT_TABLE: redb::TableDefinition<'static, &str, u32> =
     redb::TableDefinition::new("format");
 
+/// Pages kept in memory. Rows are read once at the start and live in memory from then on, so that
+/// a commit needs little more than the pages it touches.
+const CACHE_BYTES: usize = 4 * 1024 * 1024;
+
 /// Why a data folder can't be used.
 #[derive(Debug, displaydoc::Display)]
 pub enum DiskError {
@@ -38,7 +42,10 @@
     std::fs::create_dir_all(folder)
         .map_err(|error| DiskError::Folder(folder.to_owned(), error.kind()))?;
     let file = folder.join("node.redb");
-    let database = redb::Database::create(&file)
+    let mut builder = redb::Database::builder();
+    builder.set_cache_size(CACHE_BYTES);
+    let database = builder
+        .create(&file)
         .map_err(|error| DiskError::Damaged(file.clone(), error.to_string()))?;
     read_all(database, file)
 }
--- /dev/null
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -0,0 +1,355 @@
+//! Batches of routed items as the relay's machine hands them in and runs them, with the others'
+//! words put in by hand.
+
+use topazyard_relay::front::items::{Events, OutOfOrder};
+use topazyard_relay::machine::routed_items::RoutedRun;
+use topazyard_relay::{RelayCall, RelayMachine, RelayReturn, RelayTask, Start};
+use topazyard_types::{
+    CallId, DurationMs, EngineName, Epoch, HoldId, ItemNumber, MonotonicMs, NodeId, ParcelId,
+    Place, Sequence, ShardId, Tokens,
+};
+use topazyard_wire::api::{ApiError, Code};
+use topazyard_wire::message::Message;
+use topazyard_wire::message::control::{CoreNode, ShardRecord};
+use topazyard_wire::message::counter::{CounterBody, CounterMessage};
+use topazyard_wire::message::feed::{FeedMessage, Matter};
+use topazyard_wire::message::parcel::{
+    Directions, Item, LeasedItem, ParcelBody, ParcelCall, ParcelMessage, ParcelReturn,
+    ParcelStanding, Progress, Run, RunEnd,
+};
+use topazyard_wire::state::{IN_FORCE, InForceRow, engine_key, route_key, shard_key};
+use topazyard_wire::{Effect, Input, Machine as _, RowChange};
+
+fn at(port: u16) -> std::net::SocketAddr {
+    std::net::SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+const AGENT: u16 = 1;
+const COUNTER: u16 = 2;
+const SHARD: u16 = 4;
+const HOST: &str = "a.example";
+const CANCEL: DurationMs = DurationMs(1_500);
+
+struct Relay {
+    machine: RelayMachine,
+    now: MonotonicMs,
+    last_call: u64,
+    feed_nonce: u64,
+    holds: Vec<HoldId>,
+    released: Vec<HoldId>,
+    renewals: Vec<u64>,
+    calls: Vec<(u64, ParcelCall)>,
+    returned: Vec<(CallId, RelayReturn)>,
+    runs: Vec<RoutedRun>,
+}
+
+impl Relay {
+    /// A relay that has just become ready.
+    fn ready() -> Self {
+        let bounds = topazyard_spec::Bounds { cancel: CANCEL, ..Default::default() };
+        let start = Start { node: NodeId(99), agent: at(AGENT), bounds };
+        let mut relay = Self {
+            machine: RelayMachine::new(&start),
+            now: MonotonicMs(86_400_000),
+            last_call: 0,
+            feed_nonce: 0,
+            holds: Vec::new(),
+            released: Vec::new(),
+            renewals: Vec::new(),
+            calls: Vec::new(),
+            returned: Vec::new(),
+            runs: Vec::new(),
+        };
+        relay.beat(0);
+        relay.hear_feed(1, true);
+        relay.beat(25);
+        relay.hear_lease();
+        relay
+    }
+
+    fn step(&mut self, input: Input<RelayCall>) {
+        for effect in self.machine.step(input, self.now) {
+            match effect {
+                Effect::Send { message: Message::Counter(message), .. } => match message.body {
+                    CounterBody::Add(hold) => self.holds.push(hold.id),
+                    CounterBody::Release(id) => self.released.push(id),
+                    CounterBody::Renew { number, .. } => self.renewals.push(number),
+                    _ => {}
+                },
+                Effect::Send { message: Message::Feed(FeedMessage::Ask { nonce, .. }), .. } => {
+                    self.feed_nonce = nonce;
+                }
+                Effect::Send { to, message: Message::Parcel(message) } => {
+                    assert_eq!(to, at(SHARD));
+                    if let ParcelBody::Call(call) = message.body {
+                        self.calls.push((message.call, call));
+                    }
+                }
+                Effect::Return { call, value } => self.returned.push((call, value)),
+                Effect::Start(RelayTask::RunRouted(run)) => self.runs.push(*run),
+                _ => {}
+            }
+        }
+    }
+
+    fn beat(&mut self, ms: u64) {
+        self.now.0 += ms;
+        self.step(Input::Beat);
+    }
+
+    fn hear(&mut self, port: u16, message: Message) {
+        self.step(Input::Frame { sender: NodeId(u64::from(port)), from: at(port), message });
+    }
+
+    /// Hears of the engine, the shards and, maybe, the route.
+    fn hear_feed(&mut self, sequence: u64, with_route: bool) {
+        let text = r#"{"pools":[{"name":"main","limit_tokens":1000}],"lanes":[
+            {"name":"usual","kind":"live","models":["m"],"pool":"main"}]}"#;
+        let route = format!(
+            r#"{{"name":"r","host":"{HOST}","path_prefix":"/b/","kind":"batch","timeout_ms":1000,
+            "max_attempts":2,"pools":[{{"pool":"main","weight":1}}],"batch":
+            {{"ceiling_tokens":700,"run_target_ms":8000,"retention_ms":40000}}}}"#
+        );
+        let route: topazyard_spec::Route = serde_json::from_str(&route).expect("a route");
+        let node = |port| CoreNode { id: NodeId(u64::from(port)), address: at(port) };
+        let record = |port| ShardRecord {
+            epoch: Epoch(1),
+            primary: node(port),
+            backup: None,
+            fallback: None,
+            learner: None,
+        };
+        let engine = topazyard_spec::Engine {
+            name: "e1".into(),
+            address: at(9),
+            pool: "main".into(),
+            models: vec!["m".into()],
+            state: topazyard_spec::EngineState::Ready,
+            domain: None,
+            slots: 64,
+        };
+        let version = topazyard_types::SpecVersion(sequence);
+        let mut rows = vec![
+            RowChange::put(IN_FORCE, &InForceRow { version, text: text.to_owned() }),
+            RowChange::put(shard_key(ShardId::COUNTER), &record(COUNTER)),
+            RowChange::put(shard_key(parcel().shard), &record(SHARD)),
+            RowChange::put(engine_key(&engine.name), &engine),
+        ];
+        if with_route {
+            rows.push(RowChange::put(route_key(&route.name), &route));
+        }
+        let rows = rows.into_iter().filter_map(|row| Some((row.key, row.value?))).collect();
+        let place = Place { epoch: Epoch(1), sequence: Sequence(sequence) };
+        let news = FeedMessage::News { nonce: self.feed_nonce, place, matter: Matter::View(rows) };
+        self.hear(AGENT, Message::Feed(news));
+    }
+
+    fn hear_counter(&mut self, body: CounterBody) {
+        self.hear(COUNTER, Message::Counter(CounterMessage { epoch: Epoch(1), body }));
+    }
+
+    fn hear_lease(&mut self) {
+        let number = *self.renewals.last().expect("the lease is asked for");
+        self.hear_counter(CounterBody::Renewed { number });
+    }
+
+    fn hear_shard(&mut self, call: u64, value: ParcelReturn) {
+        let body = ParcelBody::Return(value);
+        let message = ParcelMessage { shard: parcel().shard, epoch: Epoch(1), call, body };
+        self.hear(SHARD, Message::Parcel(message));
+    }
+
+    fn call(&mut self, request: RelayCall) {
+        self.last_call += 1;
+        self.step(Input::Call { call: CallId(self.last_call), request });
+    }
+
+    fn submit(&mut self) {
+        let (items, limit) = (vec![item()], DurationMs(1_000));
+        self.call(RelayCall::SubmitBatch(parcel(), "r".into(), items, limit));
+    }
+
+    fn last_return(&self) -> &RelayReturn {
+        &self.returned.last().expect("it is answered").1
+    }
+
+    fn last_code(&self) -> Option<Code> {
+        match self.last_return() {
+            RelayReturn::Refused(ApiError { code, .. }) => Some(*code),
+            _ => None,
+        }
+    }
+
+    /// The call under which the shard was asked for items last.
+    fn asked_lease(&self) -> (u64, u32) {
+        let lease = self.calls.iter().rev().find_map(|(call, body)| match body {
+            ParcelCall::Lease { most, models, routes } => {
+                assert!(models.is_empty() && *routes == ["r".into()]);
+                Some((*call, *most))
+            }
+            _ => None,
+        });
+        lease.expect("items are asked for")
+    }
+
+    /// Leases an item and lets it have its cost.
+    fn run_one(&mut self) -> Run {
+        let run = Run { parcel: parcel(), item: ItemNumber(0), lease: 5 };
+        let (call, _) = self.asked_lease();
+        let route = Some(("r".into(), HOST.to_owned()));
+        let progress = Progress { last_event: Some(3), text: "so far".to_owned() };
+        let leased = LeasedItem { run, item: item(), route, progress };
+        self.hear_shard(call, ParcelReturn::Leased(vec![leased]));
+        if let Some(id) = self.holds.last().copied() {
+            self.hear_counter(CounterBody::Added { id, granted: true });
+        }
+        run
+    }
+
+    fn finished(&self) -> Option<&RunEnd> {
+        self.calls.iter().rev().find_map(|(_, call)| match call {
+            ParcelCall::Finish(_, end) => Some(end),
+            _ => None,
+        })
+    }
+}
+
+fn parcel() -> ParcelId {
+    ParcelId::of_host(HOST, "7c41")
+}
+
+fn item() -> Item {
+    Item {
+        model: "m".into(),
+        body: bytes::Bytes::from_static(b"prompt"),
+        repeatable: true,
+        cost: Tokens(10),
+        directions: Some(Directions {
+            id: "e5".to_owned(),
+            path: "/p/1".to_owned(),
+            headers: Vec::new(),
+            prefix: Vec::new(),
+        }),
+    }
+}
+
+#[test]
+fn a_leased_item_runs_with_its_hold_and_without_a_recorded_start() {
+    let mut relay = Relay::ready();
+    relay.beat(25);
+    assert_eq!(relay.asked_lease().1, 6, "of 64 places a relay leases a part of a part");
+    let run = relay.run_one();
+    let started = relay.runs.first().expect("it runs");
+    assert_eq!((started.run, started.host.as_str()), (run, HOST));
+    assert_eq!(started.progress.last_event, Some(3));
+    assert!(!relay.calls.iter().any(|(_, call)| matches!(call, ParcelCall::Start(_))));
+    relay.call(RelayCall::ItemEnded(run, RunEnd::Done { text: "x".to_owned() }));
+    assert_eq!(relay.finished(), Some(&RunEnd::Done { text: "x".to_owned() }));
+    assert_eq!(relay.released, relay.holds);
+}
+
+#[test]
+fn an_item_is_not_sent_later_than_an_ended_batch_allows() {
+    let mut relay = Relay::ready();
+    relay.beat(25);
+    let asked = relay.now;
+    let run = relay.run_one();
+    relay.call(RelayCall::DispatchItem(run, EngineName("e1".to_owned())));
+    let RelayReturn::GoUntil(until) = relay.last_return() else { panic!("it may go") };
+    assert!(*until < asked.plus(CANCEL), "{until:?}");
+}
+
+#[test]
+fn an_item_whose_route_went_is_handed_back() {
+    let mut relay = Relay::ready();
+    relay.beat(25);
+    let asked = relay.asked_lease();
+    relay.beat(500);
+    relay.hear_feed(2, false);
+    assert_eq!(relay.asked_lease(), asked);
+    relay.run_one();
+    assert!(relay.runs.is_empty());
+    assert_eq!(relay.finished(), Some(&RunEnd::NotRun));
+}
+
+#[test]
+fn an_item_whose_route_goes_while_it_connects_is_not_sent() {
+    let mut relay = Relay::ready();
+    relay.beat(25);
+    let run = relay.run_one();
+    relay.beat(500);
+    relay.hear_feed(2, false);
+    relay.call(RelayCall::DispatchItem(run, EngineName("e1".to_owned())));
+    assert_eq!(relay.last_code(), Some(Code::NoLane));
+}
+
+#[test]
+fn a_batch_goes_to_its_shard_with_the_ceiling_in_force() {
+    let mut relay = Relay::ready();
+    relay.submit();
+    let (call, body) = relay.calls.last().cloned().expect("it is sent");
+    let ParcelCall::SubmitBatch(batch) = body else { panic!("{body:?}") };
+    assert_eq!((batch.ceiling, batch.terms.max_attempts), (Tokens(700), 2));
+    let standing = ParcelStanding {
+        parcel: parcel(),
+        items: 1,
+        returned: 0,
+        waiting: 1,
+        running: 0,
+        ended: false,
+    };
+    relay.hear_shard(call, ParcelReturn::Accepted(standing));
+    assert!(matches!(relay.last_return(), RelayReturn::Parcel(ParcelReturn::Accepted(_))));
+}
+
+#[test]
+fn a_batch_that_does_not_fit_is_refused_and_one_of_unknown_fate_is_not() {
+    let mut relay = Relay::ready();
+    relay.submit();
+    let call = relay.calls.last().expect("it is sent").0;
+    relay.hear_shard(call, ParcelReturn::CeilingReached);
+    assert_eq!(relay.last_code().map(Code::status), Some(429));
+    relay.submit();
+    relay.beat(1_000);
+    assert_eq!(relay.last_code().map(Code::status), Some(504), "it may have been taken");
+}
+
+#[test]
+fn a_batch_is_handed_in_only_on_a_route_that_is_there() {
+    let mut relay = Relay::ready();
+    let limit = DurationMs(1_000);
+    relay.call(RelayCall::SubmitBatch(parcel(), "other".into(), vec![item()], limit));
+    assert_eq!(relay.last_code(), Some(Code::NoLane));
+}
+
+fn events(pieces: &[&str], so_far: Progress) -> Result<Option<String>, OutOfOrder> {
+    let mut events = Events::after(so_far);
+    for piece in pieces {
+        events.take(piece.as_bytes())?;
+    }
+    Ok(events.whole())
+}
+
+#[test]
+fn a_text_is_whole_only_if_its_events_follow_on_each_other() {
+    let fresh = Progress::default;
+    let whole = |text: &str| Ok(Some(text.to_owned()));
+    assert_eq!(events(&["id: 1\ndata: a\n\nid: 2\ndata: b\n\n"], fresh()), whole("a\nb"));
+    assert_eq!(events(&["id:0\r\nda", "ta:a\r\n\r", "\n"], fresh()), whole("a"));
+    assert_eq!(events(&["some-version: 4\nid: 1\ndata: a\ndata: b\n\n"], fresh()), whole("a\nb"));
+    assert_eq!(events(&["id: 1\ndata: a\n\nid: 3\ndata: b\n\n"], fresh()), Err(OutOfOrder));
+    assert_eq!(events(&["id: 1\ndata: a\n\nid: 1\ndata: a\n\n"], fresh()), Err(OutOfOrder));
+    assert_eq!(events(&["id: 2\ndata: a\n\n"], fresh()), Err(OutOfOrder));
+    assert_eq!(events(&["data: a\n\n"], fresh()), Err(OutOfOrder));
+    assert_eq!(events(&["id: 1\ndata: a\n\nid: 2\ndata: b\n"], fresh()), Ok(None));
+    assert_eq!(events(&["id: 1\ndata: a\n\nid: 2\nda"], fresh()), Ok(None));
+    assert_eq!(events(&[], fresh()), Ok(None));
+}
+
+#[test]
+fn a_resumed_text_joins_only_at_the_event_after_the_last() {
+    let so_far = || Progress { last_event: Some(2), text: "a\nb".to_owned() };
+    assert_eq!(events(&["id: 3\ndata: c\n\n"], so_far()), Ok(Some("a\nb\nc".to_owned())));
+    assert_eq!(events(&["id: 1\ndata: a\n\n"], so_far()), Err(OutOfOrder));
+    assert_eq!(events(&["id: 4\ndata: d\n\n"], so_far()), Err(OutOfOrder));
+}
