--- a/fleet-simulator/src/world/nodes.rs
+++ b/fleet-simulator/src/world/nodes.rs
@@ -176,12 +176,14 @@
         };
         let member = Member {
             id: node.id,
+            name: Some(format!("node-{}", node.id)),
             address: node.address,
             http: None,
             duty,
             domain: topazyard_types::DomainName(format!("domain-{}", node.domain)),
         };
         let loaded = node.disk.synced.clone();
+        let bounds = topazyard_spec::Bounds::default();
         let kind = node.kind;
         let beside = node.beside.unwrap_or(node.address);
         let id = node.id;
@@ -189,17 +191,17 @@
         let mut first = Vec::new();
         let body = match kind {
             Kind::Control => {
-                let bounds = topazyard_spec::Bounds::default();
                 let resources = topazyard_spec::Resources::default();
-                let start = DiskStart { member, seeds, chance, loaded, bounds, resources };
+                let start =
+                    DiskStart { member, seeds, chance, loaded, bounds, resources, may_found: true };
                 let (machine, effects) = ControlMachine::new(start, now);
                 first = effects;
                 Body::Control(Box::new(machine))
             }
             Kind::Storage => {
-                let bounds = topazyard_spec::Bounds::default();
                 let resources = topazyard_spec::Resources::default();
-                let start = DiskStart { member, seeds, chance, loaded, bounds, resources };
+                let start =
+                    DiskStart { member, seeds, chance, loaded, bounds, resources, may_found: true };
                 Body::Storage(Box::new(StorageMachine::new(start)))
             }
             Kind::Agent => {
@@ -438,6 +440,8 @@
             Effect::Write { token, changes } => self.write(index, token, changes),
             Effect::Return { call, value } => self.returned(index, call, Outcome::Operate(value)),
             Effect::Note { text, .. } => self.note(index, &text),
+            // The platform hands the list of engines in.
+            Effect::Start(topazyard_control::ControlTask::ListEngines) => {}
             Effect::Start(topazyard_control::ControlTask::AskLoads(engines)) => {
                 let life = self.nodes[index.0].life;
                 let names = engines.into_iter().map(|engine| engine.name).collect();
@@ -500,7 +504,8 @@
             RelayTask::RunItem { run, target, body } => self.begin_item(index, run, target, body),
             // Nobody here hands in routed items.
             RelayTask::RunRouted(_) => {}
-            RelayTask::Look(target) => {
+            // Lanes alone are simulated: no engine is ever reached for a route.
+            RelayTask::Look(target) | RelayTask::Reach(target) => {
                 let is_well = self.engine_takes_looks(&target.engine);
                 let us = if is_well { 2 * self.way() } else { 800_000 };
                 self.after(us, Event::Looked(index, life, target.engine, is_well));
--- a/libraries/topazyard-wire/src/driver/disked.rs
+++ b/libraries/topazyard-wire/src/driver/disked.rs
@@ -8,7 +8,7 @@
 pub struct DiskStart {
     /// Who and where it is.
     pub member: Member,
-    /// The three seeds.
+    /// Control nodes to begin with.
     pub seeds: Vec<std::net::SocketAddr>,
     /// Drawn for this life.
     pub chance: u64,
@@ -18,6 +18,8 @@
     pub bounds: topazyard_spec::Bounds,
     /// What the process may use.
     pub resources: topazyard_spec::Resources,
+    /// Whether an empty disk may be the beginning of a new fleet.
+    pub may_found: bool,
 }
 
 /// Opens the data folder, starts the log there and settles who the node is.
@@ -34,6 +36,7 @@
     let node = super::settled_id(&disk)?;
     let member = Member {
         id: node,
+        name: settings.name.clone(),
         address: settings.address,
         http: settings.http,
         duty,
@@ -48,6 +51,7 @@
         loaded: disk.loaded,
         bounds: settings.bounds.clone(),
         resources: settings.resources.clone(),
+        may_found: settings.may_found,
     };
     Ok((start, place, disk.database))
 }
--- a/libraries/topazyard-wire/src/message/parcel.rs
+++ b/libraries/topazyard-wire/src/message/parcel.rs
@@ -1,7 +1,7 @@
 //! Parcels: calls that relays make to a shard's primary, and their returns.
 
 use topazyard_types::{
-    DurationMs, Epoch, ItemNumber, ModelName, ParcelId, RouteName, ShardId, Tokens,
+    Digest, DurationMs, Epoch, ItemNumber, ModelName, ParcelId, RouteName, ShardId, Tokens,
 };
 
 /// A message to or from a parcel shard's primary, under its epoch.
@@ -53,8 +53,8 @@
     pub path: String,
     /// Headers that go along, name and value.
     pub headers: Vec<(String, String)>,
-    /// The shared prompt parts that it is built from, in order.
-    pub prefix: Vec<String>,
+    /// The parts that its prompt is built from, in order, each with its tokens.
+    pub prefix: Vec<(Digest, Tokens)>,
 }
 
 /// The terms of a batch of routed items, as they stood when it was handed in.
--- a/programs/topazyard-relay/src/front/items.rs
+++ b/programs/topazyard-relay/src/front/items.rs
@@ -2,96 +2,97 @@
 //! until the stream is whole.
 
 use super::Handle;
+use super::connections::{self, Kept, SendError};
+use super::dialect::{Addressed, Dialect, Verdict};
 use super::engine::span;
 use crate::machine::routed_items::RoutedRun;
-use crate::machine::{RelayCall, RelayReturn};
+use crate::machine::{EngineUse, RelayCall, RelayReturn};
 use http_body_util::BodyExt as _;
+use hyper::header::HeaderValue;
 use topazyard_types::DurationMs;
-use topazyard_wire::http::outward::Connection;
+use topazyard_wire::http::Body;
 use topazyard_wire::message::parcel::{Progress, RunEnd};
 
 /// The largest output of an item that is kept, in bytes.
 const MOST_BYTES: usize = 4 * 1024 * 1024;
 
-/// What engines are told and what they say of an item, in the words that they understand.
-pub trait ItemDialect: Send + Sync {
-    /// The head of the request that carries an item to its engine: path, host, the item's headers
-    /// and id, the engine that is meant, for how long the response is awaited, and after which
-    /// event it goes on. None if it can't be said.
-    fn head(&self, run: &RoutedRun, wait: DurationMs) -> Option<hyper::http::request::Builder>;
-
-    /// What the head of an engine's response to the item says.
-    fn verdict(&self, run: &RoutedRun, head: &hyper::http::response::Parts) -> Verdict;
-}
-
-/// What the head of an engine's response says.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// The events of this item follow.
-    Stream,
-    /// The engine did not run it.
-    NotRun,
-    /// It ran and failed.
-    Failed,
-    /// It can never be done.
-    Impossible,
-    /// None of these, or not surely of this item.
-    Unclear,
-}
-
-/// Where no engine speaks of routed items.
-#[derive(Debug, Clone, Copy)]
-pub struct NoRoutes;
-
-impl ItemDialect for NoRoutes {
-    fn head(&self, _: &RoutedRun, _: DurationMs) -> Option<hyper::http::request::Builder> {
-        None
-    }
-
-    fn verdict(&self, _: &RoutedRun, _: &hyper::http::response::Parts) -> Verdict {
-        Verdict::Unclear
+/// A connection to an item's engine that carries nothing: a kept one, or else a new one.
+async fn connection_to(run: &RoutedRun) -> Option<Kept> {
+    match connections::take(&run.target) {
+        Some(kept) => Some(kept),
+        None => connections::connect(&run.target, connections::CONNECT_LIMIT).await.ok(),
     }
 }
 
-/// A connection to an item's engine that nothing was sent on yet.
-async fn connection_to(run: &RoutedRun) -> Option<Connection> {
-    super::engine::connect(run.target.address, super::engine::CONNECT_LIMIT).await.ok()
+/// The request that carries an item to its engine.
+fn request_of(
+    run: &RoutedRun,
+    request_id: &HeaderValue,
+    names: &dyn Dialect,
+) -> Option<hyper::Request<Body>> {
+    let body = topazyard_wire::http::whole(run.body.clone());
+    let mut request = hyper::Request::post(&run.directions.path).body(body).ok()?;
+    let mut headers = hyper::HeaderMap::new();
+    for (name, value) in &run.directions.headers {
+        let name = hyper::header::HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_str(value).ok()?);
+    }
+    let mut headers = super::routed::of_both_sides(headers);
+    headers.remove(hyper::header::CONTENT_LENGTH);
+    headers.insert(hyper::header::HOST, HeaderValue::from_str(&run.host).ok()?);
+    names.identify(&mut headers, request_id);
+    let (left, last_event) = (crate::machine::items::RUN_LIMIT, run.progress.last_event);
+    names.address(&mut headers, &Addressed { engine: &run.target.engine, left, last_event });
+    *request.headers_mut() = headers;
+    Some(request)
 }
 
-/// Runs an item and tells how that ended.
+/// Runs an item and tells how that ended, and what it says of the engine.
 pub(super) async fn run_routed(
     handle: &Handle,
     run: &RoutedRun,
-    dialect: &dyn ItemDialect,
-) -> RunEnd {
-    let Some(connection) = connection_to(run).await else { return RunEnd::NotRun };
-    let limit = crate::machine::items::RUN_LIMIT;
-    let body = topazyard_wire::http::whole(run.body.clone());
-    let Some(Ok(request)) = dialect.head(run, limit).map(|head| head.body(body)) else {
-        return RunEnd::NotRun;
+    names: &dyn Dialect,
+) -> (RunEnd, EngineUse) {
+    let request_id = HeaderValue::from_str(&run.directions.id).ok();
+    let request = request_id.as_ref().and_then(|id| request_of(run, id, names));
+    // An item that no request can carry will never run.
+    let Some(request) = request else { return (RunEnd::NotRun, EngineUse::Unsent) };
+    let Some(mut connection) = connection_to(run).await else {
+        return (RunEnd::NotRun, EngineUse::Unreachable);
     };
     match handle.call(RelayCall::DispatchItem(run.run, run.target.engine.clone())).await {
         Ok(RelayReturn::GoUntil(until)) if handle.clock().now() < until => {}
-        _ => return RunEnd::NotRun,
+        _ => return (RunEnd::NotRun, EngineUse::Unsent),
     }
+    let sent_at = handle.clock().now();
     let sent = tokio::time::timeout(span(run.silence), connection.send(request)).await;
-    let Ok(Ok(response)) = sent else { return RunEnd::Unknown };
+    let response = match sent {
+        Ok(Ok(response)) => response,
+        Ok(Err(SendError::Unsent)) => return (RunEnd::NotRun, EngineUse::Unsent),
+        Ok(Err(SendError::Broken)) | Err(_) => return (RunEnd::Unknown, EngineUse::Failed),
+    };
+    let first = handle.clock().now().since(sent_at);
     let is_delimited = super::engine::is_delimited(response.headers());
     let (head, body) = response.into_parts();
-    match dialect.verdict(run, &head) {
-        Verdict::NotRun => RunEnd::NotRun,
-        Verdict::Failed => RunEnd::Failed,
-        Verdict::Impossible => RunEnd::Impossible,
-        Verdict::Unclear => RunEnd::Unknown,
-        Verdict::Stream => {
+    match (names.judge(&head, request_id.as_ref()), head.status.as_u16()) {
+        (Verdict::TurnedAway, _) => (RunEnd::NotRun, EngineUse::TurnedAway),
+        (Verdict::Failure, 500) => (RunEnd::Failed, EngineUse::Failed),
+        (Verdict::Response, 422) => (RunEnd::Impossible, EngineUse::Whole(first)),
+        (Verdict::Response, 200) => {
             let mut events = Events::after(run.progress.clone());
             let reading = read_events(body, &mut events, run.silence);
-            let whole = tokio::time::timeout(span(limit), reading).await == Ok(true);
-            match whole && is_delimited {
-                true => events.whole().map_or(RunEnd::Unknown, |text| RunEnd::Done { text }),
-                false => RunEnd::Broken(events.so_far()),
+            let limit = span(crate::machine::items::RUN_LIMIT);
+            let whole = tokio::time::timeout(limit, reading).await == Ok(true);
+            if !(whole && is_delimited) {
+                return (RunEnd::Broken(events.so_far()), EngineUse::Failed);
+            }
+            connections::keep(connection, &head.headers);
+            match events.whole() {
+                Some(text) => (RunEnd::Done { text }, EngineUse::Whole(first)),
+                None => (RunEnd::Unknown, EngineUse::Failed),
             }
         }
+        _ => (RunEnd::Unknown, EngineUse::Failed),
     }
 }
 
--- a/programs/topazyard-relay/src/front/tasks.rs
+++ b/programs/topazyard-relay/src/front/tasks.rs
@@ -2,7 +2,7 @@
 
 use super::Handle;
 use super::engine::span;
-use crate::machine::{RelayCall, RelayReturn, RelayTask, Target};
+use crate::machine::{EngineUse, RelayCall, RelayReturn, RelayTask, Target};
 use http_body_util::BodyExt as _;
 use topazyard_wire::message::parcel::{Run, RunEnd};
 
@@ -13,7 +13,7 @@
 pub async fn run(
     handle: Handle,
     mut tasks: tokio::sync::mpsc::Receiver<RelayTask>,
-    dialect: &'static dyn super::items::ItemDialect,
+    names: Option<super::routed::Names>,
 ) {
     while let Some(task) = tasks.recv().await {
         let handle = handle.clone();
@@ -25,9 +25,19 @@
                 });
             }
             RelayTask::RunRouted(run) => {
+                let names = names.clone();
                 tokio::spawn(async move {
-                    let end = super::items::run_routed(&handle, &run, dialect).await;
-                    handle.tell(RelayCall::ItemEnded(run.run, end));
+                    let (end, engine_use) = match &names {
+                        Some(names) => super::items::run_routed(&handle, &run, &**names).await,
+                        None => (RunEnd::NotRun, EngineUse::Unsent),
+                    };
+                    handle.tell(RelayCall::RoutedEnded(run.run, end, engine_use));
+                });
+            }
+            RelayTask::Reach(target) => {
+                tokio::spawn(async move {
+                    let reached = super::connections::reach(&target).await;
+                    handle.tell(RelayCall::Reached(target.engine, reached));
                 });
             }
             RelayTask::Look(target) => {
--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -1,15 +1,19 @@
 //! Parcel items run here: leased, held, recorded as started on both, and only then sent.
 
+use super::choice::Wanted;
 use super::parcels::Caller;
-use super::{Out, RelayMachine, RelayReturn, RelayTask};
+use super::requests::PromptPart;
+use super::{EngineUse, Out, RelayMachine, RelayReturn, RelayTask};
 use topazyard_spec::{LaneKind, RouteKind};
 use topazyard_types::{
-    DurationMs, EngineName, HoldId, ModelName, MonotonicMs, ParcelId, PoolName, RouteName, ShardId,
+    Digest, DurationMs, EngineName, HoldId, ModelName, MonotonicMs, ParcelId, PoolName, RouteName,
+    ShardId, Tokens,
 };
 use topazyard_wire::Effect;
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::counter::HoldKind;
 use topazyard_wire::message::parcel::{Item, LeasedItem, ParcelCall, Progress, Run, RunEnd};
+use topazyard_wire::state::FleetView;
 
 /// How long an item may run. A dark engine holds its budget no longer than this.
 pub const RUN_LIMIT: DurationMs = DurationMs(30_000);
@@ -181,6 +185,12 @@
     fn ask_for_item(&mut self, run: Run, now: MonotonicMs, out: &mut Out) {
         let Some(entry) = self.items.entries.get(&run) else { return };
         let (pool, cost) = (entry.pool.clone(), entry.item.cost);
+        let declared = self.view.spec.as_ref().and_then(|(_, bundle)| bundle.pool(&pool));
+        // What a route directs is charged as its live requests are.
+        let cost = match declared.filter(|_| entry.routed.is_some()) {
+            Some(declared) => FleetView::charge(declared, cost),
+            None => cost,
+        };
         let hold = self.ask_hold(pool, cost, HoldKind::Item, now, out);
         self.set_stage(run, Stage::Asking(hold));
     }
@@ -221,7 +231,9 @@
             Stage::Asking(hold) | Stage::Starting(hold, _) => self.release_hold(hold, out),
             Stage::Started(hold, _, engine) => {
                 self.release_hold(hold, out);
-                self.engines.end(&engine, entry.item.cost);
+                if entry.routed.is_none() {
+                    self.engines.end(&engine, entry.item.cost);
+                }
             }
         }
     }
@@ -299,7 +311,7 @@
     }
 
     pub(super) fn item_ended(&mut self, run: Run, end: RunEnd, now: MonotonicMs, out: &mut Out) {
-        if matches!(end, RunEnd::Unknown | RunEnd::Broken(_))
+        if end == RunEnd::Unknown
             && let Some(Entry { stage: Stage::Started(_, _, engine), .. }) =
                 self.items.entries.get(&run)
         {
@@ -378,7 +390,12 @@
         let Some(entry) = self.items.entries.get(&run) else { return };
         let Some(routed) = &entry.routed else { return };
         let prefix = entry.item.directions.as_ref().map_or(&[][..], |d| &d.prefix);
-        let target = self.choose_engine(&entry.pool, &entry.item.model, prefix, None);
+        let part =
+            |(digest, tokens): &(Digest, Tokens)| PromptPart { digest: *digest, tokens: *tokens };
+        let prefix: Vec<PromptPart> = prefix.iter().map(part).collect();
+        let wanted = Wanted { pool: &entry.pool, prefix: &prefix, not: &[] };
+        let chosen = self.engines.choose(&self.view, &wanted, self.node, now);
+        let target = chosen.map(|(target, _)| target);
         let terms = self.view.routes.named(&routed.route);
         let directed = (target, entry.item.directions.clone(), terms);
         let (Some(target), Some(directions), Some(route)) = directed else {
@@ -387,7 +404,6 @@
             return self.finish_run(run, RunEnd::NotRun, now, out);
         };
         let started = Stage::Started(hold, routed.start_until, target.engine.clone());
-        let (cost, prefix) = (entry.item.cost, directions.prefix.clone());
         let routed_run = super::routed_items::RoutedRun {
             run,
             directions,
@@ -397,7 +413,7 @@
             silence: super::routed_items::silence_of(route),
             target,
         };
-        self.engines.begin(&routed_run.target.engine, cost, &prefix);
+        self.engines.open(&routed_run.target.engine, now);
         self.set_stage(run, started);
         out.push(Effect::Start(RelayTask::RunRouted(Box::new(routed_run))));
     }
@@ -410,8 +426,11 @@
         route: &RouteName,
         now: MonotonicMs,
     ) -> Result<MonotonicMs, Code> {
-        if let Some(code) = self.cut_off(now) {
-            return Err(code);
+        if now >= self.routes_until() || self.view.spec.is_none() {
+            return Err(Code::StaleFeed);
+        }
+        if now >= self.counting.leased_until() {
+            return Err(Code::NoCounter);
         }
         // The routes may have changed while it waited.
         let route = self.view.routes.named(route).ok_or(Code::NoLane)?;
@@ -422,6 +441,25 @@
         if !engine.is_some_and(|e| e.pool == *pool && self.engines.is_usable(e)) {
             return Err(Code::NoEngine);
         }
-        Ok(self.fresh_until().min(self.counting.leased_until()))
+        Ok(self.routes_until().min(self.counting.leased_until()))
+    }
+
+    /// A routed item's run ended.
+    pub(super) fn routed_ended(
+        &mut self,
+        run: Run,
+        end: RunEnd,
+        engine_use: EngineUse,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        if let Some(Entry { stage: Stage::Started(_, _, engine), .. }) =
+            self.items.entries.get(&run)
+        {
+            let engine = engine.clone();
+            self.engines.close(&engine, engine_use, now);
+        }
+        self.let_item_go(run, out);
+        self.finish_run(run, end, now, out);
     }
 }
--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -2,6 +2,7 @@
 //! words put in by hand.
 
 use topazyard_relay::front::items::{Events, OutOfOrder};
+use topazyard_relay::machine::EngineUse;
 use topazyard_relay::machine::routed_items::RoutedRun;
 use topazyard_relay::{RelayCall, RelayMachine, RelayReturn, RelayTask, Start};
 use topazyard_types::{
@@ -243,7 +244,11 @@
     assert_eq!((started.run, started.host.as_str()), (run, HOST));
     assert_eq!(started.progress.last_event, Some(3));
     assert!(!relay.calls.iter().any(|(_, call)| matches!(call, ParcelCall::Start(_))));
-    relay.call(RelayCall::ItemEnded(run, RunEnd::Done { text: "x".to_owned() }));
+    relay.call(RelayCall::RoutedEnded(
+        run,
+        RunEnd::Done { text: "x".to_owned() },
+        EngineUse::Whole(DurationMs(9)),
+    ));
     assert_eq!(relay.finished(), Some(&RunEnd::Done { text: "x".to_owned() }));
     assert_eq!(relay.released, relay.holds);
 }
