Tune the live share against the limit in force, not the declared one

Cause: the share was worked out from a pool's declared limit (40,000 by default) although the limit in force follows the engines; live use looked above all of it and items stayed at a tenth. Ruled out: room for leases (48 a relay) and refused engines (none put back, none cut).

--- a/programs/topazyard-control/src/machine/tuning.rs
+++ b/programs/topazyard-control/src/machine/tuning.rs
@@ -77,7 +77,7 @@
         let pools = bundle.pools.iter().filter_map(|pool| {
             let weight = view.weights.get(&pool.name)?;
             let demand = Demand {
-                limit_tokens: pool.limit_tokens.0,
+                limit_tokens: view.limit(pool).0,
                 floor_percent: bundle.weights.live_floor_percent,
                 ceiling_percent: bundle.weights.live_ceiling_percent,
                 ..demand.clone()
