--- a/fleet-simulator/src/world/nodes.rs
+++ b/fleet-simulator/src/world/nodes.rs
@@ -191,13 +191,17 @@
         let mut first = Vec::new();
         let body = match kind {
             Kind::Control => {
-                let start = DiskStart { member, seeds, chance, loaded, bounds, may_found: true };
+                let resources = topazyard_spec::Resources::default();
+                let start =
+                    DiskStart { member, seeds, chance, loaded, bounds, resources, may_found: true };
                 let (machine, effects) = ControlMachine::new(start, now);
                 first = effects;
                 Body::Control(Box::new(machine))
             }
             Kind::Storage => {
-                let start = DiskStart { member, seeds, chance, loaded, bounds, may_found: true };
+                let resources = topazyard_spec::Resources::default();
+                let start =
+                    DiskStart { member, seeds, chance, loaded, bounds, resources, may_found: true };
                 Body::Storage(Box::new(StorageMachine::new(start)))
             }
             Kind::Agent => {
@@ -498,6 +502,8 @@
         let life = self.nodes[index.0].life;
         match task {
             RelayTask::RunItem { run, target, body } => self.begin_item(index, run, target, body),
+            // Nobody here hands in routed items.
+            RelayTask::RunRouted(_) => {}
             // Lanes alone are simulated: no engine is ever reached for a route.
             RelayTask::Look(target) | RelayTask::Reach(target) => {
                 let is_well = self.engine_takes_looks(&target.engine);
--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -44,7 +44,11 @@
         let (tasks, begun) = tokio::sync::mpsc::channel(1_024);
         let make = move |_| (crate::RelayMachine::new(&start), Vec::new());
         let handle = topazyard_wire::driver::spawn(make, place, None, tasks)?;
-        tokio::spawn(crate::front::tasks::run(handle.clone(), begun));
+        let names = match &front {
+            Front::Own => None,
+            Front::Routes { names, .. } => Some(names.clone()),
+        };
+        tokio::spawn(crate::front::tasks::run(handle.clone(), begun, names));
         tokio::spawn(sweep());
         let (drain, drains) = tokio::sync::watch::channel(inward::Stage::Serving);
         let linger = match &front {
