--- /dev/null
+++ b/programs/topazyard-control/tests/fleet/mod.rs
@@ -0,0 +1,223 @@
+//! A few control nodes that speak over a perfect network and disks that sync at once.
+
+use topazyard_control::{ControlCall, ControlMachine, ControlTask};
+use topazyard_types::{CallId, DurationMs, MonotonicMs, NodeId};
+use topazyard_wire::driver::DiskStart;
+use topazyard_wire::message::Message;
+use topazyard_wire::message::cohort::{Duty, Member};
+use topazyard_wire::message::feed::{FeedMessage, Vitals};
+use topazyard_wire::message::operate::{Command, Operate, OperateOutcome, Query};
+use topazyard_wire::{Effect, Input, Machine as _};
+
+pub const BEAT: DurationMs = DurationMs(25);
+
+pub struct Node {
+    pub machine: Option<ControlMachine>,
+    pub rows: topazyard_wire::rows::Loaded,
+    pub returned: Option<OperateOutcome>,
+    pub lists_begun: usize,
+    lives: u64,
+}
+
+pub struct Fleet {
+    pub nodes: Vec<Node>,
+    pub seeds: Vec<std::net::SocketAddr>,
+    pub storage: Vec<Member>,
+    pub now: MonotonicMs,
+    pub may_found: bool,
+}
+
+fn at(number: usize) -> std::net::SocketAddr {
+    ([127, 0, 0, 1], 1_000 + number as u16).into()
+}
+
+/// A storage node that says it is well.
+pub fn storage(number: u64) -> Member {
+    Member {
+        id: NodeId(100 + number),
+        name: Some(format!("storage-{number}")),
+        address: at(100 + number as usize),
+        http: None,
+        duty: Duty::Storage,
+        domain: format!("domain-{number}").as_str().into(),
+    }
+}
+
+impl Fleet {
+    /// A fleet of so many control nodes, of which the first `seeds` are in the settings.
+    pub fn new(size: usize, seeds: usize) -> Self {
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            seeds: (0..seeds).map(at).collect(),
+            storage: Vec::new(),
+            now: MonotonicMs(86_400_000),
+            may_found: true,
+        };
+        (0..size).for_each(|_| fleet.add());
+        fleet
+    }
+
+    /// Adds a node with an empty disk.
+    pub fn add(&mut self) {
+        self.nodes.push(Node {
+            machine: None,
+            rows: Default::default(),
+            returned: None,
+            lists_begun: 0,
+            lives: 0,
+        });
+        self.start(self.nodes.len() - 1);
+    }
+
+    /// Starts a node with what its disk holds.
+    pub fn start(&mut self, number: usize) {
+        let node = &mut self.nodes[number];
+        node.lives += 1;
+        // A node with an empty disk draws a new id.
+        let fresh = NodeId(10 * node.lives + number as u64 + 1);
+        let kept = node.rows.entry(topazyard_wire::Group::Node).or_default();
+        let id = kept.get("id").and_then(|id| topazyard_wire::rows::decode(id)).unwrap_or(fresh);
+        kept.insert("id".to_owned(), topazyard_wire::rows::encode(&id));
+        let member = Member {
+            id,
+            name: Some(format!("core-{number}")),
+            address: at(number),
+            http: None,
+            duty: Duty::Control,
+            domain: format!("domain-{number}").as_str().into(),
+        };
+        let start = DiskStart {
+            member,
+            seeds: self.seeds.clone(),
+            chance: (node.lives << 40) + ((number as u64) << 32) + 1,
+            loaded: node.rows.clone(),
+            bounds: topazyard_spec::Bounds::default(),
+            may_found: self.may_found,
+        };
+        let (mut machine, first) = ControlMachine::new(start, self.now);
+        machine.list_engines_every(DurationMs(500));
+        self.nodes[number].machine = Some(machine);
+        self.happen(number, first);
+    }
+
+    /// Ends a node; its disk stays, or is lost too.
+    pub fn stop(&mut self, number: usize, wipe: bool) {
+        self.nodes[number].machine = None;
+        if wipe {
+            self.nodes[number].rows.clear();
+        }
+    }
+
+    fn step(
+        &mut self,
+        number: usize,
+        input: Input<ControlCall>,
+    ) -> Vec<Effect<OperateOutcome, ControlTask>> {
+        let now = self.now;
+        let machine = self.nodes[number].machine.as_mut();
+        machine.map(|machine| machine.step(input, now)).unwrap_or_default()
+    }
+
+    fn happen(&mut self, number: usize, first: Vec<Effect<OperateOutcome, ControlTask>>) {
+        let mut queue: std::collections::VecDeque<(usize, Effect<_, _>)> =
+            first.into_iter().map(|effect| (number, effect)).collect();
+        while let Some((number, effect)) = queue.pop_front() {
+            let (to, input) = match effect {
+                Effect::Send { to, message } => {
+                    let Some(to) = (0..self.nodes.len()).find(|other| at(*other) == to) else {
+                        continue;
+                    };
+                    let rows = &self.nodes[number].rows[&topazyard_wire::Group::Node];
+                    let sender = topazyard_wire::rows::decode(&rows["id"]).expect("an id");
+                    (to, Input::Frame { sender, from: at(number), message })
+                }
+                Effect::Write { token, changes } => {
+                    let rows = self.nodes[number].rows.entry(token.group).or_default();
+                    for change in changes {
+                        match change.value {
+                            Some(value) => drop(rows.insert(change.key, value)),
+                            None => drop(rows.remove(&change.key)),
+                        }
+                    }
+                    (number, Input::Written(token))
+                }
+                Effect::Return { value, .. } => {
+                    self.nodes[number].returned = Some(value);
+                    continue;
+                }
+                Effect::Start(ControlTask::ListEngines) => {
+                    self.nodes[number].lists_begun += 1;
+                    continue;
+                }
+                Effect::Start(ControlTask::AskLoads(_)) | Effect::Note { .. } => continue,
+            };
+            let more = self.step(to, input);
+            queue.extend(more.into_iter().map(|effect| (to, effect)));
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, for_ms: u64) {
+        let until = self.now.plus(DurationMs(for_ms));
+        while self.now < until {
+            self.now = self.now.plus(BEAT);
+            for number in 0..self.nodes.len() {
+                let effects = self.step(number, Input::Beat);
+                self.happen(number, effects);
+            }
+            if self.now.0 % 200 == 0 {
+                self.storage_asks();
+            }
+        }
+    }
+
+    fn storage_asks(&mut self) {
+        for member in self.storage.clone() {
+            let vitals = Vitals::Storage {
+                member: member.clone(),
+                write_wait_ms: 0,
+                waiting: Vec::new(),
+                live_tokens: None,
+            };
+            for number in 0..self.nodes.len() {
+                let ask = FeedMessage::Ask {
+                    nonce: 1,
+                    after: Default::default(),
+                    heard: Some(DurationMs(0)),
+                    vitals: vitals.clone(),
+                };
+                let (sender, from) = (member.id, member.address);
+                let message = Message::Feed(ask);
+                let effects = self.step(number, Input::Frame { sender, from, message });
+                self.happen(number, effects);
+            }
+        }
+    }
+
+    /// Which node serves, if one does.
+    pub fn primary(&self) -> Option<usize> {
+        self.nodes.iter().position(|node| node.machine.as_ref().is_some_and(|m| m.is_serving()))
+    }
+
+    /// Hands in a call from within a node's process.
+    pub fn tell(&mut self, number: usize, request: ControlCall) {
+        let effects = self.step(number, Input::Call { call: CallId(1), request });
+        self.happen(number, effects);
+    }
+
+    /// Asks a node and gives what it returns.
+    pub fn ask(&mut self, number: usize, operate: Operate) -> Option<OperateOutcome> {
+        self.nodes[number].returned = None;
+        self.tell(number, ControlCall::Operate(operate));
+        self.run(100);
+        self.nodes[number].returned.take()
+    }
+
+    pub fn command(&mut self, number: usize, command: Command) -> Option<OperateOutcome> {
+        self.ask(number, Operate::Command(command))
+    }
+
+    pub fn query(&mut self, number: usize, query: Query) -> Option<OperateOutcome> {
+        self.ask(number, Operate::Query(query))
+    }
+}
