Let a control primary that ends in order say so to its backup

A stopped primary was followed only after its silence. Its backup now asks for the next epoch at once; the witnesses decide as ever, so that a late word does no harm. tests/operating.rs: another serves within 200 ms.

--- a/libraries/topazyard-wire/src/message/control.rs
+++ b/libraries/topazyard-wire/src/message/control.rs
@@ -120,6 +120,11 @@
         /// Under which ballot.
         ballot: Ballot,
     },
+    /// The primary of this epoch ends in order: its backup may take over at once.
+    Leaving {
+        /// The epoch.
+        epoch: Epoch,
+    },
     /// Refused: a higher ballot was promised.
     Outbid {
         /// The epoch that is being decided.
--- a/programs/topazyard-control/src/machine/claim.rs
+++ b/programs/topazyard-control/src/machine/claim.rs
@@ -57,6 +57,32 @@
         self.holds_all(record) && silent.is_some_and(|at| now.since(at) >= self.patience.primary)
     }
 
+    /// A primary that ends in order says so to its backup.
+    pub(super) fn say_leaving(&self, out: &mut Out) {
+        let Some(record) = self.witness.record() else { return };
+        if self.pair.is_serving() && record.primary.id == self.me.id {
+            let message = Message::Core(CoreMessage::Leaving { epoch: record.epoch });
+            out.push(Effect::Send { to: record.backup.address, message });
+        }
+    }
+
+    /// The primary ends: ask at once rather than after its silence. Whoever leads next, the
+    /// witnesses decide, so that a word that comes late does no harm.
+    pub(super) fn hear_leaving(
+        &mut self,
+        sender: NodeId,
+        epoch: topazyard_types::Epoch,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        let Some(record) = self.witness.record() else { return };
+        let is_ours = record.epoch == epoch && record.primary.id == sender;
+        let may_ask = record.backup.id == self.me.id && self.holds_all(record);
+        if is_ours && may_ask && self.claim.is_none() && self.claimed <= epoch {
+            self.begin_claim(now, out);
+        }
+    }
+
     /// Whether this backup's copy holds all that was ever answered up to that record.
     fn holds_all(&self, record: &EpochRecord) -> bool {
         self.pair.copy().place().epoch >= record.epoch
--- a/programs/topazyard-control/src/machine/core.rs
+++ b/programs/topazyard-control/src/machine/core.rs
@@ -159,6 +159,7 @@
                 self.learn_record(&base, now, out);
                 self.vote(from, |witness| witness.accept(&base, ballot, record), out);
             }
+            CoreMessage::Leaving { epoch } => self.hear_leaving(sender, epoch, now, out),
             CoreMessage::Promise { .. }
             | CoreMessage::Accepted { .. }
             | CoreMessage::Outbid { .. } => self.hear_witness(sender, &message, now, out),
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -30,6 +30,8 @@
     Loads(Vec<crate::tuner::EngineLoad>),
     /// The platform's whole list of engines, if it could be read.
     Engines(Option<Vec<topazyard_spec::Engine>>),
+    /// The process is about to end: returned once that was said.
+    Leave,
     /// The settings name other control nodes now.
     Seeds(Vec<std::net::SocketAddr>),
 }
@@ -346,6 +348,11 @@
             Input::Call { request: ControlCall::Engines(list), .. } => {
                 self.take_list(list, now, &mut out);
             }
+            Input::Call { call, request: ControlCall::Leave } => {
+                self.say_leaving(&mut out);
+                let value = OperateOutcome::Done(String::new());
+                out.push(Effect::Return { call, value });
+            }
             Input::Call { request: ControlCall::Seeds(seeds), .. } => {
                 self.seeds.clone_from(&seeds);
                 self.cohort.take_seeds(seeds);
--- a/programs/topazyard-control/src/run.rs
+++ b/programs/topazyard-control/src/run.rs
@@ -30,6 +30,7 @@
         };
         let handle = topazyard_wire::driver::spawn(make, place, Some(database), tasks)?;
         tokio::spawn(work(outside, handle.clone(), begun));
+        let leaving = handle.clone();
         let told = handle.clone();
         let follow = topazyard_wire::driver::follow_settings(settings, move |now| {
             told.tell(crate::ControlCall::Seeds(now.seeds));
@@ -39,7 +40,7 @@
         });
         tokio::select! {
             biased;
-            () = topazyard_wire::driver::terminated() => {}
+            () = topazyard_wire::driver::terminated() => leave(&leaving).await,
             () = follow => {}
             () = served => {}
         }
@@ -47,6 +48,17 @@
     })
 }
 
+/// For how long a process that ends lets its last word go out.
+const LAST_WORD: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// Lets the backup know before the process ends.
+async fn leave(handle: &Handle) {
+    let said = tokio::time::timeout(LAST_WORD, handle.call(crate::ControlCall::Leave)).await;
+    if said.is_ok() {
+        tokio::time::sleep(LAST_WORD).await;
+    }
+}
+
 /// Does what the machine begins outside: lists one after the other, loads beside them.
 async fn work<O: Outside>(
     mut outside: O,
--- a/programs/topazyard-control/tests/operating.rs
+++ b/programs/topazyard-control/tests/operating.rs
@@ -145,6 +145,21 @@
     source_is(&mut fleet, primary, "a 3");
 }
 
+#[test]
+fn a_primary_that_ends_in_order_is_followed_at_once() {
+    let mut fleet = running();
+    taken(fleet.command(0, spec(0, 3, 2, "a")));
+    let primary = fleet.primary().expect("a primary");
+    fleet.tell(primary, ControlCall::Leave);
+    fleet.stop(primary, false);
+    fleet.run(200);
+    let next = fleet.primary().expect("another primary");
+    source_is(&mut fleet, next, "a 3");
+    fleet.start(primary);
+    fleet.run(2_000);
+    source_is(&mut fleet, primary, "a 3");
+}
+
 fn engine(name: &str, state: topazyard_spec::EngineState) -> topazyard_spec::Engine {
     topazyard_spec::Engine {
         name: name.into(),
