--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -6,6 +6,7 @@
 mod feed;
 mod listing;
 mod operate;
+mod patience;
 mod queries;
 mod tuning;
 mod vitals;
@@ -29,6 +30,8 @@
     Loads(Vec<crate::tuner::EngineLoad>),
     /// The platform's whole list of engines, if it could be read.
     Engines(Option<Vec<topazyard_spec::Engine>>),
+    /// The process is about to end: returned once that was said.
+    Leave,
     /// The settings name other control nodes now.
     Seeds(Vec<std::net::SocketAddr>),
 }
@@ -51,6 +54,7 @@
     pub(crate) life: topazyard_types::Life,
     pub(crate) seeds: Vec<std::net::SocketAddr>,
     pub(crate) bounds: topazyard_spec::Bounds,
+    pub(crate) patience: patience::Patience,
     pub(crate) cohort: Cohort,
     pub(crate) witness: Witness,
     pub(crate) pair: Pair,
@@ -114,6 +118,7 @@
             life,
             cohort: Cohort::new(start.member, ask, start.chance),
             seeds: start.seeds,
+            patience: patience::Patience::within(&start.bounds),
             bounds: start.bounds,
             witness: Witness::loaded(&witness_rows),
             pair: Pair::new(Group::Control, true, copy, life),
@@ -343,6 +348,11 @@
             Input::Call { request: ControlCall::Engines(list), .. } => {
                 self.take_list(list, now, &mut out);
             }
+            Input::Call { call, request: ControlCall::Leave } => {
+                self.say_leaving(&mut out);
+                let value = OperateOutcome::Done(String::new());
+                out.push(Effect::Return { call, value });
+            }
             Input::Call { request: ControlCall::Seeds(seeds), .. } => {
                 self.seeds.clone_from(&seeds);
                 self.cohort.take_seeds(seeds);
