--- a/programs/topazyard-control/tests/fleet/mod.rs
+++ b/programs/topazyard-control/tests/fleet/mod.rs
@@ -87,6 +87,7 @@
             domain: format!("domain-{number}").as_str().into(),
         };
         let start = DiskStart {
+            resources: topazyard_spec::Resources::default(),
             member,
             seeds: self.seeds.clone(),
             chance: (node.lives << 40) + ((number as u64) << 32) + 1,
