--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -342,7 +342,7 @@
     fn beat(&mut self, now: MonotonicMs, out: &mut Out) {
         let vitals = Vitals::Edge {
             ready: self.unready(now).is_none(),
-            waiting: (self.admission.waiting() + self.requests.waiting()) as u32,
+            waiting: (self.admission.waiting() + self.requests.wanting()) as u32,
             refused: self.refused_for_room,
         };
         if let Some((to, message)) = self.follower.beat(now, || vitals) {
--- a/programs/topazyard-relay/src/machine/requests.rs
+++ b/programs/topazyard-relay/src/machine/requests.rs
@@ -145,6 +145,12 @@
         self.rooms.values().map(|room| room.queue.len()).sum()
     }
 
+    /// Requests that wait because the counter had no room, not just for its answer.
+    pub(crate) fn wanting(&self) -> usize {
+        let full = self.rooms.values().filter(|room| room.refused);
+        full.map(|room| room.queue.len()).sum()
+    }
+
     pub(crate) fn holding(&self) -> usize {
         self.entries.len() - self.waiting()
     }
