--- a/programs/topazyard-relay/src/machine/requests.rs
+++ b/programs/topazyard-relay/src/machine/requests.rs
@@ -25,8 +25,8 @@
 const ASK_EVERY: DurationMs = DurationMs(40);
 /// After how long without an answer the counter counts as out of reach.
 const COUNTER_SILENT: DurationMs = DurationMs(500);
-/// After how long a block that nothing needs is let go.
-const IDLE_BLOCK: DurationMs = DurationMs(2_000);
+/// Blocks that were not needed in the last two spans of this length are let go.
+const PEAK_SPAN: DurationMs = DurationMs(750);
 /// A block is this part of the pool's budget, or one request's cost where that is more.
 const BLOCKS_OF_LIMIT: u64 = 256;
 /// The shortest that a request waits for room, whatever its target.
@@ -120,12 +120,23 @@
     asked: Option<(HoldId, Tokens, MonotonicMs)>,
     refused: bool,
     last_ask: Option<MonotonicMs>,
-    spare_since: Option<MonotonicMs>,
+    /// The most that its requests held at once, in the present span and in the one before.
+    peaks: [Tokens; 2],
+    span_began: MonotonicMs,
     /// Requests that wait, in order.
     queue: std::collections::VecDeque<PromptId>,
 }
 
 impl Room {
+    fn hold(&mut self, charge: Tokens) {
+        self.used = self.used.plus(charge);
+        self.peaks[0] = self.peaks[0].max(self.used);
+    }
+
+    fn let_go(&mut self, charge: Tokens) {
+        self.used = Tokens(self.used.0.saturating_sub(charge.0));
+    }
+
     /// What the blocks hold that may be used: those asked for, or renewed, after that moment.
     fn granted(&self, renewed: MonotonicMs, oldest: MonotonicMs) -> Tokens {
         let stands = |asked: &MonotonicMs| renewed.max(*asked) > oldest;
@@ -284,8 +295,7 @@
                 return self.ask_for_block(pool, charge, now, out);
             }
             room.queue.pop_front();
-            room.used = room.used.plus(entry.charge);
-            room.spare_since = None;
+            room.hold(entry.charge);
             let chosen = self.choose(id, now);
             let Some(entry) = self.requests.entries.get_mut(&id) else { return };
             let Stage::Waiting(call) = entry.stage else { continue };
@@ -298,7 +308,7 @@
                     out.push(Effect::Return { call, value });
                 }
                 None => {
-                    self.forget_request(id, now);
+                    self.forget_request(id);
                     self.refuse_request(call, Code::NoEngine, out);
                 }
             }
@@ -412,7 +422,7 @@
         if let Some(room) = self.requests.rooms.get_mut(&entry.pool) {
             match &entry.stage {
                 Stage::Waiting(_) => room.queue.retain(|other| *other != id),
-                Stage::Held(_) => room.used = Tokens(room.used.0.saturating_sub(entry.charge.0)),
+                Stage::Held(_) => room.let_go(entry.charge),
             }
         }
         if let Stage::Held(engine) = &entry.stage {
@@ -424,11 +434,10 @@
         self.serve_room(&entry.pool, now, out);
     }
 
-    fn forget_request(&mut self, id: PromptId, now: MonotonicMs) {
+    fn forget_request(&mut self, id: PromptId) {
         let Some(entry) = self.requests.entries.remove(&id) else { return };
         if let Some(room) = self.requests.rooms.get_mut(&entry.pool) {
-            room.used = Tokens(room.used.0.saturating_sub(entry.charge.0));
-            room.spare_since.get_or_insert(now);
+            room.let_go(entry.charge);
         }
     }
 
@@ -478,31 +487,33 @@
         }
     }
 
-    /// Lets a block go that nothing has needed for a while, and those of pools that are gone.
+    /// Lets blocks go that were not needed lately, and all of a pool that is gone.
     fn let_block_go(&mut self, pool: &PoolName, now: MonotonicMs, out: &mut Out) {
         let is_known = self.view.spec.as_ref().is_some_and(|(_, b)| b.pool(pool).is_some());
         let Some(room) = self.requests.rooms.get_mut(pool) else { return };
-        let largest = room.blocks.iter().max_by_key(|(_, (block, _))| *block);
-        let Some((id, block)) = largest.map(|(id, (block, _))| (*id, *block)) else {
-            if !is_known && room.queue.is_empty() && room.used == Tokens(0) {
-                self.requests.rooms.remove(pool);
-            }
+        if now.since(room.span_began) < PEAK_SPAN {
             return;
-        };
-        let granted = room.granted(MonotonicMs(u64::MAX), now);
-        let spare = granted.0.saturating_sub(room.used.0);
-        // Twice what is let go stays spare, so that a usual swing asks for nothing.
-        let keeps = if is_known && room.used > Tokens(0) { 3 } else { 1 };
-        if spare < block.0 * keeps {
-            room.spare_since = None;
+        }
+        room.span_began = now;
+        let needed = room.peaks[0].max(room.peaks[1]);
+        room.peaks = [room.used, room.peaks[0]];
+        if room.blocks.is_empty() && !is_known && room.queue.is_empty() {
+            self.requests.rooms.remove(pool);
             return;
         }
-        let since = *room.spare_since.get_or_insert(now);
-        if now.since(since) >= IDLE_BLOCK {
-            room.spare_since = None;
-            room.blocks.remove(&id);
-            self.release_hold(id, out);
+        let mut granted: Tokens = room.blocks.values().map(|(block, _)| *block).sum();
+        let mut spare = Vec::new();
+        for (id, (block, _)) in &room.blocks {
+            // One block more than needed stays, so that a usual swing asks for nothing.
+            if granted.0 >= needed.0 + 2 * block.0 || (needed.0 == 0 && !is_known) {
+                granted = Tokens(granted.0 - block.0);
+                spare.push(*id);
+            }
+        }
+        for id in &spare {
+            room.blocks.remove(id);
         }
+        spare.into_iter().for_each(|id| self.release_hold(id, out));
     }
 }
 
