--- a/programs/topazyard-control/src/tuner.rs
+++ b/programs/topazyard-control/src/tuner.rs
@@ -6,7 +6,7 @@
 /// How far the share rises in one step when live prompts want for room.
 const RISE_PERCENT: u64 = 15;
 /// How far it falls in one step while parcels wait.
-const FALL_PERCENT: u64 = 3;
+const FALL_PERCENT: u64 = 8;
 /// How much room above what live prompts use is kept for a jump, in percent of what they use.
 const HEADROOM_PERCENT: u64 = 150;
 
