--- a/fleet-measure/src/scale/routes.rs
+++ b/fleet-measure/src/scale/routes.rs
@@ -6,24 +6,39 @@
 /// Edge nodes that follow.
 const EDGES: usize = 5;
 
-/// A row for each size: what one change costs, and what the control primary costs at rest.
+/// A row for each size: what one change costs, and what the control primary costs at rest. Memory is
+/// told by the first measurement of a process, so a size whose memory counts is given alone.
 pub fn run(sizes: &[usize], times: usize, changes: usize) {
     println!(
         "| routes | KB of text | primary ms a change: check, compare, take | KB to the backup | \
          KB written | bytes to a follower | relay ms a change | snapshot KB | snapshot decode ms | \
-         primary at rest ms /s |"
+         primary at rest ms /s | memory KB a change and copy |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|");
     for size in sizes {
-        let row = super::medians(times, || measure(*size, changes));
+        let mut memory = None;
+        let row = super::medians(times, || {
+            let row = measure(*size, changes);
+            memory.get_or_insert(row[9]);
+            row
+        });
         println!(
-            "| {size} | {:.1} | {:.2} | {:.1} | {:.1} | {:.0} | {:.2} | {:.1} | {:.2} | {:.2} |",
-            row[0], row[1], row[2], row[3], row[4], row[5], row[6], row[7], row[8],
+            "| {size} | {:.1} | {:.2} | {:.1} | {:.1} | {:.0} | {:.2} | {:.1} | {:.2} | {:.2} | {:.0} |",
+            row[0],
+            row[1],
+            row[2],
+            row[3],
+            row[4],
+            row[5],
+            row[6],
+            row[7],
+            row[8],
+            memory.unwrap_or(0.0),
         );
     }
 }
 
-fn measure(size: usize, changes: usize) -> [f64; 9] {
+fn measure(size: usize, changes: usize) -> [f64; 10] {
     let mut fleet = Fleet::start(EDGES);
     fleet.settle();
     let first = super::samples::configuration(size, 0);
@@ -40,6 +55,7 @@
     let relay_rest = fleet.nodes[relay].meter;
     let (mut took, mut sent, mut written, mut fed, mut relayed) =
         (Vec::new(), Vec::new(), Vec::new(), Vec::new(), Vec::new());
+    let memory = super::meter::resident_bytes();
     for change in 1..=changes {
         let text = super::samples::configuration(size, change);
         fleet.reset();
@@ -55,6 +71,9 @@
         written.push(after.written_bytes as f64 / 1_000.0);
         relayed.push((relay_after.processor_us() - relay_rest.processor_us()) / 1_000.0);
     }
+    // The primary and the backup keep a copy each.
+    let memory = super::meter::resident_bytes().saturating_sub(memory) as f64;
+    let memory_kb = memory / 2.0 / changes.max(1) as f64 / 1_000.0;
     let (snapshot_kb, decode_ms) = snapshot(size);
     let of = super::meter::median;
     [
@@ -67,6 +86,7 @@
         snapshot_kb,
         decode_ms,
         rest.processor_us() / rest_ms as f64,
+        memory_kb,
     ]
 }
 
