--- a/fleet-measure/src/hollow.rs
+++ b/fleet-measure/src/hollow.rs
@@ -118,7 +118,8 @@
         let (agent, relay) = (at(first), at(first + 1));
         let id = topazyard_wire::driver::fresh_id();
         let domain = topazyard_types::DomainName(format!("domain-{}", number % 3 + 1));
-        let member = Member { id, address: agent, http: None, duty: Duty::Edge, domain };
+        let member =
+            Member { id, name: None, address: agent, http: None, duty: Duty::Edge, domain };
         let machine = AgentMachine::new(topazyard_edge_agent::Start {
             member,
             seeds: flags.seeds.clone(),
@@ -128,7 +129,11 @@
         });
         nodes.push(node(id, agent, Body::Agent(machine)));
         let id = topazyard_wire::driver::fresh_id();
-        let machine = RelayMachine::new(&topazyard_relay::Start { node: id, agent });
+        let machine = RelayMachine::new(&topazyard_relay::Start {
+            node: id,
+            agent,
+            bounds: topazyard_spec::Bounds::default(),
+        });
         nodes.push(node(id, relay, Body::Relay(machine)));
     }
     for (index, node) in nodes.iter().enumerate() {
--- a/fleet-measure/src/scale/fleet.rs
+++ b/fleet-measure/src/scale/fleet.rs
@@ -146,7 +146,11 @@
             });
             fleet.add(agent, id, Body::Agent(Box::new(machine)));
             let id = NodeId(id.0 + 1_000_000);
-            let machine = RelayMachine::new(&topazyard_relay::Start { node: id, agent });
+            let machine = RelayMachine::new(&topazyard_relay::Start {
+                node: id,
+                agent,
+                bounds: topazyard_spec::Bounds::default(),
+            });
             fleet.add(relay, id, Body::Relay(Box::new(machine)));
         }
         for (index, effects) in first {
@@ -164,6 +168,7 @@
     ) -> DiskStart {
         let number = self.nodes.len() as u64;
         let member = Member {
+            name: None,
             id: NodeId(number + 1),
             address,
             http: None,
@@ -171,7 +176,15 @@
             domain: topazyard_types::DomainName(format!("zone-{}", number % 3)),
         };
         let chance = 0x9e37_79b9_7f4a_7c15_u64.wrapping_mul(number + 1);
-        DiskStart { member, seeds: seeds.to_vec(), chance, loaded: Default::default() }
+        DiskStart {
+            member,
+            seeds: seeds.to_vec(),
+            chance,
+            loaded: Default::default(),
+            bounds: topazyard_spec::Bounds::default(),
+            resources: topazyard_spec::Resources::default(),
+            may_found: true,
+        }
     }
 
     /// A node that only sends what it is told to; gives its number.
--- a/fleet-measure/src/scale/items.rs
+++ b/fleet-measure/src/scale/items.rs
@@ -108,6 +108,7 @@
     for batch in 0..batches {
         let parcel = ParcelId { shard: SHARD, number: batch as u64 + 1 };
         let items = (0..IN_A_BATCH.min(size - batch * IN_A_BATCH)).map(|item| Item {
+            directions: None,
             model: "m".into(),
             body: body_of(BODY_BYTES, item),
             repeatable: true,
@@ -154,7 +155,10 @@
     let mut ended = 0;
     let mut idle = 0;
     while ended < size && idle < 3_000 {
-        client.call(fleet, ParcelCall::Lease { most: LEASED, models: vec!["m".into()] });
+        client.call(
+            fleet,
+            ParcelCall::Lease { most: LEASED, models: vec!["m".into()], routes: Vec::new() },
+        );
         let mut leased = Vec::new();
         for _ in 0..20 {
             fleet.run_ms(1);
--- a/programs/topazyard-relay/src/front/mod.rs
+++ b/programs/topazyard-relay/src/front/mod.rs
@@ -56,6 +56,12 @@
     "upgrade",
 ];
 
+/// Lets the connection send what it was given before its body breaks off: an error that follows a
+/// piece at once would abort it with the piece still in its buffer.
+pub(crate) async fn let_flush() {
+    tokio::task::yield_now().await;
+}
+
 /// Copies all headers that go from end to end.
 pub(crate) fn copy_end_to_end(from: &hyper::HeaderMap, to: &mut hyper::HeaderMap) {
     let named = from.get_all(hyper::header::CONNECTION).iter();
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -69,11 +69,10 @@
     request: hyper::Request<hyper::body::Incoming>,
 ) -> hyper::Response<Body> {
     let (head, body) = request.into_parts();
-    let refused = match serve(handle, &names, head, body).await {
-        Ok(response) => return response,
+    match serve(handle, &names, head, body).await {
+        Ok(response) => response,
         Err(error) => names.refuse(&error),
-    };
-    refused
+    }
 }
 
 async fn serve(
@@ -378,7 +377,10 @@
                 }
                 Step::Nothing => {}
                 Step::End => return None,
-                Step::Cut => return Some((Err(BodyError), None)),
+                Step::Cut => {
+                    super::let_flush().await;
+                    return Some((Err(BodyError), None));
+                }
             }
         }
     }
--- a/programs/topazyard-relay/src/front/session.rs
+++ b/programs/topazyard-relay/src/front/session.rs
@@ -242,6 +242,9 @@
     match pieces.recv().await {
         Some(Piece::Frame(frame)) => Some((Ok(frame), Some(pieces))),
         Some(Piece::End) => None,
-        None => Some((Err(BodyError), None)),
+        None => {
+            super::let_flush().await;
+            Some((Err(BodyError), None))
+        }
     }
 }
--- a/programs/topazyard-relay/src/machine/choice.rs
+++ b/programs/topazyard-relay/src/machine/choice.rs
@@ -93,8 +93,8 @@
             let behind = self.learned(&engine.name).and_then(|learned| learned.behind_until);
             behind.is_none_or(|until| now >= until)
         };
-        if usable.iter().any(|engine| is_front(&engine)) {
-            usable.retain(|engine| is_front(&engine));
+        if usable.iter().any(|engine| is_front(engine)) {
+            usable.retain(|engine| is_front(engine));
         }
         let key = shared_key(wanted.prefix).unwrap_or(Digest(u128::from(own.0)));
         let rank = |engine: &Engine| Digest::of(&[&key.0.to_be_bytes(), engine.name.0.as_bytes()]);
