--- a/libraries/topazyard-cohort/src/cohort.rs
+++ b/libraries/topazyard-cohort/src/cohort.rs
@@ -102,6 +102,11 @@
         self.roll.members.values()
     }
 
+    /// The domain that this member stands in.
+    pub fn own_domain(&self) -> &topazyard_types::DomainName {
+        &self.own.member.domain
+    }
+
     /// How a member stands, if it is known.
     pub fn standing(&self, id: NodeId) -> Option<Standing> {
         if id == self.own.member.id {
--- a/libraries/topazyard-replication/src/lib.rs
+++ b/libraries/topazyard-replication/src/lib.rs
@@ -1,4 +1,4 @@
-//! Copies of rows, the pair that keeps two of them in step, the witness that decides epochs, and
+//! Copies of rows, the primary that keeps several of them in step, the witness that decides epochs, and
 //! the follower that reads the feed.
 
 pub mod copy;
@@ -9,4 +9,4 @@
 pub use copy::Copy;
 pub use epoch::{Proposal, Witness};
 pub use follower::Follower;
-pub use pair::{Doubt, Pair, PairOutput, Ticket};
+pub use pair::{Doubt, Followers, Pair, PairOutput, Ticket};
--- a/libraries/topazyard-replication/src/pair/lead.rs
+++ b/libraries/topazyard-replication/src/pair/lead.rs
@@ -1,7 +1,7 @@
-//! The primary's side: batches, the comparison that brings a copy in step, and the learner.
+//! The primary's side: batches, the comparisons that bring backups in step, and the learners.
 
-use super::{Doubt, From, Pair, PairOutput, Role, Ticket};
-use topazyard_types::{DurationMs, Life, MonotonicMs, Sequence};
+use super::{Doubt, Followers, From, Pair, PairOutput, Role, Ticket};
+use topazyard_types::{DurationMs, Life, MonotonicMs, NodeId, Sequence};
 use topazyard_wire::RowChange;
 use topazyard_wire::message::control::CoreNode;
 use topazyard_wire::message::pair::PairBody;
@@ -16,7 +16,7 @@
 const FETCH_AGAIN: DurationMs = DurationMs(300);
 /// How much of a range goes over a link in a millisecond, at the least: 10 MB a second.
 const BYTES_PER_MS: u64 = 10_000;
-/// How long an idle primary leaves its backup without a word.
+/// How long an idle primary leaves its backups without a word.
 const KEEP_ALIVE: DurationMs = DurationMs(200);
 /// How long new batches are held back for a learner's last comparison.
 const LONGEST_PAUSE: DurationMs = DurationMs(1_500);
@@ -24,7 +24,7 @@
 /// Whether the primary may commit.
 #[derive(Debug, PartialEq, Eq)]
 enum Phase {
-    /// It may not yet: the backup's copy is being compared, or there is no backup.
+    /// It may not yet: a backup's copy is being compared, or backups are missing.
     Comparing,
     /// It may.
     Serving,
@@ -51,6 +51,53 @@
     }
 }
 
+/// Whether a comparison is to be begun, or begun again.
+fn is_due(comparison: &Option<Comparison>, now: MonotonicMs) -> bool {
+    comparison.as_ref().is_none_or(|comparison| comparison.is_due_again(now))
+}
+
+/// A backup, as its primary knows it.
+#[derive(Debug)]
+struct Backup {
+    node: CoreNode,
+    state: BackupState,
+    /// The last round that it confirmed in this epoch.
+    confirmed: Option<u64>,
+}
+
+/// Whether a backup follows batch by batch.
+#[derive(Debug)]
+enum BackupState {
+    /// Its copy is being compared, since then.
+    Comparing(Option<Comparison>, MonotonicMs),
+    /// It takes each batch.
+    InStep,
+}
+
+impl Backup {
+    fn is_in_step(&self) -> bool {
+        matches!(self.state, BackupState::InStep)
+    }
+
+    /// Since when it owes a confirmation, if it does.
+    fn owes_since(&self, under_way: Option<&Batch>) -> Option<MonotonicMs> {
+        match &self.state {
+            BackupState::Comparing(_, since) => Some(*since),
+            BackupState::InStep => {
+                let owed = under_way.filter(|batch| self.confirmed != Some(batch.round));
+                owed.map(|batch| batch.begun)
+            }
+        }
+    }
+}
+
+/// A node that is being given a copy.
+#[derive(Debug)]
+struct Learner {
+    node: CoreNode,
+    learning: Learning,
+}
+
 /// How far a learner is.
 #[derive(Debug)]
 enum Learning {
@@ -58,11 +105,11 @@
     Fetching(Option<Comparison>),
     /// New batches are held back since then, for the last comparison.
     LastRound(Option<Comparison>, MonotonicMs),
-    /// It holds everything.
-    Ready,
+    /// It holds everything, and new batches are held back since then.
+    Ready(MonotonicMs),
 }
 
-/// A batch that is being synced on both.
+/// A batch that is being synced on every copy.
 #[derive(Debug)]
 struct Batch {
     round: u64,
@@ -70,7 +117,6 @@
     changes: Vec<RowChange>,
     tickets: Vec<Ticket>,
     write: Option<u64>,
-    confirmed: bool,
     begun: MonotonicMs,
     sent: MonotonicMs,
 }
@@ -78,12 +124,11 @@
 /// What a primary keeps.
 #[derive(Debug)]
 pub struct Lead {
-    backup: Option<CoreNode>,
-    learner: Option<CoreNode>,
+    backups: Vec<Backup>,
+    learners: Vec<Learner>,
+    /// Whether it may answer once all its backups are in step.
+    answers: bool,
     phase: Phase,
-    since: MonotonicMs,
-    comparison: Option<Comparison>,
-    learning: Learning,
     under_way: Option<Batch>,
     next_tickets: Vec<Ticket>,
     next_changes: Vec<RowChange>,
@@ -93,8 +138,7 @@
 
 impl Lead {
     pub(super) fn new(
-        backup: Option<CoreNode>,
-        learner: Option<CoreNode>,
+        followers: Followers,
         carried: Option<Box<Self>>,
         life: Life,
         now: MonotonicMs,
@@ -103,14 +147,15 @@
             None => (None, Vec::new(), Vec::new(), life.first_number()),
             Some(old) => (old.under_way, old.next_tickets, old.next_changes, old.last_round),
         };
+        let state = || BackupState::Comparing(None, now);
+        let backup = |node| Backup { node, state: state(), confirmed: None };
+        let learner = |node| Learner { node, learning: Learning::Fetching(None) };
         Self {
-            backup,
-            learner,
+            backups: followers.backups.into_iter().map(backup).collect(),
+            learners: followers.learners.into_iter().map(learner).collect(),
+            answers: followers.answers,
             phase: Phase::Comparing,
-            since: now,
-            comparison: None,
-            learning: Learning::Fetching(None),
-            under_way: under_way.map(|batch| Batch { confirmed: false, ..batch }),
+            under_way,
             next_tickets,
             next_changes,
             last_round,
@@ -127,13 +172,29 @@
         under_way.chain(&self.next_tickets).copied().collect()
     }
 
-    pub(super) fn silent_since(&self) -> Option<MonotonicMs> {
-        self.backup?;
-        match (&self.phase, &self.under_way) {
-            (Phase::Comparing, _) => Some(self.since),
-            (Phase::Serving, Some(batch)) if !batch.confirmed => Some(batch.begun),
-            _ => None,
-        }
+    /// The backups that owe a confirmation, each with since when.
+    pub(super) fn owing(&self) -> impl Iterator<Item = (NodeId, MonotonicMs)> {
+        let batch = self.under_way.as_ref();
+        let backups = self.backups.iter().filter(|_| self.phase != Phase::Stopped);
+        backups.filter_map(move |backup| Some((backup.node.id, backup.owes_since(batch)?)))
+    }
+
+    /// The learners that hold everything.
+    pub(super) fn filled(&self) -> impl Iterator<Item = NodeId> {
+        let ready = |learner: &&Learner| matches!(learner.learning, Learning::Ready(_));
+        self.learners.iter().filter(ready).map(|learner| learner.node.id)
+    }
+
+    fn backup_at(&self, id: NodeId) -> Option<usize> {
+        self.backups.iter().position(|backup| backup.node.id == id)
+    }
+
+    fn learner_at(&self, id: NodeId) -> Option<usize> {
+        self.learners.iter().position(|learner| learner.node.id == id)
+    }
+
+    fn all_in_step(&self) -> bool {
+        self.backups.iter().all(Backup::is_in_step)
     }
 
     fn next_round(&mut self) -> u64 {
@@ -142,12 +203,12 @@
     }
 
     fn is_held_back(&self) -> bool {
-        !matches!(self.learning, Learning::Fetching(_))
+        self.learners.iter().any(|l| !matches!(l.learning, Learning::Fetching(_)))
     }
 }
 
 impl Pair {
-    /// Submits changes; the ticket is committed once both copies have synced them. No changes
+    /// Submits changes; the ticket is committed once all copies have synced them. No changes
     /// make it a confirmed read.
     ///
     /// Gives false, and does nothing, where this node is not the primary.
@@ -204,30 +265,28 @@
             self.write(rows, now, &mut out)
         };
         if let Role::Primary(lead) = &mut self.role {
-            lead.under_way = Some(Batch {
-                round,
-                sequence,
-                changes,
-                tickets,
-                write,
-                confirmed: false,
-                begun: now,
-                sent: now,
-            });
+            lead.under_way =
+                Some(Batch { round, sequence, changes, tickets, write, begun: now, sent: now });
         }
         self.send_append(&mut out);
+        // Where there are no backups nobody else has to confirm it.
+        self.finish_batch(&mut out);
         out
     }
 
+    /// Sends the batch under way to those backups in step that have not confirmed it.
     fn send_append(&self, out: &mut Vec<PairOutput>) {
         let Role::Primary(lead) = &self.role else { return };
-        let (Some(batch), Some(backup)) = (&lead.under_way, lead.backup) else { return };
-        let body = PairBody::Append {
-            round: batch.round,
-            sequence: batch.sequence,
-            changes: batch.changes.clone(),
-        };
-        self.send(backup.address, body, out);
+        let Some(batch) = &lead.under_way else { return };
+        let owes = |backup: &&Backup| backup.is_in_step() && backup.confirmed != Some(batch.round);
+        for backup in lead.backups.iter().filter(owes) {
+            let body = PairBody::Append {
+                round: batch.round,
+                sequence: batch.sequence,
+                changes: batch.changes.clone(),
+            };
+            self.send(backup.node.address, body, out);
+        }
     }
 
     fn begin_comparison(
@@ -249,59 +308,69 @@
 
     pub(super) fn lead_beat(&mut self, now: MonotonicMs, out: &mut Vec<PairOutput>) {
         let Role::Primary(lead) = &mut self.role else { return };
-        let due = |comparison: &Option<Comparison>| {
-            comparison.as_ref().is_none_or(|c| c.is_due_again(now))
-        };
-        match lead.phase {
-            Phase::Comparing if lead.backup.is_some() && due(&lead.comparison) => {
-                let backup = lead.backup;
-                let begun = backup.and_then(|backup| self.begin_comparison(backup, now, out));
-                if let Role::Primary(lead) = &mut self.role {
-                    lead.comparison = begun;
-                }
-            }
-            Phase::Serving => {
-                if let Some(batch) = &mut lead.under_way
-                    && !batch.confirmed
-                    && now.since(batch.sent) >= APPEND_AGAIN
+        if lead.phase != Phase::Stopped {
+            let due: Vec<(usize, CoreNode)> = lead
+                .backups
+                .iter()
+                .enumerate()
+                .filter(|(_, b)| matches!(&b.state, BackupState::Comparing(c, _) if is_due(c, now)))
+                .map(|(at, backup)| (at, backup.node))
+                .collect();
+            for (at, node) in due {
+                let begun = self.begin_comparison(node, now, out);
+                if let Role::Primary(lead) = &mut self.role
+                    && let BackupState::Comparing(comparison, _) = &mut lead.backups[at].state
                 {
-                    batch.sent = now;
-                    self.send_append(out);
+                    *comparison = begun;
                 }
             }
-            _ => {}
+            self.send_again(now, out);
+            self.serve_if_in_step(out);
+        }
+        self.learners_beat(now, out);
+    }
+
+    fn send_again(&mut self, now: MonotonicMs, out: &mut Vec<PairOutput>) {
+        let Role::Primary(lead) = &mut self.role else { return };
+        if let Some(batch) = &mut lead.under_way
+            && now.since(batch.sent) >= APPEND_AGAIN
+        {
+            batch.sent = now;
+            self.send_append(out);
         }
-        self.learner_beat(now, out);
     }
 
-    fn learner_beat(&mut self, now: MonotonicMs, out: &mut Vec<PairOutput>) {
+    fn learners_beat(&mut self, now: MonotonicMs, out: &mut Vec<PairOutput>) {
         let Role::Primary(lead) = &mut self.role else { return };
-        let Some(learner) = lead.learner else { return };
-        // While the backup is out of step it comes first.
-        if lead.phase == Phase::Comparing && lead.backup.is_some() {
+        // Where only a backup out of step keeps the primary from serving, that one comes first.
+        if lead.phase == Phase::Comparing && lead.answers {
             return;
         }
-        let due = |comparison: &Option<Comparison>| {
-            comparison.as_ref().is_none_or(|c| c.is_due_again(now))
-        };
-        match &lead.learning {
-            Learning::LastRound(_, since) if now.since(*since) >= LONGEST_PAUSE => {
-                lead.learning = Learning::Fetching(None);
-            }
-            Learning::Fetching(comparison) if due(comparison) => {
-                let begun = self.begin_comparison(learner, now, out);
-                if let Role::Primary(lead) = &mut self.role {
-                    lead.learning = Learning::Fetching(begun);
+        let stopped = lead.phase == Phase::Stopped;
+        let mut due = Vec::new();
+        for (at, learner) in lead.learners.iter_mut().enumerate() {
+            match &learner.learning {
+                Learning::LastRound(_, since) | Learning::Ready(since)
+                    if !stopped && now.since(*since) >= LONGEST_PAUSE =>
+                {
+                    learner.learning = Learning::Fetching(None);
                 }
-            }
-            Learning::LastRound(comparison, since) if due(comparison) => {
-                let since = *since;
-                let begun = self.begin_comparison(learner, now, out);
-                if let Role::Primary(lead) = &mut self.role {
-                    lead.learning = Learning::LastRound(begun, since);
+                Learning::Fetching(comparison) | Learning::LastRound(comparison, _)
+                    if is_due(comparison, now) =>
+                {
+                    due.push((at, learner.node));
                 }
+                _ => {}
+            }
+        }
+        for (at, node) in due {
+            let begun = self.begin_comparison(node, now, out);
+            if let Role::Primary(lead) = &mut self.role
+                && let Learning::Fetching(comparison) | Learning::LastRound(comparison, _) =
+                    &mut lead.learners[at].learning
+            {
+                *comparison = begun;
             }
-            _ => {}
         }
     }
 
@@ -313,24 +382,24 @@
         out: &mut Vec<PairOutput>,
     ) {
         let Role::Primary(lead) = &mut self.role else { return };
-        let is_backup = lead.backup.is_some_and(|backup| backup.id == from.id);
-        let is_learner = lead.learner.is_some_and(|learner| learner.id == from.id);
-        match body {
-            PairBody::Appended { round } if is_backup && lead.is_serving() => {
-                if let Some(batch) = &mut lead.under_way
-                    && batch.round == round
-                {
-                    batch.confirmed = true;
+        let (backup, learner) = (lead.backup_at(from.id), lead.learner_at(from.id));
+        match (body, backup, learner) {
+            (PairBody::Appended { round }, Some(at), _) => {
+                let under_way = lead.under_way.as_ref().is_some_and(|b| b.round == round);
+                if under_way && lead.backups[at].is_in_step() {
+                    lead.backups[at].confirmed = Some(round);
                 }
                 self.finish_batch(out);
             }
-            PairBody::OutOfStep if is_backup && lead.is_serving() => {
+            (PairBody::OutOfStep, Some(at), _)
+                if lead.phase != Phase::Stopped && lead.backups[at].is_in_step() =>
+            {
+                lead.backups[at].state = BackupState::Comparing(None, now);
+                lead.backups[at].confirmed = None;
                 lead.phase = Phase::Comparing;
-                lead.since = now;
-                lead.comparison = None;
                 self.lead_beat(now, out);
             }
-            PairBody::Differ { round, ranges } if is_backup || is_learner => {
+            (PairBody::Differ { round, ranges }, _, _) if backup.or(learner).is_some() => {
                 let asked = ranges.into_iter().filter(|r| usize::from(*r) < crate::copy::RANGES);
                 let asked: Vec<_> =
                     asked.map(|range| (range, self.copy.range(usize::from(range)))).collect();
@@ -342,29 +411,45 @@
                     self.send(from.address, PairBody::Range { round, range, rows }, out);
                 }
             }
-            PairBody::InStep { round, sequence } if is_backup => {
-                self.backup_in_step(round, sequence, out);
+            (PairBody::InStep { round, sequence }, Some(at), _) => {
+                self.backup_in_step(at, round, sequence, out);
             }
-            PairBody::InStep { round, sequence } if is_learner => {
-                self.learner_in_step(from, round, sequence, now, out);
+            (PairBody::InStep { round, sequence }, _, Some(at)) => {
+                self.learner_in_step(at, round, sequence, now, out);
             }
             _ => {}
         }
     }
 
-    fn backup_in_step(&mut self, round: u64, sequence: Sequence, out: &mut Vec<PairOutput>) {
+    fn backup_in_step(
+        &mut self,
+        at: usize,
+        round: u64,
+        sequence: Sequence,
+        out: &mut Vec<PairOutput>,
+    ) {
         let held = self.copy.place().sequence;
         let Role::Primary(lead) = &mut self.role else { return };
-        let asked = lead.comparison.as_ref().is_some_and(|c| c.round == round);
-        if lead.phase != Phase::Comparing || !asked || sequence != held {
+        let backup = &mut lead.backups[at];
+        let asked = matches!(&backup.state, BackupState::Comparing(Some(c), _) if c.round == round);
+        if lead.phase == Phase::Stopped || !asked || sequence != held {
             return;
         }
-        lead.phase = Phase::Serving;
-        lead.comparison = None;
+        backup.state = BackupState::InStep;
         // The copy compared holds the batch that was under way.
-        match &mut lead.under_way {
-            Some(batch) => batch.confirmed = true,
-            None => self.doubt = Doubt::Nothing,
+        backup.confirmed = lead.under_way.as_ref().map(|batch| batch.round);
+        self.serve_if_in_step(out);
+    }
+
+    /// Begins to serve once all backups are in step.
+    fn serve_if_in_step(&mut self, out: &mut Vec<PairOutput>) {
+        let Role::Primary(lead) = &mut self.role else { return };
+        if lead.phase != Phase::Comparing || !lead.answers || !lead.all_in_step() {
+            return;
+        }
+        lead.phase = Phase::Serving;
+        if lead.under_way.is_none() {
+            self.doubt = Doubt::Nothing;
         }
         out.push(PairOutput::Serving);
         self.finish_batch(out);
@@ -372,7 +457,7 @@
 
     fn learner_in_step(
         &mut self,
-        from: From,
+        at: usize,
         round: u64,
         sequence: Sequence,
         now: MonotonicMs,
@@ -380,20 +465,22 @@
     ) {
         let held = self.copy.place().sequence;
         let Role::Primary(lead) = &mut self.role else { return };
-        match &lead.learning {
+        match &lead.learners[at].learning {
             Learning::Fetching(Some(c)) if c.round == round => {
-                if self.holds_learner && lead.backup.is_some() {
+                if self.holds_learner && lead.answers {
                     return;
                 }
-                lead.learning = Learning::LastRound(None, now);
-                self.learner_beat(now, out);
+                lead.learners[at].learning = Learning::LastRound(None, now);
+                self.learners_beat(now, out);
             }
             // A batch may be under way: it is in the copy, and from here on it is not answered
             // before the next epoch.
-            Learning::LastRound(Some(c), _) if c.round == round && sequence == held => {
-                lead.learning = Learning::Ready;
-                lead.phase = Phase::Stopped;
-                out.push(PairOutput::LearnerReady(from.id));
+            Learning::LastRound(Some(c), since) if c.round == round && sequence == held => {
+                lead.learners[at].learning = Learning::Ready(*since);
+                if lead.filled().count() == lead.learners.len() {
+                    lead.phase = Phase::Stopped;
+                    out.push(PairOutput::LearnersReady);
+                }
             }
             _ => {}
         }
@@ -414,7 +501,11 @@
         if !lead.is_serving() {
             return;
         }
-        let done = lead.under_way.take_if(|batch| batch.confirmed && batch.write.is_none());
+        let backups = &lead.backups;
+        let done = lead.under_way.take_if(|batch| {
+            let confirmed = |backup: &Backup| backup.confirmed == Some(batch.round);
+            batch.write.is_none() && backups.iter().all(confirmed)
+        });
         let Some(batch) = done else { return };
         self.doubt = Doubt::Nothing;
         if !batch.tickets.is_empty() {
@@ -426,12 +517,16 @@
 impl Lead {
     /// The comparison of that round, if it is still under way.
     fn comparison_of(&mut self, round: u64) -> Option<&mut Comparison> {
-        let learning = match &mut self.learning {
+        let backups = self.backups.iter_mut().filter_map(|backup| match &mut backup.state {
+            BackupState::Comparing(comparison, _) => comparison.as_mut(),
+            BackupState::InStep => None,
+        });
+        let learners = self.learners.iter_mut().filter_map(|learner| match &mut learner.learning {
             Learning::Fetching(comparison) | Learning::LastRound(comparison, _) => {
                 comparison.as_mut()
             }
-            Learning::Ready => None,
-        };
-        self.comparison.as_mut().into_iter().chain(learning).find(|c| c.round == round)
+            Learning::Ready(_) => None,
+        });
+        backups.chain(learners).find(|comparison| comparison.round == round)
     }
 }
--- a/libraries/topazyard-replication/src/pair/mod.rs
+++ b/libraries/topazyard-replication/src/pair/mod.rs
@@ -1,4 +1,5 @@
-//! The pair: a primary that answers nothing its backup has not confirmed in the same epoch.
+//! A primary and its backups: nothing is answered that not all of them have confirmed in the same
+//! epoch.
 //!
 //! The owner tells the pair which role it has in which epoch; the pair keeps the copies in step.
 //! One batch is under way at a time; what comes meanwhile forms the next. A read is a batch
@@ -30,8 +31,19 @@
     Lost(Vec<Ticket>),
     /// The primary now serves in its epoch.
     Serving,
-    /// The learner holds everything, and nothing is answered until the epoch changes.
-    LearnerReady(NodeId),
+    /// All learners hold everything, and nothing is answered until the epoch changes.
+    LearnersReady,
+}
+
+/// Who follows a primary in an epoch.
+#[derive(Debug, Clone, Default)]
+pub struct Followers {
+    /// Who confirm each batch, all of them.
+    pub backups: Vec<CoreNode>,
+    /// Who are being given a copy.
+    pub learners: Vec<CoreNode>,
+    /// Whether these backups are enough for anything to be answered.
+    pub answers: bool,
 }
 
 /// What a node is to a group in an epoch.
@@ -130,7 +142,7 @@
         self.epoch
     }
 
-    /// Whether this node is the primary and its backup confirms.
+    /// Whether this node is the primary and all its backups confirm.
     pub fn is_serving(&self) -> bool {
         matches!(&self.role, Role::Primary(lead) if lead.is_serving())
     }
@@ -164,14 +176,37 @@
         }
     }
 
-    /// Since when the backup owes the primary a confirmation, if it does.
+    /// Since when a backup owes the primary a confirmation, if one does.
     pub fn backup_silent_since(&self) -> Option<MonotonicMs> {
         match &self.role {
-            Role::Primary(lead) => lead.silent_since(),
+            Role::Primary(lead) => lead.owing().map(|(_, since)| since).min(),
             _ => None,
         }
     }
 
+    /// The backups that have owed the primary a confirmation for as long.
+    pub fn silent_backups(
+        &self,
+        patience: topazyard_types::DurationMs,
+        now: MonotonicMs,
+    ) -> Vec<NodeId> {
+        match &self.role {
+            Role::Primary(lead) => {
+                let silent = lead.owing().filter(|(_, since)| now.since(*since) >= patience);
+                silent.map(|(id, _)| id).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// The learners that hold everything.
+    pub fn filled_learners(&self) -> Vec<NodeId> {
+        match &self.role {
+            Role::Primary(lead) => lead.filled().collect(),
+            _ => Vec::new(),
+        }
+    }
+
     /// Whether all that was written is synced.
     pub fn is_synced(&self) -> bool {
         self.writes.is_empty()
@@ -192,8 +227,7 @@
     pub fn become_primary(
         &mut self,
         epoch: Epoch,
-        backup: Option<CoreNode>,
-        learner: Option<CoreNode>,
+        followers: Followers,
         now: MonotonicMs,
     ) -> Vec<PairOutput> {
         let carried = match std::mem::replace(&mut self.role, Role::Idle) {
@@ -203,7 +237,7 @@
                 None
             }
         };
-        let lead = Lead::new(backup, learner, carried, self.life, now);
+        let lead = Lead::new(followers, carried, self.life, now);
         let mut out = self.change_role(epoch, Role::Primary(Box::new(lead)));
         self.lead_beat(now, &mut out);
         out
--- a/libraries/topazyard-replication/tests/epochs.rs
+++ b/libraries/topazyard-replication/tests/epochs.rs
@@ -14,13 +14,13 @@
     EpochRecord {
         epoch: Epoch(1),
         primary: node(1),
-        backup: node(2),
+        backups: vec![node(2)],
         witnesses: vec![node(1), node(2), node(3)],
     }
 }
 
 fn wanted(primary: u64, backup: u64) -> EpochRecord {
-    EpochRecord { epoch: Epoch(2), primary: node(primary), backup: node(backup), ..first() }
+    EpochRecord { epoch: Epoch(2), primary: node(primary), backups: vec![node(backup)], ..first() }
 }
 
 fn answer(witness: &mut Witness, message: &CoreMessage) -> Option<CoreMessage> {
--- a/libraries/topazyard-replication/tests/pairs.rs
+++ b/libraries/topazyard-replication/tests/pairs.rs
@@ -1,7 +1,7 @@
 //! Pairs: nothing is committed that the backup has not synced in the same epoch.
 
 use topazyard_replication::pair::From;
-use topazyard_replication::{Copy, Pair, PairOutput};
+use topazyard_replication::{Copy, Followers, Pair, PairOutput};
 use topazyard_types::{Epoch, Life, MonotonicMs, NodeId};
 use topazyard_wire::message::control::CoreNode;
 use topazyard_wire::message::pair::{PairBody, PairMessage};
@@ -14,6 +14,14 @@
     CoreNode { id: NodeId(id), address }
 }
 
+fn backed_by(backup: u64) -> Followers {
+    Followers { backups: vec![node(backup)], learners: Vec::new(), answers: true }
+}
+
+fn filling(learner: u64) -> Followers {
+    Followers { backups: Vec::new(), learners: vec![node(learner)], answers: false }
+}
+
 struct Two {
     primary: Pair,
     backup: Pair,
@@ -25,7 +33,7 @@
         let pair = |life| Pair::new(Group::Control, durable, Copy::default(), Life(life));
         let mut two = Self { primary: pair(4 << 30), backup: pair(9 << 30), committed: Vec::new() };
         two.backup.become_follower(Epoch(1), NodeId(1), NOW);
-        let out = two.primary.become_primary(Epoch(1), Some(node(2)), None, NOW);
+        let out = two.primary.become_primary(Epoch(1), backed_by(2), NOW);
         two.run(true, out, NOW);
         two
     }
@@ -82,7 +90,7 @@
 #[test]
 fn an_old_primary_commits_nothing_once_its_backup_moved_on() {
     let mut two = Two::new(true);
-    two.backup.become_primary(Epoch(2), None, Some(node(3)), NOW);
+    two.backup.become_primary(Epoch(2), filling(3), NOW);
     two.submit(1, "a", true);
     assert!(two.committed.is_empty());
     assert!(two.backup.copy().rows().is_empty());
@@ -93,7 +101,7 @@
     let mut two = Two::new(true);
     two.submit(1, "a", true);
     // The same pair in the next epoch; then a batch of the one before arrives after all.
-    let out = two.primary.become_primary(Epoch(2), Some(node(2)), None, NOW);
+    let out = two.primary.become_primary(Epoch(2), backed_by(2), NOW);
     two.backup.become_follower(Epoch(2), NodeId(1), NOW);
     two.run(true, out, NOW);
     let place = two.backup.copy().place();
@@ -119,7 +127,7 @@
     let rows = two.primary.copy().rows().clone();
     let copy = Copy::loaded(rows);
     two.primary = Pair::new(Group::Control, true, copy, Life(77 << 30));
-    two.primary.become_primary(Epoch(1), Some(node(2)), None, NOW);
+    two.primary.become_primary(Epoch(1), backed_by(2), NOW);
     assert!(two.primary.submit(2, vec![RowChange::put("b", &1_u8)]));
     // Every confirmation that the backup could still owe the former life arrives now.
     let from = From { id: NodeId(2), address: node(2).address };
@@ -146,7 +154,7 @@
         two.primary = Pair::new(Group::Control, true, copy(ours), Life(3 << 30));
         two.backup = Pair::new(Group::Control, true, copy(theirs), Life(5 << 30));
         two.backup.become_follower(Epoch(1), NodeId(1), NOW);
-        let out = two.primary.become_primary(Epoch(1), Some(node(2)), None, NOW);
+        let out = two.primary.become_primary(Epoch(1), backed_by(2), NOW);
         two.run(true, out, NOW);
         assert!(two.primary.is_serving());
         assert_eq!(two.primary.copy().rows(), two.backup.copy().rows());
@@ -160,7 +168,7 @@
     let mut learner = Pair::new(Group::Control, true, Copy::default(), Life(6 << 30));
     learner.become_follower(Epoch(2), NodeId(1), NOW);
     two.backup.become_idle(Epoch(2));
-    let mut out = two.primary.become_primary(Epoch(2), None, Some(node(3)), NOW);
+    let mut out = two.primary.become_primary(Epoch(2), filling(3), NOW);
     let mut ready = false;
     while !out.is_empty() {
         let mut back = Vec::new();
@@ -170,7 +178,7 @@
                     let from = From { id: NodeId(1), address: node(1).address };
                     back.extend(learner.receive(from, message, NOW));
                 }
-                PairOutput::LearnerReady(id) => ready = id == NodeId(3),
+                PairOutput::LearnersReady => ready = two.primary.filled_learners() == [NodeId(3)],
                 _ => {}
             }
         }
--- a/libraries/topazyard-wire/src/message/control.rs
+++ b/libraries/topazyard-wire/src/message/control.rs
@@ -20,25 +20,41 @@
     pub epoch: Epoch,
     /// Who commits.
     pub primary: CoreNode,
-    /// Who confirms each commit.
-    pub backup: CoreNode,
+    /// Who confirm each commit, all of them.
+    pub backups: Vec<CoreNode>,
     /// Who decides the epoch after this.
     pub witnesses: Vec<CoreNode>,
 }
 
 impl EpochRecord {
-    /// Whether a node is of the pair.
+    /// Whether a node is the primary or a backup.
     ///
     /// ```
     /// # use topazyard_wire::message::control::{CoreNode, EpochRecord};
     /// # use topazyard_types::{Epoch, NodeId};
     /// # let node = |id| CoreNode { id: NodeId(id), address: "127.0.0.1:1".parse().unwrap() };
-    /// let record = EpochRecord { epoch: Epoch(1), primary: node(1), backup: node(2),
+    /// let record = EpochRecord { epoch: Epoch(1), primary: node(1), backups: vec![node(2)],
     ///     witnesses: vec![node(1), node(2), node(3)] };
-    /// assert!(record.in_pair(NodeId(2)) && !record.in_pair(NodeId(3)));
+    /// assert!(record.is_member(NodeId(2)) && !record.is_member(NodeId(3)));
     /// ```
-    pub fn in_pair(&self, id: NodeId) -> bool {
-        self.primary.id == id || self.backup.id == id
+    pub fn is_member(&self, id: NodeId) -> bool {
+        self.turn(id).is_some()
+    }
+
+    /// In which turn a member may ask for the next epoch: the primary comes first.
+    ///
+    /// ```
+    /// # use topazyard_wire::message::control::{CoreNode, EpochRecord};
+    /// # use topazyard_types::{Epoch, NodeId};
+    /// # let node = |id| CoreNode { id: NodeId(id), address: "127.0.0.1:1".parse().unwrap() };
+    /// let record = EpochRecord { epoch: Epoch(1), primary: node(1), backups: vec![node(2)],
+    ///     witnesses: vec![node(1)] };
+    /// assert_eq!(record.turn(NodeId(2)), Some(1));
+    /// assert_eq!(record.turn(NodeId(3)), None);
+    /// ```
+    pub fn turn(&self, id: NodeId) -> Option<usize> {
+        let mut members = std::iter::once(&self.primary).chain(&self.backups);
+        members.position(|node| node.id == id)
     }
 
     /// Whether a node is a witness.
@@ -129,19 +145,54 @@
     },
 }
 
-/// Who holds a shard in an epoch. Without a backup nothing is answered.
+/// Who holds a shard in an epoch. The primary, the backups and the fallbacks each hold all that was
+/// ever answered; with fewer copies than the record asks for nothing is answered.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct ShardRecord {
     /// The epoch.
     pub epoch: Epoch,
+    /// How many copies, the primary's among them, must hold what is answered.
+    pub copies: u16,
     /// Who commits.
     pub primary: CoreNode,
-    /// Who confirms each commit.
-    pub backup: Option<CoreNode>,
-    /// Who still holds all that was ever answered, while there is no backup.
-    pub fallback: Option<CoreNode>,
-    /// Who is being given a copy.
-    pub learner: Option<CoreNode>,
+    /// Who confirm each commit, all of them.
+    pub backups: Vec<CoreNode>,
+    /// Who still hold all that was ever answered, while backups are missing.
+    pub fallbacks: Vec<CoreNode>,
+    /// Who are being given a copy.
+    pub learners: Vec<CoreNode>,
+}
+
+impl ShardRecord {
+    /// Whether enough copies are named for anything to be answered.
+    ///
+    /// ```
+    /// # use topazyard_wire::message::control::{CoreNode, ShardRecord};
+    /// # use topazyard_types::{Epoch, NodeId};
+    /// # let node = |id| CoreNode { id: NodeId(id), address: "127.0.0.1:1".parse().unwrap() };
+    /// let record = ShardRecord { epoch: Epoch(1), copies: 2, primary: node(1), backups: vec![],
+    ///     fallbacks: vec![], learners: vec![] };
+    /// assert!(!record.is_complete());
+    /// assert!(ShardRecord { copies: 1, ..record }.is_complete());
+    /// ```
+    pub fn is_complete(&self) -> bool {
+        self.backups.len() + 1 >= usize::from(self.copies)
+    }
+
+    /// Whether a node is one of the backups.
+    pub fn is_backup(&self, id: NodeId) -> bool {
+        self.backups.iter().any(|node| node.id == id)
+    }
+
+    /// Primary and backups.
+    pub fn members(&self) -> impl Iterator<Item = &CoreNode> {
+        std::iter::once(&self.primary).chain(&self.backups)
+    }
+
+    /// All who hold a copy or are being given one.
+    pub fn holders(&self) -> impl Iterator<Item = &CoreNode> {
+        self.members().chain(&self.fallbacks).chain(&self.learners)
+    }
 }
 
 /// A shard primary's wish for another record.
@@ -156,12 +207,12 @@
 }
 
 /// What a shard primary may wish.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Wish {
-    /// The backup doesn't confirm: let it go. Nothing is answered from now on.
-    DropBackup,
-    /// The learner holds all: make it the backup. Nothing is answered from now on.
-    PromoteLearner,
-    /// This primary restarted and may lack what its backup has shown since: let the backup lead.
+    /// These backups don't confirm: let them go. Nothing is answered from now on.
+    DropBackups(Vec<NodeId>),
+    /// The learners hold all: make them backups. Nothing is answered from now on.
+    PromoteLearners,
+    /// This primary restarted and may lack what a backup has shown since: let a backup lead.
     HandOver,
 }
--- a/libraries/topazyard-wire/src/message/mod.rs
+++ b/libraries/topazyard-wire/src/message/mod.rs
@@ -11,7 +11,7 @@
 use topazyard_types::{FleetId, NodeId};
 
 /// The version of the frames; any other is refused.
-pub const FRAME_VERSION: u16 = 2;
+pub const FRAME_VERSION: u16 = 3;
 
 /// The largest frame taken, in bytes.
 pub const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
@@ -38,7 +38,7 @@
     Cohort(cohort::CohortMessage),
     /// Epochs of the control pair.
     Core(control::CoreMessage),
-    /// A pair and its learner.
+    /// A primary, its backups and its learners.
     Pair(pair::PairMessage),
     /// The numbered feed of control state.
     Feed(feed::FeedMessage),
--- a/libraries/topazyard-wire/src/message/pair.rs
+++ b/libraries/topazyard-wire/src/message/pair.rs
@@ -1,4 +1,4 @@
-//! A primary, its backup and its learner.
+//! A primary, its backups and its learners.
 
 use topazyard_types::{Digest, Epoch, Sequence};
 
--- a/programs/topazyard-control/src/machine/claim.rs
+++ b/programs/topazyard-control/src/machine/claim.rs
@@ -1,5 +1,5 @@
-//! Asking for the next epoch: stop answering, copy everything to a learner, then let the
-//! witnesses decide. Only a member of the old pair does so.
+//! Asking for the next epoch: stop answering, copy everything to as many learners as there must be
+//! backups, then let the witnesses decide. Only a primary or backup of the old epoch does so.
 
 use super::{AfterWrite, ControlMachine, Out};
 use topazyard_replication::{Proposal, epoch::Step};
@@ -11,20 +11,24 @@
 
 /// The row that keeps which epoch this node asked for.
 pub(super) const CLAIMED_KEY: &str = "claimed";
-/// After how long without a confirmation the primary asks for another backup.
+/// After how long without a confirmation the primary asks for other backups.
 const BACKUP_SILENT: DurationMs = DurationMs(1_500);
 /// After how long without a word the backup asks to take over.
 const PRIMARY_SILENT: DurationMs = DurationMs(2_000);
 /// After how long a silent witness is exchanged for a spare core node.
 const WITNESS_SILENT: DurationMs = DurationMs(10_000);
-/// After how long without a learner in step another is tried.
+/// How much longer each further backup waits before it asks, so that one is ahead of the others.
+const TURN: DurationMs = DurationMs(500);
+/// After how long without all learners in step others are tried.
 const LEARNER_AGAIN: DurationMs = DurationMs(3_000);
 
 /// A claim that is under way.
 #[derive(Debug)]
 pub(crate) struct Claim {
     base: EpochRecord,
-    learner: Option<CoreNode>,
+    learners: Vec<CoreNode>,
+    /// How often a node gave cause to do without it: by its silence, or as a learner not filled.
+    failures: std::collections::BTreeMap<NodeId, u32>,
     since: MonotonicMs,
     /// Whether it is synced that this node answers nothing more in the old epoch.
     stopped: bool,
@@ -40,27 +44,28 @@
         }
     }
 
-    /// Whether this node, being of the pair, has cause to ask for the next epoch.
+    /// Whether this node, being primary or backup, has cause to ask for the next epoch.
     fn wants_claim(&self, now: MonotonicMs) -> bool {
         let Some(record) = self.witness.record() else { return false };
-        if !record.in_pair(self.me.id) {
-            return false;
-        }
-        let is_primary = record.primary.id == self.me.id;
+        let Some(turn) = record.turn(self.me.id) else { return false };
+        let is_primary = turn == 0;
+        let patience = DurationMs(PRIMARY_SILENT.0 + TURN.0 * turn.saturating_sub(1) as u64);
         if self.claimed > record.epoch {
             // It stopped answering before it restarted, or yielded: ask again if nobody leads.
             let led = self.pair.heard_primary();
-            return led.is_none_or(|at| now.since(at) >= PRIMARY_SILENT)
+            return led.is_none_or(|at| now.since(at) >= patience)
                 && (is_primary || self.holds_all(record));
         }
         if is_primary {
             let silent = self.pair.backup_silent_since();
             return silent.is_some_and(|since| now.since(since) >= BACKUP_SILENT)
                 || self.pair.oldest_write(now) >= BACKUP_SILENT
-                || (self.pair.is_serving() && self.exchange(record, None, now).is_some());
+                || (self.pair.is_serving() && self.next_witnesses(record, &[], now).is_some())
+                || (record.backups.len() < self.backups()
+                    && self.others_heard(now).count() >= self.backups());
         }
         let silent = self.pair.heard_primary();
-        self.holds_all(record) && silent.is_some_and(|at| now.since(at) >= PRIMARY_SILENT)
+        self.holds_all(record) && silent.is_some_and(|at| now.since(at) >= patience)
     }
 
     /// Whether this backup's copy holds all that was ever answered up to that record.
@@ -68,73 +73,117 @@
         self.pair.copy().place().epoch >= record.epoch
     }
 
+    /// The other core nodes that are heard.
+    fn others_heard(&self, now: MonotonicMs) -> impl Iterator<Item = CoreNode> {
+        let heard = self.core.heard.values().map(|seen| seen.node);
+        heard.filter(move |node| node.id != self.me.id && self.core.is_heard(node.id, now))
+    }
+
     fn begin_claim(&mut self, now: MonotonicMs, out: &mut Out) {
         let Some(base) = self.witness.record().cloned() else { return };
+        let silent = if base.primary.id == self.me.id {
+            self.pair.silent_backups(BACKUP_SILENT, now)
+        } else {
+            vec![base.primary.id]
+        };
         self.pair.stop_answering();
         self.claimed = base.epoch.next();
         let row = RowChange::put(CLAIMED_KEY, &self.claimed);
-        self.claim =
-            Some(Claim { base, learner: None, since: now, stopped: false, proposal: None });
+        self.claim = Some(Claim {
+            base,
+            learners: Vec::new(),
+            failures: silent.into_iter().map(|id| (id, 1)).collect(),
+            since: now,
+            stopped: false,
+            proposal: None,
+        });
         self.write_own(Group::Witness, vec![row], vec![AfterWrite::BeginClaim], out);
     }
 
-    /// Whom to copy to: a witness that is heard, else a spare core node.
-    fn choose_learner(
-        &self,
-        base: &EpochRecord,
-        not: Option<NodeId>,
-        now: MonotonicMs,
-    ) -> Option<CoreNode> {
-        let heard = |id: NodeId| id != self.me.id && self.core.is_heard(id, now);
-        let rank = |node: &CoreNode| {
-            let in_pair = base.in_pair(node.id);
-            let backup_works = in_pair && self.exchange(base, None, now).is_some();
-            // The backup itself comes first where only witnesses are exchanged, else last.
-            (Some(node.id) == not, in_pair && !backup_works, !base.is_witness(node.id), node.id)
+    /// Whom to copy to: members of the epoch before and witnesses first, each in a domain of its
+    /// own where that can be. Gives none where too few are heard.
+    fn choose_learners(&self, claim: &Claim, now: MonotonicMs) -> Option<Vec<CoreNode>> {
+        let domain = |id: NodeId| {
+            let known = self.cohort.remembered().find(|known| known.news.member.id == id);
+            known.map(|known| known.news.member.domain.clone())
         };
-        let nodes = self.core.heard.values().map(|seen| seen.node);
-        nodes.filter(|node| heard(node.id)).min_by_key(rank)
+        let mut domains = vec![self.cohort.own_domain().clone()];
+        let mut others: Vec<CoreNode> = self.others_heard(now).collect();
+        let mut chosen = Vec::new();
+        while chosen.len() < self.backups() {
+            let rank = |node: &CoreNode| {
+                let failures = claim.failures.get(&node.id).copied().unwrap_or(0);
+                let together = domain(node.id).is_some_and(|domain| domains.contains(&domain));
+                let (base, id) = (&claim.base, node.id);
+                (failures, together, !base.is_member(id), !base.is_witness(id), id)
+            };
+            let (at, next) =
+                others.iter().copied().enumerate().min_by_key(|(_, node)| rank(node))?;
+            others.remove(at);
+            domains.extend(domain(next.id));
+            chosen.push(next);
+        }
+        Some(chosen)
     }
 
-    /// The witness to let go and the spare to name in its place, if there is cause and a spare.
-    fn exchange(
+    /// The witnesses to name next, if others than now: all that must be among them, as many as
+    /// decide through the tolerated loss, and spares in place of those silent for long.
+    fn next_witnesses(
         &self,
         base: &EpochRecord,
-        must_name: Option<CoreNode>,
+        must_name: &[CoreNode],
         now: MonotonicMs,
-    ) -> Option<(CoreNode, CoreNode)> {
-        let spare = match must_name {
-            Some(node) => Some(node),
-            None => self
-                .core
-                .heard
-                .values()
-                .map(|seen| seen.node)
-                .find(|node| !base.is_witness(node.id) && self.core.is_heard(node.id, now)),
-        }?;
-        let patience = if must_name.is_some() { DurationMs(0) } else { WITNESS_SILENT };
-        let gone = base
-            .witnesses
-            .iter()
-            .filter(|node| node.id != self.me.id)
-            .filter(|node| self.core.silence(node.id, now) >= patience)
-            .max_by_key(|node| self.core.silence(node.id, now))?;
-        Some((*gone, spare))
+    ) -> Option<Vec<CoreNode>> {
+        let mut witnesses = base.witnesses.clone();
+        let wanted = 2 * self.backups() + 1;
+        let is_in = |nodes: &[CoreNode], id| nodes.iter().any(|node: &CoreNode| node.id == id);
+        let spares: Vec<CoreNode> =
+            self.others_heard(now).filter(|node| !is_in(must_name, node.id)).collect();
+        let must = must_name.iter().map(|node| (*node, DurationMs(0)));
+        let may = spares.into_iter().map(|node| (node, WITNESS_SILENT));
+        for (spare, patience) in must.chain(may) {
+            if is_in(&witnesses, spare.id) {
+                continue;
+            }
+            let gone = witnesses
+                .iter()
+                .enumerate()
+                .filter(|(_, node)| node.id != self.me.id && !is_in(must_name, node.id))
+                .map(|(at, node)| (self.core.silence(node.id, now), at))
+                .filter(|(silence, _)| *silence >= patience)
+                .max();
+            match gone {
+                _ if witnesses.len() < wanted => witnesses.push(spare),
+                Some((_, at)) => witnesses[at] = spare,
+                None => {}
+            }
+        }
+        Some(witnesses).filter(|witnesses| *witnesses != base.witnesses)
     }
 
-    /// Everything this node held back is synced as stopped: copy the state to a learner.
-    pub(super) fn copy_to_learner(&mut self, now: MonotonicMs, out: &mut Out) {
+    /// Everything this node held back is synced as stopped: copy the state to learners.
+    pub(super) fn copy_to_learners(&mut self, now: MonotonicMs, out: &mut Out) {
+        let filled = self.pair.filled_learners();
+        let Some(claim) = &mut self.claim else { return };
+        for learner in claim.learners.iter().filter(|node| !filled.contains(&node.id)) {
+            *claim.failures.entry(learner.id).or_default() += 1;
+        }
+        claim.stopped = true;
+        claim.since = now;
         let Some(claim) = &self.claim else { return };
-        let base = claim.base.clone();
-        let learner = self.choose_learner(&base, claim.learner.map(|node| node.id), now);
+        let learners = self.choose_learners(claim, now);
+        let epoch = claim.base.epoch.next();
         if let Some(claim) = &mut self.claim {
-            claim.stopped = true;
-            claim.since = now;
-            claim.learner = learner;
+            claim.learners = learners.clone().unwrap_or_default();
         }
-        if learner.is_some() {
-            let outputs = self.pair.become_primary(base.epoch.next(), None, learner, now);
-            self.take_pair(outputs, now, out);
+        match learners {
+            None => {}
+            Some(none) if none.is_empty() => self.propose(now, out),
+            Some(learners) => {
+                let followers = topazyard_replication::Followers { learners, ..Default::default() };
+                let outputs = self.pair.become_primary(epoch, followers, now);
+                self.take_pair(outputs, now, out);
+            }
         }
     }
 
@@ -147,34 +196,24 @@
             return;
         }
         let led = self.pair.heard_primary();
-        if claim.learner.is_none() && led.is_some_and(|at| now.since(at) < PRIMARY_SILENT) {
-            // The primary is back, and there is nobody to take over with.
+        if claim.learners.is_empty() && led.is_some_and(|at| now.since(at) < PRIMARY_SILENT) {
+            // The primary is back, and there are too few to take over with.
             self.claim = None;
             return;
         }
-        let again = if claim.learner.is_none() { DurationMs(200) } else { LEARNER_AGAIN };
+        let again = if claim.learners.is_empty() { DurationMs(200) } else { LEARNER_AGAIN };
         if claim.stopped && now.since(claim.since) >= again {
-            self.copy_to_learner(now, out);
+            self.copy_to_learners(now, out);
         }
     }
 
-    /// The learner holds everything: ask the witnesses.
-    pub(super) fn propose(&mut self, learner: NodeId, now: MonotonicMs, out: &mut Out) {
+    /// The learners hold everything: ask the witnesses.
+    pub(super) fn propose(&mut self, now: MonotonicMs, out: &mut Out) {
         let Some(claim) = &self.claim else { return };
-        let Some(backup) = claim.learner.filter(|node| node.id == learner) else { return };
-        let base = claim.base.clone();
-        let must_name = Some(backup).filter(|node| !base.is_witness(node.id));
-        let mut witnesses = base.witnesses.clone();
-        if let Some((gone, spare)) = self.exchange(&base, must_name, now)
-            && gone.id != backup.id
-        {
-            for witness in &mut witnesses {
-                if witness.id == gone.id {
-                    *witness = spare;
-                }
-            }
-        }
-        let wanted = EpochRecord { epoch: base.epoch.next(), primary: self.me, backup, witnesses };
+        let (base, backups) = (claim.base.clone(), claim.learners.clone());
+        let witnesses = self.next_witnesses(&base, &backups, now);
+        let witnesses = witnesses.unwrap_or_else(|| base.witnesses.clone());
+        let wanted = EpochRecord { epoch: base.epoch.next(), primary: self.me, backups, witnesses };
         let (proposal, message) = Proposal::begin(self.me.id, self.life, base, wanted, now);
         if let Some(claim) = &mut self.claim {
             claim.proposal = Some(proposal);
@@ -207,7 +246,7 @@
         }
     }
 
-    /// Lets a member of the old pair that claims the next epoch copy its state here.
+    /// Lets a member of the old epoch that claims the next one copy its state here.
     pub(super) fn follow_claim_if_due(
         &mut self,
         sender: NodeId,
@@ -216,15 +255,16 @@
         out: &mut Out,
     ) {
         let Some(record) = self.witness.record() else { return };
+        let Some(turn) = record.turn(sender) else { return };
         let claims = message.epoch == record.epoch.next()
-            && record.in_pair(sender)
             && matches!(message.body, PairBody::Digests { .. });
         if !claims || sender == self.me.id {
             return;
         }
         if let Some(claim) = &self.claim {
-            // Two claim: the backup yields to the primary, unless it already asks the witnesses.
-            if claim.proposal.is_some() || sender != record.primary.id {
+            // Two claim: the later in turn yields, unless it already asks the witnesses.
+            let is_ahead = record.turn(self.me.id).is_none_or(|own| turn < own);
+            if claim.proposal.is_some() || !is_ahead {
                 return;
             }
             self.claim = None;
--- a/programs/topazyard-control/src/machine/commands.rs
+++ b/programs/topazyard-control/src/machine/commands.rs
@@ -211,7 +211,7 @@
         let row = self.storage(id)?;
         let view = FleetView::read(self.pair.copy().rows());
         let standings = self.storage_standings(&view, self.serving_since.unwrap_or(now), now);
-        if !crate::planner::has_room_without(&view, &standings, id, 2) {
+        if !crate::planner::has_room_without(&view, &standings, id, self.backups() + 1) {
             return Err(ApiError::not_run(Code::NoRoom).at("node"));
         }
         let row = StorageRow { stage: StorageStage::Emptying, ..row };
@@ -232,7 +232,7 @@
             StorageStage::Active | StorageStage::Emptying => {}
         }
         let standings = self.storage_standings(&view, self.serving_since.unwrap_or(now), now);
-        let left = usize::from(self.bounds.lost_machines) + 1;
+        let left = self.backups() + 1;
         if !crate::planner::has_room_without(&view, &standings, id, left) {
             return Err(ApiError::not_run(Code::NoRoom).at("node"));
         }
--- a/programs/topazyard-control/src/machine/core.rs
+++ b/programs/topazyard-control/src/machine/core.rs
@@ -72,27 +72,34 @@
         self.found_if_due(now, out);
     }
 
-    /// The first seed founds a fleet once all seeds hear each other and none knows of one. A node
-    /// whose disk was lost, or that was added later, may not.
+    /// The first seed founds a fleet once it hears all seeds, all of them hear it and none knows of
+    /// a fleet; it waits a while for as many control nodes as there should be witnesses. A node whose
+    /// disk was lost, or that was added later, may not.
     fn found_if_due(&mut self, now: MonotonicMs, out: &mut Out) {
         let is_first = self.seeds.first() == Some(&self.me.address);
         if !self.may_found || !is_first || self.witness.record().is_some() {
             return;
         }
+        let joins =
+            |heard: &&Heard| heard.empty && heard.hears_us && now.since(heard.at) < HEARD_WITHIN;
+        let joining: Vec<CoreNode> =
+            self.core.heard.values().filter(joins).map(|heard| heard.node).collect();
         let mut witnesses = vec![self.me];
         for seed in &self.seeds[1..] {
-            let found = self.core.heard.values().find(|heard| {
-                heard.node.address == *seed
-                    && heard.empty
-                    && heard.hears_us
-                    && now.since(heard.at) < HEARD_WITHIN
-            });
-            let Some(heard) = found else { return };
-            witnesses.push(heard.node);
+            let Some(node) = joining.iter().find(|node| node.address == *seed) else { return };
+            witnesses.push(*node);
         }
-        // A pair needs two: a single node can't acknowledge anything.
-        let Some(backup) = witnesses.get(1).copied() else { return };
-        let record = EpochRecord { epoch: Epoch(1), primary: self.me, backup, witnesses };
+        // Settings name only some of the control nodes; the others are heard a little later.
+        let others = joining.iter().filter(|node| !self.seeds.contains(&node.address));
+        witnesses.extend(others.take((2 * self.backups() + 1).saturating_sub(witnesses.len())));
+        let watched = self.core.watching_since.map_or(DurationMs(0), |since| now.since(since));
+        if witnesses.len() < 2 * self.backups() + 1 && watched < self.bounds.contact {
+            return;
+        }
+        // With fewer copies than the tolerated loss needs nothing could be acknowledged.
+        let Some(backups) = witnesses.get(1..=self.backups()) else { return };
+        let backups = backups.to_vec();
+        let record = EpochRecord { epoch: Epoch(1), primary: self.me, backups, witnesses };
         self.learn_record(&record, now, out);
     }
 
@@ -100,9 +107,13 @@
     pub(super) fn learn_record(&mut self, record: &EpochRecord, now: MonotonicMs, out: &mut Out) {
         let Some(changes) = self.witness.learn(record) else { return };
         self.write_own(Group::Witness, changes, Vec::new(), out);
+        let backups: Vec<String> =
+            record.backups.iter().map(|node| node.address.to_string()).collect();
         let text = format!(
-            "epoch {}: primary {} backup {}",
-            record.epoch, record.primary.address, record.backup.address
+            "epoch {}: primary {} backups {}",
+            record.epoch,
+            record.primary.address,
+            backups.join(" ")
         );
         out.push(Effect::Note { grave: false, text });
         self.claim = None;
@@ -117,8 +128,13 @@
             // It asked for a later epoch before it restarted: nothing more in this one.
             self.pair.become_idle(record.epoch)
         } else if record.primary.id == self.me.id {
-            self.pair.become_primary(record.epoch, Some(record.backup), None, now)
-        } else if record.backup.id == self.me.id {
+            let followers = topazyard_replication::Followers {
+                answers: record.backups.len() >= self.backups(),
+                backups: record.backups,
+                learners: Vec::new(),
+            };
+            self.pair.become_primary(record.epoch, followers, now)
+        } else if record.is_member(self.me.id) {
             self.pair.become_follower(record.epoch, record.primary.id, now)
         } else {
             self.pair.become_idle(record.epoch)
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -142,6 +142,11 @@
         (machine, out)
     }
 
+    /// How many machines may be lost at once: as many backups confirm each commit.
+    pub(crate) fn backups(&self) -> usize {
+        usize::from(self.bounds.lost_machines.max(self.bounds.lost_domains))
+    }
+
     /// Whether this node serves as the primary.
     pub fn is_serving(&self) -> bool {
         self.pair.is_serving()
@@ -205,7 +210,7 @@
                         out.push(Effect::Note { grave: false, text });
                     }
                 }
-                PairOutput::LearnerReady(learner) => self.propose(learner, now, out),
+                PairOutput::LearnersReady => self.propose(now, out),
             }
         }
     }
@@ -332,7 +337,7 @@
                         AfterWrite::Say(to, message) => {
                             out.push(Effect::Send { to, message: Message::Core(message) });
                         }
-                        AfterWrite::BeginClaim => self.copy_to_learner(now, &mut out),
+                        AfterWrite::BeginClaim => self.copy_to_learners(now, &mut out),
                     }
                 }
             }
--- a/programs/topazyard-control/src/machine/queries.rs
+++ b/programs/topazyard-control/src/machine/queries.rs
@@ -113,17 +113,19 @@
             .shards
             .iter()
             .map(|(shard, record)| {
-                let address = |node: Option<topazyard_wire::message::control::CoreNode>| {
-                    node.map(|node| node.address)
+                let addresses = |nodes: &[topazyard_wire::message::control::CoreNode]| {
+                    nodes.iter().map(|node| node.address).collect::<Vec<_>>()
                 };
                 serde_json::json!({
                     "shard": shard,
                     "keeps": if shard.is_counter() { "counter" } else { "parcels" },
                     "epoch": record.epoch,
                     "primary": record.primary.address,
-                    "backup": address(record.backup),
-                    "fallback": address(record.fallback),
-                    "learner": address(record.learner),
+                    "copies": record.copies,
+                    "complete": record.is_complete(),
+                    "backups": addresses(&record.backups),
+                    "fallbacks": addresses(&record.fallbacks),
+                    "learners": addresses(&record.learners),
                 })
             })
             .collect();
@@ -165,7 +167,7 @@
             "control": record.map(|record| serde_json::json!({
                 "epoch": record.epoch,
                 "primary": record.primary.address,
-                "backup": record.backup.address,
+                "backups": record.backups.iter().map(|b| b.address).collect::<Vec<_>>(),
                 "witnesses": record.witnesses.iter().map(|w| w.address).collect::<Vec<_>>(),
             })),
             "place": self.pair.copy().place(),
--- a/programs/topazyard-control/src/machine/vitals.rs
+++ b/programs/topazyard-control/src/machine/vitals.rs
@@ -49,7 +49,8 @@
         serving_since: MonotonicMs,
         now: MonotonicMs,
     ) -> crate::planner::Standings {
-        let mut standings = crate::planner::Standings::default();
+        let copies = u16::try_from(self.backups() + 1).unwrap_or(u16::MAX);
+        let mut standings = crate::planner::Standings { copies, ..Default::default() };
         for (id, seen) in &self.seen.nodes {
             if let Vitals::Storage { member, .. } = &seen.vitals
                 && now.since(seen.at) < DOWN_AFTER
@@ -100,9 +101,11 @@
         }
         let view = topazyard_wire::state::FleetView::read(self.pair.copy().rows());
         let standings = self.storage_standings(&view, self.serving_since.unwrap_or(now), now);
-        let next = match wish.wish {
-            Wish::DropBackup => crate::planner::without_backup(&view, &standings, &record),
-            Wish::PromoteLearner => crate::planner::promoted_learner(&record),
+        let next = match &wish.wish {
+            Wish::DropBackups(silent) => {
+                crate::planner::without_backups(&view, &standings, &record, silent)
+            }
+            Wish::PromoteLearners => crate::planner::promoted_learners(&view, &standings, &record),
             Wish::HandOver => crate::planner::handed_over(&view, &standings, &record),
         };
         if let Some(next) = next {
--- a/programs/topazyard-control/src/planner.rs
+++ b/programs/topazyard-control/src/planner.rs
@@ -1,7 +1,7 @@
 //! Placement: which storage nodes hold each shard. Every change gives the shard a new epoch.
 //!
-//! A copy is only ever let go when two others hold everything: a learner is filled first, then
-//! the record switches.
+//! A copy is only ever let go when as many others hold everything as the tolerated loss needs: a
+//! learner is filled first, then the record switches.
 
 use topazyard_types::{DomainName, DurationMs, Epoch, NodeId, ShardId};
 use topazyard_wire::RowChange;
@@ -15,8 +15,10 @@
 pub const EVERY: DurationMs = DurationMs(200);
 
 /// How the storage nodes stand.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Standings {
+    /// How many copies each shard has, its primary's among them: one more than may be lost.
+    pub copies: u16,
     /// Those heard just now.
     pub heard: std::collections::BTreeMap<NodeId, Member>,
     /// Those of them that have missed an asking or two.
@@ -29,89 +31,186 @@
     pub settled: bool,
 }
 
+impl Default for Standings {
+    /// Nobody heard, and one machine that may be lost.
+    fn default() -> Self {
+        Self {
+            copies: 2,
+            heard: std::collections::BTreeMap::new(),
+            silent: std::collections::BTreeSet::new(),
+            down: std::collections::BTreeSet::new(),
+            slow: std::collections::BTreeSet::new(),
+            settled: false,
+        }
+    }
+}
+
 impl Standings {
+    fn backups(&self) -> usize {
+        usize::from(self.copies).saturating_sub(1)
+    }
+
     fn works(&self, id: NodeId) -> bool {
         self.heard.contains_key(&id) && !self.down.contains(&id)
     }
 }
 
-/// The record after its backup is let go.
+/// The record after backups are let go; they are kept as fallbacks.
 ///
 /// ```
-/// # use topazyard_control::planner::dropped_backup;
+/// # use topazyard_control::planner::dropped_backups;
 /// # use topazyard_types::{Epoch, NodeId};
 /// # use topazyard_wire::message::control::{CoreNode, ShardRecord};
 /// # let node = |id| CoreNode { id: NodeId(id), address: "127.0.0.1:1".parse().unwrap() };
-/// let full = ShardRecord { epoch: Epoch(3), primary: node(1), backup: Some(node(2)),
-///     fallback: None, learner: None };
-/// let next = dropped_backup(&full).unwrap();
-/// assert_eq!((next.epoch, next.backup, next.fallback), (Epoch(4), None, Some(node(2))));
+/// let full = ShardRecord { epoch: Epoch(3), copies: 3, primary: node(1),
+///     backups: vec![node(2), node(4)], fallbacks: vec![], learners: vec![] };
+/// let next = dropped_backups(&full, &[NodeId(2)]).unwrap();
+/// assert_eq!((next.epoch, next.backups, next.fallbacks), (Epoch(4), vec![node(4)], vec![node(2)]));
+/// assert_eq!(dropped_backups(&full, &[NodeId(7)]), None);
 /// ```
-pub fn dropped_backup(record: &ShardRecord) -> Option<ShardRecord> {
-    let backup = record.backup?;
+pub fn dropped_backups(record: &ShardRecord, silent: &[NodeId]) -> Option<ShardRecord> {
+    let is_silent = |node: &CoreNode| silent.contains(&node.id);
+    let (gone, backups): (Vec<CoreNode>, Vec<CoreNode>) =
+        record.backups.iter().copied().partition(is_silent);
+    if gone.is_empty() {
+        return None;
+    }
     Some(ShardRecord {
         epoch: record.epoch.next(),
-        backup: None,
-        fallback: Some(backup),
-        learner: record.learner.filter(|learner| learner.id != backup.id),
+        backups,
+        fallbacks: with_more(&record.fallbacks, &gone),
+        learners: without(&record.learners, &gone),
         ..record.clone()
     })
 }
 
-/// The record after its backup is let go, with whom to fill in its place.
-pub fn without_backup(
+fn without(nodes: &[CoreNode], gone: &[CoreNode]) -> Vec<CoreNode> {
+    let stays = |node: &&CoreNode| gone.iter().all(|other| other.id != node.id);
+    nodes.iter().filter(stays).copied().collect()
+}
+
+fn with_more(nodes: &[CoreNode], more: &[CoreNode]) -> Vec<CoreNode> {
+    without(nodes, more).into_iter().chain(more.iter().copied()).collect()
+}
+
+/// The record after backups that don't confirm are let go, with whom to fill in their place.
+pub fn without_backups(
     view: &FleetView,
     standings: &Standings,
     record: &ShardRecord,
+    silent: &[NodeId],
 ) -> Option<ShardRecord> {
-    let dropped = dropped_backup(record)?;
-    // The one that has just failed to confirm comes last, though control may still hear it.
-    let another =
-        || choose_learner(view, standings, &ShardRecord { fallback: None, ..record.clone() });
-    let any = || choose_learner(view, standings, &dropped);
-    let learner = dropped.learner.or_else(another).or_else(any);
-    Some(ShardRecord { learner, ..dropped })
+    let dropped = dropped_backups(record, silent)?;
+    Some(with_learners(view, standings, &dropped, silent))
 }
 
-/// The record after the primary and its backup change places; a backup that doesn't work is let go
+/// The record with learners for all backups that are missing, if so many nodes work. Those that
+/// have just failed come last, though control may still hear them.
+fn with_learners(
+    view: &FleetView,
+    standings: &Standings,
+    record: &ShardRecord,
+    failed: &[NodeId],
+) -> ShardRecord {
+    let missing = standings.backups().saturating_sub(record.backups.len());
+    let mut next = record.clone();
+    while next.learners.len() < missing {
+        let chosen = choose_learner(view, standings, &next, failed)
+            .or_else(|| choose_learner(view, standings, &next, &[]));
+        let Some(learner) = chosen else { break };
+        next.learners.push(learner);
+    }
+    next
+}
+
+/// The record after the primary and a backup change places; if no backup works they are let go
 /// instead.
 pub fn handed_over(
     view: &FleetView,
     standings: &Standings,
     record: &ShardRecord,
 ) -> Option<ShardRecord> {
-    let backup = record.backup?;
-    if !standings.works(backup.id) {
-        return without_backup(view, standings, record);
-    }
-    Some(ShardRecord {
+    let works = |node: &&CoreNode| standings.works(node.id);
+    let rank = |node: &&CoreNode| standings.slow.contains(&node.id);
+    let Some(successor) = record.backups.iter().filter(works).min_by_key(rank) else {
+        let all: Vec<NodeId> = record.backups.iter().map(|node| node.id).collect();
+        return without_backups(view, standings, record, &all);
+    };
+    Some(swapped(record, *successor))
+}
+
+/// The record after a backup leads and its primary takes its place.
+fn swapped(record: &ShardRecord, successor: CoreNode) -> ShardRecord {
+    let place = |node: &CoreNode| if node.id == successor.id { record.primary } else { *node };
+    ShardRecord {
         epoch: record.epoch.next(),
-        primary: backup,
-        backup: Some(record.primary),
-        learner: None,
+        primary: successor,
+        backups: record.backups.iter().map(place).collect(),
+        learners: Vec::new(),
         ..record.clone()
-    })
+    }
 }
 
-/// The record after its learner becomes the backup.
-pub fn promoted_learner(record: &ShardRecord) -> Option<ShardRecord> {
-    let learner = record.learner?;
-    Some(ShardRecord {
+/// The record after its learners become backups, in place of the worst where that makes too many.
+pub fn promoted_learners(
+    view: &FleetView,
+    standings: &Standings,
+    record: &ShardRecord,
+) -> Option<ShardRecord> {
+    if record.learners.is_empty() {
+        return None;
+    }
+    let mut next = ShardRecord {
         epoch: record.epoch.next(),
-        backup: Some(learner),
-        fallback: None,
-        learner: None,
+        backups: with_more(&record.backups, &record.learners),
+        learners: Vec::new(),
         ..record.clone()
-    })
+    };
+    while next.backups.len() > standings.backups() {
+        let worst = worst_backup(view, standings, &next)?;
+        next.backups.retain(|node| node.id != worst.id);
+    }
+    if next.backups.len() == standings.backups() {
+        next.copies = standings.copies;
+    }
+    if next.is_complete() {
+        next.fallbacks = Vec::new();
+    } else {
+        next.fallbacks = without(&next.fallbacks, &next.backups);
+        next = with_learners(view, standings, &next, &[]);
+    }
+    Some(next)
 }
 
-/// How many copies a node holds or is being given.
-pub fn hosted(view: &FleetView, id: NodeId) -> usize {
-    view.shards.values().filter(|record| holders(record).any(|node| node.id == id)).count()
+/// How ill a node is placed in a record, whether as backup or in place of one: unfit, then in the
+/// domain of another copy, then with a slow disk.
+fn rank(
+    view: &FleetView,
+    standings: &Standings,
+    others: &[CoreNode],
+    node: &CoreNode,
+) -> (bool, bool, bool) {
+    let own = domain(view, node.id);
+    let together = others.iter().any(|other| other.id != node.id && domain(view, other.id) == own);
+    (is_unfit(view, standings, node), together, standings.slow.contains(&node.id))
 }
 
-fn holders(record: &ShardRecord) -> impl Iterator<Item = CoreNode> {
-    [Some(record.primary), record.backup, record.fallback, record.learner].into_iter().flatten()
+fn is_unfit(view: &FleetView, standings: &Standings, node: &CoreNode) -> bool {
+    standings.down.contains(&node.id)
+        || view.storage.get(&node.id).is_none_or(|row| row.stage != StorageStage::Active)
+}
+
+/// The backup that is placed worst; of several alike the one whose node holds most.
+fn worst_backup(view: &FleetView, standings: &Standings, record: &ShardRecord) -> Option<CoreNode> {
+    let members: Vec<CoreNode> = record.members().copied().collect();
+    let key =
+        |node: &&CoreNode| (rank(view, standings, &members, node), hosted(view, node.id), node.id);
+    record.backups.iter().max_by_key(key).copied()
+}
+
+/// How many copies a node holds or is being given.
+pub fn hosted(view: &FleetView, id: NodeId) -> usize {
+    view.shards.values().filter(|record| record.holders().any(|node| node.id == id)).count()
 }
 
 /// Whether so many nodes that work would be left to keep shards on if this one were emptied.
@@ -204,7 +303,7 @@
 fn candidates(
     view: &FleetView,
     standings: &Standings,
-    apart_from: Option<&DomainName>,
+    apart_from: &[&DomainName],
     not: &[NodeId],
 ) -> Vec<CoreNode> {
     let mut nodes: Vec<(bool, bool, bool, usize, NodeId, CoreNode)> = view
@@ -214,7 +313,7 @@
             row.stage == StorageStage::Active && standings.works(**id) && !not.contains(id)
         })
         .map(|(id, row)| {
-            let together = apart_from == Some(&row.member.domain);
+            let together = apart_from.contains(&&row.member.domain);
             let (silent, slow) = (standings.silent.contains(id), standings.slow.contains(id));
             (silent, together, slow, hosted(view, *id), *id, node(&row.member))
         })
@@ -225,53 +324,73 @@
     nodes.into_iter().map(|(_, _, _, _, _, node)| node).collect()
 }
 
+/// Domains of nodes, as far as they are known.
+fn domains<'a>(
+    view: &'a FleetView,
+    nodes: impl Iterator<Item = &'a CoreNode>,
+) -> Vec<&'a DomainName> {
+    nodes.filter_map(|node| domain(view, node.id)).collect()
+}
+
 fn place_new(view: &FleetView, standings: &Standings) -> Option<ShardRecord> {
-    let primary = *candidates(view, standings, None, &[]).first()?;
-    let apart = domain(view, primary.id);
-    let backup = *candidates(view, standings, apart, &[primary.id]).first()?;
-    Some(ShardRecord {
+    let primary = *candidates(view, standings, &[], &[]).first()?;
+    let mut record = ShardRecord {
         epoch: Epoch(1),
+        copies: standings.copies,
         primary,
-        backup: Some(backup),
-        fallback: None,
-        learner: None,
-    })
+        backups: Vec::new(),
+        fallbacks: Vec::new(),
+        learners: Vec::new(),
+    };
+    while !record.is_complete() {
+        let apart = domains(view, record.members());
+        let not: Vec<NodeId> = record.members().map(|node| node.id).collect();
+        let backup = *candidates(view, standings, &apart, &not).first()?;
+        record.backups.push(backup);
+    }
+    Some(record)
 }
 
-/// Chooses whom to fill: who already holds most comes first.
+/// Chooses whom to fill besides those that are being filled: who already holds most comes first.
 fn choose_learner(
     view: &FleetView,
     standings: &Standings,
     record: &ShardRecord,
+    failed: &[NodeId],
 ) -> Option<CoreNode> {
-    let not: Vec<NodeId> =
-        [Some(record.primary), record.backup].into_iter().flatten().map(|node| node.id).collect();
-    let apart = domain(view, record.primary.id);
-    let all = candidates(view, standings, apart, &not);
-    let is_apart = |node: &&CoreNode| domain(view, node.id) != apart;
-    let fallback = record.fallback.and_then(|kept| all.iter().find(|node| node.id == kept.id));
-    let fallback = fallback
-        .filter(is_apart)
-        .filter(|node| !standings.slow.contains(&node.id) && !standings.silent.contains(&node.id));
+    let taken = || record.members().chain(&record.learners);
+    let not: Vec<NodeId> = taken().map(|node| node.id).chain(failed.iter().copied()).collect();
+    let apart = domains(view, taken());
+    let all = candidates(view, standings, &apart, &not);
+    let kept = |node: &&CoreNode| record.fallbacks.iter().any(|kept| kept.id == node.id);
+    let is_apart = |node: &&CoreNode| domain(view, node.id).is_none_or(|own| !apart.contains(&own));
+    let is_well = |node: &&CoreNode| {
+        !standings.slow.contains(&node.id) && !standings.silent.contains(&node.id)
+    };
+    let fallback = all.iter().filter(kept).filter(is_apart).find(is_well);
     fallback.or(all.first()).copied()
 }
 
-/// The record after a holder takes over alone, with whom to fill; the old primary stays as fallback.
+/// The record after a holder takes over, with whom to fill; the old primary stays as fallback.
 fn promoted(
     view: &FleetView,
     standings: &Standings,
     record: &ShardRecord,
     successor: CoreNode,
 ) -> ShardRecord {
+    let works = |node: &CoreNode| node.id != successor.id && standings.works(node.id);
+    let (backups, gone): (Vec<CoreNode>, Vec<CoreNode>) =
+        record.backups.iter().copied().partition(works);
+    let kept = with_more(&with_more(&record.fallbacks, &gone), &[record.primary]);
     let promoted = ShardRecord {
         epoch: record.epoch.next(),
+        copies: record.copies,
         primary: successor,
-        backup: None,
-        fallback: Some(record.primary),
-        learner: None,
+        backups,
+        fallbacks: without(&kept, &[successor]),
+        learners: Vec::new(),
     };
-    let learner = choose_learner(view, standings, &promoted);
-    ShardRecord { learner, ..promoted }
+    with_learners(view, standings, &promoted, &[])
 }
 
 /// What a shard's record should become, if it should change.
@@ -284,7 +403,9 @@
     let works = |node: &CoreNode| standings.works(node.id);
     if standings.down.contains(&record.primary.id) {
         // Whoever is named here holds all that was ever answered.
-        let successor = record.backup.or(record.fallback).filter(works);
+        let slow = |node: &&CoreNode| standings.slow.contains(&node.id);
+        let successor = record.backups.iter().filter(|node| works(node)).min_by_key(slow);
+        let successor = successor.or_else(|| record.fallbacks.iter().find(|node| works(node)));
         let Some(successor) = successor else {
             return if shard.is_counter() {
                 replace_counter(view, standings, record)
@@ -292,61 +413,91 @@
                 None
             };
         };
-        return Some(promoted(view, standings, record, successor));
+        return Some(promoted(view, standings, record, *successor));
     }
-    let unfit = |node: &CoreNode| {
-        standings.down.contains(&node.id)
-            || view.storage.get(&node.id).is_none_or(|row| row.stage != StorageStage::Active)
-    };
-    if let Some(backup) = record.backup.filter(works) {
-        let is_slow = standings.slow.contains(&record.primary.id);
-        if is_slow && !unfit(&backup) && !standings.slow.contains(&backup.id) {
-            // A disk that stalls would hold up its successor's first batch, were it the backup.
-            let promoted = promoted(view, standings, record, backup);
-            if promoted.learner.is_some_and(|learner| !standings.slow.contains(&learner.id)) {
+    let unfit = |node: &CoreNode| is_unfit(view, standings, node);
+    let is_slow = |node: &CoreNode| standings.slow.contains(&node.id);
+    let working: Vec<CoreNode> =
+        record.backups.iter().filter(|node| works(node)).copied().collect();
+    let fit = |node: &&CoreNode| !unfit(node) && !is_slow(node);
+    if let Some(first) = working.first() {
+        let successor = working.iter().find(fit);
+        if let Some(successor) = successor.filter(|_| is_slow(&record.primary)) {
+            // A disk that stalls would hold up its successor's first batch, were it a backup.
+            let promoted = promoted(view, standings, record, *successor);
+            if promoted.learners.iter().any(|learner| !is_slow(learner)) {
                 return Some(promoted);
             }
         }
-        let hand_over = unfit(&record.primary) || is_slow;
-        if hand_over && !standings.slow.contains(&backup.id) {
-            let stays = !unfit(&backup);
-            return stays
-                .then(|| handed_over(view, standings, record))
-                .flatten()
-                .or_else(|| learner_if_missing(view, standings, record));
+        let hand_over = unfit(&record.primary) || is_slow(&record.primary);
+        if hand_over && (successor.is_some() || !is_slow(first)) {
+            if let Some(successor) = successor {
+                return Some(swapped(record, *successor));
+            }
+            if record.backups.len() >= standings.backups() {
+                return learner_if_missing(view, standings, record);
+            }
         }
     }
-    // Only for a strictly better copy: a backup that is unfit, stands in the primary's own
-    // domain, or has a slow disk, in that order.
-    let rank = |node: &CoreNode| {
-        let together = domain(view, node.id) == domain(view, record.primary.id);
-        (unfit(node), together, standings.slow.contains(&node.id))
-    };
-    let wants_learner = record.backup.as_ref().is_none_or(|backup| {
-        let better = choose_learner(view, standings, record);
-        better.is_some_and(|learner| rank(&learner) < rank(backup))
-    });
-    let learner_unfit = record.learner.as_ref().is_some_and(unfit);
-    if wants_learner && (record.learner.is_none() || learner_unfit) {
-        return learner_if_missing(
-            view,
-            standings,
-            &ShardRecord { learner: None, ..record.clone() },
-        );
+    if record.backups.len() < standings.backups() {
+        let fit: Vec<CoreNode> =
+            record.learners.iter().filter(|node| !unfit(node)).copied().collect();
+        let base = ShardRecord { learners: fit.clone(), ..record.clone() };
+        let next = with_learners(view, standings, &base, &[]);
+        let found = next.learners.len() > fit.len();
+        return found.then(|| ShardRecord { epoch: record.epoch.next(), ..next });
+    }
+    if record.copies > standings.copies {
+        // Less may be lost than before: the copies there are suffice.
+        let epoch = record.epoch.next();
+        return Some(ShardRecord { epoch, copies: standings.copies, ..record.clone() });
+    }
+    // Only for a strictly better copy: in place of a backup that is unfit, stands in the domain of
+    // another copy, or has a slow disk, in that order.
+    let worst = worst_backup(view, standings, record)?;
+    let others: Vec<CoreNode> =
+        record.members().filter(|node| node.id != worst.id).copied().collect();
+    let base = ShardRecord { learners: Vec::new(), ..record.clone() };
+    let better = choose_in_place_of(view, standings, &base, &worst)?;
+    let is_better =
+        rank(view, standings, &others, &better) < rank(view, standings, &others, &worst);
+    let learner_unfit = record.learners.iter().any(unfit);
+    if is_better && (record.learners.is_empty() || learner_unfit) {
+        return Some(ShardRecord {
+            epoch: record.epoch.next(),
+            learners: vec![better],
+            ..record.clone()
+        });
     }
     None
 }
 
+/// Whom to fill so that it takes a backup's place.
+fn choose_in_place_of(
+    view: &FleetView,
+    standings: &Standings,
+    record: &ShardRecord,
+    backup: &CoreNode,
+) -> Option<CoreNode> {
+    let others: Vec<CoreNode> =
+        record.backups.iter().filter(|node| node.id != backup.id).copied().collect();
+    let without = ShardRecord { backups: others, ..record.clone() };
+    choose_learner(view, standings, &without, &[backup.id])
+}
+
+/// The record with a learner that may take the place of a backup.
 fn learner_if_missing(
     view: &FleetView,
     standings: &Standings,
     record: &ShardRecord,
 ) -> Option<ShardRecord> {
-    if record.learner.is_some() {
+    if !record.learners.is_empty() {
         return None;
     }
-    let learner = choose_learner(view, standings, record)?;
-    Some(ShardRecord { epoch: record.epoch.next(), learner: Some(learner), ..record.clone() })
+    let worst = worst_backup(view, standings, record)?;
+    let learner = choose_in_place_of(view, standings, record, &worst)?;
+    let epoch = record.epoch.next();
+    Some(ShardRecord { epoch, learners: vec![learner], ..record.clone() })
 }
 
 /// A counter whose copies are all gone starts empty elsewhere and gathers the holds of all live
@@ -362,7 +513,7 @@
 
 /// One move that evens the number of copies, when nothing else is under way.
 fn balance(view: &FleetView, standings: &Standings) -> Option<(ShardId, ShardRecord)> {
-    let settled = |record: &ShardRecord| record.backup.is_some() && record.learner.is_none();
+    let settled = |record: &ShardRecord| record.is_complete() && record.learners.is_empty();
     // A slow disk is no place to move to, and moving off one is mending, not balancing. Who is
     // silent may be down: moving then would only get in the way of mending.
     let quiet = standings.slow.is_empty() && standings.silent.is_empty();
@@ -373,33 +524,31 @@
     let laden = |id: NodeId| hosted(view, id);
     let (most, _) = view.storage.iter().max_by_key(|(id, _)| (laden(**id), **id))?;
     for (shard, record) in &view.shards {
-        let backup = record.backup?;
-        if record.primary.id == *most {
+        let not: Vec<NodeId> = record.members().map(|node| node.id).collect();
+        if record.primary.id == *most
+            && let Some(backup) = record.backups.first()
+        {
             // Its backup's place can't be eased by a move; hand the primary duty over first.
-            let least = candidates(view, standings, domain(view, backup.id), &[*most, backup.id]);
+            let apart = domains(view, record.backups.iter());
+            let least = candidates(view, standings, &apart, &not);
             if least.first().is_some_and(|least| laden(*most) >= laden(least.id) + 2)
-                && view.shards.values().all(|other| other.backup.is_none_or(|b| b.id != *most))
+                && view.shards.values().all(|other| !other.is_backup(*most))
             {
-                let swapped = ShardRecord {
-                    epoch: record.epoch.next(),
-                    primary: backup,
-                    backup: Some(record.primary),
-                    ..record.clone()
-                };
-                return Some((*shard, swapped));
+                return Some((*shard, swapped(record, *backup)));
             }
         }
-        if backup.id == *most {
-            let apart = domain(view, record.primary.id);
-            let least = candidates(view, standings, apart, &[*most, record.primary.id]);
-            let is_apart = |node: &CoreNode| domain(view, node.id) != apart;
+        if record.is_backup(*most) {
+            let others: Vec<&CoreNode> = record.members().filter(|node| node.id != *most).collect();
+            let apart = domains(view, others.into_iter());
+            let least = candidates(view, standings, &apart, &not);
+            let is_apart = |id: NodeId| domain(view, id).is_none_or(|own| !apart.contains(&own));
             let least = least
                 .first()
                 .filter(|least| laden(*most) >= laden(least.id) + 2)
-                .filter(|least| is_apart(least) || !is_apart(&backup));
+                .filter(|least| is_apart(least.id) || !is_apart(*most));
             let Some(least) = least else { continue };
-            let moved =
-                ShardRecord { epoch: record.epoch.next(), learner: Some(*least), ..record.clone() };
+            let epoch = record.epoch.next();
+            let moved = ShardRecord { epoch, learners: vec![*least], ..record.clone() };
             return Some((*shard, moved));
         }
     }
--- a/programs/topazyard-control/tests/placement.rs
+++ b/programs/topazyard-control/tests/placement.rs
@@ -1,6 +1,6 @@
 //! Placement: it mends what is lost and then stands still.
 
-use topazyard_control::planner::{Standings, dropped_backup, plan, promoted_learner};
+use topazyard_control::planner::{Standings, dropped_backups, plan, promoted_learners};
 use topazyard_types::{NodeId, ShardId};
 use topazyard_wire::message::cohort::{Duty, Member};
 use topazyard_wire::state::FleetView;
@@ -48,7 +48,8 @@
         for shard in shards {
             let record = &view.shards[&shard];
             let primary_works = !standings.down.contains(&record.primary.id);
-            if let Some(next) = promoted_learner(record).filter(|_| primary_works) {
+            if let Some(next) = promoted_learners(view, standings, record).filter(|_| primary_works)
+            {
                 let key = topazyard_wire::state::shard_key(shard);
                 let change = topazyard_wire::RowChange::put(key, &next);
                 rows.insert(change.key, change.value.expect("a value"));
@@ -76,7 +77,8 @@
     assert_eq!(view.shards.len(), ShardId::all().count());
     for record in view.shards.values() {
         let domain = |id| &members.iter().find(|member| member.id == id).expect("known").domain;
-        let backup = record.backup.expect("a backup");
+        assert_eq!(record.backups.len(), 1);
+        let backup = record.backups.first().expect("a backup");
         assert_ne!(domain(record.primary.id), domain(backup.id));
     }
 }
@@ -89,7 +91,7 @@
     settle(&mut view, &standings);
     for record in view.shards.values() {
         assert!(record.primary.id != members[0].id);
-        assert!(record.backup.is_some_and(|backup| backup.id != members[0].id));
+        assert!(record.backups.first().is_some_and(|backup| backup.id != members[0].id));
     }
 }
 
@@ -111,7 +113,7 @@
 fn a_lost_primary_is_followed_only_by_one_that_holds_all() {
     let (members, view) = settled_fleet();
     let (shard, record) = view.shards.iter().next().expect("a shard");
-    let dropped = dropped_backup(record).expect("it had a backup");
+    let dropped = dropped_backups(record, &[record.backups[0].id]).expect("it had a backup");
     let mut view = view.clone();
     view.shards.insert(*shard, dropped.clone());
     let mut standings = standings(&members);
@@ -122,8 +124,8 @@
     let next = changes.iter().find(|change| change.key == key).and_then(|c| c.value.clone());
     let next: topazyard_wire::message::control::ShardRecord =
         topazyard_wire::rows::decode(&next.expect("a change")).expect("a record");
-    assert_eq!(Some(next.primary), dropped.fallback);
-    assert_eq!(next.backup, None, "nothing is answered before a learner holds all");
+    assert_eq!(vec![next.primary], dropped.fallbacks);
+    assert_eq!(next.backups, [], "nothing is answered before a learner holds all");
 }
 
 #[test]
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -415,8 +415,7 @@
     /// may be cut off from control while this relay isn't.
     pub(crate) fn tell_record(&self, shard: ShardId, told: topazyard_types::Epoch, out: &mut Out) {
         let Some(record) = self.view.shards.get(&shard).filter(|r| r.epoch > told) else { return };
-        let holders = [Some(record.primary), record.backup, record.fallback, record.learner];
-        for holder in holders.into_iter().flatten() {
+        for holder in record.holders() {
             let message = Message::Told(shard, record.clone());
             out.push(Effect::Send { to: holder.address, message });
         }
--- a/programs/topazyard-relay/src/machine/parcels.rs
+++ b/programs/topazyard-relay/src/machine/parcels.rs
@@ -297,7 +297,7 @@
                 continue;
             }
             pending.aside_at = now.plus(ASK_ASIDE);
-            for holder in [Some(record.primary), record.backup].into_iter().flatten() {
+            for holder in record.members() {
                 let body = ParcelBody::Aside(pending.call.clone());
                 let (shard, epoch) = (pending.shard, record.epoch);
                 let message = ParcelMessage { shard, epoch, call: *id, body };
--- a/programs/topazyard-relay/tests/admission.rs
+++ b/programs/topazyard-relay/tests/admission.rs
@@ -85,9 +85,10 @@
         let record = ShardRecord {
             epoch: Epoch(1),
             primary: node(COUNTER),
-            backup: Some(node(3)),
-            fallback: None,
-            learner: None,
+            copies: 2,
+            backups: vec![node(3)],
+            fallbacks: Vec::new(),
+            learners: Vec::new(),
         };
         let engine = topazyard_spec::Engine {
             name: "e1".into(),
--- a/programs/topazyard-relay/tests/edge.rs
+++ b/programs/topazyard-relay/tests/edge.rs
@@ -254,9 +254,10 @@
     let shard = ShardRecord {
         epoch: Epoch(1),
         primary: CoreNode { id: NodeId(1), address: core },
-        backup: None,
-        fallback: None,
-        learner: None,
+        copies: 2,
+        backups: Vec::new(),
+        fallbacks: Vec::new(),
+        learners: Vec::new(),
     };
     vec![
         encode(IN_FORCE.to_owned(), topazyard_wire::rows::encode(&in_force)),
--- a/programs/topazyard-storage/src/machine/aside.rs
+++ b/programs/topazyard-storage/src/machine/aside.rs
@@ -52,16 +52,17 @@
 }
 
 /// Whether all that a copy has of a parcel surely stays.
-fn is_sure(pair: &Pair, parcel: ParcelId) -> bool {
+fn is_sure(pair: &Pair, copies: u16, parcel: ParcelId) -> bool {
     let touched =
         || pair.copy().last_changed().any(|key| crate::parcels::rows::is_of(key, parcel.number));
     match (pair.doubt(), pair.is_primary()) {
         (Doubt::Nothing, _) => true,
-        // What a backup took its primary has too, and once it is synced here it outlives either:
-        // a primary that restarts without it hands over.
-        (Doubt::LastBatch | Doubt::SomeBatch, false) => pair.is_synced(),
-        (Doubt::LastBatch, true) => !touched(),
-        (Doubt::SomeBatch, true) | (Doubt::All, _) => false,
+        // What the only backup took its primary has too, and once it is synced here it outlives
+        // either: a primary that restarts without it hands over. Where there are several, two may be
+        // lost and leave one that has not taken it.
+        (Doubt::LastBatch | Doubt::SomeBatch, false) if copies <= 2 => pair.is_synced(),
+        (Doubt::LastBatch, _) => !touched(),
+        (Doubt::SomeBatch | Doubt::All, _) => false,
     }
 }
 
@@ -88,14 +89,14 @@
         let me = self.member.id;
         for (shard, hosted) in &mut self.hosted {
             let Some(record) = self.view.shards.get(shard) else { continue };
-            let is_named = record.primary.id == me || record.backup.is_some_and(|b| b.id == me);
+            let is_named = record.members().any(|node| node.id == me);
             hosted.asides.retain(|aside| now.since(aside.since) < WAITS);
             if !is_named || record.epoch != hosted.pair.epoch() {
                 continue;
             }
             let epoch = record.epoch;
             hosted.asides.retain(|aside| {
-                let sure = |parcel| is_sure(&hosted.pair, parcel);
+                let sure = |parcel| is_sure(&hosted.pair, record.copies, parcel);
                 if aside.since > confirmed || !aside.answer.parcel().is_some_and(sure) {
                     return true;
                 }
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -244,16 +244,15 @@
     fn wish_if_backup_silent(&mut self, shard: ShardId, now: MonotonicMs, out: &mut Out) {
         let patience = topazyard_types::DurationMs(500);
         let Some(hosted) = self.hosted.get(&shard) else { return };
-        let silent = hosted.pair.backup_silent_since();
+        let silent_since = hosted.pair.backup_silent_since();
         // Where control can't be heard either it may be this node that hears nobody.
         let heard = self.follower.confirmed_at();
-        let alone = silent.is_some_and(|since| heard <= Some(since));
-        if hosted.wish.is_none()
-            && !alone
-            && silent.is_some_and(|since| now.since(since) >= patience)
-        {
+        let alone = silent_since.is_some_and(|since| heard <= Some(since));
+        let silent = hosted.pair.silent_backups(patience, now);
+        if hosted.wish.is_none() && !alone && !silent.is_empty() {
             let epoch = hosted.pair.epoch();
-            self.stop_and_wish(ShardWish { shard, epoch, wish: Wish::DropBackup }, out);
+            let wish = Wish::DropBackups(silent);
+            self.stop_and_wish(ShardWish { shard, epoch, wish }, out);
         }
     }
 }
--- a/programs/topazyard-storage/src/machine/roles.rs
+++ b/programs/topazyard-storage/src/machine/roles.rs
@@ -2,7 +2,7 @@
 
 use super::hosted::{Hosted, Work};
 use super::{Out, StorageMachine};
-use topazyard_replication::{Copy, Pair, PairOutput};
+use topazyard_replication::{Copy, Followers, Pair, PairOutput};
 use topazyard_types::{MonotonicMs, ShardId};
 use topazyard_wire::message::Message;
 use topazyard_wire::message::control::{CoreNode, ShardRecord, ShardWish, Wish};
@@ -55,25 +55,22 @@
         out: &mut Out,
     ) {
         let me = self.member.id;
-        let is = |node: Option<CoreNode>| node.is_some_and(|node| node.id == me);
-        let named = record.primary.id == me
-            || is(record.backup)
-            || is(record.fallback)
-            || is(record.learner);
-        if !named {
+        if !record.holders().any(|node| node.id == me) {
             self.let_go(shard, out);
             return;
         }
-        let at = |node: Option<CoreNode>| {
-            node.map_or("none".to_owned(), |node| node.address.to_string())
+        let at = |nodes: &[CoreNode]| {
+            let addresses: Vec<String> = nodes.iter().map(|n| n.address.to_string()).collect();
+            addresses.join(" ")
         };
         let text = format!(
-            "shard {shard} epoch {}: primary {} backup {} fallback {} learner {}",
+            "shard {shard} epoch {}: primary {} backups [{}] of {} fallbacks [{}] learners [{}]",
             record.epoch,
             record.primary.address,
-            at(record.backup),
-            at(record.fallback),
-            at(record.learner)
+            at(&record.backups),
+            record.copies.saturating_sub(1),
+            at(&record.fallbacks),
+            at(&record.learners)
         );
         out.push(Effect::Note { grave: false, text });
         let stopped = self.stopped.get(&shard).is_some_and(|epoch| *epoch >= record.epoch);
@@ -83,27 +80,32 @@
             && hosted.pair.copy().place() != topazyard_types::Place::default();
         let outputs = if record.primary.id == me {
             // One that stopped in this epoch before it restarted serves no more in it: it fills
-            // the learner, or wishes for one.
-            let backup = record.backup.filter(|_| !stopped || shard.is_counter());
-            hosted.pair.become_primary(record.epoch, backup, record.learner, now)
+            // the learners, or wishes for some.
+            let followers = Followers {
+                backups: record.backups.clone(),
+                learners: record.learners.clone(),
+                answers: record.is_complete() && (!stopped || shard.is_counter()),
+            };
+            hosted.pair.become_primary(record.epoch, followers, now)
         } else {
             hosted.work = Work::None;
-            if is(record.backup) || is(record.learner) {
+            if record.is_backup(me) || record.learners.iter().any(|node| node.id == me) {
                 hosted.pair.become_follower(record.epoch, record.primary.id, now)
             } else {
                 hosted.pair.become_idle(record.epoch)
             }
         };
         self.take_pair(shard, outputs, now, out);
-        if has_restarted && record.primary.id == me && record.backup.is_some() {
-            // Its backup may have answered reads meanwhile from a batch that was lost here.
+        if has_restarted && record.primary.id == me && !record.backups.is_empty() {
+            // A backup may have answered reads meanwhile from a batch that was lost here.
             let wish = ShardWish { shard, epoch: record.epoch, wish: Wish::HandOver };
             self.stop_and_wish(wish, out);
             return;
         }
-        let wishes = stopped && record.primary.id == me && record.learner.is_none();
-        if wishes && record.backup.is_some() && !shard.is_counter() {
-            let wish = ShardWish { shard, epoch: record.epoch, wish: Wish::DropBackup };
+        let wishes = stopped && record.primary.id == me && record.learners.is_empty();
+        if wishes && !record.backups.is_empty() && !shard.is_counter() {
+            let all = record.backups.iter().map(|node| node.id).collect();
+            let wish = ShardWish { shard, epoch: record.epoch, wish: Wish::DropBackups(all) };
             self.stop_and_wish(wish, out);
         }
     }
@@ -162,10 +164,13 @@
                     }
                 }
                 PairOutput::Serving => self.begin_work(shard, now, out),
-                PairOutput::LearnerReady(_) => {
-                    if let Some(hosted) = self.hosted.get(&shard) {
+                PairOutput::LearnersReady => {
+                    // One that wished for backups to go would have them counted again.
+                    if let Some(hosted) = self.hosted.get(&shard)
+                        && hosted.wish.is_none()
+                    {
                         let epoch = hosted.pair.epoch();
-                        let wish = ShardWish { shard, epoch, wish: Wish::PromoteLearner };
+                        let wish = ShardWish { shard, epoch, wish: Wish::PromoteLearners };
                         self.stop_and_wish(wish, out);
                     }
                 }
