--- a/libraries/topazyard-wire/src/driver/disked.rs
+++ b/libraries/topazyard-wire/src/driver/disked.rs
@@ -16,6 +16,8 @@
     pub loaded: crate::rows::Loaded,
     /// The bounds of the place that the fleet runs at.
     pub bounds: topazyard_spec::Bounds,
+    /// What the process may use.
+    pub resources: topazyard_spec::Resources,
     /// Whether an empty disk may be the beginning of a new fleet.
     pub may_found: bool,
 }
@@ -48,6 +50,7 @@
         chance: rand::random(),
         loaded: disk.loaded,
         bounds: settings.bounds.clone(),
+        resources: settings.resources.clone(),
         may_found: settings.may_found,
     };
     Ok((start, place, disk.database))
--- a/programs/topazyard-relay/src/front/dialect.rs
+++ b/programs/topazyard-relay/src/front/dialect.rs
@@ -53,6 +53,9 @@
         head: &hyper::http::request::Parts,
     ) -> Result<RequestFacts, topazyard_wire::ApiError>;
 
+    /// Says in the head whose request it is, where no client said it: that of a batch's item.
+    fn identify(&self, headers: &mut hyper::HeaderMap, request_id: &hyper::header::HeaderValue);
+
     /// Says in the head what is said to an engine.
     fn address(&self, headers: &mut hyper::HeaderMap, to: &Addressed<'_>);
 
--- /dev/null
+++ b/programs/topazyard-relay/src/front/items.rs
@@ -0,0 +1,216 @@
+//! Runs of routed items: an item is sent to its engine, and the events of its stream are kept
+//! until the stream is whole.
+
+use super::Handle;
+use super::connections::{self, Kept, SendError};
+use super::dialect::{Addressed, Dialect, Verdict};
+use super::engine::span;
+use crate::machine::routed_items::RoutedRun;
+use crate::machine::{EngineUse, RelayCall, RelayReturn};
+use http_body_util::BodyExt as _;
+use hyper::header::HeaderValue;
+use topazyard_types::DurationMs;
+use topazyard_wire::http::Body;
+use topazyard_wire::message::parcel::{Progress, RunEnd};
+
+/// The largest output of an item that is kept, in bytes.
+const MOST_BYTES: usize = 4 * 1024 * 1024;
+
+/// A connection to an item's engine that carries nothing: a kept one, or else a new one.
+async fn connection_to(run: &RoutedRun) -> Option<Kept> {
+    match connections::take(&run.target) {
+        Some(kept) => Some(kept),
+        None => connections::connect(&run.target, connections::CONNECT_LIMIT).await.ok(),
+    }
+}
+
+/// The request that carries an item to its engine.
+fn request_of(
+    run: &RoutedRun,
+    request_id: &HeaderValue,
+    names: &dyn Dialect,
+) -> Option<hyper::Request<Body>> {
+    let body = topazyard_wire::http::whole(run.body.clone());
+    let mut request = hyper::Request::post(&run.directions.path).body(body).ok()?;
+    let mut headers = hyper::HeaderMap::new();
+    for (name, value) in &run.directions.headers {
+        let name = hyper::header::HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_str(value).ok()?);
+    }
+    let mut headers = super::routed::of_both_sides(headers);
+    headers.remove(hyper::header::CONTENT_LENGTH);
+    headers.insert(hyper::header::HOST, HeaderValue::from_str(&run.host).ok()?);
+    names.identify(&mut headers, request_id);
+    let (left, last_event) = (crate::machine::items::RUN_LIMIT, run.progress.last_event);
+    names.address(&mut headers, &Addressed { engine: &run.target.engine, left, last_event });
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+/// Runs an item and tells how that ended, and what it says of the engine.
+pub(super) async fn run_routed(
+    handle: &Handle,
+    run: &RoutedRun,
+    names: &dyn Dialect,
+) -> (RunEnd, EngineUse) {
+    let request_id = HeaderValue::from_str(&run.directions.id).ok();
+    let request = request_id.as_ref().and_then(|id| request_of(run, id, names));
+    // An item that no request can carry will never run.
+    let Some(request) = request else { return (RunEnd::NotRun, EngineUse::Unsent) };
+    let Some(mut connection) = connection_to(run).await else {
+        return (RunEnd::NotRun, EngineUse::Unreachable);
+    };
+    match handle.call(RelayCall::DispatchItem(run.run, run.target.engine.clone())).await {
+        Ok(RelayReturn::GoUntil(until)) if handle.clock().now() < until => {}
+        _ => return (RunEnd::NotRun, EngineUse::Unsent),
+    }
+    let sent_at = handle.clock().now();
+    let sent = tokio::time::timeout(span(run.silence), connection.send(request)).await;
+    let response = match sent {
+        Ok(Ok(response)) => response,
+        Ok(Err(SendError::Unsent)) => return (RunEnd::NotRun, EngineUse::Unsent),
+        Ok(Err(SendError::Broken)) | Err(_) => return (RunEnd::Unknown, EngineUse::Failed),
+    };
+    let first = handle.clock().now().since(sent_at);
+    let is_delimited = super::engine::is_delimited(response.headers());
+    let (head, body) = response.into_parts();
+    match (names.judge(&head, request_id.as_ref()), head.status.as_u16()) {
+        (Verdict::TurnedAway, _) => (RunEnd::NotRun, EngineUse::TurnedAway),
+        (Verdict::Failure, 500) => (RunEnd::Failed, EngineUse::Failed),
+        (Verdict::Response, 422) => (RunEnd::Impossible, EngineUse::Whole(first)),
+        (Verdict::Response, 200) => {
+            let mut events = Events::after(run.progress.clone());
+            let reading = read_events(body, &mut events, run.silence);
+            let limit = span(crate::machine::items::RUN_LIMIT);
+            let whole = tokio::time::timeout(limit, reading).await == Ok(true);
+            if !(whole && is_delimited) {
+                return (RunEnd::Broken(events.so_far()), EngineUse::Failed);
+            }
+            connections::keep(connection, &head.headers);
+            match events.whole() {
+                Some(text) => (RunEnd::Done { text }, EngineUse::Whole(first)),
+                None => (RunEnd::Unknown, EngineUse::Failed),
+            }
+        }
+        _ => (RunEnd::Unknown, EngineUse::Failed),
+    }
+}
+
+/// Reads events to the proper end of the body; false if it broke off, fell silent or made no
+/// sense.
+async fn read_events(
+    mut body: hyper::body::Incoming,
+    events: &mut Events,
+    silence: DurationMs,
+) -> bool {
+    loop {
+        match tokio::time::timeout(span(silence), body.frame()).await {
+            Ok(None) => return true,
+            Ok(Some(Ok(frame))) => {
+                let Some(data) = frame.data_ref() else { continue };
+                if events.take(data).is_err() {
+                    return false;
+                }
+            }
+            Ok(Some(Err(_))) | Err(_) => return false,
+        }
+    }
+}
+
+/// the events of a stream don't follow on each other
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub struct OutOfOrder;
+
+impl std::error::Error for OutOfOrder {}
+
+/// The events of an item's stream, joined as they come.
+#[derive(Debug, Clone)]
+pub struct Events {
+    so_far: Progress,
+    /// Bytes that are no whole line yet.
+    line: Vec<u8>,
+    id: Option<u64>,
+    data: Option<String>,
+}
+
+impl Events {
+    /// Goes on after what an earlier run brought.
+    ///
+    /// ```
+    /// use topazyard_relay::front::items::Events;
+    /// let mut events = Events::after(Default::default());
+    /// events.take(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
+    /// events.take(b"ta: b\n\n").unwrap();
+    /// assert_eq!(events.whole().as_deref(), Some("a\nb"));
+    /// ```
+    pub fn after(so_far: Progress) -> Self {
+        Self { so_far, line: Vec::new(), id: None, data: None }
+    }
+
+    /// Takes bytes of the stream.
+    ///
+    /// # Errors
+    /// An event without an id, one that doesn't follow on the one before, text that is none, or
+    /// more of it than is kept.
+    pub fn take(&mut self, bytes: &[u8]) -> Result<(), OutOfOrder> {
+        for piece in bytes.split_inclusive(|byte| *byte == b'\n') {
+            self.line.extend_from_slice(piece);
+            if piece.ends_with(b"\n") {
+                let line = std::mem::take(&mut self.line);
+                self.take_line(&line)?;
+            }
+        }
+        let is_small = self.so_far.text.len() + self.line.len() <= MOST_BYTES;
+        if is_small { Ok(()) } else { Err(OutOfOrder) }
+    }
+
+    fn take_line(&mut self, line: &[u8]) -> Result<(), OutOfOrder> {
+        let line = std::str::from_utf8(line).map_err(|_| OutOfOrder)?;
+        let line = line.trim_end_matches('\n').trim_end_matches('\r');
+        if line.is_empty() {
+            return self.end_event();
+        }
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "id" => self.id = Some(value.trim().parse().map_err(|_| OutOfOrder)?),
+            "data" => match &mut self.data {
+                Some(data) => {
+                    data.push('\n');
+                    data.push_str(value);
+                }
+                None => self.data = Some(value.to_owned()),
+            },
+            // Comments and fields that carry no output.
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn end_event(&mut self) -> Result<(), OutOfOrder> {
+        let (id, data) = (self.id.take(), self.data.take());
+        let Some(data) = data else { return Ok(()) };
+        let id = id.ok_or(OutOfOrder)?;
+        match self.so_far.last_event {
+            Some(last) if id != last + 1 => return Err(OutOfOrder),
+            Some(_) => self.so_far.text.push('\n'),
+            // Streams count from 0 or from 1.
+            None if id > 1 => return Err(OutOfOrder),
+            None => {}
+        }
+        self.so_far.text.push_str(&data);
+        self.so_far.last_event = Some(id);
+        Ok(())
+    }
+
+    /// The whole text, if the stream ended with a whole event.
+    pub fn whole(self) -> Option<String> {
+        let is_between = self.line.is_empty() && self.id.is_none() && self.data.is_none();
+        (is_between && self.so_far.last_event.is_some()).then_some(self.so_far.text)
+    }
+
+    /// What was received whole.
+    pub fn so_far(self) -> Progress {
+        self.so_far
+    }
+}
--- a/programs/topazyard-relay/src/front/mod.rs
+++ b/programs/topazyard-relay/src/front/mod.rs
@@ -4,6 +4,7 @@
 pub mod dialect;
 pub mod engine;
 pub mod events;
+pub mod items;
 pub mod parcels;
 pub mod read;
 pub mod routed;
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -150,7 +150,7 @@
 }
 
 /// The headers that go on to an engine; what concerns one connection stays here.
-fn of_both_sides(headers: hyper::HeaderMap) -> hyper::HeaderMap {
+pub(super) fn of_both_sides(headers: hyper::HeaderMap) -> hyper::HeaderMap {
     let mut kept = hyper::HeaderMap::with_capacity(headers.len() + 2);
     super::copy_end_to_end(&headers, &mut kept);
     kept.remove(hyper::header::EXPECT);
--- a/programs/topazyard-relay/src/front/tasks.rs
+++ b/programs/topazyard-relay/src/front/tasks.rs
@@ -2,7 +2,7 @@
 
 use super::Handle;
 use super::engine::span;
-use crate::machine::{RelayCall, RelayReturn, RelayTask, Target};
+use crate::machine::{EngineUse, RelayCall, RelayReturn, RelayTask, Target};
 use http_body_util::BodyExt as _;
 use topazyard_wire::message::parcel::{Run, RunEnd};
 
@@ -10,7 +10,11 @@
 const MOST_BYTES: usize = 4 * 1024 * 1024;
 
 /// Begins tasks as the machine names them, until it ends.
-pub async fn run(handle: Handle, mut tasks: tokio::sync::mpsc::Receiver<RelayTask>) {
+pub async fn run(
+    handle: Handle,
+    mut tasks: tokio::sync::mpsc::Receiver<RelayTask>,
+    names: Option<super::routed::Names>,
+) {
     while let Some(task) = tasks.recv().await {
         let handle = handle.clone();
         match task {
@@ -20,6 +24,16 @@
                     handle.tell(RelayCall::ItemEnded(run, end));
                 });
             }
+            RelayTask::RunRouted(run) => {
+                let names = names.clone();
+                tokio::spawn(async move {
+                    let (end, engine_use) = match &names {
+                        Some(names) => super::items::run_routed(&handle, &run, &**names).await,
+                        None => (RunEnd::NotRun, EngineUse::Unsent),
+                    };
+                    handle.tell(RelayCall::RoutedEnded(run.run, end, engine_use));
+                });
+            }
             RelayTask::Reach(target) => {
                 tokio::spawn(async move {
                     let reached = super::connections::reach(&target).await;
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -6,13 +6,14 @@
 mod counting;
 mod engines;
 pub mod items;
-mod parcels;
+pub mod parcels;
 pub mod requests;
+pub mod routed_items;
 
 use topazyard_replication::{Follower, follower::Followed};
 use topazyard_types::{
-    DurationMs, EngineName, Life, ModelName, MonotonicMs, NodeId, ParcelId, ShardId, SpecVersion,
-    Tokens,
+    DurationMs, EngineName, Life, ModelName, MonotonicMs, NodeId, ParcelId, RouteName, ShardId,
+    SpecVersion, Tokens,
 };
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::Message;
@@ -106,10 +107,14 @@
     Parcel(ParcelCall, DurationMs),
     /// Hand in a parcel.
     Submit(ParcelId, Vec<Item>),
+    /// Hand in a batch of routed items, within a limit.
+    SubmitBatch(ParcelId, RouteName, Vec<Item>, DurationMs),
     /// May this item's run be sent to that engine now?
     DispatchItem(Run, EngineName),
     /// An item's run ended.
     ItemEnded(Run, RunEnd),
+    /// A routed item's run ended, and so did its use of the engine.
+    RoutedEnded(Run, RunEnd, EngineUse),
     /// What a look at an engine's health gave.
     Looked(EngineName, bool),
     /// Take nothing new from now on, and finish what is under way.
@@ -155,6 +160,8 @@
         /// The body, byte for byte.
         body: bytes::Bytes,
     },
+    /// Run a routed item and report its end.
+    RunRouted(Box<routed_items::RoutedRun>),
     /// Look at an engine's health and report it.
     Look(Target),
     /// Make a connection to an engine, keep it, and report it.
@@ -214,6 +221,7 @@
 pub struct RelayMachine {
     pub(crate) node: NodeId,
     agent: std::net::SocketAddr,
+    pub(crate) bounds: topazyard_spec::Bounds,
     follower: Follower,
     pub(crate) view: FleetView,
     pub(crate) counting: counting::Counting,
@@ -241,6 +249,7 @@
         Self {
             node: start.node,
             agent: start.agent,
+            bounds: start.bounds.clone(),
             follower: Follower::new(vec![start.agent], life),
             view: FleetView::default(),
             counting: counting::Counting::new(life),
@@ -279,7 +288,7 @@
     /// Why neither lanes nor routes could be served now, if so.
     fn cut_off_from_all(&self, now: MonotonicMs) -> Option<Code> {
         let has_routes = self.view.routes.iter().next().is_some();
-        if has_routes && now < self.routes_until() && now < self.blocks_until() {
+        if has_routes && now < self.routes_until() && !self.requests.unanswered(now) {
             return None;
         }
         self.cut_off(now)
@@ -369,6 +378,9 @@
             RelayCall::Submit(parcel, items) => {
                 return self.submit_parcel(call, parcel, items, now, out);
             }
+            RelayCall::SubmitBatch(parcel, route, items, limit) => {
+                return self.submit_batch(call, (parcel, &route), items, limit, now, out);
+            }
             RelayCall::Arrive(arrival) => return self.arrive(call, arrival, now, out),
             RelayCall::Retry(id, engine_use) => self.retry(id, engine_use, now),
             RelayCall::Doubt(engine) => {
@@ -390,6 +402,10 @@
                 RelayReturn::Noted
             }
             RelayCall::DispatchItem(run, engine) => self.dispatch_item(run, &engine, now),
+            RelayCall::RoutedEnded(run, end, engine_use) => {
+                self.routed_ended(run, end, engine_use, now, out);
+                RelayReturn::Noted
+            }
             RelayCall::ItemEnded(run, end) => {
                 self.item_ended(run, end, now, out);
                 RelayReturn::Noted
--- a/programs/topazyard-relay/tests/edge.rs
+++ b/programs/topazyard-relay/tests/edge.rs
@@ -75,7 +75,7 @@
         let (tasks, begun) = tokio::sync::mpsc::channel(64);
         let make = move |_| (topazyard_relay::RelayMachine::new(&start), Vec::new());
         let handle = topazyard_wire::driver::spawn(make, place, None, tasks).expect("a relay");
-        tokio::spawn(topazyard_relay::front::tasks::run(handle.clone(), begun));
+        tokio::spawn(topazyard_relay::front::tasks::run(handle.clone(), begun, None));
         let http = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let relay = http.local_addr().expect("its address");
         let asked = handle.clone();
