Test fleets of no, one and two backups

Eight tests: all copies sync before a commit, any one that stalls keeps it back, only those that owe are named silent, learners are ready only together; 500 drawn histories keep what was committed on every copy.

--- /dev/null
+++ b/libraries/topazyard-replication/tests/several.rs
@@ -0,0 +1,232 @@
+//! As many backups as machines may be lost: none, one and two, all of which confirm each batch.
+
+use topazyard_replication::pair::From;
+use topazyard_replication::{Copy, Followers, Pair, PairOutput};
+use topazyard_types::{DurationMs, Epoch, Life, MonotonicMs, NodeId};
+use topazyard_wire::message::control::CoreNode;
+use topazyard_wire::{Group, RowChange};
+
+const NOW: MonotonicMs = MonotonicMs(10_000);
+const PRIMARY: u64 = 1;
+
+fn node(id: u64) -> CoreNode {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], id as u16));
+    CoreNode { id: NodeId(id), address }
+}
+
+/// A primary (node 1), its backups (from 2 on) and its learners after them.
+struct Fleet {
+    nodes: std::collections::BTreeMap<u64, Pair>,
+    /// Nodes that hear and say nothing.
+    cut: std::collections::BTreeSet<u64>,
+    /// Nodes whose disks sync nothing.
+    stalled: std::collections::BTreeSet<u64>,
+    committed: Vec<u64>,
+    learners_ready: bool,
+}
+
+impl Fleet {
+    fn new(backups: u64, learners: u64, answers: bool) -> Self {
+        let pair = |id: u64| Pair::new(Group::Control, true, Copy::default(), Life(id << 30));
+        let last = PRIMARY + backups + learners;
+        let mut fleet = Self {
+            nodes: (PRIMARY..=last).map(|id| (id, pair(id))).collect(),
+            cut: Default::default(),
+            stalled: Default::default(),
+            committed: Vec::new(),
+            learners_ready: false,
+        };
+        for id in PRIMARY + 1..=last {
+            fleet.node(id).become_follower(Epoch(1), NodeId(PRIMARY), NOW);
+        }
+        let followers = Followers {
+            backups: (PRIMARY + 1..=PRIMARY + backups).map(node).collect(),
+            learners: (PRIMARY + backups + 1..=last).map(node).collect(),
+            answers,
+        };
+        let out = fleet.node(PRIMARY).become_primary(Epoch(1), followers, NOW);
+        fleet.run(PRIMARY, out, NOW);
+        fleet
+    }
+
+    fn node(&mut self, id: u64) -> &mut Pair {
+        self.nodes.get_mut(&id).expect("a node of the fleet")
+    }
+
+    /// Carries all messages and syncs all writes, but for what is cut or stalled.
+    fn run(&mut self, of: u64, first: Vec<PairOutput>, now: MonotonicMs) {
+        let mut waiting: std::collections::VecDeque<(u64, PairOutput)> =
+            first.into_iter().map(|output| (of, output)).collect();
+        while let Some((id, output)) = waiting.pop_front() {
+            let (to, more) = match output {
+                PairOutput::Send(to, message) => {
+                    let to = u64::from(to.port());
+                    if self.cut.contains(&id) || self.cut.contains(&to) {
+                        continue;
+                    }
+                    let from = From { id: NodeId(id), address: node(id).address };
+                    (to, self.node(to).receive(from, message, now))
+                }
+                PairOutput::Write(token, _) if !self.stalled.contains(&id) => {
+                    (id, self.node(id).written(token.number))
+                }
+                PairOutput::Committed(tickets) => {
+                    self.committed.extend(tickets);
+                    continue;
+                }
+                PairOutput::LearnersReady => {
+                    self.learners_ready = true;
+                    continue;
+                }
+                _ => continue,
+            };
+            waiting.extend(more.into_iter().map(|output| (to, output)));
+        }
+    }
+
+    fn submit(&mut self, ticket: u64, key: &str) {
+        let change = RowChange::put(key, &1_u8);
+        assert!(self.node(PRIMARY).submit(ticket, vec![change]));
+        let out = self.node(PRIMARY).proceed(NOW);
+        self.run(PRIMARY, out, NOW);
+    }
+
+    fn beat(&mut self, now: MonotonicMs) {
+        let out = self.node(PRIMARY).beat(now);
+        self.run(PRIMARY, out, now);
+    }
+}
+
+#[test]
+fn a_change_is_committed_once_all_copies_have_synced_it() {
+    for backups in 0..=2 {
+        let mut fleet = Fleet::new(backups, 0, true);
+        fleet.submit(1, "a");
+        assert_eq!(fleet.committed, [1], "{backups} backups");
+        for id in fleet.nodes.keys().copied().collect::<Vec<_>>() {
+            assert!(fleet.node(id).copy().rows().contains_key("a"), "node {id}");
+        }
+    }
+}
+
+#[test]
+fn one_copy_that_has_not_synced_it_keeps_a_change_from_being_committed() {
+    for backups in 0..=2 {
+        for missing in PRIMARY..=PRIMARY + backups {
+            let mut fleet = Fleet::new(backups, 0, true);
+            fleet.stalled.insert(missing);
+            fleet.submit(1, "a");
+            assert!(fleet.committed.is_empty(), "{backups} backups, node {missing} stalls");
+        }
+    }
+}
+
+#[test]
+fn only_the_backups_that_owe_a_confirmation_are_named_silent() {
+    let patience = DurationMs(500);
+    let late = NOW.plus(patience);
+    let mut fleet = Fleet::new(2, 0, true);
+    fleet.cut.insert(3);
+    fleet.submit(1, "a");
+    assert_eq!(fleet.node(PRIMARY).silent_backups(patience, NOW), []);
+    assert_eq!(fleet.node(PRIMARY).silent_backups(patience, late), [NodeId(3)]);
+    fleet.cut.insert(2);
+    let mut both = Fleet::new(2, 0, true);
+    both.cut.extend([2, 3]);
+    both.submit(1, "a");
+    assert_eq!(both.node(PRIMARY).silent_backups(patience, late), [NodeId(2), NodeId(3)]);
+}
+
+#[test]
+fn a_lost_append_is_sent_again_to_whoever_misses_it() {
+    let mut fleet = Fleet::new(2, 0, true);
+    fleet.cut.insert(3);
+    fleet.submit(1, "a");
+    assert!(fleet.committed.is_empty());
+    fleet.cut.clear();
+    fleet.beat(MonotonicMs(NOW.0 + 200));
+    assert_eq!(fleet.committed, [1]);
+}
+
+#[test]
+fn a_backup_that_fell_out_of_step_holds_up_all_answers_until_it_is_back() {
+    let mut fleet = Fleet::new(2, 0, true);
+    // Node 3 restarts with what it had synced and hears of its role again.
+    let rows = fleet.node(3).copy().rows().clone();
+    fleet.nodes.insert(3, Pair::new(Group::Control, true, Copy::loaded(rows), Life(77 << 30)));
+    fleet.node(3).become_follower(Epoch(1), NodeId(PRIMARY), NOW);
+    fleet.stalled.insert(3);
+    fleet.submit(1, "a");
+    assert!(fleet.committed.is_empty() && !fleet.node(PRIMARY).is_serving());
+    fleet.stalled.clear();
+    fleet.beat(MonotonicMs(NOW.0 + 1_000));
+    assert!(fleet.node(PRIMARY).is_serving());
+    assert_eq!(fleet.committed, [1]);
+    assert!(fleet.node(3).copy().rows().contains_key("a"));
+}
+
+#[test]
+fn with_fewer_copies_than_asked_for_nothing_is_answered() {
+    for backups in 0..=1 {
+        let mut fleet = Fleet::new(backups, 0, false);
+        fleet.submit(1, "a");
+        fleet.beat(MonotonicMs(NOW.0 + 1_000));
+        assert!(fleet.committed.is_empty() && !fleet.node(PRIMARY).is_serving());
+    }
+}
+
+#[test]
+fn learners_are_ready_only_together() {
+    let fleet = Fleet::new(0, 2, false);
+    assert!(fleet.learners_ready);
+    let mut fleet = Fleet::new(1, 2, false);
+    assert!(fleet.learners_ready);
+    assert_eq!(fleet.node(PRIMARY).filled_learners(), [NodeId(3), NodeId(4)]);
+    let pair = |id: u64| Pair::new(Group::Control, true, Copy::default(), Life(id << 30));
+    fleet.nodes = (1..=3).map(|id| (id, pair(id))).collect();
+    fleet.learners_ready = false;
+    fleet.cut.insert(3);
+    for id in 2..=3 {
+        fleet.node(id).become_follower(Epoch(2), NodeId(PRIMARY), NOW);
+    }
+    let followers = Followers { learners: vec![node(2), node(3)], ..Followers::default() };
+    let out = fleet.node(PRIMARY).become_primary(Epoch(2), followers, NOW);
+    fleet.run(PRIMARY, out, NOW);
+    assert!(!fleet.learners_ready);
+    assert_eq!(fleet.node(PRIMARY).filled_learners(), [NodeId(2)]);
+    fleet.cut.clear();
+    fleet.beat(MonotonicMs(NOW.0 + 100));
+    assert!(fleet.learners_ready);
+}
+
+/// Whatever is cut or stalls while batches are under way: all that was committed is on every copy,
+/// so that it outlives all but any one of them.
+#[test]
+fn what_was_committed_is_on_every_copy() {
+    bolero::check!().with_type::<Vec<(u8, u8)>>().with_iterations(500).for_each(|moves| {
+        for backups in 0..=2_u64 {
+            let mut fleet = Fleet::new(backups, 0, true);
+            let mut now = NOW;
+            for (ticket, (what, which)) in (1_u64..).zip(moves) {
+                now = now.plus(DurationMs(120));
+                let which = PRIMARY + u64::from(*which) % (backups + 1);
+                match what % 4 {
+                    0 => drop(fleet.cut.insert(which)),
+                    1 => fleet.cut.clear(),
+                    2 => {
+                        let change = RowChange::put(format!("row/{ticket}"), &ticket);
+                        fleet.node(PRIMARY).submit(ticket, vec![change]);
+                    }
+                    _ => fleet.beat(now),
+                }
+                let out = fleet.node(PRIMARY).proceed(now);
+                fleet.run(PRIMARY, out, now);
+                let copies = fleet.nodes.values().map(|node| node.copy().rows());
+                for rows in copies {
+                    let holds = |ticket: &u64| rows.contains_key(&format!("row/{ticket}"));
+                    assert!(fleet.committed.iter().all(holds));
+                }
+            }
+        }
+    });
+}
