--- a/programs/topazyard-control/src/machine/claim.rs
+++ b/programs/topazyard-control/src/machine/claim.rs
@@ -11,16 +11,8 @@
 
 /// The row that keeps which epoch this node asked for.
 pub(super) const CLAIMED_KEY: &str = "claimed";
-/// After how long without a confirmation the primary asks for other backups.
-const BACKUP_SILENT: DurationMs = DurationMs(1_500);
-/// After how long without a word the backup asks to take over.
-const PRIMARY_SILENT: DurationMs = DurationMs(2_000);
-/// After how long a silent witness is exchanged for a spare core node.
-const WITNESS_SILENT: DurationMs = DurationMs(10_000);
-/// How much longer each further backup waits before it asks, so that one is ahead of the others.
-const TURN: DurationMs = DurationMs(500);
-/// After how long without all learners in step others are tried.
-const LEARNER_AGAIN: DurationMs = DurationMs(3_000);
+/// How often one that claims and hears nobody to copy to looks again.
+const LOOK_AGAIN: DurationMs = DurationMs(100);
 
 /// A claim that is under way.
 #[derive(Debug)]
@@ -49,7 +41,9 @@
         let Some(record) = self.witness.record() else { return false };
         let Some(turn) = record.turn(self.me.id) else { return false };
         let is_primary = turn == 0;
-        let patience = DurationMs(PRIMARY_SILENT.0 + TURN.0 * turn.saturating_sub(1) as u64);
+        let patience = DurationMs(
+            self.patience.primary.0 + self.patience.turn.0 * turn.saturating_sub(1) as u64,
+        );
         if self.claimed > record.epoch {
             // It stopped answering before it restarted, or yielded: ask again if nobody leads.
             let led = self.pair.heard_primary();
@@ -68,6 +62,33 @@
         self.holds_all(record) && silent.is_some_and(|at| now.since(at) >= patience)
     }
 
+    /// A primary that ends in order says so to the backup whose turn is next.
+    pub(super) fn say_leaving(&self, out: &mut Out) {
+        let Some(record) = self.witness.record() else { return };
+        let Some(next) = record.backups.first() else { return };
+        if self.pair.is_serving() && record.primary.id == self.me.id {
+            let message = Message::Core(CoreMessage::Leaving { epoch: record.epoch });
+            out.push(Effect::Send { to: next.address, message });
+        }
+    }
+
+    /// The primary ends: ask at once rather than after its silence. Whoever leads next, the
+    /// witnesses decide, so that a word that comes late does no harm.
+    pub(super) fn hear_leaving(
+        &mut self,
+        sender: NodeId,
+        epoch: topazyard_types::Epoch,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        let Some(record) = self.witness.record() else { return };
+        let is_ours = record.epoch == epoch && record.primary.id == sender;
+        let may_ask = record.turn(self.me.id) == Some(1) && self.holds_all(record);
+        if is_ours && may_ask && self.claim.is_none() && self.claimed <= epoch {
+            self.begin_claim(now, out);
+        }
+    }
+
     /// Whether this backup's copy holds all that was ever answered up to that record.
     fn holds_all(&self, record: &EpochRecord) -> bool {
         self.pair.copy().place().epoch >= record.epoch
@@ -82,7 +103,7 @@
     fn begin_claim(&mut self, now: MonotonicMs, out: &mut Out) {
         let Some(base) = self.witness.record().cloned() else { return };
         let silent = if base.primary.id == self.me.id {
-            self.pair.silent_backups(BACKUP_SILENT, now)
+            self.pair.silent_backups(self.patience.backup, now)
         } else {
             vec![base.primary.id]
         };
@@ -140,7 +161,7 @@
         let spares: Vec<CoreNode> =
             self.others_heard(now).filter(|node| !is_in(must_name, node.id)).collect();
         let must = must_name.iter().map(|node| (*node, DurationMs(0)));
-        let may = spares.into_iter().map(|node| (node, WITNESS_SILENT));
+        let may = spares.into_iter().map(|node| (node, self.patience.witness));
         for (spare, patience) in must.chain(may) {
             if is_in(&witnesses, spare.id) {
                 continue;
@@ -188,6 +209,7 @@
     }
 
     fn push_claim(&mut self, now: MonotonicMs, out: &mut Out) {
+        let patience = self.patience.clone();
         let Some(claim) = &mut self.claim else { return };
         if let Some(proposal) = &mut claim.proposal {
             if let Step::Say(message) = proposal.beat(now) {
@@ -196,12 +218,12 @@
             return;
         }
         let led = self.pair.heard_primary();
-        if claim.learners.is_empty() && led.is_some_and(|at| now.since(at) < PRIMARY_SILENT) {
+        if claim.learners.is_empty() && led.is_some_and(|at| now.since(at) < patience.primary) {
             // The primary is back, and there are too few to take over with.
             self.claim = None;
             return;
         }
-        let again = if claim.learners.is_empty() { DurationMs(200) } else { LEARNER_AGAIN };
+        let again = if claim.learners.is_empty() { LOOK_AGAIN } else { patience.learner };
         if claim.stopped && now.since(claim.since) >= again {
             self.copy_to_learners(now, out);
         }
@@ -271,7 +293,7 @@
         }
         // One source at a time, so that two copies don't mix for long.
         let follows_other = self.pair.epoch() == message.epoch
-            && self.pair.heard_primary().is_some_and(|at| now.since(at) < LEARNER_AGAIN);
+            && self.pair.heard_primary().is_some_and(|at| now.since(at) < self.patience.learner);
         if follows_other && !self.pair.follows(sender) {
             return;
         }
