--- a/programs/topazyard-control/src/machine/claim.rs
+++ b/programs/topazyard-control/src/machine/claim.rs
@@ -52,8 +52,8 @@
         }
         if is_primary {
             let silent = self.pair.backup_silent_since();
-            return silent.is_some_and(|since| now.since(since) >= BACKUP_SILENT)
-                || self.pair.oldest_write(now) >= BACKUP_SILENT
+            return silent.is_some_and(|since| now.since(since) >= self.patience.backup)
+                || self.pair.oldest_write(now) >= self.patience.write
                 || (self.pair.is_serving() && self.next_witnesses(record, &[], now).is_some())
                 || (record.backups.len() < self.backups()
                     && self.others_heard(now).count() >= self.backups());
