Find the next control primary sooner; test placement with one to three copies

Reads asked while a control primary and a shard's primary are lost together were answered 1.4 to 1.7 s later: core nodes told of a new record only with their next beat, and a follower waited 450 ms for each that no longer ran. Both are shorter now.

--- a/libraries/topazyard-replication/src/follower.rs
+++ b/libraries/topazyard-replication/src/follower.rs
@@ -10,12 +10,16 @@
 const HURRIED_EVERY: DurationMs = DurationMs(50);
 /// How long it waits for a return before it asks elsewhere.
 const PATIENCE: DurationMs = DurationMs(450);
+/// How long it waits, while it looks for the primary, for one that may not run: whoever is not the
+/// primary says so at once. After each was asked so it waits longer, as the primary may be slow.
+const LOOKING_PATIENCE: DurationMs = DurationMs(150);
 
 /// An asking that waits for its return.
 #[derive(Debug)]
 struct Asked {
     nonce: u64,
     at: MonotonicMs,
+    patience: DurationMs,
 }
 
 /// Follows the feed from one of several nodes.
@@ -26,6 +30,8 @@
     next_source: usize,
     leader: Option<std::net::SocketAddr>,
     asked: Option<Asked>,
+    /// How many askings had no return since the last news.
+    unanswered: usize,
     last_asked: Option<MonotonicMs>,
     last_nonce: u64,
     confirmed: Option<MonotonicMs>,
@@ -57,6 +63,7 @@
             next_source: 0,
             leader: None,
             asked: None,
+            unanswered: 0,
             last_asked: None,
             last_nonce: life.first_number(),
             confirmed: None,
@@ -101,9 +108,10 @@
         vitals: impl FnOnce() -> Vitals,
     ) -> Option<(std::net::SocketAddr, FeedMessage)> {
         if let Some(asked) = &self.asked {
-            if now.since(asked.at) < PATIENCE {
+            if now.since(asked.at) < asked.patience {
                 return None;
             }
+            self.unanswered += 1;
             self.leader = None;
             self.asked = None;
         } else {
@@ -112,6 +120,11 @@
                 return None;
             }
         }
+        let looks = self.leader.is_none() && self.confirmed.is_some();
+        let patience = match looks && self.unanswered <= self.sources.len() {
+            true => LOOKING_PATIENCE,
+            false => PATIENCE,
+        };
         let to = match self.leader {
             Some(leader) => leader,
             None => {
@@ -120,7 +133,7 @@
             }
         };
         self.last_nonce += 1;
-        self.asked = Some(Asked { nonce: self.last_nonce, at: now });
+        self.asked = Some(Asked { nonce: self.last_nonce, at: now, patience });
         self.last_asked = Some(now);
         let after = self.copy.place();
         let heard = self.confirmed.map(|at| now.since(at));
@@ -140,6 +153,7 @@
                     return Followed::Nothing;
                 }
                 self.leader = Some(from);
+                self.unanswered = 0;
                 self.confirmed = Some(asked.at);
                 self.take(place, matter)
             }
--- a/programs/topazyard-control/src/machine/core.rs
+++ b/programs/topazyard-control/src/machine/core.rs
@@ -117,6 +117,8 @@
         );
         out.push(Effect::Note { grave: false, text });
         self.claim = None;
+        // The others hear of it with the next beat, and whoever asks them is sent to the primary.
+        self.core.last_beat = MonotonicMs(0);
         self.settle_role(now, out);
     }
 
--- a/programs/topazyard-control/tests/placement.rs
+++ b/programs/topazyard-control/tests/placement.rs
@@ -148,3 +148,94 @@
     let gone = topazyard_wire::RowChange::gone(key);
     assert!(plan(&view, &standings).contains(&gone));
 }
+
+/// Ten nodes in five domains.
+fn ten() -> Vec<Member> {
+    let domains = ["north", "east", "west", "south", "centre"];
+    (1..=10).map(|id| member(id, domains[id as usize % 5])).collect()
+}
+
+fn settled_with(members: &[Member], copies: u16) -> FleetView {
+    let mut view = FleetView::default();
+    settle(&mut view, &Standings { copies, ..standings(members) });
+    view
+}
+
+#[test]
+fn each_shard_gets_as_many_copies_as_asked_for_each_in_a_domain_of_its_own() {
+    for copies in 1..=3 {
+        let members = ten();
+        let view = settled_with(&members, copies);
+        assert_eq!(view.shards.len(), ShardId::all().count());
+        for record in view.shards.values() {
+            let domain = |id| &members.iter().find(|member| member.id == id).expect("known").domain;
+            let domains: std::collections::BTreeSet<_> =
+                record.members().map(|node| domain(node.id)).collect();
+            assert_eq!((record.copies, record.members().count()), (copies, usize::from(copies)));
+            assert_eq!(domains.len(), usize::from(copies));
+        }
+    }
+}
+
+#[test]
+fn any_two_nodes_lost_at_once_leave_three_copies_again_and_none_is_led_by_one_that_lacks_any() {
+    let members = ten();
+    for one in 0..members.len() {
+        for other in one + 1..members.len() {
+            let mut view = settled_with(&members, 3);
+            let before = view.shards.clone();
+            let left =
+                members.iter().filter(|m| ![members[one].id, members[other].id].contains(&m.id));
+            let left: Vec<Member> = left.cloned().collect();
+            let mut standings = Standings { copies: 3, ..standings(&left) };
+            standings.down.extend([members[one].id, members[other].id]);
+            for (shard, record) in &before {
+                let key = topazyard_wire::state::shard_key(*shard);
+                let change = plan(&view, &standings).into_iter().find(|change| change.key == key);
+                let Some(value) = change.and_then(|change| change.value) else { continue };
+                let next: topazyard_wire::message::control::ShardRecord =
+                    topazyard_wire::rows::decode(&value).expect("a record");
+                assert!(record.members().any(|node| node.id == next.primary.id));
+                assert!(next.backups.iter().all(|node| record.is_backup(node.id)));
+            }
+            settle(&mut view, &standings);
+            for record in view.shards.values() {
+                assert!(record.is_complete() && record.members().count() == 3);
+                assert!(record.members().all(|node| !standings.down.contains(&node.id)));
+            }
+        }
+    }
+}
+
+#[test]
+fn with_fewer_nodes_than_copies_nothing_is_placed_and_nothing_is_answered() {
+    let members = ten();
+    assert!(settled_with(&members[..2], 3).shards.is_empty());
+    let mut view = settled_with(&members[..3], 3);
+    let mut standings = Standings { copies: 3, ..standings(&members[..2]) };
+    standings.down.insert(members[2].id);
+    for record in view.shards.values_mut() {
+        let silent = [members[2].id];
+        if let Some(next) = dropped_backups(record, &silent) {
+            *record = next;
+        }
+    }
+    settle(&mut view, &standings);
+    assert!(view.shards.values().all(|record| !record.is_complete()));
+}
+
+#[test]
+fn more_copies_are_filled_while_the_old_ones_serve_and_fewer_are_enough_at_once() {
+    let members = ten();
+    let mut view = settled_with(&members, 2);
+    let more = Standings { copies: 3, ..standings(&members) };
+    for change in plan(&view, &more) {
+        let next = change.value.as_deref().and_then(topazyard_wire::rows::decode);
+        let next: topazyard_wire::message::control::ShardRecord = next.expect("a record");
+        assert!(next.is_complete(), "it goes on serving with the copies there are");
+    }
+    settle(&mut view, &more);
+    assert!(view.shards.values().all(|record| record.copies == 3 && record.is_complete()));
+    settle(&mut view, &Standings { copies: 1, ..standings(&members) });
+    assert!(view.shards.values().all(|record| record.copies == 1));
+}
