--- a/libraries/topazyard-wire/src/message/control.rs
+++ b/libraries/topazyard-wire/src/message/control.rs
@@ -63,7 +63,7 @@
     /// # use topazyard_wire::message::control::{CoreNode, EpochRecord};
     /// # use topazyard_types::{Epoch, NodeId};
     /// # let node = |id| CoreNode { id: NodeId(id), address: "127.0.0.1:1".parse().unwrap() };
-    /// # let record = EpochRecord { epoch: Epoch(1), primary: node(1), backup: node(2),
+    /// # let record = EpochRecord { epoch: Epoch(1), primary: node(1), backups: vec![node(2)],
     /// #     witnesses: vec![node(1), node(2), node(3)] };
     /// assert!(record.is_witness(NodeId(3)) && !record.is_witness(NodeId(4)));
     /// ```
--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -116,9 +116,10 @@
         let record = |port| ShardRecord {
             epoch: Epoch(1),
             primary: node(port),
-            backup: None,
-            fallback: None,
-            learner: None,
+            copies: 2,
+            backups: Vec::new(),
+            fallbacks: Vec::new(),
+            learners: Vec::new(),
         };
         let engine = topazyard_spec::Engine {
             name: "e1".into(),
