Wait a third of the contact bound for further control nodes before founding

two_seeds_make_a_fleet wants a fleet within 2 s and went red with the whole bound; nodes heard later are named witnesses by the next record.

--- a/programs/topazyard-control/src/machine/core.rs
+++ b/programs/topazyard-control/src/machine/core.rs
@@ -93,7 +93,9 @@
         let others = joining.iter().filter(|node| !self.seeds.contains(&node.address));
         witnesses.extend(others.take((2 * self.backups() + 1).saturating_sub(witnesses.len())));
         let watched = self.core.watching_since.map_or(DurationMs(0), |since| now.since(since));
-        if witnesses.len() < 2 * self.backups() + 1 && watched < self.bounds.contact {
+        // Whoever is heard only after a third of that is named a witness later.
+        let waits = DurationMs(self.bounds.contact.0 / 3);
+        if witnesses.len() < 2 * self.backups() + 1 && watched < waits {
             return;
         }
         // With fewer copies than the tolerated loss needs nothing could be acknowledged.
