--- a/programs/topazyard-control/src/machine/patience.rs
+++ b/programs/topazyard-control/src/machine/patience.rs
@@ -1,6 +1,6 @@
 //! How long others may be silent, from the bounds of the place that the fleet runs at.
 //!
-//! None of these decides what is true: the pair answers only what both have synced, and the
+//! None of these decides what is true: a primary answers only what all its copies have synced, and the
 //! witnesses decide who may lead. They only decide how soon somebody asks.
 
 use topazyard_types::DurationMs;
@@ -8,11 +8,13 @@
 /// How long each may be silent.
 #[derive(Debug, Clone)]
 pub(crate) struct Patience {
-    /// After how long without a confirmation the primary asks for another backup. It is shorter
+    /// After how long without a confirmation the primary asks for other backups. It is shorter
     /// than the backup's patience, so that of two that don't hear each other the primary asks.
     pub(crate) backup: DurationMs,
     /// After how long without a word the backup asks to take over.
     pub(crate) primary: DurationMs,
+    /// How much longer each further backup waits, so that one is ahead of the others.
+    pub(crate) turn: DurationMs,
     /// After how long a write that is not synced makes a primary ask for another pair.
     pub(crate) write: DurationMs,
     /// After how long a silent witness is exchanged for a spare core node: well before the next
@@ -34,6 +36,7 @@
         Self {
             backup: contact(20),
             primary: contact(27),
+            turn: contact(10),
             write: contact(35),
             witness: DurationMs(bounds.catch_up.0 / 2),
             learner: contact(50),
