Charge live requests what their counts state, and items a slot

Cause: each relay keeps room for a few requests more than it has; with a slot's memory for each these took most of the budget (53 relays: 240 of 326 slots) and items waited for room.

--- a/libraries/topazyard-wire/src/state.rs
+++ b/libraries/topazyard-wire/src/state.rs
@@ -190,8 +190,9 @@
         topazyard_types::Tokens(engines.count() as u64 * shape.kv_tokens * KNEE_PERCENT / 100)
     }
 
-    /// What a request of so many tokens takes of a pool's budget: at least the memory that goes
-    /// with one of an engine's slots, since slots run out before memory where prompts are short.
+    /// What an item of so many tokens takes of a pool's budget: at least the memory that goes with
+    /// one of an engine's slots, which it holds for a second and more. Slots run out before memory
+    /// where prompts are short.
     ///
     /// ```
     /// # use topazyard_wire::state::FleetView;
--- a/programs/topazyard-relay/src/machine/requests.rs
+++ b/programs/topazyard-relay/src/machine/requests.rs
@@ -14,7 +14,6 @@
 use topazyard_wire::Effect;
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::counter::HoldKind;
-use topazyard_wire::state::FleetView;
 
 /// What a request without stated counts is taken to cost: the source's default answer length and
 /// as much again for its prompt.
@@ -28,7 +27,7 @@
 /// Blocks that were not needed in the last two spans of this length are let go.
 const PEAK_SPAN: DurationMs = DurationMs(750);
 /// A block is this part of the pool's budget, or one request's cost where that is more.
-const BLOCKS_OF_LIMIT: u64 = 256;
+const BLOCKS_OF_LIMIT: u64 = 4_096;
 /// The shortest that a request waits for room, whatever its target.
 const SHORTEST_WAIT: DurationMs = DurationMs(30);
 
@@ -262,7 +261,7 @@
         let patience = DurationMs((route.target_latency_ms / 4).max(SHORTEST_WAIT.0));
         Ok(Judged {
             pool: pool.name.clone(),
-            charge: FleetView::charge(pool, arrival.cost.unwrap_or(UNSTATED_COST)),
+            charge: arrival.cost.unwrap_or(UNSTATED_COST),
             priority: route.priority,
             give_up_at: arrival.arrived.plus(patience).min(deadline),
             terms: Admitted {
