Hold a little unasked while the counter doesn't answer; run items while it gathers

Cause: after a power cut the counter's holders start last; relays that knew their spec refused for half a second and items for 3.5 s.

--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -429,9 +429,7 @@
         if now >= self.routes_until() || self.view.spec.is_none() {
             return Err(Code::StaleFeed);
         }
-        if now >= self.counting.leased_until() {
-            return Err(Code::NoCounter);
-        }
+        // Its hold was granted within the time that a run may start in; no lease is needed beside it.
         // The routes may have changed while it waited.
         let route = self.view.routes.named(route).ok_or(Code::NoLane)?;
         if !route.pools.iter().any(|share| share.pool == *pool && share.weight > 0) {
@@ -441,7 +439,7 @@
         if !engine.is_some_and(|e| e.pool == *pool && self.engines.is_usable(e)) {
             return Err(Code::NoEngine);
         }
-        Ok(self.routes_until().min(self.counting.leased_until()))
+        Ok(self.routes_until())
     }
 
     /// A routed item's run ended.
--- a/programs/topazyard-relay/src/machine/requests.rs
+++ b/programs/topazyard-relay/src/machine/requests.rs
@@ -22,6 +22,10 @@
 const HOLDS_FOR: DurationMs = DurationMs(200);
 /// How often a block is asked for again while requests wait.
 const ASK_EVERY: DurationMs = DurationMs(40);
+/// After how long without an answer a relay goes on with what it may hold unasked.
+const UNASKED_AFTER: DurationMs = DurationMs(20);
+/// What a relay may hold unasked while the counter doesn't answer is this part of the budget.
+const UNASKED_OF_LIMIT: u64 = 512;
 /// After how long without an answer the counter counts as out of reach.
 const COUNTER_SILENT: DurationMs = DurationMs(500);
 /// Blocks that were not needed in the last two spans of this length are let go.
@@ -282,6 +286,7 @@
     /// Gives room to those that wait, in order, and asks for more where it doesn't do.
     fn serve_room(&mut self, pool: &PoolName, now: MonotonicMs, out: &mut Out) {
         let (renewed, oldest) = self.blocks_since(now);
+        let unasked = self.unasked(pool, now);
         loop {
             let Some(room) = self.requests.rooms.get_mut(pool) else { return };
             let Some(id) = room.queue.front().copied() else { return };
@@ -289,7 +294,7 @@
                 room.queue.pop_front();
                 continue;
             };
-            if room.used.plus(entry.charge) > room.granted(renewed, oldest) {
+            if room.used.plus(entry.charge) > room.granted(renewed, oldest).plus(unasked) {
                 let charge = entry.charge;
                 return self.ask_for_block(pool, charge, now, out);
             }
@@ -322,6 +327,19 @@
         (renewed, MonotonicMs(now.0.saturating_sub(stands)))
     }
 
+    /// What may be held of a pool without a grant: nothing, unless the counter leaves an asking
+    /// unanswered. It changes hands then, and its successor learns what is held with the next
+    /// renewal of what was granted.
+    fn unasked(&self, pool: &PoolName, now: MonotonicMs) -> Tokens {
+        let asked = self.requests.rooms.get(pool).and_then(|room| room.asked);
+        let is_late = asked.is_some_and(|(_, _, at)| now.since(at) >= UNASKED_AFTER);
+        let declared = self.view.spec.as_ref().and_then(|(_, bundle)| bundle.pool(pool));
+        match declared.filter(|_| is_late) {
+            Some(declared) => Tokens(self.view.limit(declared).0 / UNASKED_OF_LIMIT),
+            None => Tokens(0),
+        }
+    }
+
     fn ask_for_block(&mut self, pool: &PoolName, least: Tokens, now: MonotonicMs, out: &mut Out) {
         let Some((_, bundle)) = &self.view.spec else { return };
         let Some(declared) = bundle.pool(pool) else { return };
--- a/programs/topazyard-storage/src/counter/mod.rs
+++ b/programs/topazyard-storage/src/counter/mod.rs
@@ -117,20 +117,23 @@
             return Checked::Added(Vec::new());
         }
         let gathering = self.is_gathering(now);
-        if gathering && hold.kind != HoldKind::Block {
+        if gathering && hold.kind == HoldKind::Live {
             return Checked::Gathering;
         }
         let limit = hold.terms.limit;
         let used = self.used(&hold.pool, None);
         let charge = Tokens(hold.cost.0.min(limit.0));
-        // What relays hold from before is told within moments; until all have, blocks are granted
-        // from a part of the limit, so that service after the loss of both holders does not wait.
+        // What relays hold from before is told within moments; until all have, blocks and items are
+        // granted from a part of the limit, so that service after the loss of both holders does not wait.
         let room = if gathering { Tokens(limit.0 * GATHERING_PERCENT / 100) } else { limit };
         let fits = limit > Tokens(0) && used.plus(charge) <= room;
         let within_part = match hold.kind {
             HoldKind::Live | HoldKind::Block => true,
             HoldKind::Item => {
-                let part = hold.terms.part;
+                let part = match gathering {
+                    true => Tokens(hold.terms.part.0 * GATHERING_PERCENT / 100),
+                    false => hold.terms.part,
+                };
                 let items = self.used(&hold.pool, Some(HoldKind::Item));
                 // One item larger than the whole part may run alone, likewise.
                 part > Tokens(0) && (items == Tokens(0) || items.plus(charge) <= part)
