--- a/programs/topazyard-edge-agent/src/machine.rs
+++ b/programs/topazyard-edge-agent/src/machine.rs
@@ -10,6 +10,10 @@
 use topazyard_wire::message::feed::{FeedMessage, Vitals};
 use topazyard_wire::{Effect, Group, Input, Machine, WriteToken};
 
+/// The same while it is not known who leads.
+const LOOKING_PATIENCE: DurationMs = DurationMs(125);
+/// Control nodes asked at once while it is not known who leads.
+const ASKED_AT_ONCE: usize = 3;
 /// After how long another is asked where one knew of no primary.
 const TURNED_AWAY: DurationMs = DurationMs(50);
 /// After how long without a return another control node is asked.
@@ -102,11 +106,13 @@
     /// Sends what was asked last to the control node that is thought to lead.
     fn pass_on(&mut self, now: MonotonicMs, out: &mut Out) {
         let to = match self.leader {
-            Some(leader) => leader,
+            Some(leader) => vec![leader],
             None => {
-                self.next_source = (self.next_source + 1) % self.sources.len().max(1);
-                let Some(source) = self.sources.get(self.next_source) else { return };
-                *source
+                let known = self.sources.len();
+                let first = self.next_source;
+                self.next_source = (first + ASKED_AT_ONCE) % known.max(1);
+                let asked = (first..).take(ASKED_AT_ONCE.min(known));
+                asked.filter_map(|at| self.sources.get(at % known).copied()).collect()
             }
         };
         let Some(passed) = &mut self.passed else { return };
@@ -120,7 +126,9 @@
             heard: passed.heard,
             vitals: passed.vitals.clone(),
         };
-        out.push(Effect::Send { to, message: Message::Feed(message) });
+        for to in to {
+            out.push(Effect::Send { to, message: Message::Feed(message.clone()) });
+        }
     }
 
     fn receive_feed(
@@ -188,7 +196,8 @@
             out.push(Effect::Write { token, changes: vec![row] });
         }
         let again = self.turned_away.is_some_and(|at| now.since(at) >= TURNED_AWAY);
-        let late = self.passed.as_ref().is_some_and(|passed| now.since(passed.at) >= PATIENCE);
+        let patience = if self.leader.is_some() { PATIENCE } else { LOOKING_PATIENCE };
+        let late = self.passed.as_ref().is_some_and(|passed| now.since(passed.at) >= patience);
         if late || (again && self.passed.is_some()) {
             self.leader = None;
             self.pass_on(now, out);
