Let batches take a third of the disk; tell red grown scenarios apart

The measured file takes 2.2 bytes a byte of rows, so a third fits. Ruled out for now: a longer bound.

--- a/fleet-simulator/tests/lines.rs
+++ b/fleet-simulator/tests/lines.rs
@@ -42,18 +42,31 @@
     assert!(report.figures.whole > 300, "{} {}", deployment.name, scenario.name());
 }
 
-fn holds_everywhere(scenario: Scenario) {
-    for deployment in deployments() {
+/// Both seeds of a scenario at the deployments that bear the loss of so many machines.
+fn holds_bearing(lost_machines: u16, scenario: Scenario) {
+    let of_size = |deployment: &Deployment| deployment.lost_machines == lost_machines;
+    let deployments: Vec<Deployment> = deployments().into_iter().filter(of_size).collect();
+    assert_eq!(deployments.len(), 2);
+    for deployment in deployments {
         (1..=2).for_each(|seed| holds(&deployment, scenario, seed));
     }
 }
 
+/// Each scenario as a test of its own at either size, so that one that is red hides no other.
 macro_rules! holds_through {
     ($($name:ident: $scenario:ident),* $(,)?) => {
-        $(#[test]
-        fn $name() {
-            holds_everywhere(Scenario::$scenario);
-        })*
+        mod bearing_one_loss {
+            $(#[test]
+            fn $name() {
+                super::holds_bearing(1, super::Scenario::$scenario);
+            })*
+        }
+        mod bearing_two_losses {
+            $(#[test]
+            fn $name() {
+                super::holds_bearing(2, super::Scenario::$scenario);
+            })*
+        }
     };
 }
 
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -71,10 +71,10 @@
 }
 
 /// What the batches of a shard may weigh. Each byte lies in memory once as a row and for a moment
-/// in frames; on disk a file of pages takes it up to four times.
+/// in frames; on disk a file of pages takes it 2.2 times, as measured on the capacity page.
 fn room_bytes(resources: &topazyard_spec::Resources) -> u64 {
     let part = |all: u64, parts| if all == 0 { u64::MAX } else { all / parts };
-    part(resources.memory_bytes, 4).min(part(resources.disk_bytes, 6))
+    part(resources.memory_bytes, 4).min(part(resources.disk_bytes, 3))
 }
 
 impl StorageMachine {
