--- a/libraries/topazyard-replication/src/copy.rs
+++ b/libraries/topazyard-replication/src/copy.rs
@@ -5,8 +5,10 @@
 
 /// Into how many ranges a copy is split for comparing.
 pub const RANGES: usize = 64;
-/// Batches remembered for followers.
+/// Batches remembered for followers, and the most bytes of rows in them. A follower that is further
+/// back is given everything.
 const REMEMBERED: usize = 1_024;
+const REMEMBERED_BYTES: usize = 4 * 1024 * 1024;
 /// The row that holds the copy's place; it is not part of what is compared.
 const PLACE_KEY: &str = "\u{0}place";
 
@@ -17,6 +19,13 @@
     digests: Vec<Digest>,
     place: Place,
     batches: std::collections::VecDeque<(Place, Vec<RowChange>)>,
+    batches_bytes: usize,
+    most_batches: usize,
+}
+
+fn bytes_of(changes: &[RowChange]) -> usize {
+    let value = |change: &RowChange| change.value.as_ref().map_or(0, |value| value.len());
+    changes.iter().map(|change| change.key.len() + value(change)).sum()
 }
 
 impl Default for Copy {
@@ -26,6 +35,8 @@
             digests: vec![Digest::default(); RANGES],
             place: Place::default(),
             batches: std::collections::VecDeque::new(),
+            batches_bytes: 0,
+            most_batches: REMEMBERED,
         }
     }
 }
@@ -76,6 +87,21 @@
         }
     }
 
+    /// Remembers the last batch alone: nobody reads on from here.
+    ///
+    /// ```
+    /// use topazyard_replication::Copy;
+    /// use topazyard_types::{Epoch, Place, Sequence};
+    /// let mut copy = Copy::default();
+    /// copy.remember_only_last();
+    /// (1..=3).for_each(|n| drop(copy.apply(Epoch(1), Sequence(n), Vec::new())));
+    /// let second = Place { epoch: Epoch(1), sequence: Sequence(2) };
+    /// assert_eq!(copy.changes_after(second), None);
+    /// ```
+    pub fn remember_only_last(&mut self) {
+        self.most_batches = 1;
+    }
+
     /// Applies a batch and gives the rows to write, the new place among them.
     pub fn apply(
         &mut self,
@@ -87,9 +113,14 @@
             self.set(change.key.clone(), change.value.clone());
         }
         self.place = Place { epoch, sequence };
+        self.batches_bytes += bytes_of(&changes);
         self.batches.push_back((self.place, changes.clone()));
-        if self.batches.len() > REMEMBERED {
-            self.batches.pop_front();
+        // The last one is always known: what it touched may be in doubt.
+        while self.batches.len() > 1
+            && (self.batches.len() > self.most_batches || self.batches_bytes > REMEMBERED_BYTES)
+        {
+            let Some((_, old)) = self.batches.pop_front() else { break };
+            self.batches_bytes -= bytes_of(&old);
         }
         let mut written = changes;
         written.push(RowChange::put(PLACE_KEY, &self.place));
@@ -120,6 +151,7 @@
             self.set(change.key.clone(), change.value.clone());
         }
         self.batches.clear();
+        self.batches_bytes = 0;
         changes
     }
 
--- a/libraries/topazyard-replication/src/follower.rs
+++ b/libraries/topazyard-replication/src/follower.rs
@@ -57,8 +57,10 @@
     /// assert!(follower.confirmed_at().is_none());
     /// ```
     pub fn new(sources: Vec<std::net::SocketAddr>, life: Life) -> Self {
+        let mut copy = crate::Copy::default();
+        copy.remember_only_last();
         Self {
-            copy: crate::Copy::default(),
+            copy,
             sources,
             next_source: 0,
             leader: None,
--- a/programs/topazyard-storage/src/machine/roles.rs
+++ b/programs/topazyard-storage/src/machine/roles.rs
@@ -41,7 +41,8 @@
         let life = self.life;
         let loaded = self.loaded.remove(&Group::Shard(shard)).unwrap_or_default();
         self.hosted.entry(shard).or_insert_with(|| {
-            let copy = Copy::loaded(loaded);
+            let mut copy = Copy::loaded(loaded);
+            copy.remember_only_last();
             Hosted::new(Pair::new(Group::Shard(shard), !shard.is_counter(), copy, life))
         })
     }
