--- a/programs/topazyard-storage/tests/counter.rs
+++ b/programs/topazyard-storage/tests/counter.rs
@@ -130,3 +130,58 @@
         },
     );
 }
+
+// Else a relay that is cut off from the counter for a moment goes on with blocks that others were
+// given meanwhile; or blocks of relays that are gone are never free again.
+#[test]
+fn blocks_stand_past_a_lapsed_lease_until_their_expiry() {
+    let mut counter = counter();
+    let mut block = hold(1, 500, HoldKind::Block);
+    block.terms.expiry = DurationMs(12_000);
+    assert!(is_added(&counter.add(RELAY, &block, NOW)));
+    assert!(is_added(&counter.add(RELAY, &hold(2, 100, HoldKind::Live), NOW)));
+    assert_eq!(counter.beat(NOW.plus(LEASE)).len(), 1, "only the live hold lapses");
+    assert_eq!(counter.used(&"main".into(), None), Tokens(500));
+    assert_eq!(counter.beat(MonotonicMs(NOW.0 + 11_999)).len(), 0);
+    assert_eq!(counter.beat(MonotonicMs(NOW.0 + 12_000)).len(), 1);
+    assert_eq!(counter.holds(), 0);
+}
+
+// Else a block that its relay renews in time would be taken back all the same.
+#[test]
+fn a_renewed_block_stands_from_its_renewal_on() {
+    let mut counter = counter();
+    let mut block = hold(1, 500, HoldKind::Block);
+    block.terms.expiry = DurationMs(12_000);
+    counter.add(RELAY, &block, NOW);
+    let renewed = MonotonicMs(NOW.0 + 10_000);
+    counter.renew(RELAY, HoldId(1), &[block], &[], renewed);
+    assert_eq!(counter.beat(MonotonicMs(renewed.0 + 11_999)).len(), 0);
+    assert_eq!(counter.beat(MonotonicMs(renewed.0 + 12_000)).len(), 1);
+}
+
+// Else a counter that knows of no hold yet grants twice what relays still have; or nothing is
+// served until all have told it.
+#[test]
+fn while_it_gathers_blocks_and_items_are_granted_only_within_half() {
+    let gathering = || Counter::taken_over(&Copy::default(), NOW);
+    let mut counter = gathering();
+    assert!(is_added(&counter.add(RELAY, &hold(1, 500, HoldKind::Block), NOW)));
+    assert_eq!(counter.add(RELAY, &hold(2, 1, HoldKind::Block), NOW), Checked::Refused);
+    assert_eq!(counter.add(RELAY, &hold(3, 1, HoldKind::Item), NOW), Checked::Refused);
+    assert_eq!(counter.add(RELAY, &hold(4, 1, HoldKind::Live), NOW), Checked::Gathering);
+
+    let mut counter = gathering();
+    assert!(is_added(&counter.add(RELAY, &hold(1, 150, HoldKind::Item), NOW)));
+    assert_eq!(counter.add(RELAY, &hold(2, 1, HoldKind::Item), NOW), Checked::Refused);
+    assert!(is_added(&counter.add(RELAY, &hold(3, 350, HoldKind::Block), NOW)));
+    assert_eq!(counter.add(RELAY, &hold(4, 1, HoldKind::Block), NOW), Checked::Refused);
+    // What was held from before counts too, as soon as it is told.
+    let mut counter = gathering();
+    counter.renew(NodeId(8), HoldId(9), &[hold(9, 400, HoldKind::Block)], &[], NOW);
+    assert_eq!(counter.add(RELAY, &hold(1, 101, HoldKind::Block), NOW), Checked::Refused);
+    assert!(is_added(&counter.add(RELAY, &hold(2, 100, HoldKind::Block), NOW)));
+    // Once it has gathered the whole limit is there.
+    let later = MonotonicMs(NOW.0 + 3_500);
+    assert!(is_added(&counter.add(RELAY, &hold(3, 500, HoldKind::Block), later)));
+}
