Bring copies in step in one step: fetched ranges are switched in together

Cause: a follower wrote each range as it arrived while its place still named the old epoch, so a backup that died between two ranges held half the old state and half the claimer's, and passed for a holder of the old one. If its claimer was lost too, it could lead with one change's version and another's routes.

Now the ranges that differ are kept aside as differences and taken together with the new place in one write, so that a copy on disk or in memory is the old one whole or the new one whole. Marking a copy as being filled was ruled out: a member that marks itself holds nothing complete any more, so that a claimer's death in the midst would leave no copy that may lead. Ranges go in parts of 1 MiB, so that none outgrows a frame. A batch counts only from the life of the primary that compared last, and rounds are never given out twice in one life.

--- a/libraries/topazyard-replication/src/copy.rs
+++ b/libraries/topazyard-replication/src/copy.rs
@@ -45,6 +45,12 @@
     (Digest::of(&[key.as_bytes()]).0 % RANGES as u128) as usize
 }
 
+/// The digest of a range that holds these rows.
+pub fn digest_of_rows(rows: &[(String, bytes::Bytes)]) -> Digest {
+    let digests = rows.iter().map(|(key, value)| digest_of(key, value));
+    digests.fold(Digest::default(), Digest::toggled)
+}
+
 fn digest_of(key: &str, value: &[u8]) -> Digest {
     Digest::of(&[key.as_bytes(), value])
 }
@@ -127,38 +133,35 @@
         written
     }
 
-    /// Puts what another copy holds in a range in place of what this one holds there, and gives
-    /// the rows to write.
-    pub fn replace_range(
-        &mut self,
-        range: usize,
-        rows: Vec<(String, bytes::Bytes)>,
-    ) -> Vec<RowChange> {
+    /// The changes after which a range of this copy holds these rows and no others.
+    pub fn difference(&self, range: usize, rows: Vec<(String, bytes::Bytes)>) -> Vec<RowChange> {
         let keep: std::collections::BTreeSet<&str> =
             rows.iter().map(|(key, _)| key.as_str()).collect();
-        let gone: Vec<String> = self
-            .rows
-            .keys()
-            .filter(|key| range_of(key) == range && !keep.contains(key.as_str()))
-            .cloned()
-            .collect();
-        let changes: Vec<RowChange> = gone
-            .into_iter()
-            .map(RowChange::gone)
-            .chain(rows.into_iter().map(|(key, value)| RowChange { key, value: Some(value) }))
-            .collect();
+        let in_range = self.rows.keys().filter(|key| range_of(key) == range);
+        let gone: Vec<RowChange> =
+            in_range.filter(|key| !keep.contains(key.as_str())).map(RowChange::gone).collect();
+        let differs =
+            |(key, value): &(String, bytes::Bytes)| self.rows.get(key.as_str()) != Some(value);
+        let put = rows.into_iter().filter(differs);
+        let put = put.map(|(key, value)| RowChange { key, value: Some(value) });
+        gone.into_iter().chain(put).collect()
+    }
+
+    /// Becomes equal to another copy by these changes, in one step: on disk as in memory this copy
+    /// is either the old one whole or the new one whole. Gives the rows to write, the new place
+    /// among them; they belong in one write.
+    pub fn replace(&mut self, place: Place, changes: Vec<RowChange>) -> Vec<RowChange> {
         for change in &changes {
             self.set(change.key.clone(), change.value.clone());
         }
-        self.batches.clear();
-        self.batches_bytes = 0;
-        changes
-    }
-
-    /// Takes the place of the copy that this one now equals, and gives the row to write.
-    pub fn take_place(&mut self, place: Place) -> RowChange {
+        if !changes.is_empty() {
+            self.batches.clear();
+            self.batches_bytes = 0;
+        }
         self.place = place;
-        RowChange::put(PLACE_KEY, &self.place)
+        let mut written = changes;
+        written.push(RowChange::put(PLACE_KEY, &self.place));
+        written
     }
 
     /// How far this copy is.
--- a/libraries/topazyard-replication/src/pair/follow.rs
+++ b/libraries/topazyard-replication/src/pair/follow.rs
@@ -2,7 +2,7 @@
 
 use super::{Doubt, From, Pair, PairOutput, Role};
 use topazyard_types::{Digest, MonotonicMs, NodeId, Place, Sequence};
-use topazyard_wire::message::pair::PairBody;
+use topazyard_wire::message::pair::{PairBody, RangePart};
 
 /// What a follower keeps of its primary.
 #[derive(Debug)]
@@ -15,15 +15,40 @@
     last_append: Option<u64>,
     /// The write after which it may say that it is in step.
     step: Option<(u64, std::net::SocketAddr, u64)>,
+    /// The comparison by which it came in step. A batch counts only from the same life of the
+    /// primary, so that a frame of a former life changes nothing.
+    in_step_since: Option<u64>,
 }
 
-/// The primary's digests, while ranges are fetched.
+/// How many rounds one life of a primary gives out at the most, comparisons among them.
+const ROUNDS_OF_A_LIFE: u64 = 1 << 32;
+
+/// The primary's digests, while ranges are fetched. The copy itself stays as it is until all
+/// that differs is here: a copy that is half the old and half the new would pass for either.
 #[derive(Debug)]
 struct Compared {
     round: u64,
     sequence: Sequence,
     digests: Vec<Digest>,
     missing: std::collections::BTreeSet<u16>,
+    /// Ranges of which some parts are still under way.
+    arriving: std::collections::BTreeMap<u16, Arriving>,
+    fetched: std::collections::BTreeMap<u16, Fetched>,
+}
+
+/// The parts of one range that arrived.
+#[derive(Debug, Default)]
+struct Arriving {
+    parts: std::collections::BTreeMap<u32, Vec<(String, bytes::Bytes)>>,
+}
+
+/// A range that arrived whole.
+#[derive(Debug)]
+struct Fetched {
+    /// The digest of what the primary holds there.
+    digest: Digest,
+    /// What is to change in this copy for it to hold the same.
+    changes: Vec<topazyard_wire::RowChange>,
 }
 
 impl Follow {
@@ -35,7 +60,64 @@
             appends: Vec::new(),
             last_append: None,
             step: None,
+            in_step_since: None,
+        }
+    }
+
+    /// Whether a round was begun by the life of the primary that this copy was compared with.
+    fn is_of_same_life(&self, round: u64) -> bool {
+        self.in_step_since.is_some_and(|compared| is_of_one_life(compared, round))
+    }
+}
+
+/// Whether the second round comes after the first in the same life of a primary.
+fn is_of_one_life(first: u64, second: u64) -> bool {
+    second.checked_sub(first).is_some_and(|rounds| rounds < ROUNDS_OF_A_LIFE)
+}
+
+impl Follow {
+    /// Takes the primary's digests. Ranges that were fetched for an earlier comparison and still
+    /// are what the primary holds need not be fetched again.
+    fn begin_comparison(&mut self, round: u64, sequence: Sequence, digests: Vec<Digest>) {
+        let mut fetched = self.compared.take().map(|old| old.fetched).unwrap_or_default();
+        fetched.retain(|range, fetched| digests.get(usize::from(*range)) == Some(&fetched.digest));
+        self.step = None;
+        self.compared = Some(Compared {
+            round,
+            sequence,
+            digests,
+            missing: std::collections::BTreeSet::new(),
+            arriving: std::collections::BTreeMap::new(),
+            fetched,
+        });
+    }
+}
+
+impl Compared {
+    /// The ranges in which this copy, with all that was fetched, is not what the primary holds.
+    fn differing(&self, own: &[Digest]) -> std::collections::BTreeSet<u16> {
+        let ranges = (0_u16..).zip(self.digests.iter().zip(own));
+        let differs = |(range, (theirs, ours)): &(u16, (&Digest, &Digest))| {
+            let fetched = self.fetched.get(range).map(|fetched| &fetched.digest);
+            *theirs != fetched.unwrap_or(ours)
+        };
+        ranges.filter(differs).map(|(range, _)| range).collect()
+    }
+
+    /// Takes a part of a range; gives the rows of the range once all its parts are here.
+    fn take_part(&mut self, part: RangePart) -> Option<Vec<(String, bytes::Bytes)>> {
+        let RangePart { round, range, part, rows } = part;
+        if self.round != round || !self.missing.contains(&range) {
+            return None;
+        }
+        let arriving = self.arriving.entry(range).or_default();
+        arriving.parts.insert(part.number, rows);
+        if arriving.parts.len() < part.of as usize {
+            return None;
         }
+        self.missing.remove(&range);
+        let arrived = self.arriving.remove(&range)?;
+        Some(arrived.parts.into_values().flatten().collect())
     }
 }
 
@@ -57,17 +139,10 @@
                 self.take_append(from, round, sequence, changes, now, out);
             }
             PairBody::Digests { round, sequence, digests } => {
-                follow.compared = Some(Compared {
-                    round,
-                    sequence,
-                    digests,
-                    missing: std::collections::BTreeSet::new(),
-                });
+                follow.begin_comparison(round, sequence, digests);
                 self.compare(from.address, now, out);
             }
-            PairBody::Range { round, range, rows } => {
-                self.take_range(from, round, range, rows, now, out)
-            }
+            PairBody::Range(part) => self.take_range(from, part, now, out),
             _ => {}
         }
     }
@@ -84,6 +159,15 @@
         let held = self.copy.place().sequence;
         let in_step = self.was_in_step();
         let Role::Follower(follow) = &mut self.role else { return };
+        if let Some(compared) = &follow.compared {
+            if is_of_one_life(round, compared.round) {
+                // It was sent before the comparison that is under way, which settles it too.
+                return;
+            }
+            // The comparison came late: the primary already goes on from here.
+            follow.compared = None;
+        }
+        let in_step = in_step && follow.is_of_same_life(round);
         let repeated = follow.last_append == Some(round);
         let fits = if changes.is_empty() { sequence == held } else { sequence == held.next() };
         if !in_step || !(fits || repeated) {
@@ -113,7 +197,8 @@
         }
     }
 
-    /// Compares with the primary's digests: asks for what differs, or says that nothing does.
+    /// Compares with the primary's digests: asks for what differs, or takes it all at once and
+    /// says that nothing does any more.
     fn compare(
         &mut self,
         primary: std::net::SocketAddr,
@@ -124,21 +209,19 @@
         let own = self.copy.digests();
         let Role::Follower(follow) = &mut self.role else { return };
         let Some(compared) = &mut follow.compared else { return };
-        let differ: Vec<u16> = (0_u16..)
-            .zip(compared.digests.iter().zip(own))
-            .filter(|(_, (theirs, ours))| theirs != ours)
-            .map(|(range, _)| range)
-            .collect();
-        let (round, sequence) = (compared.round, compared.sequence);
-        if !differ.is_empty() {
-            compared.missing = differ.iter().copied().collect();
-            self.send(primary, PairBody::Differ { round, ranges: differ }, out);
+        compared.missing = compared.differing(own);
+        if !compared.missing.is_empty() {
+            let ranges = compared.missing.iter().copied().collect();
+            let round = compared.round;
+            self.send(primary, PairBody::Differ { round, ranges }, out);
             return;
         }
-        follow.compared = None;
+        let Some(compared) = follow.compared.take() else { return };
+        let (round, sequence) = (compared.round, compared.sequence);
+        let changes = compared.fetched.into_values().flat_map(|range| range.changes).collect();
         // Written even if nothing changed: the disk works in order, so all before it is synced too.
-        let row = self.copy.take_place(Place { epoch: self.epoch, sequence });
-        match self.write(vec![row], now, out) {
+        let rows = self.copy.replace(Place { epoch: self.epoch, sequence }, changes);
+        match self.write(rows, now, out) {
             Some(write) => {
                 if let Role::Follower(follow) = &mut self.role {
                     follow.step = Some((write, primary, round));
@@ -151,21 +234,19 @@
     fn take_range(
         &mut self,
         from: From,
-        round: u64,
-        range: u16,
-        rows: Vec<(String, bytes::Bytes)>,
+        part: RangePart,
         now: MonotonicMs,
         out: &mut Vec<PairOutput>,
     ) {
         let Role::Follower(follow) = &mut self.role else { return };
         let Some(compared) = &mut follow.compared else { return };
-        if compared.round != round || !compared.missing.remove(&range) {
-            return;
-        }
-        let complete = compared.missing.is_empty();
-        let changes = self.copy.replace_range(usize::from(range), rows);
-        self.write(changes, now, out);
-        if complete {
+        let range = part.range;
+        let Some(rows) = compared.take_part(part) else { return };
+        let digest = crate::copy::digest_of_rows(&rows);
+        let changes = self.copy.difference(usize::from(range), rows);
+        compared.fetched.insert(range, Fetched { digest, changes });
+        // A range that changed at the primary since it sent its digests is settled by its next ones.
+        if compared.missing.is_empty() && compared.differing(self.copy.digests()).is_empty() {
             self.compare(from.address, now, out);
         }
     }
@@ -180,6 +261,7 @@
         self.doubt = Doubt::SomeBatch;
         if let Role::Follower(follow) = &mut self.role {
             follow.last_append = None;
+            follow.in_step_since = Some(round);
         }
         self.send(primary, PairBody::InStep { round, sequence }, out);
     }
--- a/libraries/topazyard-replication/src/pair/lead.rs
+++ b/libraries/topazyard-replication/src/pair/lead.rs
@@ -1,10 +1,10 @@
 //! The primary's side: batches, the comparisons that bring backups in step, and the learners.
 
 use super::{Doubt, Followers, From, Pair, PairOutput, Role, Ticket};
-use topazyard_types::{DurationMs, Life, MonotonicMs, NodeId, Sequence};
+use topazyard_types::{DurationMs, MonotonicMs, NodeId, Sequence};
 use topazyard_wire::RowChange;
 use topazyard_wire::message::control::CoreNode;
-use topazyard_wire::message::pair::PairBody;
+use topazyard_wire::message::pair::{PairBody, Part, RangePart};
 
 /// After how long an append is sent again.
 const APPEND_AGAIN: DurationMs = DurationMs(100);
@@ -16,6 +16,8 @@
 const FETCH_AGAIN: DurationMs = DurationMs(300);
 /// How much of a range goes over a link in a millisecond, at the least: 10 MB a second.
 const BYTES_PER_MS: u64 = 10_000;
+/// How much of a range goes into one frame.
+const PART_BYTES: u64 = 1024 * 1024;
 /// How long an idle primary leaves its backups without a word.
 const KEEP_ALIVE: DurationMs = DurationMs(200);
 /// How long new batches are held back for a learner's last comparison.
@@ -51,6 +53,29 @@
     }
 }
 
+fn bytes_of(rows: &[(String, bytes::Bytes)]) -> u64 {
+    rows.iter().map(|(key, value)| (key.len() + value.len()) as u64).sum()
+}
+
+/// Splits the rows of a range so that no part outgrows a frame by far: a row alone may be as large
+/// as the largest configuration, which fits. An empty range is one empty part.
+fn split_into_parts(rows: Vec<(String, bytes::Bytes)>) -> Vec<Vec<(String, bytes::Bytes)>> {
+    let mut parts = vec![Vec::new()];
+    let mut bytes = 0;
+    for row in rows {
+        let size = bytes_of(std::slice::from_ref(&row));
+        if bytes > 0 && bytes + size > PART_BYTES {
+            parts.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        if let Some(part) = parts.last_mut() {
+            part.push(row);
+        }
+    }
+    parts
+}
+
 /// Whether a comparison is to be begun, or begun again.
 fn is_due(comparison: &Option<Comparison>, now: MonotonicMs) -> bool {
     comparison.as_ref().is_none_or(|comparison| comparison.is_due_again(now))
@@ -132,20 +157,14 @@
     under_way: Option<Batch>,
     next_tickets: Vec<Ticket>,
     next_changes: Vec<RowChange>,
-    last_round: u64,
     last_batch: MonotonicMs,
 }
 
 impl Lead {
-    pub(super) fn new(
-        followers: Followers,
-        carried: Option<Box<Self>>,
-        life: Life,
-        now: MonotonicMs,
-    ) -> Self {
-        let (under_way, next_tickets, next_changes, last_round) = match carried {
-            None => (None, Vec::new(), Vec::new(), life.first_number()),
-            Some(old) => (old.under_way, old.next_tickets, old.next_changes, old.last_round),
+    pub(super) fn new(followers: Followers, carried: Option<Box<Self>>, now: MonotonicMs) -> Self {
+        let (under_way, next_tickets, next_changes) = match carried {
+            None => (None, Vec::new(), Vec::new()),
+            Some(old) => (old.under_way, old.next_tickets, old.next_changes),
         };
         let state = || BackupState::Comparing(None, now);
         let backup = |node| Backup { node, state: state(), confirmed: None };
@@ -158,7 +177,6 @@
             under_way,
             next_tickets,
             next_changes,
-            last_round,
             last_batch: now,
         }
     }
@@ -197,11 +215,6 @@
         self.backups.iter().all(Backup::is_in_step)
     }
 
-    fn next_round(&mut self) -> u64 {
-        self.last_round += 1;
-        self.last_round
-    }
-
     fn is_held_back(&self) -> bool {
         self.learners.iter().any(|l| !matches!(l.learning, Learning::Fetching(_)))
     }
@@ -254,7 +267,8 @@
         let tickets = std::mem::take(&mut lead.next_tickets);
         let changes = std::mem::take(&mut lead.next_changes);
         lead.last_batch = now;
-        let round = lead.next_round();
+        self.last_round += 1;
+        let round = self.last_round;
         let held = self.copy.place().sequence;
         let sequence = if changes.is_empty() { held } else { held.next() };
         let write = if changes.is_empty() {
@@ -295,8 +309,8 @@
         now: MonotonicMs,
         out: &mut Vec<PairOutput>,
     ) -> Option<Comparison> {
-        let Role::Primary(lead) = &mut self.role else { return None };
-        let round = lead.next_round();
+        self.last_round += 1;
+        let round = self.last_round;
         let body = PairBody::Digests {
             round,
             sequence: self.copy.place().sequence,
@@ -404,11 +418,9 @@
                 let asked: Vec<_> =
                     asked.map(|range| (range, self.copy.range(usize::from(range)))).collect();
                 let Some(comparison) = lead.comparison_of(round) else { return };
-                let rows = asked.iter().flat_map(|(_, rows)| rows);
-                let bytes = rows.map(|(key, value)| (key.len() + value.len()) as u64).sum();
-                comparison.fetches = Some(bytes);
+                comparison.fetches = Some(asked.iter().map(|(_, rows)| bytes_of(rows)).sum());
                 for (range, rows) in asked {
-                    self.send(from.address, PairBody::Range { round, range, rows }, out);
+                    self.send_range(from.address, round, range, rows, out);
                 }
             }
             (PairBody::InStep { round, sequence }, Some(at), _) => {
@@ -421,6 +433,23 @@
         }
     }
 
+    /// Sends a range, in parts where it is large.
+    fn send_range(
+        &self,
+        to: std::net::SocketAddr,
+        round: u64,
+        range: u16,
+        rows: Vec<(String, bytes::Bytes)>,
+        out: &mut Vec<PairOutput>,
+    ) {
+        let parts = split_into_parts(rows);
+        let of = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+        for (number, rows) in (0..).zip(parts) {
+            let part = Part { number, of };
+            self.send(to, PairBody::Range(RangePart { round, range, part, rows }), out);
+        }
+    }
+
     fn backup_in_step(
         &mut self,
         at: usize,
--- a/libraries/topazyard-replication/src/pair/mod.rs
+++ b/libraries/topazyard-replication/src/pair/mod.rs
@@ -75,7 +75,6 @@
 pub struct Pair {
     group: Group,
     durable: bool,
-    life: Life,
     epoch: Epoch,
     copy: crate::Copy,
     role: Role,
@@ -83,6 +82,8 @@
     holds_learner: bool,
     settled: bool,
     last_write: u64,
+    /// The round given out last, in any role: none is given out twice in a life.
+    last_round: u64,
     writes: std::collections::BTreeMap<u64, MonotonicMs>,
 }
 
@@ -109,7 +110,6 @@
         Self {
             group,
             durable,
-            life,
             epoch: copy.place().epoch,
             copy,
             role: Role::Idle,
@@ -117,6 +117,7 @@
             holds_learner: false,
             settled: false,
             last_write: 0,
+            last_round: life.first_number(),
             writes: std::collections::BTreeMap::new(),
         }
     }
@@ -237,7 +238,7 @@
                 None
             }
         };
-        let lead = Lead::new(followers, carried, self.life, now);
+        let lead = Lead::new(followers, carried, now);
         let mut out = self.change_role(epoch, Role::Primary(Box::new(lead)));
         self.lead_beat(now, &mut out);
         out
--- a/libraries/topazyard-replication/tests/remembering.rs
+++ b/libraries/topazyard-replication/tests/remembering.rs
@@ -71,7 +71,7 @@
 fn batches_that_were_thrown_away_no_longer_count() {
     let mut copy = Copy::default();
     apply(&mut copy, 1, vec![row("a", 4 * MIB - 100, 0)]);
-    copy.replace_range(0, Vec::new());
+    copy.replace(place(1), vec![row("c", 1, 0)]);
     (2..=5).for_each(|sequence| apply(&mut copy, sequence, vec![row("b", MIB / 2, 0)]));
     assert!(copy.changes_after(place(2)).is_some_and(|changes| changes.len() == 3));
 }
--- a/libraries/topazyard-wire/src/message/pair.rs
+++ b/libraries/topazyard-wire/src/message/pair.rs
@@ -13,6 +13,28 @@
     pub body: PairBody,
 }
 
+/// Which part of something that is sent in several frames.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Part {
+    /// Counted from 0.
+    pub number: u32,
+    /// How many there are.
+    pub of: u32,
+}
+
+/// A range's rows, or some of them where the range is large.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct RangePart {
+    /// Of which comparison.
+    pub round: u64,
+    /// The range.
+    pub range: u16,
+    /// Which part of it.
+    pub part: Part,
+    /// The part's rows.
+    pub rows: Vec<(String, bytes::Bytes)>,
+}
+
 /// What a pair says.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum PairBody {
@@ -48,15 +70,8 @@
         /// The ranges.
         ranges: Vec<u16>,
     },
-    /// What a range holds.
-    Range {
-        /// Of which comparison.
-        round: u64,
-        /// The range.
-        range: u16,
-        /// All its rows.
-        rows: Vec<(String, bytes::Bytes)>,
-    },
+    /// What a range holds, or a part of it.
+    Range(RangePart),
     /// No range differs, and all is synced.
     InStep {
         /// Of which comparison.
