--- a/fleet-simulator/src/lib.rs
+++ b/fleet-simulator/src/lib.rs
@@ -8,8 +8,11 @@
 pub mod faults;
 pub mod history;
 pub mod people;
+mod plan;
 pub mod run;
+pub mod scenario;
 pub mod world;
 
 pub use deployment::Deployment;
-pub use run::{Report, Scenario, run};
+pub use run::{Report, run};
+pub use scenario::Scenario;
--- /dev/null
+++ b/fleet-simulator/src/plan/chaos.rs
@@ -0,0 +1,55 @@
+//! Everything, drawn by chance.
+
+use super::Draft;
+use crate::faults::{Fault, Way};
+use crate::world::EngineMood;
+use rand::Rng as _;
+
+impl Draft<'_> {
+    pub(super) fn chaos(&mut self) {
+        for _ in 0..8 {
+            if self.two() && self.rng.random_range(0..2) == 0 {
+                let one = self.rng.random_range(0..4);
+                for whom in self.together() {
+                    let fault = match one {
+                        0 => Fault::Kill(whom),
+                        1 => Fault::LosePower(whom),
+                        2 => Fault::Freeze(whom, 4_000),
+                        _ => Fault::LoseDisk(whom),
+                    };
+                    self.add(0, fault);
+                }
+                self.at += self.rng.random_range(1_000..5_000);
+                self.add(0, Fault::StartAll);
+                self.at += self.rng.random_range(5_000..9_000);
+                continue;
+            }
+            let fault = match self.rng.random_range(0..9) {
+                0 | 1 => Fault::Kill(self.any()),
+                2 => {
+                    let whom = self.any();
+                    Fault::Freeze(whom, self.rng.random_range(500..7_000))
+                }
+                3 => Fault::LosePower(self.with_disk()),
+                4 => Fault::CutOff(self.any(), Way::Both),
+                5 => Fault::CutOff(self.any(), Way::Inward),
+                6 => Fault::SlowDisk(self.with_disk(), 2_500),
+                7 => Fault::Engine(
+                    self.rng.random_range(0..self.deployment.engines),
+                    EngineMood::Gone,
+                ),
+                _ => Fault::Lossy(200),
+            };
+            self.add(0, fault);
+            self.at += self.rng.random_range(1_000..5_000);
+            self.add(0, Fault::StartAll);
+            self.add(0, Fault::Mend);
+            self.add(0, Fault::FastDisks);
+            self.add(0, Fault::Lossy(0));
+            for engine in 0..self.deployment.engines {
+                self.add(0, Fault::Engine(engine, EngineMood::Well));
+            }
+            self.at += self.rng.random_range(3_000..7_000);
+        }
+    }
+}
--- /dev/null
+++ b/fleet-simulator/src/plan/losses.rs
@@ -0,0 +1,138 @@
+//! Processes and machines that are lost, and come back.
+
+use super::{Draft, named, numbered};
+use crate::faults::Fault;
+use crate::world::EngineMood;
+use rand::Rng as _;
+
+impl Draft<'_> {
+    pub(super) fn kills(&mut self) {
+        for _ in 0..4 {
+            if self.two() {
+                for whom in self.together() {
+                    self.add(0, Fault::Kill(whom));
+                }
+            } else {
+                let whom = self.any();
+                self.add(0, Fault::Kill(whom));
+            }
+            if self.rng.random_range(0..2) == 0 {
+                self.add(200, Fault::Kill(named("relay", 1)));
+            }
+            self.at += self.rng.random_range(1_000..7_000);
+            self.add(0, Fault::StartAll);
+            self.at += self.rng.random_range(5_000..8_000);
+        }
+    }
+
+    pub(super) fn freezes(&mut self) {
+        for _ in 0..5 {
+            let ms = self.rng.random_range(500..9_000);
+            if self.two() {
+                for whom in self.together() {
+                    self.add(0, Fault::Freeze(whom, ms));
+                }
+            } else {
+                let whom = self.any();
+                self.add(0, Fault::Freeze(whom, ms));
+            }
+            self.at += ms.max(4_000) + self.rng.random_range(0..4_000);
+        }
+        // A relay wakes before its agent, when half of the engines have long left.
+        self.add(0, Fault::Freeze(named("relay", 1), 5_000));
+        self.add(0, Fault::Freeze(named("agent", 1), 7_000));
+        for engine in 0..self.deployment.engines / 2 {
+            self.add(300, Fault::EngineLeaves(engine));
+            self.add(9_000, Fault::EngineReady(engine));
+        }
+    }
+
+    pub(super) fn power(&mut self) {
+        for n in 0..3 {
+            let struck = if self.two() { self.together().to_vec() } else { vec![self.with_disk()] };
+            for whom in struck {
+                let fault = if n % 2 == 0 { Fault::LoseDisk(whom) } else { Fault::LosePower(whom) };
+                self.add(0, fault);
+            }
+            self.at += self.rng.random_range(500..6_000);
+            self.add(0, Fault::StartAll);
+            self.at += 12_000;
+        }
+    }
+
+    pub(super) fn blackout(&mut self) {
+        let all = numbered("control", self.count_controls())
+            .chain(numbered("storage", self.count_storages()))
+            .chain(numbered("agent", self.count_relays()))
+            .chain(numbered("relay", self.count_relays()));
+        for whom in all {
+            self.add(0, Fault::LosePower(whom));
+        }
+        let after = self.rng.random_range(500..3_000);
+        self.add(after, Fault::StartAll);
+    }
+
+    pub(super) fn slow_disks(&mut self) {
+        for _ in 0..3 {
+            let ms = [50, 400, 3_000, 20_000][self.rng.random_range(0..4)];
+            let whom = self.with_disk();
+            self.add(0, Fault::SlowDisk(whom, ms));
+            self.at += self.rng.random_range(4_000..9_000);
+            self.add(0, Fault::FastDisks);
+            self.at += 5_000;
+        }
+    }
+
+    pub(super) fn domains(&mut self) {
+        // Whatever shares the fate of a domain: its engines go with it.
+        let (engines, domains) = (self.deployment.engines, self.deployment.domains);
+        let of = |domain: u16| (0..engines).filter(move |n| (n + 1) % domains == domain);
+        let lost = self.rng.random_range(0..self.deployment.domains);
+        self.add(0, Fault::LoseDomain(lost));
+        for engine in of(lost) {
+            self.add(0, Fault::Engine(engine, EngineMood::Gone));
+            self.add(3_000, Fault::EngineLeaves(engine));
+        }
+        self.at += 40_000;
+        self.add(0, Fault::StartAll);
+        for engine in of(lost) {
+            self.add(0, Fault::Engine(engine, EngineMood::Well));
+            self.add(500, Fault::EngineReady(engine));
+        }
+        self.at += 15_000;
+        let cut =
+            (lost + self.rng.random_range(1..self.deployment.domains)) % self.deployment.domains;
+        self.add(0, Fault::CutDomain(cut));
+        let after = self.rng.random_range(14_000..20_000);
+        self.add(after, Fault::Mend);
+    }
+
+    pub(super) fn controls(&mut self) {
+        for _ in 0..3 {
+            let all = numbered("control", self.count_controls());
+            for whom in all {
+                self.add(0, Fault::Kill(whom.clone()));
+                let after = self.rng.random_range(50..1_000);
+                self.add(after, Fault::Start(whom));
+            }
+            self.at += 12_000;
+        }
+    }
+
+    pub(super) fn herd(&mut self) {
+        for _ in 0..3 {
+            let all = numbered("control", self.count_controls())
+                .chain(numbered("storage", self.count_storages()))
+                .chain(numbered("agent", self.count_relays()))
+                .chain(numbered("relay", self.count_relays()));
+            for whom in all {
+                if self.rng.random_range(0..10) < 6 {
+                    self.add(0, Fault::Kill(whom.clone()));
+                    let after = self.rng.random_range(100..3_000);
+                    self.add(after, Fault::Start(whom));
+                }
+            }
+            self.at += 16_000;
+        }
+    }
+}
--- /dev/null
+++ b/fleet-simulator/src/plan/mod.rs
@@ -0,0 +1,141 @@
+//! A scenario's faults, planned from the seed.
+
+mod chaos;
+mod load;
+mod losses;
+mod machines;
+mod network;
+
+use crate::faults::{Fault, Whom};
+use crate::{Deployment, Scenario};
+use rand::{Rng as _, SeedableRng as _};
+
+/// When the first fault may strike.
+pub(crate) const FAULTS_MS: u64 = 15_000;
+
+/// The faults of a run, each with its moment in milliseconds.
+pub(crate) struct Plan {
+    /// All of them.
+    pub(crate) faults: Vec<(u64, Fault)>,
+    /// When the last one is closed.
+    pub(crate) closed_ms: u64,
+}
+
+/// A plan being drawn up.
+struct Draft<'a> {
+    deployment: &'a Deployment,
+    rng: rand::rngs::StdRng,
+    faults: Vec<(u64, Fault)>,
+    /// The moment that the plan has come to.
+    at: u64,
+}
+
+/// Plans a scenario's faults from the seed.
+pub(crate) fn plan(deployment: &Deployment, scenario: Scenario, seed: u64) -> Plan {
+    let mut rng = rand::rngs::StdRng::seed_from_u64(seed ^ 0x0007_0a5a_0ac7);
+    let at = FAULTS_MS + rng.random_range(0..1_000);
+    let mut draft = Draft { deployment, rng, faults: Vec::new(), at };
+    match scenario {
+        Scenario::Calm => {}
+        Scenario::Crowds => draft.crowds(),
+        Scenario::Ceiling => draft.ceiling(),
+        Scenario::Engines => draft.engines(),
+        Scenario::Kills => draft.kills(),
+        Scenario::Freezes => draft.freezes(),
+        Scenario::Power => draft.power(),
+        Scenario::Blackout => draft.blackout(),
+        Scenario::SlowDisks => draft.slow_disks(),
+        Scenario::Cuts => draft.cuts(),
+        Scenario::Replaced => draft.replaced(),
+        Scenario::Seeds => draft.seeds(),
+        Scenario::Counter => draft.counter(),
+        Scenario::Operators => draft.operators(),
+        Scenario::Drains => draft.drains(),
+        Scenario::Domains => draft.domains(),
+        Scenario::Rolling => draft.rolling(),
+        Scenario::Untidy => draft.untidy(),
+        Scenario::Controls => draft.controls(),
+        Scenario::Herd => draft.herd(),
+        Scenario::Chaos => draft.chaos(),
+    }
+    draft.finish()
+}
+
+fn named(kind: &str, number: u64) -> Whom {
+    Whom::Named(format!("{kind}-{number}"))
+}
+
+/// All processes of a kind.
+fn numbered(kind: &'static str, most: u64) -> impl Iterator<Item = Whom> {
+    (1..=most).map(move |number| named(kind, number))
+}
+
+impl Draft<'_> {
+    fn finish(self) -> Plan {
+        let ends = self.faults.iter().map(|(at, fault)| match fault {
+            Fault::Freeze(_, ms) => at + ms,
+            _ => *at,
+        });
+        Plan { closed_ms: ends.max().unwrap_or(FAULTS_MS), faults: self.faults }
+    }
+
+    /// Adds a fault so long after the moment that the plan has come to.
+    fn add(&mut self, after_ms: u64, fault: Fault) {
+        self.faults.push((self.at + after_ms, fault));
+    }
+
+    /// Whether two machines may be lost at once.
+    fn two(&self) -> bool {
+        self.deployment.lost_machines > 1
+    }
+
+    fn count_controls(&self) -> u64 {
+        u64::from(self.deployment.controls)
+    }
+
+    fn count_storages(&self) -> u64 {
+        u64::from(self.deployment.storages)
+    }
+
+    fn count_relays(&self) -> u64 {
+        u64::from(self.deployment.relays)
+    }
+
+    /// Any machine, drawn by chance.
+    fn any(&mut self) -> Whom {
+        let (storages, relays) = (self.count_storages(), self.count_relays());
+        match self.rng.random_range(0..8) {
+            0 => Whom::ControlPrimary,
+            1 => Whom::OtherControl,
+            2 => Whom::ShardPrimary(0),
+            3 => Whom::ShardPrimary(self.rng.random_range(1..5)),
+            4 => named("storage", self.rng.random_range(1..=storages)),
+            5 => named("agent", self.rng.random_range(1..=relays)),
+            _ => named("relay", self.rng.random_range(1..=relays)),
+        }
+    }
+
+    /// A machine with a disk, drawn by chance.
+    fn with_disk(&mut self) -> Whom {
+        match self.rng.random_range(0..5) {
+            0 => Whom::ControlPrimary,
+            1 => Whom::OtherControl,
+            2 => Whom::ShardPrimary(0),
+            _ => Whom::ShardPrimary(self.rng.random_range(1..5)),
+        }
+    }
+
+    /// Machines with a disk that are struck at the same instant, as many as may be lost: those
+    /// whose loss together hurts most.
+    fn together(&mut self) -> [Whom; 2] {
+        let shard = self.rng.random_range(0..5);
+        match self.rng.random_range(0..6) {
+            0 => [Whom::ControlPrimary, Whom::OtherControl],
+            1 => [Whom::ShardPrimary(shard), Whom::ShardHolder(shard)],
+            2 => [Whom::ShardHolder(shard), Whom::ShardHolder(shard)],
+            3 => [Whom::ControlPrimary, Whom::ShardPrimary(shard)],
+            4 => [Whom::OtherControl, Whom::ShardPrimary(0)],
+            _ => [Whom::ShardPrimary(0), Whom::ShardPrimary(shard)],
+        }
+    }
+}
--- /dev/null
+++ b/fleet-simulator/src/plan/network.rs
@@ -0,0 +1,52 @@
+//! Cuts, and frames that come late.
+
+use super::{Draft, FAULTS_MS};
+use crate::faults::{Fault, Way};
+use rand::Rng as _;
+
+impl Draft<'_> {
+    pub(super) fn cuts(&mut self) {
+        for n in 0..5 {
+            let way = [Way::Both, Way::Outward, Way::Inward][self.rng.random_range(0..3)];
+            let fault = match n {
+                3 => Fault::SplitCoreFromStorage,
+                4 => Fault::CutDomain(self.rng.random_range(0..self.deployment.domains)),
+                _ => Fault::CutOff(self.any(), way),
+            };
+            let flaps = self.rng.random_range(1..4);
+            let other = (self.two() && n < 3).then(|| self.together());
+            for _ in 0..flaps {
+                match &other {
+                    Some(both) => {
+                        for whom in both {
+                            self.add(0, Fault::CutOff(whom.clone(), way));
+                        }
+                    }
+                    None => self.add(0, fault.clone()),
+                }
+                self.at += self.rng.random_range(500..5_000);
+                self.add(0, Fault::Mend);
+                self.at += self.rng.random_range(300..2_000);
+            }
+            self.at += 4_000;
+        }
+        self.faults.push((FAULTS_MS, Fault::Lossy(100)));
+        self.add(0, Fault::Lossy(0));
+    }
+
+    pub(super) fn untidy(&mut self) {
+        self.add(0, Fault::Drift);
+        for _ in 0..4 {
+            let share = self.rng.random_range(50..300);
+            self.add(0, Fault::Untidy(share));
+            self.at += 4_000;
+            // Late frames of the time before go on arriving while others take over.
+            self.add(0, Fault::Untidy(0));
+            let whom = self.any();
+            self.add(0, Fault::Kill(whom));
+            self.at += self.rng.random_range(1_000..4_000);
+            self.add(0, Fault::StartAll);
+            self.at += 6_000;
+        }
+    }
+}
--- /dev/null
+++ b/fleet-simulator/src/world/nodes/watch.rs
@@ -0,0 +1,60 @@
+//! What the simulator itself sees inside the machines, to aim faults and to weigh what waits.
+
+use super::{Body, Node, NodeIndex};
+use crate::world::World;
+
+impl World {
+    /// The control node that serves as the primary.
+    pub fn control_primary(&self) -> Option<NodeIndex> {
+        let serves =
+            |node: &Node| matches!(&node.body, Body::Control(machine) if machine.is_serving());
+        self.nodes.iter().position(serves).map(NodeIndex)
+    }
+
+    /// The storage node that serves a shard.
+    pub fn shard_primary(&self, shard: topazyard_types::ShardId) -> Option<NodeIndex> {
+        let serves =
+            |node: &Node| matches!(&node.body, Body::Storage(machine) if machine.is_serving(shard));
+        self.nodes.iter().position(serves).map(NodeIndex)
+    }
+
+    /// A storage node that runs, has a copy of a shard and doesn't serve it.
+    pub fn other_holder(&self, shard: topazyard_types::ShardId) -> Option<NodeIndex> {
+        let holds = |node: &Node| match &node.body {
+            Body::Storage(machine) => machine.copy(shard).is_some() && !machine.is_serving(shard),
+            _ => false,
+        };
+        self.nodes.iter().position(holds).map(NodeIndex)
+    }
+
+    /// The cost of all accepted items without a final return, as the most advanced copy of each
+    /// shard has it.
+    pub(crate) fn waiting_work(&mut self) -> u64 {
+        let mut all = 0;
+        for shard in topazyard_types::ShardId::all().filter(|shard| !shard.is_counter()) {
+            let copies = self.nodes.iter().filter_map(|node| match &node.body {
+                Body::Storage(machine) => machine.copy(shard),
+                _ => None,
+            });
+            let Some(copy) = copies.max_by_key(|copy| copy.place()) else { continue };
+            let weighed = self.weighed.get(&shard).filter(|(place, _)| *place == copy.place());
+            let waiting = match weighed {
+                Some((_, waiting)) => *waiting,
+                None => topazyard_storage::parcels::waiting(copy).0,
+            };
+            self.weighed.insert(shard, (copy.place(), waiting));
+            all += waiting;
+        }
+        all
+    }
+
+    /// Holds at the counter, where one leads it.
+    pub fn holds(&self) -> Option<usize> {
+        self.nodes.iter().find_map(|node| match &node.body {
+            Body::Storage(machine) if machine.is_serving(topazyard_types::ShardId::COUNTER) => {
+                machine.holds()
+            }
+            _ => None,
+        })
+    }
+}
