--- a/fleet-simulator/src/lib.rs
+++ b/fleet-simulator/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod deployment;
 pub mod faults;
 pub mod history;
+pub mod model;
 pub mod people;
 pub mod run;
 pub mod world;
--- a/fleet-simulator/src/main.rs
+++ b/fleet-simulator/src/main.rs
@@ -1,5 +1,7 @@
 //! Runs simulated fleets from seeds.
 
+mod model_command;
+
 use clap::Parser as _;
 use fleet_simulator::{Deployment, Scenario, run};
 
@@ -7,6 +9,9 @@
 #[derive(clap::Parser)]
 #[command(version)]
 struct Flags {
+    /// What to do instead of running scenarios
+    #[command(subcommand)]
+    command: Option<Command>,
     /// The scenario, or all
     #[arg(long, default_value = "all")]
     scenario: String,
@@ -24,8 +29,22 @@
     threads: usize,
 }
 
+/// What else it can do
+#[derive(clap::Subcommand)]
+enum Command {
+    /// Searches the orders of events that the control side may meet
+    Model(model_command::ModelFlags),
+}
+
 fn main() -> std::process::ExitCode {
     let flags = Flags::parse();
+    match &flags.command {
+        Some(Command::Model(model)) => model_command::run(model),
+        None => run_scenarios(&flags),
+    }
+}
+
+fn run_scenarios(flags: &Flags) -> std::process::ExitCode {
     let scenarios: Vec<Scenario> = match flags.scenario.as_str() {
         "all" => Scenario::ALL.to_vec(),
         name => match Scenario::named(name) {
--- /dev/null
+++ b/fleet-simulator/src/model/judge.rs
@@ -0,0 +1,254 @@
+//! What must hold in every state, by what operators and readers were told and by what a node that
+//! serves holds.
+
+use super::order::Order;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use topazyard_control::ControlMachine;
+use topazyard_types::{Epoch, NodeId, SpecVersion};
+use topazyard_wire::message::control::EpochRecord;
+
+/// What must hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Invariant {
+    /// One node at most serves in an epoch.
+    OnePrimary,
+    /// An epoch has one record.
+    OneRecord,
+    /// What was acknowledged is in every later primary, and it or a later one is in force.
+    Kept,
+    /// The routes of a primary, or of a reader, are those of the version in force.
+    Whole,
+    /// Nothing that was refused is in force.
+    RefusedStays,
+    /// A number has one content, and a version one change that builds on it.
+    OneContent,
+    /// An order that was taken is not refused when it is sent again.
+    TakenStays,
+    /// A reader never sees the configuration go back.
+    NeverBack,
+    /// What is read was in force after the asking began.
+    Fresh,
+    /// A node that hears no other decides nothing.
+    AloneDecidesNothing,
+}
+
+impl Invariant {
+    /// All of them.
+    pub const ALL: [Self; 10] = [
+        Self::OnePrimary,
+        Self::OneRecord,
+        Self::Kept,
+        Self::Whole,
+        Self::RefusedStays,
+        Self::OneContent,
+        Self::TakenStays,
+        Self::NeverBack,
+        Self::Fresh,
+        Self::AloneDecidesNothing,
+    ];
+}
+
+/// An invariant that does not hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Violation {
+    /// Which.
+    pub invariant: Invariant,
+    /// What was seen.
+    pub text: String,
+}
+
+impl std::fmt::Display for Violation {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:?}: {}", self.invariant, self.text)
+    }
+}
+
+/// An order that was acknowledged.
+#[derive(Debug, Clone, Copy)]
+struct Acknowledged {
+    order: usize,
+    /// The newest epoch in which a node had served by then.
+    by: Epoch,
+}
+
+/// Remembers what was told, and compares.
+#[derive(Debug, Clone, Default)]
+pub struct Judge {
+    orders: Vec<Arc<Order>>,
+    records: BTreeMap<Epoch, EpochRecord>,
+    served: BTreeMap<Epoch, NodeId>,
+    acknowledged: BTreeMap<SpecVersion, Acknowledged>,
+    refused: BTreeSet<usize>,
+    /// Orders known to be in force at some time, by version and by base.
+    taken: BTreeMap<SpecVersion, usize>,
+    taken_bases: BTreeMap<SpecVersion, usize>,
+    watched: Option<Invariant>,
+    violation: Option<Violation>,
+}
+
+impl Judge {
+    /// Looks at one invariant alone, or at all.
+    pub fn watching(watched: Option<Invariant>) -> Self {
+        Self { watched, ..Self::default() }
+    }
+
+    /// The first violation.
+    pub fn violation(&self) -> Option<&Violation> {
+        self.violation.as_ref()
+    }
+
+    /// Notes a violation, if it is the first.
+    pub fn cross(&mut self, invariant: Invariant, text: String) {
+        if self.watched.is_none_or(|watched| watched == invariant) {
+            self.violation.get_or_insert(Violation { invariant, text });
+        }
+    }
+
+    /// An operator made up an order.
+    pub fn add_order(&mut self, base: SpecVersion, version: SpecVersion) -> Arc<Order> {
+        let order = Arc::new(Order::new(self.orders.len(), base, version));
+        self.orders.push(order.clone());
+        order
+    }
+
+    /// The order of that number.
+    pub fn order(&self, number: usize) -> Option<&Arc<Order>> {
+        self.orders.get(number)
+    }
+
+    /// The newest version acknowledged.
+    pub fn newest_acknowledged(&self) -> SpecVersion {
+        self.acknowledged.last_key_value().map(|(version, _)| *version).unwrap_or_default()
+    }
+
+    /// The newest epoch in which a node served.
+    fn newest_served(&self) -> Epoch {
+        self.served.last_key_value().map(|(epoch, _)| *epoch).unwrap_or_default()
+    }
+
+    /// Looks at a node after a step of it; `began` tells that it serves only since that step.
+    pub fn see_node(&mut self, id: NodeId, machine: &ControlMachine, began: bool) {
+        let Some(record) = machine.record() else { return };
+        self.see_record(record);
+        if machine.is_serving() {
+            self.see_primary(id, record.epoch, machine, began);
+        }
+    }
+
+    fn see_record(&mut self, record: &EpochRecord) {
+        match self.records.get(&record.epoch) {
+            Some(known) if known != record => {
+                let text = format!("epoch {}: {known:?} and {record:?}", record.epoch);
+                self.cross(Invariant::OneRecord, text);
+            }
+            Some(_) => {}
+            None => drop(self.records.insert(record.epoch, record.clone())),
+        }
+    }
+
+    fn see_primary(&mut self, id: NodeId, epoch: Epoch, machine: &ControlMachine, began: bool) {
+        let first = *self.served.entry(epoch).or_insert(id);
+        if first != id {
+            let text = format!("{first} and {id} both served in epoch {epoch}");
+            self.cross(Invariant::OnePrimary, text);
+        }
+        let rows = machine.copy().rows();
+        self.see_rows("the primary", rows);
+        let in_force = super::order::in_force(rows).unwrap_or_default();
+        let lost = self.acknowledged.iter().find(|(version, acknowledged)| {
+            let holds = self.orders[acknowledged.order].is_taken(rows);
+            acknowledged.by <= epoch && (!holds || in_force < **version)
+        });
+        if let Some((version, acknowledged)) = lost {
+            let text = format!(
+                "order {} ({version}) was acknowledged by epoch {}; the primary of {epoch} has {in_force} in force",
+                acknowledged.order, acknowledged.by
+            );
+            self.cross(Invariant::Kept, text);
+        }
+        if began {
+            // All that it begins with is committed from now on.
+            let taken = self.orders.iter().filter(|order| order.is_taken(rows));
+            let taken: Vec<usize> = taken.map(|order| order.number).collect();
+            taken.into_iter().for_each(|number| self.take(number));
+        }
+    }
+
+    /// Checks that rows are those of one configuration.
+    fn see_rows(&mut self, whose: &str, rows: &BTreeMap<String, bytes::Bytes>) {
+        let Some(version) = super::order::in_force(rows) else { return };
+        let mut candidates = self.orders.iter().filter(|order| order.version == version);
+        if !candidates.any(|order| order.has_routes(rows)) {
+            let text = format!("{whose} has {version} in force with other routes");
+            self.cross(Invariant::Whole, text);
+        }
+    }
+
+    /// An order is known to be or have been in force.
+    fn take(&mut self, number: usize) {
+        let Some(order) = self.orders.get(number).cloned() else { return };
+        if self.refused.contains(&number) {
+            let text = format!("order {number} ({}) was refused and is in force", order.version);
+            self.cross(Invariant::RefusedStays, text);
+        }
+        let same_version = *self.taken.entry(order.version).or_insert(number);
+        let same_base = *self.taken_bases.entry(order.base).or_insert(number);
+        for other in [same_version, same_base].into_iter().filter(|other| *other != number) {
+            let text = format!("orders {other} and {number} ({}) were both taken", order.version);
+            self.cross(Invariant::OneContent, text);
+        }
+    }
+
+    /// An operator was told that its order is in force.
+    pub fn acknowledge(&mut self, number: usize) {
+        let Some(order) = self.orders.get(number).cloned() else { return };
+        let by = self.newest_served();
+        self.acknowledged.entry(order.version).or_insert(Acknowledged { order: number, by });
+        self.take(number);
+    }
+
+    /// An operator was told that its order is refused for good.
+    pub fn refuse(&mut self, number: usize) {
+        self.refused.insert(number);
+        if self.taken.values().any(|taken| *taken == number) {
+            let text = format!("order {number} was taken, and refused when it came again");
+            self.cross(Invariant::TakenStays, text);
+        }
+    }
+
+    /// Something that was read says that an order is in force; the asking began when the newest
+    /// version acknowledged was `since`.
+    pub fn see_read(&mut self, whose: &str, read: Option<usize>, since: SpecVersion) {
+        let version = read.and_then(|number| self.orders.get(number)).map(|order| order.version);
+        if version.unwrap_or_default() < since {
+            let text = format!("{whose} was shown {version:?}; {since} was acknowledged before");
+            self.cross(Invariant::Fresh, text);
+        }
+        if let Some(number) = read {
+            self.take(number);
+        }
+    }
+
+    /// A reader's rows changed: `before` was the version in force.
+    pub fn see_reader(
+        &mut self,
+        whose: &str,
+        rows: &BTreeMap<String, bytes::Bytes>,
+        before: Option<SpecVersion>,
+        since: SpecVersion,
+    ) {
+        let version = super::order::in_force(rows);
+        if version < before {
+            let text = format!("{whose} saw {before:?} and then {version:?}");
+            self.cross(Invariant::NeverBack, text);
+        }
+        self.see_rows(whose, rows);
+        let held = self
+            .orders
+            .iter()
+            .find(|order| Some(order.version) == version && order.has_routes(rows));
+        let held = held.map(|order| order.number);
+        self.see_read(whose, held, since);
+    }
+}
--- /dev/null
+++ b/fleet-simulator/src/model/network.rs
@@ -0,0 +1,118 @@
+//! Messages under way, in the order in which they were sent.
+
+use super::{Letter, Party};
+use topazyard_types::NodeId;
+use topazyard_wire::Message;
+use topazyard_wire::message::control::CoreMessage;
+use topazyard_wire::message::feed::FeedMessage;
+use topazyard_wire::message::operate::{Operate, OperateMessage, OperateOutcome};
+use topazyard_wire::message::pair::PairBody;
+
+/// What is under way.
+#[derive(Debug, Clone)]
+pub enum Payload {
+    /// A frame between processes.
+    Frame {
+        /// The id of the sender.
+        sender: NodeId,
+        /// Its address.
+        from: std::net::SocketAddr,
+        /// The address it goes to.
+        to: std::net::SocketAddr,
+        /// What it says.
+        message: Message,
+    },
+    /// An operator's call.
+    Call {
+        /// Which asking.
+        asking: usize,
+        /// What is asked.
+        request: Operate,
+    },
+    /// The return of one.
+    Answer {
+        /// Which asking.
+        asking: usize,
+        /// What came of it.
+        outcome: OperateOutcome,
+    },
+}
+
+/// A message under way.
+#[derive(Debug, Clone)]
+pub struct Envelope {
+    /// When it was sent, among all events.
+    pub number: u64,
+    /// Who sent it.
+    pub from: Party,
+    /// Who is to take it.
+    pub to: Party,
+    /// What it is.
+    pub payload: Payload,
+}
+
+impl Envelope {
+    /// Whether the letter names a message of this kind between these two.
+    pub fn is_like(&self, letter: &Letter) -> bool {
+        self.from == letter.from && self.to == letter.to && self.label() == letter.label
+    }
+
+    /// What kind of message it is.
+    pub fn label(&self) -> &'static str {
+        match &self.payload {
+            Payload::Frame { message, .. } => label_of(message),
+            Payload::Call { request: Operate::Command(_), .. } => "Order",
+            Payload::Call { request: Operate::Query(_), .. } => "Read",
+            Payload::Answer { .. } => "Answer",
+        }
+    }
+}
+
+fn label_of(message: &Message) -> &'static str {
+    match message {
+        Message::Core(message) => match message {
+            CoreMessage::Beat { .. } => "Beat",
+            CoreMessage::Prepare { .. } => "Prepare",
+            CoreMessage::Promise { .. } => "Promise",
+            CoreMessage::Accept { .. } => "Accept",
+            CoreMessage::Accepted { .. } => "Accepted",
+            CoreMessage::Leaving { .. } => "Leaving",
+            CoreMessage::Outbid { .. } => "Outbid",
+        },
+        Message::Pair(message) => match &message.body {
+            PairBody::Append { .. } => "Append",
+            PairBody::Appended { .. } => "Appended",
+            PairBody::OutOfStep => "OutOfStep",
+            PairBody::Digests { .. } => "Digests",
+            PairBody::Differ { .. } => "Differ",
+            PairBody::Range { .. } => "Range",
+            PairBody::InStep { .. } => "InStep",
+        },
+        Message::Feed(FeedMessage::Ask { .. }) => "FeedAsk",
+        Message::Feed(FeedMessage::News { .. }) => "FeedNews",
+        Message::Feed(FeedMessage::Elsewhere { .. }) => "FeedElsewhere",
+        Message::Operate(OperateMessage::Ask { .. }) => "PassedOn",
+        Message::Operate(OperateMessage::Answer { .. }) => "PassedBack",
+        Message::Cohort(_) => "Cohort",
+        _ => "Other",
+    }
+}
+
+/// The names of all messages under way, the oldest first.
+pub fn letters(envelopes: &[Envelope]) -> Vec<Letter> {
+    let mut seen: std::collections::BTreeMap<(Party, Party, &'static str), usize> =
+        std::collections::BTreeMap::new();
+    let named = envelopes.iter().map(|envelope| {
+        let (from, to, label) = (envelope.from, envelope.to, envelope.label());
+        let count = seen.entry((from, to, label)).or_default();
+        *count += 1;
+        Letter { from, to, label, nth: *count - 1 }
+    });
+    named.collect()
+}
+
+/// Where the message that a letter names stands.
+pub fn find(envelopes: &[Envelope], letter: &Letter) -> Option<usize> {
+    let like = envelopes.iter().enumerate().filter(|(_, envelope)| envelope.is_like(letter));
+    like.map(|(at, _)| at).nth(letter.nth)
+}
--- /dev/null
+++ b/fleet-simulator/src/model/node.rs
@@ -0,0 +1,126 @@
+//! A control node: its machine while it runs, and its disk.
+
+use std::collections::{BTreeMap, VecDeque};
+use topazyard_control::ControlMachine;
+use topazyard_types::{CallId, NodeId};
+use topazyard_wire::rows::Loaded;
+use topazyard_wire::{RowChange, WriteToken};
+
+/// A write that is not synced.
+#[derive(Debug, Clone)]
+pub struct Write {
+    /// When it was handed over, among all events.
+    pub number: u64,
+    /// The machine's mark.
+    pub token: WriteToken,
+    /// The rows.
+    pub changes: Vec<RowChange>,
+}
+
+/// A disk that commits in order.
+#[derive(Debug, Clone, Default)]
+pub struct Disk {
+    /// What is synced.
+    pub synced: Loaded,
+    /// What is not, the oldest first.
+    pub unsynced: VecDeque<Write>,
+}
+
+impl Disk {
+    /// Commits the oldest write.
+    pub fn sync(&mut self) -> Option<WriteToken> {
+        let write = self.unsynced.pop_front()?;
+        self.apply(write.token, write.changes);
+        Some(write.token)
+    }
+
+    /// Commits rows.
+    pub fn apply(&mut self, token: WriteToken, changes: Vec<RowChange>) {
+        let rows = self.synced.entry(token.group).or_default();
+        for change in changes {
+            match change.value {
+                Some(value) => rows.insert(change.key, value),
+                None => rows.remove(&change.key),
+            };
+        }
+    }
+
+    /// The process ends: a transaction holds a run of writes, so the oldest few are kept.
+    pub fn end(&mut self, kept: usize) {
+        for _ in 0..kept {
+            self.sync();
+        }
+        self.unsynced.clear();
+    }
+}
+
+/// One control node.
+#[derive(Debug, Clone)]
+pub struct Node {
+    /// Where it takes frames.
+    pub address: std::net::SocketAddr,
+    /// Its id.
+    pub id: NodeId,
+    /// The machine, while the process runs.
+    pub machine: Option<ControlMachine>,
+    /// The disk.
+    pub disk: Disk,
+    /// How often it was started.
+    pub lives: u64,
+    /// How often another machine took its place.
+    pub moves: u16,
+    /// Whether it stands still.
+    pub is_frozen: bool,
+    /// Whether its disk syncs nothing.
+    pub is_stalled: bool,
+    /// Calls that wait for their return: which asking each belongs to.
+    pub calls: BTreeMap<CallId, usize>,
+    /// The number of the last call.
+    pub last_call: u64,
+    /// Since which event nothing of the other nodes can reach it.
+    pub alone_since: Option<u64>,
+}
+
+impl Node {
+    /// A node that does not run yet, with an empty disk.
+    pub fn new(number: usize) -> Self {
+        Self {
+            address: address_of(number, 0),
+            id: NodeId(0),
+            machine: None,
+            disk: Disk::default(),
+            lives: 0,
+            moves: 0,
+            is_frozen: false,
+            is_stalled: false,
+            calls: BTreeMap::new(),
+            last_call: 0,
+            alone_since: None,
+        }
+    }
+
+    /// Whether it can take an input now.
+    pub fn is_awake(&self) -> bool {
+        self.machine.is_some() && !self.is_frozen
+    }
+
+    /// Whether it serves as the primary.
+    pub fn is_serving(&self) -> bool {
+        self.machine.as_ref().is_some_and(ControlMachine::is_serving)
+    }
+
+    /// The process ends.
+    pub fn end(&mut self, kept: usize) {
+        self.machine = None;
+        self.disk.end(kept);
+        self.is_frozen = false;
+        self.is_stalled = false;
+        self.calls.clear();
+        self.alone_since = None;
+    }
+}
+
+/// Where the node of that number takes frames after it was moved so often.
+pub fn address_of(number: usize, moves: u16) -> std::net::SocketAddr {
+    ([127, 0, 0, 1], 1_000 + number as u16 + 100 * moves).into()
+}
--- /dev/null
+++ b/fleet-simulator/src/model/order.rs
@@ -0,0 +1,86 @@
+//! The configurations that operators order, and the rows that each must put in force.
+
+use std::collections::BTreeMap;
+use topazyard_types::SpecVersion;
+use topazyard_wire::message::operate::Command;
+use topazyard_wire::state::{IN_FORCE, InForceRow, ROUTES, SpecRow, route_key, spec_key};
+
+/// Routes of each configuration; those with an even number differ from order to order.
+const ROUTES_EACH: usize = 5;
+
+/// An order: its content is its own alone.
+#[derive(Debug)]
+pub struct Order {
+    /// Its number among all orders.
+    pub number: usize,
+    /// The version it builds on.
+    pub base: SpecVersion,
+    /// Its own version.
+    pub version: SpecVersion,
+    text: String,
+    source: bytes::Bytes,
+    routes: BTreeMap<String, bytes::Bytes>,
+}
+
+impl Order {
+    /// The order of that number.
+    pub fn new(number: usize, base: SpecVersion, version: SpecVersion) -> Self {
+        let routes: Vec<_> = (0..ROUTES_EACH).map(|route| route_of(number, route)).collect();
+        let bundle = serde_json::json!({ "pools": [{ "name": "main" }], "routes": routes });
+        let text = bundle.to_string();
+        let read = topazyard_spec::Bundle::read(&text).map(|bundle| bundle.routes);
+        let routes = read
+            .unwrap_or_default()
+            .into_iter()
+            .map(|route| (route_key(&route.name), topazyard_wire::rows::encode(&route)));
+        let routes = routes.collect();
+        let source = bytes::Bytes::from(format!("order {number}"));
+        Self { number, base, version, text, source, routes }
+    }
+
+    /// The command that gives it.
+    pub fn command(&self) -> Command {
+        Command::TakeSpec {
+            base: self.base,
+            version: self.version,
+            text: self.text.clone(),
+            source: self.source.clone(),
+        }
+    }
+
+    /// Whether the rows hold it as taken.
+    pub fn is_taken(&self, rows: &BTreeMap<String, bytes::Bytes>) -> bool {
+        let row = rows.get(&spec_key(self.version));
+        let row: Option<SpecRow> = row.and_then(|value| topazyard_wire::rows::decode(value));
+        row.is_some_and(|row| row.source.as_ref() == Some(&self.source))
+    }
+
+    /// Whether the route rows are exactly its own.
+    pub fn has_routes(&self, rows: &BTreeMap<String, bytes::Bytes>) -> bool {
+        let held = rows.range(ROUTES.to_owned()..);
+        let held = held.take_while(|(key, _)| key.starts_with(ROUTES));
+        held.eq(self.routes.iter())
+    }
+}
+
+fn route_of(order: usize, route: usize) -> serde_json::Value {
+    let differs = route.is_multiple_of(2);
+    let timeout_ms = if differs { 5_000 + order } else { 5_000 };
+    // The last one comes and goes.
+    let name = if route + 1 == ROUTES_EACH { order % 2 + route } else { route };
+    serde_json::json!({ "name": format!("r{name}"), "host": "a.example",
+        "path_prefix": format!("/{name}/"), "kind": "safe",
+        "pools": [{ "pool": "main", "weight": 1 }], "timeout_ms": timeout_ms,
+        "max_attempts": 2 })
+}
+
+/// The number of the order that a source came from.
+pub fn number_of(source: &str) -> Option<usize> {
+    source.strip_prefix("order ")?.parse().ok()
+}
+
+/// The version in force by the rows, if one is.
+pub fn in_force(rows: &BTreeMap<String, bytes::Bytes>) -> Option<SpecVersion> {
+    let row: InForceRow = topazyard_wire::rows::decode(rows.get(IN_FORCE)?)?;
+    Some(row.version)
+}
--- /dev/null
+++ b/fleet-simulator/src/model/people.rs
@@ -0,0 +1,60 @@
+//! Operators, who order and read, and readers, who follow the feed.
+
+use super::order::Order;
+use std::sync::Arc;
+use topazyard_replication::Follower;
+use topazyard_types::SpecVersion;
+
+/// What an operator asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Asked {
+    /// To take an order.
+    Order(usize),
+    /// What is in force.
+    Read,
+}
+
+/// A call of an operator.
+#[derive(Debug, Clone, Copy)]
+pub struct Asking {
+    /// Whose.
+    pub operator: usize,
+    /// What.
+    pub asked: Asked,
+    /// The newest version acknowledged when it began.
+    pub since: SpecVersion,
+    /// When it reached the node, among all events.
+    pub arrived: Option<u64>,
+}
+
+/// An operator.
+#[derive(Debug, Clone, Default)]
+pub struct Operator {
+    /// The newest version that it knows to be in force.
+    pub knows: SpecVersion,
+    /// The order that it has no clear answer to.
+    pub open: Option<Arc<Order>>,
+}
+
+/// A follower of the feed, in one life.
+#[derive(Debug, Clone)]
+pub struct Reader {
+    /// Where it takes frames.
+    pub address: std::net::SocketAddr,
+    /// What it follows with.
+    pub follower: Follower,
+    /// The newest version acknowledged when it asked last.
+    pub since: SpecVersion,
+    /// When its last asking reached each node, among all events.
+    pub arrived: std::collections::BTreeMap<usize, u64>,
+}
+
+impl Reader {
+    /// A reader that asks these.
+    pub fn new(number: usize, sources: Vec<std::net::SocketAddr>) -> Self {
+        let address = ([127, 0, 0, 1], 3_000 + number as u16).into();
+        let life = topazyard_types::Life((number as u64 + 1) << 40);
+        let follower = Follower::new(sources, life);
+        Self { address, follower, since: SpecVersion(0), arrived: Default::default() }
+    }
+}
--- /dev/null
+++ b/fleet-simulator/src/model/plant.rs
@@ -0,0 +1,24 @@
+//! Faults planted in the surroundings, each of which an invariant must see.
+
+/// A planted fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Plant {
+    /// A node that restarts has forgotten what it voted and learned as a witness.
+    ForgetVotes,
+    /// Writes are said to be synced when they are handed over.
+    SyncedEarly,
+    /// A process that is killed leaves half of a write on its disk.
+    TornWrite,
+    /// An acknowledged order is told to its operator as refused.
+    RefuseTaken,
+    /// An order that is sent again is told to its operator as refused.
+    RefuseAgain,
+    /// A refused order is told to its operator as taken.
+    TakeRefused,
+    /// A reader is given the first view again in place of the newest.
+    OldNews,
+    /// A read is answered with the first source ever read.
+    OldSource,
+    /// A primary that nobody hears is told that all its backups confirmed.
+    ForgeConfirmations,
+}
--- /dev/null
+++ b/fleet-simulator/src/model/walk.rs
@@ -0,0 +1,155 @@
+//! Random walks: what would happen by itself, with deviations drawn from a seed.
+
+use super::world::{OPERATORS, World};
+use super::{Action, Settings, Violation, network};
+use rand::Rng as _;
+use rand::rngs::StdRng;
+
+/// Deviations in a hundred steps, one of which a walk draws.
+const DEVIATIONS_PERCENT: [u32; 4] = [3, 8, 20, 45];
+/// How often in a thousand steps all is mended and left alone.
+const CALM_PERMILLE: u32 = 2;
+/// Troubles at once, above which a walk mends one before it makes another.
+const MOST_TROUBLES: usize = 3;
+/// Times that may pass at once: below and above each patience.
+const TIMES_MS: [u64; 5] = [25, 100, 350, 700, 1_600];
+
+/// How a walk ended.
+#[derive(Debug)]
+pub struct Walk {
+    /// Its seed.
+    pub seed: u64,
+    /// What happened.
+    pub actions: Vec<Action>,
+    /// What was crossed, if anything was.
+    pub violation: Option<Violation>,
+    /// The highest epoch reached.
+    pub epoch: u64,
+    /// Orders acknowledged, as the newest version tells.
+    pub newest: u64,
+    /// After how many calms nobody served.
+    pub stuck_calms: u32,
+}
+
+/// Walks so many steps from a seed.
+pub fn walk(settings: Settings, seed: u64, steps: usize) -> Walk {
+    use rand::SeedableRng as _;
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut world = World::founded(settings);
+    let percent = DEVIATIONS_PERCENT[rng.random_range(0..DEVIATIONS_PERCENT.len())];
+    let mut actions = Vec::new();
+    while actions.len() < steps && world.violation().is_none() {
+        let action = if rng.random_ratio(CALM_PERMILLE, 1_000) {
+            Action::Calm
+        } else if rng.random_ratio(percent, 100) {
+            deviation(&world, &mut rng)
+        } else {
+            Action::Next
+        };
+        if world.apply(&action) {
+            actions.push(action);
+        }
+    }
+    let records = world.nodes().iter().filter_map(|node| node.machine.as_ref()?.record());
+    let epoch = records.map(|record| record.epoch.0).max().unwrap_or(0);
+    let newest = world.newest_acknowledged().0;
+    let violation = world.violation().cloned();
+    Walk { seed, actions, violation, epoch, newest, stuck_calms: world.stuck_calms() }
+}
+
+fn deviation(world: &World, rng: &mut StdRng) -> Action {
+    match rng.random_range(0..100) {
+        0..45 => on_message(world, rng),
+        45..55 => pass_time(world, rng),
+        55..75 => ask(world, rng),
+        _ => trouble(world, rng),
+    }
+}
+
+fn on_message(world: &World, rng: &mut StdRng) -> Action {
+    if world.held() > 0 && rng.random_ratio(1, 4) {
+        return Action::Release;
+    }
+    let letters = network::letters(world.envelopes());
+    if letters.is_empty() {
+        return Action::Next;
+    }
+    let letter = letters[rng.random_range(0..letters.len())];
+    match rng.random_range(0..10) {
+        0..5 => Action::Deliver(letter),
+        5..7 => Action::Lose(letter),
+        7 => Action::Double(letter),
+        _ => Action::Hold(letter),
+    }
+}
+
+fn pass_time(world: &World, rng: &mut StdRng) -> Action {
+    let ms = TIMES_MS[rng.random_range(0..TIMES_MS.len())];
+    match rng.random_ratio(1, 3) {
+        true => Action::TickAlone(ms, any_node(world, rng)),
+        false => Action::Tick(ms),
+    }
+}
+
+fn any_node(world: &World, rng: &mut StdRng) -> usize {
+    rng.random_range(0..world.nodes().len())
+}
+
+fn ask(world: &World, rng: &mut StdRng) -> Action {
+    let operator = rng.random_range(0..OPERATORS);
+    let node = any_node(world, rng);
+    let is_open = world.operators()[operator].open.is_some();
+    match rng.random_range(0..10) {
+        0..3 => Action::Read { operator, node },
+        _ if is_open => Action::Resend { operator, node },
+        _ => Action::Order { operator, node, skip: rng.random_range(0..2) },
+    }
+}
+
+/// What is wrong now, as the actions that mend it.
+fn mends(world: &World) -> Vec<Action> {
+    let mut mends = Vec::new();
+    for (number, node) in world.nodes().iter().enumerate() {
+        if node.machine.is_none() {
+            mends.push(Action::Restart(number));
+        }
+        if node.is_frozen {
+            mends.push(Action::Thaw(number));
+        }
+        if node.is_stalled {
+            mends.push(Action::Resume(number));
+        }
+    }
+    if world.is_cut() {
+        mends.push(Action::Heal);
+    }
+    mends
+}
+
+fn trouble(world: &World, rng: &mut StdRng) -> Action {
+    let mends = mends(world);
+    if mends.len() > rng.random_range(0..=MOST_TROUBLES) {
+        return mends[rng.random_range(0..mends.len())].clone();
+    }
+    let node = match world.primary() {
+        // Most of what matters befalls the primary.
+        Some(primary) if rng.random_ratio(1, 3) => primary,
+        _ => any_node(world, rng),
+    };
+    let kept = |node: usize, rng: &mut StdRng| {
+        rng.random_range(0..=world.nodes()[node].disk.unsynced.len())
+    };
+    match rng.random_range(0..20) {
+        0..5 => Action::Kill { node, kept: kept(node, rng) },
+        5..7 => {
+            let nodes = 0..world.nodes().len();
+            Action::PowerLoss { kept: nodes.map(|node| kept(node, rng)).collect() }
+        }
+        7 => Action::Wipe(node),
+        8 => Action::Replace(node),
+        9..11 => Action::Stall(node),
+        11..14 => Action::Cut(node, any_node(world, rng)),
+        14..17 => Action::CutOff(node),
+        _ => Action::Freeze(node),
+    }
+}
--- /dev/null
+++ b/fleet-simulator/src/model/world.rs
@@ -0,0 +1,246 @@
+//! A modelled fleet: what each action does to it.
+
+mod apply;
+mod carry;
+mod faults;
+
+use super::judge::{Judge, Violation};
+use super::network::Envelope;
+use super::node::Node;
+use super::people::{Asking, Operator, Reader};
+use super::{Action, Party, Settings, fingerprint};
+use std::sync::Arc;
+use topazyard_types::{DurationMs, MonotonicMs, NodeId};
+use topazyard_wire::message::cohort::{Duty, Member};
+
+/// How much time passes when nothing else happens: a few of these make every patience run out, the
+/// primary's before the backup's.
+pub const STEP_MS: u64 = 250;
+/// How long a calm lasts: longer than a fleet may take until it is whole again.
+const CALM_MS: u64 = 8_000;
+/// How long a fleet may take until it serves at first.
+const FOUNDING_MS: u64 = 10_000;
+/// Operators.
+pub const OPERATORS: usize = 2;
+
+/// A modelled fleet.
+#[derive(Debug, Clone)]
+pub struct World {
+    settings: Settings,
+    now: MonotonicMs,
+    /// How many events there were.
+    events: u64,
+    nodes: Vec<Arc<Node>>,
+    readers: Vec<Reader>,
+    operators: Vec<Operator>,
+    askings: Vec<Asking>,
+    envelopes: Vec<Envelope>,
+    held: std::collections::VecDeque<Envelope>,
+    cuts: std::collections::BTreeSet<(usize, usize)>,
+    /// Disks lost since the fleet was last whole.
+    lost_disks: u16,
+    judge: Judge,
+    founding: bool,
+    planted: carry::Planted,
+    notes: Option<Vec<String>>,
+    stuck_calms: u32,
+}
+
+impl World {
+    /// A fleet that was founded and serves, with one configuration in force that the operators and
+    /// the readers know.
+    pub fn founded(settings: Settings) -> Self {
+        let mut world = Self {
+            settings,
+            now: MonotonicMs(86_400_000),
+            events: 0,
+            nodes: (0..settings.nodes).map(|number| Arc::new(Node::new(number))).collect(),
+            readers: Vec::new(),
+            operators: vec![Operator::default(); OPERATORS],
+            askings: Vec::new(),
+            envelopes: Vec::new(),
+            held: Default::default(),
+            cuts: Default::default(),
+            lost_disks: 0,
+            judge: Judge::watching(settings.watched),
+            founding: true,
+            planted: Default::default(),
+            notes: None,
+            stuck_calms: 0,
+        };
+        let sources: Vec<_> = world.nodes.iter().map(|node| node.address).collect();
+        world.readers =
+            (0..settings.readers).map(|number| Reader::new(number, sources.clone())).collect();
+        (0..settings.nodes).for_each(|number| world.start(number));
+        let until = world.now.plus(DurationMs(FOUNDING_MS));
+        while world.primary().is_none() && world.now < until {
+            world.apply(&Action::Next);
+        }
+        world.founding = false;
+        world.apply(&Action::Order { operator: 0, node: 0, skip: 0 });
+        let until = world.now.plus(DurationMs(4 * STEP_MS));
+        while world.now < until {
+            world.apply(&Action::Next);
+        }
+        let knows = world.judge.newest_acknowledged();
+        world.operators.iter_mut().for_each(|operator| operator.knows = knows);
+        world
+    }
+
+    /// What this fleet is made of.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// The first violation.
+    pub fn violation(&self) -> Option<&Violation> {
+        self.judge.violation()
+    }
+
+    /// The present moment.
+    pub fn now(&self) -> MonotonicMs {
+        self.now
+    }
+
+    /// The nodes.
+    pub fn nodes(&self) -> &[Arc<Node>] {
+        &self.nodes
+    }
+
+    /// The operators.
+    pub fn operators(&self) -> &[Operator] {
+        &self.operators
+    }
+
+    /// Messages under way, the oldest first.
+    pub fn envelopes(&self) -> &[Envelope] {
+        &self.envelopes
+    }
+
+    /// Messages that are held.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether any link is cut.
+    pub fn is_cut(&self) -> bool {
+        !self.cuts.is_empty()
+    }
+
+    /// After how many calms nobody served.
+    pub fn stuck_calms(&self) -> u32 {
+        self.stuck_calms
+    }
+
+    /// The newest version acknowledged.
+    pub fn newest_acknowledged(&self) -> topazyard_types::SpecVersion {
+        self.judge.newest_acknowledged()
+    }
+
+    /// The node that serves in the newest epoch.
+    pub fn primary(&self) -> Option<usize> {
+        let serving = self.nodes.iter().enumerate().filter(|(_, node)| node.is_serving());
+        let epoch = |node: &Node| {
+            node.machine.as_ref().and_then(|machine| machine.record()).map(|record| record.epoch)
+        };
+        serving.max_by_key(|(_, node)| epoch(node)).map(|(number, _)| number)
+    }
+
+    /// Keeps a line of each action and each note from now on.
+    pub fn keep_notes(&mut self) {
+        self.notes = Some(Vec::new());
+    }
+
+    /// The lines kept.
+    pub fn take_notes(&mut self) -> Vec<String> {
+        self.notes.take().unwrap_or_default()
+    }
+
+    fn note(&mut self, text: impl FnOnce() -> String) {
+        let at = self.now.0 - 86_400_000;
+        if let Some(notes) = &mut self.notes {
+            notes.push(format!("{at:>7} ms  {}", text()));
+        }
+    }
+
+    /// A hash of all from which the future follows.
+    pub fn fingerprint(&self) -> u64 {
+        let mut states: Vec<&dyn std::fmt::Debug> = Vec::new();
+        for node in &self.nodes {
+            states.extend([&node.machine as &dyn std::fmt::Debug, &node.disk.synced, &node.calls]);
+            states.extend([&node.is_frozen as &dyn std::fmt::Debug, &node.is_stalled]);
+            states.push(if node.alone_since.is_some() { &true } else { &false });
+            for write in &node.disk.unsynced {
+                states.extend([&write.token as &dyn std::fmt::Debug, &write.changes]);
+            }
+        }
+        for envelope in self.envelopes.iter().chain(&self.held) {
+            states.extend([&envelope.to as &dyn std::fmt::Debug, &envelope.payload]);
+        }
+        for reader in &self.readers {
+            states.extend([&reader.follower as &dyn std::fmt::Debug, &reader.since]);
+        }
+        let askings: Vec<_> =
+            self.askings.iter().map(|asking| (asking.asked, asking.since)).collect();
+        let ages: Vec<u64> = self.event_order();
+        states.extend([&askings as &dyn std::fmt::Debug, &ages, &self.operators]);
+        states.extend([&self.cuts as &dyn std::fmt::Debug, &self.lost_disks, &self.judge]);
+        fingerprint::hash_of(self.now, &states)
+    }
+
+    /// In which order what is under way would happen.
+    fn event_order(&self) -> Vec<u64> {
+        let envelopes = self.envelopes.iter().map(|envelope| envelope.number);
+        let writes = self.nodes.iter().flat_map(|node| &node.disk.unsynced);
+        let numbers: Vec<u64> = envelopes.chain(writes.map(|write| write.number)).collect();
+        let mut sorted = numbers.clone();
+        sorted.sort_unstable();
+        let rank = |number: &u64| sorted.partition_point(|other| other < number) as u64;
+        numbers.iter().map(rank).collect()
+    }
+
+    /// Who takes frames at an address.
+    fn party_at(&self, address: std::net::SocketAddr) -> Option<Party> {
+        let node = self.nodes.iter().position(|node| node.address == address);
+        let reader = self.readers.iter().position(|reader| reader.address == address);
+        node.map(Party::Node).or(reader.map(Party::Reader))
+    }
+
+    /// Starts a node with what its disk holds.
+    fn start(&mut self, number: usize) {
+        let seeds: Vec<_> =
+            (0..self.settings.nodes).map(|n| super::node::address_of(n, 0)).collect();
+        let node = Arc::make_mut(&mut self.nodes[number]);
+        node.lives += 1;
+        // A node with an empty disk draws a new id.
+        let fresh = NodeId(10 * node.lives + number as u64 + 1);
+        let kept = node.disk.synced.entry(topazyard_wire::Group::Node).or_default();
+        let id = kept.get("id").and_then(|id| topazyard_wire::rows::decode(id)).unwrap_or(fresh);
+        kept.insert("id".to_owned(), topazyard_wire::rows::encode(&id));
+        node.id = id;
+        let member = Member {
+            id,
+            name: Some(format!("n{number}")),
+            address: node.address,
+            http: None,
+            duty: Duty::Control,
+            domain: format!("domain-{number}").as_str().into(),
+        };
+        let bounds = topazyard_spec::Bounds {
+            lost_machines: self.settings.losses,
+            ..topazyard_spec::Bounds::default()
+        };
+        let start = topazyard_wire::driver::DiskStart {
+            resources: topazyard_spec::Resources::default(),
+            member,
+            seeds,
+            chance: (node.lives << 40) + ((number as u64) << 32) + 1,
+            loaded: node.disk.synced.clone(),
+            bounds,
+            may_found: self.founding,
+        };
+        let (machine, effects) = topazyard_control::ControlMachine::new(start, self.now);
+        node.machine = Some(machine);
+        self.carry_out(number, effects);
+    }
+}
--- /dev/null
+++ b/fleet-simulator/tests/model.rs
@@ -0,0 +1,195 @@
+//! The control side under chosen and random orders of events, and each invariant gone red by a
+//! planted fault.
+
+use fleet_simulator::model::walk::walk;
+use fleet_simulator::model::{Action, Invariant, Party, Plant, Settings, World, network};
+use fleet_simulator::model::{replay, shrink};
+
+/// Steps of a walk.
+const STEPS: usize = 1_500;
+/// Seeds tried until a planted fault shows.
+const PLANT_SEEDS: std::ops::RangeInclusive<u64> = 1..=400;
+
+fn cross_nothing(settings: Settings, seeds: std::ops::RangeInclusive<u64>) {
+    for seed in seeds {
+        let walk = walk(settings, seed, STEPS);
+        assert_eq!(walk.violation, None, "seed {seed} of {settings:?}");
+    }
+}
+
+fn goes_red(plant: Plant, invariant: Invariant) {
+    let clean = Settings::of(3);
+    let planted = Settings { plant: Some(plant), watched: Some(invariant), ..clean };
+    let shows = |seed: &u64| walk(planted, *seed, STEPS).violation.is_some();
+    let seed = PLANT_SEEDS.into_iter().find(shows);
+    let seed = seed.unwrap_or_else(|| panic!("{plant:?} was not seen as {invariant:?}"));
+    let violation = walk(clean, seed, STEPS).violation;
+    assert_eq!(violation, None, "seed {seed} crosses an invariant without any plant");
+}
+
+#[test]
+fn a_founded_fleet_takes_orders_at_every_node() {
+    for nodes in 2..=5 {
+        for node in 0..nodes {
+            let order = Action::Order { operator: 0, node, skip: 0 };
+            let actions = [vec![order], vec![Action::Next; 40]].concat();
+            let world = replay(Settings::of(nodes), &actions);
+            assert_eq!(world.violation(), None);
+            assert_eq!(world.newest_acknowledged().0, 2, "{nodes} nodes, asked at {node}");
+        }
+    }
+}
+
+#[test]
+fn walks_of_three_nodes_cross_nothing() {
+    cross_nothing(Settings::of(3), 1..=250);
+}
+
+#[test]
+fn walks_of_two_four_and_five_nodes_cross_nothing() {
+    cross_nothing(Settings::of(2), 1..=30);
+    cross_nothing(Settings::of(4), 1..=60);
+    cross_nothing(Settings::of(5), 1..=100);
+}
+
+#[test]
+fn walks_with_beats_under_way_cross_nothing() {
+    cross_nothing(Settings { beats_at_once: false, ..Settings::of(3) }, 1..=60);
+}
+
+#[test]
+fn a_seed_gives_the_same_walk_again() {
+    let settings = Settings::of(3);
+    assert_eq!(walk(settings, 7, STEPS).actions, walk(settings, 7, STEPS).actions);
+    assert_ne!(walk(settings, 7, STEPS).actions, walk(settings, 8, STEPS).actions);
+}
+
+#[test]
+fn a_walk_that_crosses_is_shortened() {
+    let settings = Settings { plant: Some(Plant::RefuseTaken), ..Settings::of(3) };
+    let walked = walk(settings, 2, STEPS);
+    let violation = walked.violation.expect("a refusal of what was taken");
+    let short = shrink::shrink(settings, &walked.actions, violation.invariant);
+    assert!(short.len() < 40, "{} of {} actions", short.len(), walked.actions.len());
+    let seen = replay(settings, &short).violation().map(|violation| violation.invariant);
+    assert_eq!(seen, Some(violation.invariant));
+}
+
+#[test]
+fn a_witness_that_forgets_its_vote_is_seen() {
+    goes_red(Plant::ForgetVotes, Invariant::OneRecord);
+}
+
+#[test]
+fn two_primaries_of_an_epoch_are_seen() {
+    goes_red(Plant::ForgetVotes, Invariant::OnePrimary);
+}
+
+#[test]
+fn an_acknowledgement_before_the_sync_is_seen() {
+    goes_red(Plant::SyncedEarly, Invariant::Kept);
+}
+
+#[test]
+fn half_a_configuration_is_seen() {
+    goes_red(Plant::TornWrite, Invariant::Whole);
+}
+
+#[test]
+fn a_refused_order_in_force_is_seen() {
+    goes_red(Plant::RefuseTaken, Invariant::RefusedStays);
+}
+
+#[test]
+fn a_refusal_of_a_taken_order_is_seen() {
+    goes_red(Plant::RefuseAgain, Invariant::TakenStays);
+}
+
+#[test]
+fn two_contents_of_a_number_are_seen() {
+    goes_red(Plant::TakeRefused, Invariant::OneContent);
+}
+
+#[test]
+fn a_reader_that_is_shown_the_past_is_seen() {
+    goes_red(Plant::OldNews, Invariant::NeverBack);
+}
+
+#[test]
+fn an_old_answer_to_a_read_is_seen() {
+    goes_red(Plant::OldSource, Invariant::Fresh);
+}
+
+#[test]
+fn a_decision_of_a_node_alone_is_seen() {
+    goes_red(Plant::ForgeConfirmations, Invariant::AloneDecidesNothing);
+}
+
+/// Lets what happens by itself go on until something holds, for so long at most.
+fn until(world: &mut World, most_ms: u64, holds: impl Fn(&World) -> bool) {
+    let end = world.now().0 + most_ms;
+    while !holds(world) && world.now().0 < end {
+        world.apply(&Action::Next);
+    }
+}
+
+fn pass(world: &mut World, ms: u64) {
+    until(world, ms, |_| false);
+}
+
+fn under_way(world: &World, label: &str) -> Vec<fleet_simulator::model::Letter> {
+    let letters = network::letters(world.envelopes());
+    letters.into_iter().filter(|letter| letter.label == label).collect()
+}
+
+/// An order is acknowledged by a primary and a backup that was not told yet which record was
+/// decided; the primary loses its disk, and the backup of the epoch before asks for the same epoch.
+fn a_backup_that_confirmed_is_copied_over() -> World {
+    let mut world = World::founded(Settings::of(3));
+    world.apply(&Action::Kill { node: 1, kept: 0 });
+    world.apply(&Action::Order { operator: 0, node: 0, skip: 0 });
+    until(&mut world, 5_000, |world| world.newest_acknowledged().0 == 2);
+    world.apply(&Action::Wipe(0));
+    world.apply(&Action::Calm);
+    world
+}
+
+/// A primary that claims copies to its old backup, which has taken so many ranges when both end.
+/// The backup starts again, with the third node.
+fn a_copy_is_left_half_in_step(ranges: usize) -> World {
+    let mut world = World::founded(Settings::of(3));
+    world.apply(&Action::Kill { node: 2, kept: 0 });
+    world.apply(&Action::Order { operator: 0, node: 0, skip: 0 });
+    // The backup never takes the batch, and is heard to run.
+    world.apply(&Action::Cut(0, 1));
+    until(&mut world, 5_000, |world| world.now().0 > 86_400_000 + 2_400);
+    world.apply(&Action::Heal);
+    until(&mut world, 5_000, |world| !under_way(world, "Range").is_empty());
+    let copied = under_way(&world, "Range");
+    for letter in copied.iter().rev().take(copied.len().saturating_sub(ranges)) {
+        assert_eq!(letter.to, Party::Node(1));
+        world.apply(&Action::Lose(*letter));
+    }
+    until(&mut world, 100, |world| under_way(world, "Range").is_empty());
+    let kept = world.nodes()[1].disk.unsynced.len();
+    world.apply(&Action::Kill { node: 1, kept });
+    world.apply(&Action::Kill { node: 0, kept: 0 });
+    world.apply(&Action::Restart(1));
+    world.apply(&Action::Restart(2));
+    pass(&mut world, 8_000);
+    world
+}
+
+#[test]
+fn runs_that_crossed_an_invariant_cross_none() {
+    let mut crossed = Vec::new();
+    let mut look = |name: &str, world: World| {
+        crossed.extend(world.violation().map(|violation| format!("{name}: {violation}")));
+    };
+    look("a backup that confirmed is copied over", a_backup_that_confirmed_is_copied_over());
+    for ranges in 1..6 {
+        let name = format!("a copy is left in step in {ranges} ranges");
+        look(&name, a_copy_is_left_half_in_step(ranges));
+    }
+    assert!(crossed.is_empty(), "{crossed:#?}");
+}
--- a/libraries/topazyard-cohort/src/cohort.rs
+++ b/libraries/topazyard-cohort/src/cohort.rs
@@ -28,7 +28,7 @@
 /// A message and where it goes.
 pub type Outgoing = (std::net::SocketAddr, CohortMessage);
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Probe {
     nonce: u64,
     target: NodeId,
@@ -38,7 +38,7 @@
 }
 
 /// A probe made for another member.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Errand {
     nonce: u64,
     asker: std::net::SocketAddr,
@@ -47,7 +47,7 @@
 }
 
 /// What one node knows of the fleet.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Cohort {
     own: News,
     roll: Roll,
--- a/libraries/topazyard-cohort/src/gossip.rs
+++ b/libraries/topazyard-cohort/src/gossip.rs
@@ -6,7 +6,7 @@
 const PIECES: usize = 8;
 
 /// News that still travels.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Gossip {
     travelling: Vec<(News, u32)>,
 }
--- a/libraries/topazyard-cohort/src/roll.rs
+++ b/libraries/topazyard-cohort/src/roll.rs
@@ -18,7 +18,7 @@
 }
 
 /// All members known, in the order in which they were learned.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Roll {
     pub(crate) members: indexmap::IndexMap<NodeId, Known>,
 }
--- a/libraries/topazyard-replication/src/epoch/propose.rs
+++ b/libraries/topazyard-replication/src/epoch/propose.rs
@@ -7,7 +7,7 @@
 const AGAIN: DurationMs = DurationMs(400);
 
 /// A proposal that is under way.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Proposal {
     me: NodeId,
     base: EpochRecord,
@@ -17,7 +17,7 @@
     stage: Stage,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 enum Stage {
     Preparing {
         promised: std::collections::BTreeSet<NodeId>,
--- a/libraries/topazyard-replication/src/epoch/witness.rs
+++ b/libraries/topazyard-replication/src/epoch/witness.rs
@@ -10,7 +10,7 @@
 type Vote = (Ballot, Option<(Ballot, EpochRecord)>);
 
 /// A witness. All it says must wait until what it wrote is synced.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Witness {
     record: Option<EpochRecord>,
     vote: Vote,
--- a/libraries/topazyard-replication/src/follower.rs
+++ b/libraries/topazyard-replication/src/follower.rs
@@ -15,7 +15,7 @@
 const LOOKING_PATIENCE: DurationMs = DurationMs(150);
 
 /// An asking that waits for its return.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Asked {
     nonce: u64,
     at: MonotonicMs,
@@ -23,7 +23,7 @@
 }
 
 /// Follows the feed from one of several nodes.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Follower {
     copy: crate::Copy,
     sources: Vec<std::net::SocketAddr>,
--- a/libraries/topazyard-replication/src/pair/follow.rs
+++ b/libraries/topazyard-replication/src/pair/follow.rs
@@ -5,7 +5,7 @@
 use topazyard_wire::message::pair::PairBody;
 
 /// What a follower keeps of its primary.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Follow {
     pub(super) primary: NodeId,
     pub(super) heard: MonotonicMs,
@@ -18,7 +18,7 @@
 }
 
 /// The primary's digests, while ranges are fetched.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Compared {
     round: u64,
     sequence: Sequence,
--- a/libraries/topazyard-replication/src/pair/lead.rs
+++ b/libraries/topazyard-replication/src/pair/lead.rs
@@ -22,7 +22,7 @@
 const LONGEST_PAUSE: DurationMs = DurationMs(1_500);
 
 /// Whether the primary may commit.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum Phase {
     /// It may not yet: a backup's copy is being compared, or backups are missing.
     Comparing,
@@ -33,7 +33,7 @@
 }
 
 /// A comparison that is under way.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Comparison {
     round: u64,
     begun: MonotonicMs,
@@ -57,7 +57,7 @@
 }
 
 /// A backup, as its primary knows it.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Backup {
     node: CoreNode,
     state: BackupState,
@@ -66,7 +66,7 @@
 }
 
 /// Whether a backup follows batch by batch.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 enum BackupState {
     /// Its copy is being compared, since then.
     Comparing(Option<Comparison>, MonotonicMs),
@@ -92,14 +92,14 @@
 }
 
 /// A node that is being given a copy.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Learner {
     node: CoreNode,
     learning: Learning,
 }
 
 /// How far a learner is.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 enum Learning {
     /// It fetches while the primary goes on.
     Fetching(Option<Comparison>),
@@ -110,7 +110,7 @@
 }
 
 /// A batch that is being synced on every copy.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Batch {
     round: u64,
     sequence: Sequence,
@@ -122,7 +122,7 @@
 }
 
 /// What a primary keeps.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Lead {
     backups: Vec<Backup>,
     learners: Vec<Learner>,
--- a/libraries/topazyard-replication/src/pair/mod.rs
+++ b/libraries/topazyard-replication/src/pair/mod.rs
@@ -47,7 +47,7 @@
 }
 
 /// What a node is to a group in an epoch.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 enum Role {
     /// Nothing.
     Idle,
@@ -71,7 +71,7 @@
 }
 
 /// One node's part in a group.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Pair {
     group: Group,
     durable: bool,
--- a/libraries/topazyard-wire/src/driver/disked.rs
+++ b/libraries/topazyard-wire/src/driver/disked.rs
@@ -69,7 +69,7 @@
 }
 
 /// Where control nodes were when they were last heard of, so that old seeds strand nobody.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Remembered(Vec<std::net::SocketAddr>);
 
 impl Remembered {
--- a/programs/topazyard-control/src/machine/claim.rs
+++ b/programs/topazyard-control/src/machine/claim.rs
@@ -15,7 +15,7 @@
 const LOOK_AGAIN: DurationMs = DurationMs(100);
 
 /// A claim that is under way.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Claim {
     base: EpochRecord,
     learners: Vec<CoreNode>,
--- a/programs/topazyard-control/src/machine/core.rs
+++ b/programs/topazyard-control/src/machine/core.rs
@@ -23,7 +23,7 @@
 }
 
 /// What is known of the other core nodes.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct CoreView {
     pub(crate) heard: std::collections::BTreeMap<NodeId, Heard>,
     last_beat: MonotonicMs,
--- a/programs/topazyard-control/src/machine/listing.rs
+++ b/programs/topazyard-control/src/machine/listing.rs
@@ -10,7 +10,7 @@
 const LOST_AFTER: DurationMs = DurationMs(3_000);
 
 /// The duty as this node keeps it.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Listing {
     /// How often the list is read; never where the platform hands it in.
     every: Option<DurationMs>,
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -49,6 +49,7 @@
 pub(crate) type Out = Vec<Effect<OperateOutcome, ControlTask>>;
 
 /// One control node.
+#[derive(Debug, Clone)]
 pub struct ControlMachine {
     pub(crate) me: CoreNode,
     pub(crate) life: topazyard_types::Life,
@@ -80,7 +81,7 @@
 }
 
 /// What must wait until a write of this node's own rows is synced.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) enum AfterWrite {
     /// Say this.
     Say(std::net::SocketAddr, CoreMessage),
@@ -89,7 +90,7 @@
 }
 
 /// Who waits for a ticket.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) enum Waiting {
     /// A follower of the feed.
     Follower { to: std::net::SocketAddr, nonce: u64, after: topazyard_types::Place },
@@ -157,6 +158,16 @@
         self.pair.is_serving()
     }
 
+    /// The newest record decided, as far as this node knows.
+    pub fn record(&self) -> Option<&topazyard_wire::message::control::EpochRecord> {
+        self.witness.record()
+    }
+
+    /// The control state as this node holds it, committed or not.
+    pub fn copy(&self) -> &Copy {
+        self.pair.copy()
+    }
+
     pub(crate) fn next_ticket(&mut self) -> Ticket {
         self.last_ticket += 1;
         self.last_ticket
--- a/programs/topazyard-control/src/machine/operate.rs
+++ b/programs/topazyard-control/src/machine/operate.rs
@@ -27,7 +27,7 @@
     Listing,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct PassedOn {
     origin: Origin,
     is_command: bool,
@@ -35,7 +35,7 @@
 }
 
 /// Calls that wait.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct OperateInbox {
     commands: std::collections::VecDeque<(Origin, Command, MonotonicMs)>,
     passed_on: std::collections::BTreeMap<u64, PassedOn>,
--- a/programs/topazyard-control/src/machine/tuning.rs
+++ b/programs/topazyard-control/src/machine/tuning.rs
@@ -30,7 +30,7 @@
 }
 
 /// What this node keeps while the duty is its own.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Tuning {
     last: MonotonicMs,
     loads: Vec<EngineLoad>,
--- a/programs/topazyard-control/src/machine/vitals.rs
+++ b/programs/topazyard-control/src/machine/vitals.rs
@@ -14,7 +14,7 @@
 /// For how long a slow disk stays marked.
 const SLOW_FOR: DurationMs = DurationMs(15_000);
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct SeenNode {
     pub(crate) vitals: Vitals,
     pub(crate) at: MonotonicMs,
@@ -22,7 +22,7 @@
 }
 
 /// What was last heard of each follower.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Seen {
     pub(crate) nodes: std::collections::BTreeMap<NodeId, SeenNode>,
 }
