--- a/libraries/topazyard-replication/src/pair/follow.rs
+++ b/libraries/topazyard-replication/src/pair/follow.rs
@@ -5,7 +5,7 @@
 use topazyard_wire::message::pair::{PairBody, RangePart};
 
 /// What a follower keeps of its primary.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Follow {
     pub(super) primary: NodeId,
     pub(super) heard: MonotonicMs,
@@ -25,7 +25,7 @@
 
 /// The primary's digests, while ranges are fetched. The copy itself stays as it is until all
 /// that differs is here: a copy that is half the old and half the new would pass for either.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Compared {
     round: u64,
     sequence: Sequence,
@@ -37,13 +37,13 @@
 }
 
 /// The parts of one range that arrived.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Arriving {
     parts: std::collections::BTreeMap<u32, Vec<(String, bytes::Bytes)>>,
 }
 
 /// A range that arrived whole.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Fetched {
     /// The digest of what the primary holds there.
     digest: Digest,
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -50,6 +50,7 @@
 pub(crate) type Out = Vec<Effect<OperateOutcome, ControlTask>>;
 
 /// One control node.
+#[derive(Debug, Clone)]
 pub struct ControlMachine {
     pub(crate) me: CoreNode,
     pub(crate) life: topazyard_types::Life,
@@ -81,7 +82,7 @@
 }
 
 /// What must wait until a write of this node's own rows is synced.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) enum AfterWrite {
     /// Say this.
     Say(std::net::SocketAddr, CoreMessage),
@@ -90,7 +91,7 @@
 }
 
 /// Who waits for a ticket.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) enum Waiting {
     /// A follower of the feed.
     Follower { to: std::net::SocketAddr, nonce: u64, after: topazyard_types::Place },
@@ -159,6 +160,11 @@
         self.pair.is_serving()
     }
 
+    /// What this node holds of the control state.
+    pub fn copy(&self) -> &Copy {
+        self.pair.copy()
+    }
+
     /// The newest record of the control state's holders that this node knows.
     pub fn record(&self) -> Option<&EpochRecord> {
         self.witness.record()
