Replace a control node that ends in order before it goes; one source for a learner

Now it says so to all control nodes, counts as gone at once, and ends once a record does without it, if enough others are heard, or after 35 in 100 of the bound on contact. - A learner kept the source it followed first, whichever member that was; of two claimers each could hold a learner that the other needed. A member whose turn is earlier now goes first, as long as it hears the learner.

Ruled out: waiting for the silence of a leaver in the claim itself (the process is gone by then, and a second loss may come before).

--- a/libraries/topazyard-wire/src/message/control.rs
+++ b/libraries/topazyard-wire/src/message/control.rs
@@ -138,11 +138,8 @@
         /// Under which ballot.
         ballot: Ballot,
     },
-    /// The primary of this epoch ends in order: its backup may take over at once.
-    Leaving {
-        /// The epoch.
-        epoch: Epoch,
-    },
+    /// The sender is about to end: others may stand in its place at once.
+    Leaving,
     /// Refused: a higher ballot was promised.
     Outbid {
         /// The epoch that is being decided.
--- a/programs/topazyard-control/src/machine/claim.rs
+++ b/programs/topazyard-control/src/machine/claim.rs
@@ -56,38 +56,16 @@
             return silent.is_some_and(|since| now.since(since) >= self.patience.backup)
                 || self.pair.oldest_write(now) >= self.patience.write
                 || (self.pair.is_serving() && self.next_witnesses(record, &[], now).is_some())
+                || record.backups.iter().any(|node| self.core.is_leaving(node.id))
                 || (record.backups.len() < self.backups()
                     && self.others_heard(now).count() >= self.backups());
         }
         let silent = self.pair.heard_primary();
-        self.holds_all(record) && silent.is_some_and(|at| now.since(at) >= patience)
-    }
-
-    /// A primary that ends in order says so to the backup whose turn is next.
-    pub(super) fn say_leaving(&self, out: &mut Out) {
-        let Some(record) = self.witness.record() else { return };
-        let Some(next) = record.backups.first() else { return };
-        if self.pair.is_serving() && record.primary.id == self.me.id {
-            let message = Message::Core(CoreMessage::Leaving { epoch: record.epoch });
-            out.push(Effect::Send { to: next.address, message });
-        }
-    }
-
-    /// The primary ends: ask at once rather than after its silence. Whoever leads next, the
-    /// witnesses decide, so that a word that comes late does no harm.
-    pub(super) fn hear_leaving(
-        &mut self,
-        sender: NodeId,
-        epoch: topazyard_types::Epoch,
-        now: MonotonicMs,
-        out: &mut Out,
-    ) {
-        let Some(record) = self.witness.record() else { return };
-        let is_ours = record.epoch == epoch && record.primary.id == sender;
-        let may_ask = record.turn(self.me.id) == Some(1) && self.holds_all(record);
-        if is_ours && may_ask && self.claim.is_none() && self.claimed <= epoch {
-            self.begin_claim(now, out);
-        }
+        let is_next = record.backups.iter().find(|node| !self.core.is_leaving(node.id));
+        let follows_leaver = self.core.is_leaving(record.primary.id)
+            && is_next.is_some_and(|node| node.id == self.me.id);
+        self.holds_all(record)
+            && (follows_leaver || silent.is_some_and(|at| now.since(at) >= patience))
     }
 
     /// Whether this backup's copy holds all that was ever answered up to that record.
@@ -97,18 +75,20 @@
     }
 
     /// The other core nodes that are heard.
-    fn others_heard(&self, now: MonotonicMs) -> impl Iterator<Item = CoreNode> {
+    pub(super) fn others_heard(&self, now: MonotonicMs) -> impl Iterator<Item = CoreNode> {
         let heard = self.core.heard.values().map(|seen| seen.node);
         heard.filter(move |node| node.id != self.me.id && self.core.is_heard(node.id, now))
     }
 
     fn begin_claim(&mut self, now: MonotonicMs, out: &mut Out) {
         let Some(base) = self.witness.record().cloned() else { return };
-        let silent = if base.primary.id == self.me.id {
+        let mut silent = if base.primary.id == self.me.id {
             self.pair.silent_backups(self.patience.backup, now)
         } else {
             vec![base.primary.id]
         };
+        silent
+            .extend(base.backups.iter().map(|node| node.id).filter(|id| self.core.is_leaving(*id)));
         self.pair.stop_answering();
         self.claimed = base.epoch.next();
         let row = RowChange::put(CLAIMED_KEY, &self.claimed);
@@ -301,14 +281,31 @@
             self.claim = None;
         }
         // One source at a time, so that two copies don't mix for long.
-        // A source that doesn't hear this node can't bring its copy to an end.
-        let follows_other = self.pair.epoch() == message.epoch
-            && self.pair.heard_primary().is_some_and(|at| now.since(at) < self.patience.learner)
-            && self.pair.primary().is_some_and(|source| self.core.is_heard_by(source));
-        if follows_other && !self.pair.follows(sender) {
+        if self.keeps_source(record, sender, message.epoch, now) {
             return;
         }
         let outputs = self.pair.become_follower(message.epoch, sender, now);
         self.take_pair(outputs, now, out);
     }
+
+    /// Whether this node goes on being filled by another member than the one that asks now: one
+    /// source at a time, or none would ever be done. A member whose turn is earlier goes first. A
+    /// source that doesn't hear this node can't bring its copy to an end.
+    fn keeps_source(
+        &self,
+        record: &EpochRecord,
+        asks: NodeId,
+        epoch: topazyard_types::Epoch,
+        now: MonotonicMs,
+    ) -> bool {
+        let Some(source) = self.pair.primary().filter(|source| *source != asks) else {
+            return false;
+        };
+        let heard = self.pair.heard_primary();
+        let is_filling = self.pair.epoch() == epoch
+            && heard.is_some_and(|at| now.since(at) < self.patience.learner)
+            && self.core.is_heard_by(source);
+        let is_earlier = record.turn(asks) < record.turn(source) && self.core.is_heard_by(asks);
+        is_filling && !is_earlier
+    }
 }
--- a/programs/topazyard-control/src/machine/core.rs
+++ b/programs/topazyard-control/src/machine/core.rs
@@ -10,6 +10,8 @@
 const BEAT_EVERY: DurationMs = DurationMs(250);
 /// Within which time a core node counts as heard.
 pub(super) const HEARD_WITHIN: DurationMs = DurationMs(1_000);
+/// After how long it is forgotten that a node said that it ends: by then its silence says so.
+const FORGET_AFTER: DurationMs = DurationMs(60_000);
 
 /// A core node as it was last heard.
 #[derive(Debug, Clone)]
@@ -29,6 +31,8 @@
 pub(crate) struct CoreView {
     pub(crate) heard: std::collections::BTreeMap<NodeId, Heard>,
     last_beat: MonotonicMs,
+    /// Nodes that said that they end, with when they last said so.
+    leaving: std::collections::BTreeMap<NodeId, MonotonicMs>,
     /// Since when this process watches, so that silence is not counted from before.
     pub(crate) watching_since: Option<MonotonicMs>,
 }
@@ -36,12 +40,24 @@
 impl CoreView {
     /// Whether a node was heard lately.
     pub(crate) fn is_heard(&self, id: NodeId, now: MonotonicMs) -> bool {
-        self.heard.get(&id).is_some_and(|heard| now.since(heard.at) < HEARD_WITHIN)
+        !self.leaving.contains_key(&id)
+            && self.heard.get(&id).is_some_and(|heard| now.since(heard.at) < HEARD_WITHIN)
+    }
+
+    /// Takes a node's word that it ends. It counts as gone at once.
+    pub(crate) fn take_leaving(&mut self, id: NodeId, now: MonotonicMs) {
+        self.leaving.retain(|_, said| now.since(*said) < FORGET_AFTER);
+        self.leaving.insert(id, now);
+    }
+
+    /// Whether a node said that it ends.
+    pub(crate) fn is_leaving(&self, id: NodeId) -> bool {
+        self.leaving.contains_key(&id)
     }
 
     /// The other nodes that were heard lately.
     pub(crate) fn heard_lately(&self, now: MonotonicMs) -> impl Iterator<Item = &Heard> {
-        self.heard.values().filter(move |heard| now.since(heard.at) < HEARD_WITHIN)
+        self.heard.values().filter(move |heard| self.is_heard(heard.node.id, now))
     }
 
     /// Whether a node hears this one, as it said last.
@@ -54,8 +70,16 @@
         self.watching_since.map_or(DurationMs(0), |since| now.since(since))
     }
 
+    /// A node is heard: if it said that it ends, and no longer says so, it has come back.
+    fn returned(&mut self, id: NodeId, now: MonotonicMs) {
+        self.leaving.retain(|other, said| *other != id || now.since(*said) < HEARD_WITHIN);
+    }
+
     /// For how long a node has not been heard.
     pub(crate) fn silence(&self, id: NodeId, now: MonotonicMs) -> DurationMs {
+        if self.is_leaving(id) {
+            return DurationMs(u64::MAX);
+        }
         let since = self.heard.get(&id).map(|heard| heard.at).or(self.watching_since);
         since.map_or(DurationMs(0), |since| now.since(since))
     }
@@ -153,6 +177,7 @@
                     zone,
                 };
                 self.core.heard.insert(sender, seen);
+                self.core.returned(sender, now);
                 if let Some(record) = record {
                     self.learn_record(&record, now, out);
                 }
@@ -165,7 +190,7 @@
                 self.learn_base(&base, now, out);
                 self.vote(from, |witness| witness.accept(&base, ballot, record), out);
             }
-            CoreMessage::Leaving { epoch } => self.hear_leaving(sender, epoch, now, out),
+            CoreMessage::Leaving => self.hear_leaving(sender, now, out),
             CoreMessage::Promise { .. }
             | CoreMessage::Accepted { .. }
             | CoreMessage::Outbid { .. } => self.hear_witness(sender, from, &message, now, out),
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -5,6 +5,7 @@
 mod core;
 mod feed;
 mod founding;
+mod leaving;
 mod listing;
 mod operate;
 mod patience;
@@ -72,6 +73,7 @@
     listing: listing::Listing,
     /// The proposal of a new fleet's first record, while this node asks for it.
     pub(crate) founding: Option<topazyard_replication::Proposal>,
+    leaving: Option<leaving::Leaving>,
     pub(crate) serving_since: Option<MonotonicMs>,
     after_write: std::collections::BTreeMap<u64, Vec<AfterWrite>>,
     last_write: u64,
@@ -137,6 +139,7 @@
             tuning: tuning::Tuning::default(),
             listing: listing::Listing::default(),
             founding: None,
+            leaving: None,
             serving_since: None,
             after_write: std::collections::BTreeMap::new(),
             last_write: 0,
@@ -307,6 +310,7 @@
         self.remember_addresses(out);
         self.core_beat(now, out);
         self.claim_beat(now, out);
+        self.leaving_tick(now, out);
         let outputs = self.pair.beat(now);
         self.take_pair(outputs, now, out);
         self.operate_beat(now, out);
@@ -373,9 +377,7 @@
                 self.take_list(list, now, &mut out);
             }
             Input::Call { call, request: ControlCall::Leave } => {
-                self.say_leaving(&mut out);
-                let value = OperateOutcome::Done(String::new());
-                out.push(Effect::Return { call, value });
+                self.begin_leaving(call, now, &mut out);
             }
             Input::Call { request: ControlCall::Seeds(seeds), .. } => {
                 self.seeds.clone_from(&seeds);
--- a/programs/topazyard-control/src/machine/patience.rs
+++ b/programs/topazyard-control/src/machine/patience.rs
@@ -26,6 +26,8 @@
     pub(crate) down: DurationMs,
     /// After how long without a word it counts as down whatever the cohort says.
     pub(crate) surely_down: DurationMs,
+    /// How long a node that is about to end waits until others stand in its place.
+    pub(crate) leaving: DurationMs,
     /// How long a primary listens before it places anything.
     pub(crate) settle: DurationMs,
 }
@@ -42,6 +44,7 @@
             learner: contact(50),
             down: contact(40),
             surely_down: contact(100),
+            leaving: contact(35),
             settle: contact(35),
         }
     }
--- a/programs/topazyard-control/src/run.rs
+++ b/programs/topazyard-control/src/run.rs
@@ -50,10 +50,12 @@
 
 /// For how long a process that ends lets its last word go out.
 const LAST_WORD: std::time::Duration = std::time::Duration::from_millis(50);
+/// The longest that a process that ends waits to be replaced, whatever the machine says.
+const LEAVE_LIMIT: std::time::Duration = std::time::Duration::from_millis(2_500);
 
-/// Lets the backup know before the process ends.
+/// Lets the others stand in this node's place before the process ends.
 async fn leave(handle: &Handle) {
-    let said = tokio::time::timeout(LAST_WORD, handle.call(crate::ControlCall::Leave)).await;
+    let said = tokio::time::timeout(LEAVE_LIMIT, handle.call(crate::ControlCall::Leave)).await;
     if said.is_ok() {
         tokio::time::sleep(LAST_WORD).await;
     }
