Never refuse an order that was taken, nor take one that was refused

Cause: only the 64 newest texts were remembered, by count and not by bytes. An order older than these was refused as stale when it came again, and 64 configurations of 4 MB with their texts outgrow a control node's memory (256 MB) and disk (128 MB). Submissions were not bounded at all. A resent submission, sign-off or roll-out was refused. A base above the newest version was refused, although the order would be taken once the order below it had come. A copy of a refused retirement that came late was taken once there was room, and an answer counted from whoever sent it.

Older numbers are neither acknowledged nor refused. Texts are kept within an eighth of both, the one in force always.

Refusals of a spec hold for good, as they rest on versions that only rise and on the text: a late copy of one needs no guard. Other commands are worked on only while the node that passed them on says that the caller waits, for one copy alone, within 700 ms of its coming; that word counts 150 ms from when it was asked for. No clocks are compared, and both together are less than the 900 ms after which the operator goes on.

Ruled out: an age that travels with the order. What it spent on its way can't be told without clocks in step. Numbers remembered by the primary: a new one knows none.

--- a/libraries/topazyard-wire/src/message/operate.rs
+++ b/libraries/topazyard-wire/src/message/operate.rs
@@ -19,6 +19,19 @@
         /// What came of it.
         outcome: OperateOutcome,
     },
+    /// Asked by the primary before it works on a command that must not be worked on late: does its
+    /// caller still wait?
+    ConfirmWaiting {
+        /// Of which asking.
+        id: u64,
+        /// The primary's own number for this copy of the command.
+        offer: u64,
+    },
+    /// The caller does, and no other copy of the command was confirmed.
+    StillWaiting {
+        /// Which copy.
+        offer: u64,
+    },
 }
 
 /// Anything that may be asked.
@@ -90,6 +103,32 @@
     },
 }
 
+impl Command {
+    /// Whether a copy that arrives late could still be taken although the command was refused or
+    /// overtaken: its refusals depend on what may change back. A spec's don't: versions only rise,
+    /// so what was once refused stays so, and one that was taken is known by its digest.
+    ///
+    /// ```
+    /// use topazyard_wire::message::operate::Command;
+    /// assert!(Command::RetireNamed("storage-1".into()).must_be_fresh());
+    /// assert!(!Command::SubmitSpec { base: Default::default(), text: "{}".into() }.must_be_fresh());
+    /// ```
+    pub fn must_be_fresh(&self) -> bool {
+        match self {
+            Self::SubmitSpec { .. } | Self::TakeSpec { .. } => false,
+            // This node's own duties: said again, or under an epoch.
+            Self::ListEngines(_) | Self::SetWeight { .. } => false,
+            Self::SignOff { .. }
+            | Self::RollOut { .. }
+            | Self::PutEngines { .. }
+            | Self::EmptyStorage(_)
+            | Self::RetireNamed(_)
+            | Self::AddStorage(_)
+            | Self::RetireStorage(_) => true,
+        }
+    }
+}
+
 /// What reads state.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Query {
--- a/libraries/topazyard-wire/src/state.rs
+++ b/libraries/topazyard-wire/src/state.rs
@@ -18,6 +18,13 @@
 pub const KNEE_PERCENT: u64 = 85;
 /// Rows of submitted specs start so; the feed leaves them out.
 pub const SPECS: &str = "spec/";
+/// Rows that remember which orders were taken start so; the feed leaves them out.
+pub const ORDERS: &str = "order/";
+/// The row of the newest version among the orders that are no longer remembered; the feed leaves it
+/// out.
+pub const ORDERS_FORGOTTEN: &str = "orders-forgotten";
+/// How many orders a row remembers.
+pub const ORDERS_IN_ROW: usize = 64;
 
 /// The key of a submitted spec; keys rise with the versions.
 ///
@@ -30,6 +37,22 @@
     format!("{SPECS}{:020}", version.0)
 }
 
+/// The key of the row that remembers orders from a version on; keys rise with the versions.
+pub fn orders_key(first: SpecVersion) -> String {
+    format!("{ORDERS}{:020}", first.0)
+}
+
+/// Whether followers of the feed are told of a row.
+///
+/// ```
+/// use topazyard_wire::state::{IN_FORCE, ORDERS_FORGOTTEN, is_fed};
+/// assert!(is_fed(IN_FORCE));
+/// assert!(!is_fed(ORDERS_FORGOTTEN) && !is_fed("spec/1") && !is_fed("order/1"));
+/// ```
+pub fn is_fed(key: &str) -> bool {
+    !(key.starts_with(SPECS) || key.starts_with(ORDERS) || key == ORDERS_FORGOTTEN)
+}
+
 /// The key of an engine.
 pub fn engine_key(name: &EngineName) -> String {
     format!("{ENGINES}{name}")
@@ -84,6 +107,22 @@
     pub source: Option<bytes::Bytes>,
 }
 
+/// An order that was taken: a digest tells it from another under the same version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct TakenOrder {
+    /// The version that it made.
+    pub version: SpecVersion,
+    /// The digest of what came.
+    pub digest: topazyard_types::Digest,
+}
+
+/// Orders that were taken one after another, the oldest first, [`ORDERS_IN_ROW`] at most.
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct OrdersRow {
+    /// The orders.
+    pub orders: Vec<TakenOrder>,
+}
+
 /// The spec in force.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct InForceRow {
--- a/programs/topazyard-control/src/machine/commands.rs
+++ b/programs/topazyard-control/src/machine/commands.rs
@@ -1,7 +1,8 @@
 //! What each command changes, judged against the committed state.
 
 use super::ControlMachine;
-use topazyard_types::{MonotonicMs, NodeId, SpecVersion};
+use super::orders::{Known, unclear};
+use topazyard_types::{Digest, MonotonicMs, NodeId, SpecVersion};
 use topazyard_wire::RowChange;
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::operate::Command;
@@ -14,8 +15,15 @@
 type Judged = Result<Done, ApiError>;
 type Done = (Vec<RowChange>, serde_json::Value);
 
-/// How many submitted specs are kept; older ones can't be read, signed or acknowledged again.
-const SPECS_KEPT: usize = 64;
+/// The digest that tells a submitted bundle from another.
+fn digest_of_submission(text: &str) -> Digest {
+    Digest::of(&[b"submitted", text.as_bytes()])
+}
+
+/// The digest that tells an order with its own version from another.
+fn digest_of_source(source: &[u8]) -> Digest {
+    Digest::of(&[b"source", source])
+}
 
 impl ControlMachine {
     pub(super) fn judge(&self, command: &Command, now: MonotonicMs) -> Judged {
@@ -44,18 +52,36 @@
         row.map(|row| row.version).unwrap_or_default()
     }
 
+    /// The text of a version. Where it was dropped nothing is known of how far it came.
     fn spec(&self, version: SpecVersion) -> Result<SpecRow, ApiError> {
-        let missing = || ApiError::not_run(Code::NotFound).at("version");
+        let missing = || match self.may_be_taken(version) {
+            true => unclear(),
+            false => ApiError::not_run(Code::NotFound).at("version"),
+        };
         self.pair.copy().get(&spec_key(version)).ok_or_else(missing)
     }
 
+    /// Refuses a base below the newest version for good, as versions only rise. One above it is to
+    /// come yet, or this node lags: an order on it could be taken later.
+    fn check_base(base: SpecVersion, newest: SpecVersion) -> Result<(), ApiError> {
+        match base.cmp(&newest) {
+            std::cmp::Ordering::Equal => Ok(()),
+            std::cmp::Ordering::Less => Err(ApiError::not_run(Code::StaleBase).at("base")),
+            std::cmp::Ordering::Greater => Err(unclear()),
+        }
+    }
+
     fn submit_spec(&self, base: SpecVersion, text: &str) -> Judged {
-        topazyard_spec::Bundle::read(text).map_err(ApiError::of_read)?;
-        let newest = self.newest_version();
-        if base != newest {
-            return Err(ApiError::not_run(Code::StaleBase).at("base"));
+        let version = SpecVersion(base.0.saturating_add(1));
+        let done = serde_json::json!({ "version": version });
+        let digest = digest_of_submission(text);
+        match self.known_order(version, digest) {
+            Known::Taken => return Ok((Vec::new(), done)),
+            Known::Forgotten => return Err(unclear()),
+            Known::NotTaken => {}
         }
-        let version = SpecVersion(newest.0 + 1);
+        topazyard_spec::Bundle::read(text).map_err(ApiError::of_read)?;
+        Self::check_base(base, self.newest_version())?;
         let row = SpecRow {
             version,
             base,
@@ -65,7 +91,10 @@
             source: None,
         };
         let change = RowChange::put(spec_key(version), &row);
-        Ok((vec![change], serde_json::json!({ "version": version })))
+        let mut changes = self.drop_old_texts(&change, self.version_in_force());
+        changes.push(change);
+        changes.extend(self.remember_order(version, digest));
+        Ok((changes, done))
     }
 
     /// Checks, takes and rolls out in one step. A source that was taken under its version before is
@@ -78,16 +107,15 @@
         source: &bytes::Bytes,
     ) -> Judged {
         let done = serde_json::json!({ "version": version, "in_force": true });
-        let taken: Option<SpecRow> = self.pair.copy().get(&spec_key(version));
-        if taken.is_some_and(|row| row.source.as_ref() == Some(source)) {
-            return Ok((Vec::new(), done));
+        let digest = digest_of_source(source);
+        match self.known_order(version, digest) {
+            Known::Taken => return Ok((Vec::new(), done)),
+            Known::Forgotten => return Err(unclear()),
+            Known::NotTaken => {}
         }
         let bundle = topazyard_spec::Bundle::read(text).map_err(ApiError::of_read)?;
-        let in_force: Option<InForceRow> = self.pair.copy().get(IN_FORCE);
-        let newest = in_force.map(|row| row.version).unwrap_or_default();
-        if base != newest {
-            return Err(ApiError::not_run(Code::StaleBase).at("base"));
-        }
+        let newest = self.version_in_force();
+        Self::check_base(base, newest)?;
         if version <= newest || version <= self.newest_version() {
             let reason = "a version is above all before it".to_owned();
             let fault = topazyard_spec::Fault {
@@ -105,9 +133,11 @@
             text: text.to_owned(),
             source: Some(source.clone()),
         };
-        let mut changes = vec![RowChange::put(spec_key(version), &row)];
+        let change = RowChange::put(spec_key(version), &row);
+        let mut changes = self.drop_old_texts(&change, version);
+        changes.push(change);
+        changes.extend(self.remember_order(version, digest));
         changes.extend(self.in_force(version, bundle));
-        changes.extend(self.old_specs());
         Ok((changes, done))
     }
 
@@ -130,12 +160,6 @@
         changes
     }
 
-    fn old_specs(&self) -> Vec<RowChange> {
-        let keys: Vec<&str> = self.pair.copy().with_prefix(SPECS).map(|(key, _)| key).collect();
-        let old = keys.len().saturating_sub(SPECS_KEPT);
-        keys[..old].iter().map(|key| RowChange::gone(*key)).collect()
-    }
-
     fn sign_off(&self, version: SpecVersion, by: &str) -> Judged {
         let row = self.spec(version)?;
         let done = serde_json::json!({ "version": version, "signed_by": by });
@@ -146,7 +170,9 @@
                 Ok((vec![RowChange::put(spec_key(version), &signed)], done))
             }
             // Said twice by the same person, as after a lost return.
-            SpecStage::Signed if row.signed_by.as_deref() == Some(by) => Ok((Vec::new(), done)),
+            SpecStage::Signed | SpecStage::RolledOut if row.signed_by.as_deref() == Some(by) => {
+                Ok((Vec::new(), done))
+            }
             SpecStage::Signed | SpecStage::RolledOut => {
                 Err(ApiError::not_run(Code::WrongState).at("version"))
             }
@@ -155,17 +181,22 @@
 
     fn roll_out(&self, version: SpecVersion) -> Judged {
         let row = self.spec(version)?;
-        let in_force: Option<InForceRow> = self.pair.copy().get(IN_FORCE);
-        let now_in_force = in_force.map(|row| row.version).unwrap_or_default();
-        let done = serde_json::json!({ "version": version, "in_force": true });
+        let now_in_force = self.version_in_force();
         match row.stage {
-            SpecStage::RolledOut if version == now_in_force => Ok((Vec::new(), done)),
+            // Said again, as after a lost return, maybe once another is in force.
+            SpecStage::RolledOut => {
+                let is_in_force = version == now_in_force;
+                let done = serde_json::json!({ "version": version, "in_force": is_in_force });
+                Ok((Vec::new(), done))
+            }
             SpecStage::Signed if version > now_in_force => {
                 let bundle = topazyard_spec::Bundle::read(&row.text).map_err(ApiError::of_read)?;
                 let rolled = SpecRow { stage: SpecStage::RolledOut, ..row };
-                let mut changes = vec![RowChange::put(spec_key(version), &rolled)];
+                let change = RowChange::put(spec_key(version), &rolled);
+                let mut changes = self.drop_old_texts(&change, version);
+                changes.push(change);
                 changes.extend(self.in_force(version, bundle));
-                changes.extend(self.old_specs());
+                let done = serde_json::json!({ "version": version, "in_force": true });
                 Ok((changes, done))
             }
             // Unsigned, or older than what is in force: an old text comes back as a new version.
--- a/programs/topazyard-control/src/machine/feed.rs
+++ b/programs/topazyard-control/src/machine/feed.rs
@@ -5,7 +5,7 @@
 use topazyard_wire::Effect;
 use topazyard_wire::message::Message;
 use topazyard_wire::message::feed::{FeedMessage, Matter};
-use topazyard_wire::state::SPECS;
+use topazyard_wire::state::is_fed;
 
 /// After how long without a return a follower that still asks counts as one that hears nothing.
 const DEAF_AFTER: DurationMs = DurationMs(1_000);
@@ -48,11 +48,11 @@
         let copy = self.pair.copy();
         let matter = match copy.changes_after(after) {
             Some(mut changes) => {
-                changes.retain(|change| !change.key.starts_with(SPECS));
+                changes.retain(|change| is_fed(&change.key));
                 Matter::Changes(changes)
             }
             None => {
-                let rows = copy.rows().iter().filter(|(key, _)| !key.starts_with(SPECS));
+                let rows = copy.rows().iter().filter(|(key, _)| is_fed(key));
                 Matter::View(rows.map(|(key, value)| (key.clone(), value.clone())).collect())
             }
         };
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -6,6 +6,7 @@
 mod feed;
 mod listing;
 mod operate;
+mod orders;
 mod patience;
 mod queries;
 mod tuning;
@@ -65,6 +66,7 @@
     pub(crate) waiting: std::collections::BTreeMap<Ticket, Waiting>,
     pub(crate) last_ticket: Ticket,
     pub(crate) operate: operate::OperateInbox,
+    order_bounds: orders::OrderBounds,
     pub(crate) seen: vitals::Seen,
     tuning: tuning::Tuning,
     listing: listing::Listing,
@@ -131,6 +133,7 @@
             waiting: std::collections::BTreeMap::new(),
             last_ticket: 0,
             operate: operate::OperateInbox::new(life),
+            order_bounds: orders::OrderBounds::within(&start.resources),
             seen: vitals::Seen::default(),
             tuning: tuning::Tuning::default(),
             listing: listing::Listing::default(),
@@ -371,11 +374,13 @@
                 Message::Pair(message) => self.receive_pair(sender, from, message, now, &mut out),
                 Message::Feed(message) => self.receive_feed(sender, from, message, now, &mut out),
                 Message::Wish(wish) => self.take_wish(sender, &wish, now),
-                Message::Operate(message) => self.receive_operate(from, message, now, &mut out),
+                Message::Operate(message) => {
+                    self.receive_operate(sender, from, message, now, &mut out);
+                }
                 Message::Counter(_) | Message::Parcel(_) | Message::Told(..) => {}
             },
         }
-        self.run_commands(now);
+        self.run_commands(now, &mut out);
         let outputs = self.pair.proceed(now);
         self.take_pair(outputs, now, &mut out);
         out
--- a/programs/topazyard-control/src/machine/operate.rs
+++ b/programs/topazyard-control/src/machine/operate.rs
@@ -1,7 +1,13 @@
 //! Operators' calls: taken at any control node, worked on by the primary, one command at a time.
+//!
+//! A copy of a command may travel longer than its caller waits: it may be doubled or held on its
+//! way, or wait here. The refusal of a spec holds for good, so a late copy of one does no harm. Any
+//! other command is worked on only while its caller is known to wait: the primary asks the node
+//! that passed it on, which says so of one copy alone, and the word counts for a short time from
+//! when it was asked for. No clocks are compared.
 
 use super::{ControlMachine, Out, Waiting};
-use topazyard_types::{CallId, DurationMs, MonotonicMs};
+use topazyard_types::{CallId, DurationMs, MonotonicMs, NodeId};
 use topazyard_wire::Effect;
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::Message;
@@ -11,8 +17,13 @@
 const INBOX: usize = 256;
 /// How long a call that was passed on may take.
 const PASSED_ON_LIMIT: DurationMs = DurationMs(4_000);
-/// How long a command or query may wait at the primary.
+/// How long a command whose refusal holds for good may wait at the primary.
 const QUEUED_LIMIT: DurationMs = DurationMs(4_000);
+/// How long after it came a node says of a command that its caller still waits.
+const CONFIRMS_WITHIN: DurationMs = DurationMs(700);
+/// How long after it asked for it that word counts at the primary. Together they are less than the
+/// 900 ms after which an operator is told that nothing is known.
+const CONFIRMED_FOR: DurationMs = DurationMs(150);
 
 /// Who asked.
 #[derive(Debug, Clone, Copy)]
@@ -20,7 +31,7 @@
     /// A caller of this process.
     Local(CallId),
     /// Another control node.
-    Passed(std::net::SocketAddr, u64),
+    Passed(NodeId, std::net::SocketAddr, u64),
     /// This node's own duty of tuning weights.
     Tuner,
     /// This node's own duty of reading the list of engines.
@@ -30,14 +41,47 @@
 #[derive(Debug)]
 struct PassedOn {
     origin: Origin,
+    /// Who was asked; nobody else's answer counts.
+    to: NodeId,
     is_command: bool,
     since: MonotonicMs,
+    /// Whether it runs only once that was confirmed, and which copy of it was.
+    must_be_fresh: bool,
+    confirmed: Option<u64>,
+}
+
+impl PassedOn {
+    /// Why no answer came.
+    fn lost(&self) -> ApiError {
+        let surely_not_run = !self.is_command || (self.must_be_fresh && self.confirmed.is_none());
+        match surely_not_run {
+            true => ApiError::not_run(Code::NoPrimary),
+            false => ApiError::may_have_run(Code::OutcomeUnknown),
+        }
+    }
+}
+
+/// A command that waits at the primary.
+#[derive(Debug)]
+struct Queued {
+    origin: Origin,
+    command: Command,
+    /// It is worked on before then, or not at all.
+    until: MonotonicMs,
+}
+
+/// A command that waits for the word that its caller still does.
+#[derive(Debug)]
+struct Offered {
+    from: NodeId,
+    queued: Queued,
 }
 
 /// Calls that wait.
 #[derive(Debug)]
 pub(crate) struct OperateInbox {
-    commands: std::collections::VecDeque<(Origin, Command, MonotonicMs)>,
+    commands: std::collections::VecDeque<Queued>,
+    offered: std::collections::BTreeMap<u64, Offered>,
     passed_on: std::collections::BTreeMap<u64, PassedOn>,
     last_id: u64,
 }
@@ -46,12 +90,19 @@
     pub(super) fn new(life: topazyard_types::Life) -> Self {
         Self {
             commands: std::collections::VecDeque::new(),
+            offered: std::collections::BTreeMap::new(),
             passed_on: std::collections::BTreeMap::new(),
             last_id: life.first_number(),
         }
     }
 }
 
+impl OperateInbox {
+    fn waiting(&self) -> usize {
+        self.commands.len() + self.offered.len()
+    }
+}
+
 impl ControlMachine {
     pub(super) fn take_operate(
         &mut self,
@@ -65,8 +116,8 @@
                 Operate::Query(query) => {
                     self.submit(Vec::new(), Waiting::Query(origin, query));
                 }
-                Operate::Command(command) if self.operate.commands.len() < INBOX => {
-                    self.operate.commands.push_back((origin, command, now));
+                Operate::Command(command) if self.operate.waiting() < INBOX => {
+                    self.queue(origin, command, now, out);
                 }
                 Operate::Command(_) => self.refuse(origin, Code::NoPrimary, now, out),
             }
@@ -77,8 +128,17 @@
             (Origin::Local(_) | Origin::Tuner, Some(primary)) if primary.id != self.me.id => {
                 self.operate.last_id += 1;
                 let id = self.operate.last_id;
-                let is_command = matches!(request, Operate::Command(_));
-                self.operate.passed_on.insert(id, PassedOn { origin, is_command, since: now });
+                let must_be_fresh =
+                    matches!(&request, Operate::Command(command) if command.must_be_fresh());
+                let passed = PassedOn {
+                    origin,
+                    to: primary.id,
+                    is_command: matches!(request, Operate::Command(_)),
+                    since: now,
+                    must_be_fresh,
+                    confirmed: None,
+                };
+                self.operate.passed_on.insert(id, passed);
                 let message = Message::Operate(OperateMessage::Ask { id, request });
                 out.push(Effect::Send { to: primary.address, message });
             }
@@ -86,8 +146,33 @@
         }
     }
 
+    /// Has a command wait its turn, or first for the word that its caller still waits.
+    fn queue(&mut self, origin: Origin, command: Command, now: MonotonicMs, out: &mut Out) {
+        let must_be_fresh = command.must_be_fresh();
+        let limit = match origin {
+            _ if !must_be_fresh => QUEUED_LIMIT,
+            Origin::Passed(..) => CONFIRMED_FOR,
+            Origin::Local(_) | Origin::Tuner | Origin::Listing => CONFIRMS_WITHIN,
+        };
+        let queued = Queued { origin, command, until: now.plus(limit) };
+        let Origin::Passed(from, to, id) = origin else {
+            self.operate.commands.push_back(queued);
+            return;
+        };
+        if !must_be_fresh {
+            self.operate.commands.push_back(queued);
+            return;
+        }
+        self.operate.last_id += 1;
+        let offer = self.operate.last_id;
+        self.operate.offered.insert(offer, Offered { from, queued });
+        let message = Message::Operate(OperateMessage::ConfirmWaiting { id, offer });
+        out.push(Effect::Send { to, message });
+    }
+
     pub(super) fn receive_operate(
         &mut self,
+        sender: NodeId,
         from: std::net::SocketAddr,
         message: OperateMessage,
         now: MonotonicMs,
@@ -95,22 +180,59 @@
     ) {
         match message {
             OperateMessage::Ask { id, request } => {
-                self.take_operate(Origin::Passed(from, id), request, now, out);
+                self.take_operate(Origin::Passed(sender, from, id), request, now, out);
             }
             OperateMessage::Answer { id, outcome } => {
+                let passed = self.operate.passed_on.get(&id);
+                if passed.is_none_or(|passed| passed.to != sender) {
+                    return;
+                }
                 if let Some(passed) = self.operate.passed_on.remove(&id) {
                     self.answer(passed.origin, outcome, now, out);
                 }
             }
+            OperateMessage::ConfirmWaiting { id, offer } => {
+                if self.confirms(sender, id, offer, now) {
+                    let message = Message::Operate(OperateMessage::StillWaiting { offer });
+                    out.push(Effect::Send { to: from, message });
+                }
+            }
+            OperateMessage::StillWaiting { offer } => self.take_confirmation(sender, offer, now),
+        }
+    }
+
+    /// Whether the caller of an asking still waits, and no other copy of it was confirmed.
+    fn confirms(&mut self, asked: NodeId, id: u64, offer: u64, now: MonotonicMs) -> bool {
+        let Some(passed) = self.operate.passed_on.get_mut(&id) else { return false };
+        let waits = passed.to == asked && now.since(passed.since) < CONFIRMS_WITHIN;
+        waits && *passed.confirmed.get_or_insert(offer) == offer
+    }
+
+    /// The caller of a command waits: it is worked on next, unless the word took too long.
+    fn take_confirmation(&mut self, sender: NodeId, offer: u64, now: MonotonicMs) {
+        let offered = self.operate.offered.get(&offer);
+        if offered.is_none_or(|offered| offered.from != sender) {
+            return;
+        }
+        if let Some(offered) = self.operate.offered.remove(&offer)
+            && now < offered.queued.until
+        {
+            self.operate.commands.push_back(offered.queued);
         }
     }
 
     /// Works on the next command, unless changes are under way on which it could depend.
-    pub(super) fn run_commands(&mut self, now: MonotonicMs) {
+    pub(super) fn run_commands(&mut self, now: MonotonicMs, out: &mut Out) {
         if !self.pair.is_serving() || self.pair.has_changes_pending() {
             return;
         }
-        let Some((origin, command, _)) = self.operate.commands.pop_front() else { return };
+        let Some(Queued { origin, command, until }) = self.operate.commands.pop_front() else {
+            return;
+        };
+        if now >= until {
+            self.refuse(origin, Code::NoPrimary, now, out);
+            return;
+        }
         // A refusal is committed like a read: what it was judged by is then confirmed state.
         let (changes, outcome) = match self.judge(&command, now) {
             Ok((changes, done)) => (changes, OperateOutcome::Done(done.to_string())),
@@ -131,7 +253,7 @@
             // The next list says it again.
             Origin::Listing => return,
             Origin::Local(call) => Effect::Return { call, value: outcome },
-            Origin::Passed(to, id) => Effect::Send {
+            Origin::Passed(_, to, id) => Effect::Send {
                 to,
                 message: Message::Operate(OperateMessage::Answer { id, outcome }),
             },
@@ -144,18 +266,21 @@
 
     /// Refuses commands that were never worked on.
     pub(super) fn refuse_all_queued(&mut self, now: MonotonicMs, out: &mut Out) {
-        for (origin, _, _) in std::mem::take(&mut self.operate.commands) {
-            self.refuse(origin, Code::NoPrimary, now, out);
+        self.operate.offered.clear();
+        for queued in std::mem::take(&mut self.operate.commands) {
+            self.refuse(queued.origin, Code::NoPrimary, now, out);
         }
     }
 
     pub(super) fn operate_beat(&mut self, now: MonotonicMs, out: &mut Out) {
-        while let Some((origin, _, since)) = self.operate.commands.front().cloned() {
-            if now.since(since) < QUEUED_LIMIT {
-                break;
-            }
-            self.operate.commands.pop_front();
-            self.refuse(origin, Code::NoPrimary, now, out);
+        // Whoever passed one of these on may have confirmed another copy: nothing is said of it.
+        self.operate.offered.retain(|_, offered| now < offered.queued.until);
+        let commands = std::mem::take(&mut self.operate.commands);
+        let (waiting, late): (std::collections::VecDeque<_>, std::collections::VecDeque<_>) =
+            commands.into_iter().partition(|queued| now < queued.until);
+        self.operate.commands = waiting;
+        for queued in late {
+            self.refuse(queued.origin, Code::NoPrimary, now, out);
         }
         let late: Vec<u64> = self
             .operate
@@ -166,12 +291,8 @@
             .collect();
         for id in late {
             if let Some(passed) = self.operate.passed_on.remove(&id) {
-                let error = if passed.is_command {
-                    ApiError::may_have_run(Code::OutcomeUnknown)
-                } else {
-                    ApiError::not_run(Code::NoPrimary)
-                };
-                self.answer(passed.origin, OperateOutcome::Refused(error), now, out);
+                let outcome = OperateOutcome::Refused(passed.lost());
+                self.answer(passed.origin, outcome, now, out);
             }
         }
     }
--- /dev/null
+++ b/programs/topazyard-control/src/machine/orders.rs
@@ -0,0 +1,175 @@
+//! The memory of the orders that were taken, bounded by bytes.
+//!
+//! An order that was taken must be acknowledged when it is sent again, however many came after it.
+//! A digest is kept of each, and the whole texts of the newest. Beyond the bound the oldest digests
+//! are forgotten: an order as old as these may have been taken, and is neither acknowledged nor
+//! refused.
+
+use super::ControlMachine;
+use topazyard_types::{Digest, SpecVersion};
+use topazyard_wire::RowChange;
+use topazyard_wire::api::{ApiError, Code};
+use topazyard_wire::state::{
+    IN_FORCE, InForceRow, ORDERS, ORDERS_FORGOTTEN, ORDERS_IN_ROW, OrdersRow, SPECS, TakenOrder,
+    orders_key, spec_key,
+};
+
+/// How many whole texts are kept; older ones can't be read or signed.
+const TEXTS_KEPT: usize = 64;
+/// What digests may weigh where nothing limits the process, and which part of its memory and of its
+/// disk. One takes 23 bytes at most.
+const MOST_DIGEST_BYTES: u64 = 16 * 1024 * 1024;
+const DIGEST_PART: u64 = 64;
+/// The same for whole texts. On disk a file of pages takes a byte 2.2 times.
+const MOST_TEXT_BYTES: u64 = 64 * 1024 * 1024;
+const TEXT_PART: u64 = 8;
+
+/// How many bytes of rows may remember orders.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OrderBounds {
+    digest_bytes: u64,
+    text_bytes: u64,
+}
+
+impl OrderBounds {
+    /// The bounds of a process with such resources.
+    pub(super) fn within(resources: &topazyard_spec::Resources) -> Self {
+        let limits = [resources.memory_bytes, resources.disk_bytes];
+        let bound = |most: u64, part: u64| {
+            let limited = limits.iter().filter(|limit| **limit > 0).map(|limit| limit / part);
+            limited.min().map_or(most, |limit| limit.min(most))
+        };
+        Self {
+            digest_bytes: bound(MOST_DIGEST_BYTES, DIGEST_PART),
+            text_bytes: bound(MOST_TEXT_BYTES, TEXT_PART),
+        }
+    }
+}
+
+/// What is known of an order that came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Known {
+    /// It was taken.
+    Taken,
+    /// It was not taken.
+    NotTaken,
+    /// It is as old as orders that were forgotten.
+    Forgotten,
+}
+
+/// The error for an order of which nothing can be said.
+pub(super) fn unclear() -> ApiError {
+    ApiError::may_have_run(Code::OutcomeUnknown)
+}
+
+fn weight(key: &str, value: &[u8]) -> u64 {
+    (key.len() + value.len()) as u64
+}
+
+impl ControlMachine {
+    /// What is known of an order that would make, or made, a version.
+    pub(super) fn known_order(&self, version: SpecVersion, digest: Digest) -> Known {
+        match self.remembered_digest(version) {
+            Some(taken) if taken == digest => Known::Taken,
+            Some(_) => Known::NotTaken,
+            None if version <= self.forgotten_up_to() => Known::Forgotten,
+            None => Known::NotTaken,
+        }
+    }
+
+    /// Whether any order made that version, as far as can be told.
+    pub(super) fn may_be_taken(&self, version: SpecVersion) -> bool {
+        version <= self.forgotten_up_to() || self.remembered_digest(version).is_some()
+    }
+
+    fn remembered_digest(&self, version: SpecVersion) -> Option<Digest> {
+        let rows = self.pair.copy().rows();
+        let mut up_to = rows.range(ORDERS.to_owned()..=orders_key(version));
+        let row: OrdersRow = topazyard_wire::rows::decode(up_to.next_back()?.1)?;
+        let order = row.orders.iter().find(|order| order.version == version);
+        order.map(|order| order.digest)
+    }
+
+    fn forgotten_up_to(&self) -> SpecVersion {
+        self.pair.copy().get(ORDERS_FORGOTTEN).unwrap_or_default()
+    }
+
+    /// The changes that remember an order that is taken now, under the newest version.
+    pub(super) fn remember_order(&self, version: SpecVersion, digest: Digest) -> Vec<RowChange> {
+        let last = self.pair.copy().with_prefix(ORDERS).last();
+        let last = last.and_then(|(key, value)| {
+            let row: OrdersRow = topazyard_wire::rows::decode(value)?;
+            (row.orders.len() < ORDERS_IN_ROW).then(|| (key.to_owned(), row))
+        });
+        let (key, mut row) = last.unwrap_or_else(|| (orders_key(version), OrdersRow::default()));
+        row.orders.push(TakenOrder { version, digest });
+        let change = RowChange::put(key, &row);
+        let mut changes = self.forget_oldest(&change);
+        changes.push(change);
+        changes
+    }
+
+    /// The changes that forget the oldest digests beyond the bound; the row written now stays.
+    fn forget_oldest(&self, written: &RowChange) -> Vec<RowChange> {
+        let value = written.value.as_deref().unwrap_or_default();
+        let others = || {
+            let rows = self.pair.copy().with_prefix(ORDERS);
+            rows.filter(|(key, _)| *key != written.key)
+        };
+        let mut bytes = weight(&written.key, value)
+            + others().map(|(key, value)| weight(key, value)).sum::<u64>();
+        let mut changes = Vec::new();
+        let mut forgotten = None;
+        for (key, value) in others() {
+            if bytes <= self.order_bounds.digest_bytes {
+                break;
+            }
+            bytes -= weight(key, value);
+            changes.push(RowChange::gone(key));
+            let row = topazyard_wire::rows::decode::<OrdersRow>(value).unwrap_or_default();
+            forgotten = row.orders.last().map(|order| order.version).or(forgotten);
+        }
+        changes.extend(forgotten.map(|version| RowChange::put(ORDERS_FORGOTTEN, &version)));
+        changes
+    }
+
+    /// The changes that drop the oldest whole texts beyond the bounds. The text written now stays,
+    /// and so does that of the version in force.
+    pub(super) fn drop_old_texts(
+        &self,
+        written: &RowChange,
+        in_force: SpecVersion,
+    ) -> Vec<RowChange> {
+        let value = written.value.as_deref().unwrap_or_default();
+        let kept = [written.key.clone(), spec_key(in_force)];
+        let others = || {
+            let rows = self.pair.copy().with_prefix(SPECS);
+            rows.filter(|(key, _)| *key != written.key)
+        };
+        let mut count = 1 + others().count();
+        let mut bytes = weight(&written.key, value)
+            + others().map(|(key, value)| weight(key, value)).sum::<u64>();
+        let newest = others().last().map(|(key, _)| key);
+        let mut changes = Vec::new();
+        for (key, value) in others() {
+            if count <= TEXTS_KEPT && bytes <= self.order_bounds.text_bytes {
+                break;
+            }
+            // Versions are counted on from the newest text.
+            let is_newest = newest == Some(key) && key > written.key.as_str();
+            if is_newest || kept.iter().any(|kept| kept == key) {
+                continue;
+            }
+            count -= 1;
+            bytes -= weight(key, value);
+            changes.push(RowChange::gone(key));
+        }
+        changes
+    }
+
+    /// The version in force; 0 before the first.
+    pub(super) fn version_in_force(&self) -> SpecVersion {
+        let row: Option<InForceRow> = self.pair.copy().get(IN_FORCE);
+        row.map(|row| row.version).unwrap_or_default()
+    }
+}
--- a/programs/topazyard-control/tests/fleet/mod.rs
+++ b/programs/topazyard-control/tests/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! A few control nodes that speak over a perfect network and disks that sync at once.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use topazyard_control::{ControlCall, ControlMachine, ControlTask};
 use topazyard_types::{CallId, DurationMs, MonotonicMs, NodeId};
 use topazyard_wire::driver::DiskStart;
@@ -19,15 +21,40 @@
     lives: u64,
 }
 
+/// What the network does with a frame.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It arrives.
+    Arrives,
+    /// It arrives, and a copy of it when the test says so.
+    ArrivesTwice,
+    /// It arrives when the test says so.
+    Waits,
+}
+
+/// A frame that is under way.
+#[derive(Debug, Clone)]
+pub struct Frame {
+    pub to: usize,
+    pub sender: NodeId,
+    pub from: std::net::SocketAddr,
+    pub message: Message,
+}
+
 pub struct Fleet {
     pub nodes: Vec<Node>,
     pub seeds: Vec<std::net::SocketAddr>,
     pub storage: Vec<Member>,
     pub now: MonotonicMs,
     pub may_found: bool,
+    pub resources: topazyard_spec::Resources,
+    /// Decides what happens to each frame.
+    pub network: fn(&Message) -> Fate,
+    /// Frames that the test lets arrive.
+    pub late: Vec<Frame>,
 }
 
-fn at(number: usize) -> std::net::SocketAddr {
+pub fn at(number: usize) -> std::net::SocketAddr {
     ([127, 0, 0, 1], 1_000 + number as u16).into()
 }
 
@@ -52,6 +79,9 @@
             storage: Vec::new(),
             now: MonotonicMs(86_400_000),
             may_found: true,
+            resources: topazyard_spec::Resources::default(),
+            network: |_| Fate::Arrives,
+            late: Vec::new(),
         };
         (0..size).for_each(|_| fleet.add());
         fleet
@@ -87,7 +117,7 @@
             domain: format!("domain-{number}").as_str().into(),
         };
         let start = DiskStart {
-            resources: topazyard_spec::Resources::default(),
+            resources: self.resources.clone(),
             member,
             seeds: self.seeds.clone(),
             chance: (node.lives << 40) + ((number as u64) << 32) + 1,
@@ -128,9 +158,16 @@
                     let Some(to) = (0..self.nodes.len()).find(|other| at(*other) == to) else {
                         continue;
                     };
-                    let rows = &self.nodes[number].rows[&topazyard_wire::Group::Node];
-                    let sender = topazyard_wire::rows::decode(&rows["id"]).expect("an id");
-                    (to, Input::Frame { sender, from: at(number), message })
+                    let sender = self.id(number);
+                    let from = at(number);
+                    let fate = (self.network)(&message);
+                    if fate != Fate::Arrives {
+                        self.late.push(Frame { to, sender, from, message: message.clone() });
+                    }
+                    if fate == Fate::Waits {
+                        continue;
+                    }
+                    (to, Input::Frame { sender, from, message })
                 }
                 Effect::Write { token, changes } => {
                     let rows = self.nodes[number].rows.entry(token.group).or_default();
@@ -157,6 +194,22 @@
         }
     }
 
+    /// Lets a frame arrive.
+    pub fn arrive(&mut self, frame: Frame) {
+        let Frame { to, sender, from, message } = frame;
+        let effects = self.step(to, Input::Frame { sender, from, message });
+        self.happen(to, effects);
+    }
+
+    /// Lets all frames arrive that were held back or doubled; what follows from them arrives at
+    /// once.
+    pub fn arrive_all(&mut self) {
+        self.network = |_| Fate::Arrives;
+        for frame in std::mem::take(&mut self.late) {
+            self.arrive(frame);
+        }
+    }
+
     /// Lets time pass.
     pub fn run(&mut self, for_ms: u64) {
         let until = self.now.plus(DurationMs(for_ms));
@@ -195,6 +248,12 @@
         }
     }
 
+    /// A node's id.
+    pub fn id(&self, number: usize) -> NodeId {
+        let rows = &self.nodes[number].rows[&topazyard_wire::Group::Node];
+        topazyard_wire::rows::decode(&rows["id"]).expect("an id")
+    }
+
     /// Which node serves, if one does.
     pub fn primary(&self) -> Option<usize> {
         self.nodes.iter().position(|node| node.machine.as_ref().is_some_and(|m| m.is_serving()))
--- /dev/null
+++ b/programs/topazyard-control/tests/orders.rs
@@ -0,0 +1,327 @@
+//! An order that was taken is never refused, and one that was refused is never taken, however its
+//! copies travel.
+
+mod fleet;
+
+use fleet::{Fate, Fleet, storage};
+use topazyard_control::ControlCall;
+use topazyard_types::SpecVersion;
+use topazyard_wire::Message;
+use topazyard_wire::api::Code;
+use topazyard_wire::message::operate::{Command, Operate, OperateMessage, OperateOutcome, Query};
+
+fn bundle(routes: usize) -> String {
+    let routes: Vec<_> = (0..routes)
+        .map(|n| {
+            serde_json::json!({ "name": format!("r{n}"), "host": "a.example",
+                "path_prefix": format!("/{n}/"), "kind": "safe",
+                "pools": [{ "pool": "main", "weight": 1 }], "timeout_ms": 5000,
+                "max_attempts": 2 })
+        })
+        .collect();
+    serde_json::json!({ "pools": [{ "name": "main" }], "routes": routes }).to_string()
+}
+
+fn order(base: u64, version: u64, mark: &str) -> Command {
+    Command::TakeSpec {
+        base: SpecVersion(base),
+        version: SpecVersion(version),
+        text: bundle(2),
+        source: bytes::Bytes::from(format!("{mark} {version}")),
+    }
+}
+
+fn submission(base: u64, routes: usize) -> Command {
+    Command::SubmitSpec { base: SpecVersion(base), text: bundle(routes) }
+}
+
+fn retire(name: &str) -> Command {
+    Command::RetireNamed(name.to_owned())
+}
+
+#[track_caller]
+fn taken(outcome: Option<OperateOutcome>) -> serde_json::Value {
+    match outcome {
+        Some(OperateOutcome::Done(text)) => serde_json::from_str(&text).expect("JSON"),
+        other => panic!("not taken: {other:?}"),
+    }
+}
+
+#[track_caller]
+fn refused(outcome: Option<OperateOutcome>, code: Code) {
+    match outcome {
+        Some(OperateOutcome::Refused(error)) => assert_eq!(error.code, code),
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+#[track_caller]
+fn source_is(fleet: &mut Fleet, number: usize, wanted: &str) {
+    let read = fleet.query(number, Query::ReadSource);
+    assert_eq!(read, Some(OperateOutcome::Done(wanted.to_owned())));
+}
+
+fn running() -> Fleet {
+    let mut fleet = Fleet::new(3, 3);
+    fleet.run(2_000);
+    fleet
+}
+
+/// Hands in an order and gives its outcome without letting any time pass.
+fn at_once(fleet: &mut Fleet, number: usize, command: Command) -> Option<OperateOutcome> {
+    fleet.nodes[number].returned = None;
+    fleet.tell(number, ControlCall::Operate(Operate::Command(command)));
+    fleet.nodes[number].returned.take()
+}
+
+fn control_bytes(fleet: &Fleet, number: usize, prefix: &str) -> usize {
+    let rows = fleet.nodes[number].rows.get(&topazyard_wire::Group::Control);
+    let rows = rows.into_iter().flatten().filter(|(key, _)| key.starts_with(prefix));
+    rows.map(|(key, value)| key.len() + value.len()).sum()
+}
+
+#[test]
+fn an_order_is_acknowledged_again_after_a_thousand_changes_and_a_restart() {
+    let mut fleet = running();
+    for version in 1..=1_000 {
+        taken(at_once(&mut fleet, 0, order(version - 1, version, "a")));
+    }
+    for version in [1, 2, 500, 936, 937, 999, 1_000] {
+        taken(at_once(&mut fleet, 1, order(version - 1, version, "a")));
+        let other = at_once(&mut fleet, 2, order(version - 1, version, "b"));
+        refused(other, Code::StaleBase);
+    }
+    (0..3).for_each(|number| fleet.stop(number, false));
+    fleet.may_found = false;
+    (0..3).for_each(|number| fleet.start(number));
+    fleet.run(6_000);
+    taken(fleet.command(2, order(0, 1, "a")));
+    source_is(&mut fleet, 0, "a 1000");
+}
+
+#[test]
+fn a_resent_submission_sign_off_and_roll_out_are_acknowledged_again() {
+    let mut fleet = running();
+    let sign = |version| Command::SignOff { version: SpecVersion(version), by: "ada".into() };
+    let roll = |version| Command::RollOut { version: SpecVersion(version) };
+    for version in 1..=70 {
+        let given = taken(fleet.command(0, submission(version - 1, version as usize)));
+        assert_eq!(given["version"], version);
+        taken(fleet.command(1, sign(version)));
+        taken(fleet.command(2, roll(version)));
+    }
+    for version in [1_u64, 30, 69, 70] {
+        let given = taken(fleet.command(1, submission(version - 1, version as usize)));
+        assert_eq!(given["version"], version);
+        refused(fleet.command(1, submission(version - 1, 99)), Code::StaleBase);
+    }
+    taken(fleet.command(2, sign(69)));
+    assert_eq!(taken(fleet.command(2, roll(69)))["in_force"], false);
+    assert_eq!(taken(fleet.command(2, roll(70)))["in_force"], true);
+    // Their texts are gone: nothing is known of how far they came.
+    refused(fleet.command(2, sign(1)), Code::OutcomeUnknown);
+    refused(fleet.command(2, roll(1)), Code::OutcomeUnknown);
+    refused(fleet.command(2, roll(71)), Code::NotFound);
+}
+
+// A refusal of it would be taken back once the order below it has arrived.
+#[test]
+fn an_order_on_a_version_that_is_still_to_come_is_unclear() {
+    let mut fleet = running();
+    taken(fleet.command(0, order(0, 3, "a")));
+    refused(fleet.command(1, order(5, 7, "a")), Code::OutcomeUnknown);
+    refused(fleet.command(1, submission(5, 1)), Code::OutcomeUnknown);
+    taken(fleet.command(2, order(3, 5, "a")));
+    taken(fleet.command(1, order(5, 7, "a")));
+    refused(fleet.command(1, order(5, 8, "b")), Code::StaleBase);
+}
+
+#[test]
+fn an_order_older_than_all_that_is_remembered_is_unclear_and_never_taken() {
+    let mut fleet = Fleet::new(0, 3);
+    // Orders may fill 4 kB, and texts 32 kB.
+    fleet.resources.disk_bytes = 256 * 1_024;
+    (0..3).for_each(|_| fleet.add());
+    fleet.run(2_000);
+    for version in 1..=1_000 {
+        taken(at_once(&mut fleet, 0, order(version - 1, version, "a")));
+    }
+    refused(at_once(&mut fleet, 1, order(0, 1, "a")), Code::OutcomeUnknown);
+    refused(at_once(&mut fleet, 1, order(0, 1, "b")), Code::OutcomeUnknown);
+    taken(at_once(&mut fleet, 1, order(998, 999, "a")));
+    refused(at_once(&mut fleet, 1, order(998, 999, "b")), Code::StaleBase);
+    for number in 0..3 {
+        assert!(control_bytes(&fleet, number, "order/") <= 4_096);
+        assert!(control_bytes(&fleet, number, "spec/") <= 32 * 1_024);
+    }
+    source_is(&mut fleet, 2, "a 1000");
+}
+
+#[test]
+fn kept_texts_are_bounded_by_bytes_and_the_one_in_force_stays() {
+    let mut fleet = Fleet::new(0, 3);
+    fleet.resources.memory_bytes = 256_000_000;
+    fleet.resources.disk_bytes = 128_000_000;
+    (0..3).for_each(|_| fleet.add());
+    fleet.run(2_000);
+    let large = "x".repeat(4 * 1_024 * 1_024);
+    for version in 1..=12 {
+        taken(at_once(&mut fleet, 0, order(version - 1, version, &large)));
+    }
+    for number in 0..3 {
+        assert!(control_bytes(&fleet, number, "spec/") <= 16_000_000);
+    }
+    source_is(&mut fleet, 1, &format!("{large} 12"));
+    // Neither do submissions that nobody rolls out pile up, nor put out what is in force.
+    for version in 13..=160 {
+        let text = bundle(1_000);
+        taken(at_once(&mut fleet, 0, Command::SubmitSpec { base: SpecVersion(version - 1), text }));
+    }
+    assert!(control_bytes(&fleet, 0, "spec/") <= 16_000_000);
+    source_is(&mut fleet, 1, &format!("{large} 12"));
+}
+
+/// Two storage nodes, of which none may be retired as long as no more come.
+fn with_two_storage_nodes(fleet: &mut Fleet) {
+    fleet.storage = (1..=2).map(storage).collect();
+    fleet.run(4_000);
+}
+
+fn is_ask(message: &Message) -> bool {
+    matches!(message, Message::Operate(OperateMessage::Ask { .. }))
+}
+
+#[test]
+fn a_late_copy_of_a_refused_retirement_is_not_taken() {
+    let mut fleet = running();
+    with_two_storage_nodes(&mut fleet);
+    fleet.network = |message| if is_ask(message) { Fate::ArrivesTwice } else { Fate::Arrives };
+    for number in 0..3 {
+        refused(fleet.command(number, retire("storage-1")), Code::NoRoom);
+    }
+    assert_eq!(fleet.late.len(), 2, "two of the three passed it on");
+    // Room comes, and with it the copies.
+    fleet.storage = (1..=4).map(storage).collect();
+    fleet.run(4_000);
+    fleet.arrive_all();
+    fleet.run(6_000);
+    let primary = fleet.primary().expect("a primary");
+    let rows = &fleet.nodes[primary].rows[&topazyard_wire::Group::Control];
+    let view = topazyard_wire::state::FleetView::read(rows);
+    let active = topazyard_wire::state::StorageStage::Active;
+    assert!(view.storage.values().all(|row| row.stage == active), "{:?}", view.storage);
+}
+
+// The order is held on its way; its caller is told that nothing is known and goes elsewhere.
+#[test]
+fn an_order_that_travels_longer_than_its_caller_waits_is_not_taken() {
+    let mut fleet = running();
+    with_two_storage_nodes(&mut fleet);
+    let primary = fleet.primary().expect("a primary");
+    let (first, second) = ((primary + 1) % 3, (primary + 2) % 3);
+    fleet.network = |message| if is_ask(message) { Fate::Waits } else { Fate::Arrives };
+    assert_eq!(at_once(&mut fleet, first, retire("storage-1")), None);
+    fleet.network = |_| Fate::Arrives;
+    fleet.run(1_000);
+    refused(fleet.command(second, retire("storage-1")), Code::NoRoom);
+    fleet.storage = (1..=4).map(storage).collect();
+    fleet.run(2_000);
+    fleet.arrive_all();
+    fleet.run(6_000);
+    let found = fleet.query(primary, Query::Retirement("storage-1".into()));
+    assert_eq!(taken(found)["state"], "active");
+    // Had it been taken, this would be refused as under way.
+    taken(fleet.command(second, retire("storage-1")));
+}
+
+// A confirmation that comes late would let the order run after its caller was told that nothing is
+// known.
+#[test]
+fn a_late_confirmation_lets_nothing_run() {
+    let mut fleet = running();
+    with_two_storage_nodes(&mut fleet);
+    let primary = fleet.primary().expect("a primary");
+    fleet.network = |message| match message {
+        Message::Operate(OperateMessage::StillWaiting { .. }) => Fate::Waits,
+        _ => Fate::Arrives,
+    };
+    fleet.storage = (1..=4).map(storage).collect();
+    fleet.run(4_000);
+    assert_eq!(at_once(&mut fleet, (primary + 1) % 3, retire("storage-1")), None);
+    fleet.run(500);
+    fleet.arrive_all();
+    fleet.run(500);
+    taken(fleet.command((primary + 2) % 3, retire("storage-1")));
+}
+
+#[test]
+fn an_answer_counts_only_from_the_node_that_was_asked() {
+    let mut fleet = running();
+    let primary = fleet.primary().expect("a primary");
+    let (asking, other) = ((primary + 1) % 3, (primary + 2) % 3);
+    fleet.network = |message| match message {
+        Message::Operate(OperateMessage::Answer { .. }) => Fate::Waits,
+        _ => Fate::Arrives,
+    };
+    assert_eq!(at_once(&mut fleet, asking, order(0, 3, "a")), None);
+    fleet.network = |_| Fate::Arrives;
+    let answer = fleet.late.pop().expect("an answer");
+    let Message::Operate(OperateMessage::Answer { id, .. }) = answer.message else { panic!() };
+    // Another node, or another life at the same address, answers an asking of the same number.
+    for sender in [fleet.id(other), topazyard_types::NodeId(999)] {
+        let outcome = OperateOutcome::Done("wrong".into());
+        let message = Message::Operate(OperateMessage::Answer { id, outcome });
+        fleet.arrive(fleet::Frame { sender, message, ..answer.clone() });
+        assert_eq!(fleet.nodes[asking].returned, None);
+    }
+    fleet.arrive(answer);
+    taken(fleet.nodes[asking].returned.take());
+}
+
+/// Counts how many of the orders were acknowledged, sending each to all nodes, in an order that
+/// `turn` picks, while the first is still under way.
+fn raced(turn: usize) {
+    let mut fleet = running();
+    taken(fleet.command(0, order(0, 3, "a")));
+    fleet.network = |message| match message {
+        Message::Pair(_) | Message::Operate(_) => Fate::Waits,
+        _ => Fate::Arrives,
+    };
+    let marks = ["b", "c", "d"];
+    for number in 0..3 {
+        let mark = marks[(number + turn) % 3];
+        assert_eq!(at_once(&mut fleet, number, order(3, 5, mark)), None);
+    }
+    // Frames arrive in another order, and some twice.
+    fleet.network = |message| if is_ask(message) { Fate::ArrivesTwice } else { Fate::Arrives };
+    let mut late = std::mem::take(&mut fleet.late);
+    let shift = turn % late.len().max(1);
+    late.rotate_left(shift);
+    late.into_iter().for_each(|frame| fleet.arrive(frame));
+    fleet.run(300);
+    fleet.arrive_all();
+    fleet.run(300);
+    let mut winners = Vec::new();
+    for number in 0..3 {
+        let mark = marks[(number + turn) % 3];
+        if matches!(fleet.nodes[number].returned.take(), Some(OperateOutcome::Done(_))) {
+            winners.push(mark);
+        }
+    }
+    assert_eq!(winners.len(), 1, "one number has one content");
+    // The losers stay refused at every node, the winner is acknowledged at every node.
+    for number in 0..3 {
+        for mark in marks {
+            match winners.contains(&mark) {
+                true => drop(taken(fleet.command(number, order(3, 5, mark)))),
+                false => refused(fleet.command(number, order(3, 5, mark)), Code::StaleBase),
+            }
+        }
+    }
+    source_is(&mut fleet, 2, &format!("{} 5", winners[0]));
+}
+
+#[test]
+fn of_three_orders_under_one_number_one_is_confirmed() {
+    (0..9).for_each(raced);
+}
