Give a follower that was away what it lacks in parts of 128 KB

Cause: a follower that lacked more than was remembered got the whole state in one frame, and one that lacked a large change got all of it. With the largest configuration (4 MB of text, 2.9 MB of rows) 400 followers after a restart have 1.2 GB waiting in the primary's links, whose memory is 256 MB, each of it encoded anew.

Now no answer is larger than 128 KB. A larger state is encoded once, and its parts, which share their bytes, go out as each follower asks for them: one part for each is under way at most. A follower applies it when it is whole and not below its own place. It confirms nothing by itself: freshness comes with the changes after it. A new primary knows no old parts, so the fetch begins anew there. Agents pass the asking for a part on.

Ruled out: parts pushed one after another, which would bound nothing.

--- a/libraries/topazyard-replication/src/follower.rs
+++ b/libraries/topazyard-replication/src/follower.rs
@@ -1,8 +1,11 @@
 //! A follower of the feed: it reads on from its place and never goes back.
+//!
+//! A snapshot that comes in parts is applied once all of them are there, and confirms nothing: the
+//! changes after it are asked for at once.
 
 use topazyard_types::{DurationMs, Life, MonotonicMs};
 use topazyard_wire::RowChange;
-use topazyard_wire::message::feed::{FeedMessage, Matter, Vitals};
+use topazyard_wire::message::feed::{FeedMessage, Matter, SnapshotPart, Vitals};
 
 /// How often a follower asks.
 pub const ASK_EVERY: DurationMs = DurationMs(200);
@@ -35,6 +38,9 @@
     last_asked: Option<MonotonicMs>,
     last_nonce: u64,
     confirmed: Option<MonotonicMs>,
+    /// When the asking was sent that was last returned, with whatever.
+    heard: Option<MonotonicMs>,
+    fetch: Option<crate::snapshot::Fetch>,
     hurried: bool,
 }
 
@@ -69,6 +75,8 @@
             last_asked: None,
             last_nonce: life.first_number(),
             confirmed: None,
+            heard: None,
+            fetch: None,
             hurried: false,
         }
     }
@@ -89,6 +97,12 @@
         self.leader
     }
 
+    /// Whether a snapshot is being fetched: then the next part is to be asked for at once rather
+    /// than at the next beat.
+    pub fn is_fetching(&self) -> bool {
+        self.fetch.is_some()
+    }
+
     /// Asks besides at these nodes, learned from the membership.
     pub fn learn_sources(&mut self, more: impl Iterator<Item = std::net::SocketAddr>) {
         for source in more {
@@ -138,8 +152,10 @@
         self.asked = Some(Asked { nonce: self.last_nonce, at: now, patience });
         self.last_asked = Some(now);
         let after = self.copy.place();
-        let heard = self.confirmed.map(|at| now.since(at));
-        Some((to, FeedMessage::Ask { nonce: self.last_nonce, after, heard, vitals: vitals() }))
+        let part = self.fetch.as_ref().and_then(crate::snapshot::Fetch::wanted);
+        let heard = self.heard.map(|at| now.since(at));
+        let nonce = self.last_nonce;
+        Some((to, FeedMessage::Ask { nonce, after, part, heard, vitals: vitals() }))
     }
 
     /// Takes a return from a node.
@@ -156,8 +172,15 @@
                 }
                 self.leader = Some(from);
                 self.unanswered = 0;
+                self.heard = Some(asked.at);
+                let changes = match matter {
+                    Matter::Part(part) => return self.take_part(place, &part),
+                    Matter::Changes(changes) => changes,
+                    Matter::View(rows) => self.changes_to(rows),
+                };
+                self.fetch = None;
                 self.confirmed = Some(asked.at);
-                self.take(place, matter)
+                self.apply(place, changes)
             }
             FeedMessage::Elsewhere { nonce, primary, .. } => {
                 if self.asked.take_if(|asked| asked.nonce == nonce).is_some() {
@@ -173,21 +196,37 @@
         }
     }
 
-    fn take(&mut self, place: topazyard_types::Place, matter: Matter) -> Followed {
-        let changes = match matter {
-            Matter::Changes(changes) => changes,
-            Matter::View(rows) => {
-                let gone: Vec<RowChange> = {
-                    let keep: std::collections::BTreeSet<&str> =
-                        rows.iter().map(|(key, _)| key.as_str()).collect();
-                    let old = self.copy.rows().keys();
-                    old.filter(|key| !keep.contains(key.as_str())).map(RowChange::gone).collect()
-                };
-                let put =
-                    rows.into_iter().map(|(key, value)| RowChange { key, value: Some(value) });
-                gone.into_iter().chain(put).collect()
-            }
+    /// Takes a part of a snapshot, and the snapshot once it is whole. What comes next, another part
+    /// or the changes after it, is asked for at once.
+    fn take_part(&mut self, place: topazyard_types::Place, part: &SnapshotPart) -> Followed {
+        let fetch = self.fetch.take().filter(|fetch| fetch.fits(place, part));
+        let fetch = fetch.or_else(|| crate::snapshot::Fetch::begin(place, part));
+        let Some(mut fetch) = fetch.filter(|fetch| fetch.fits(place, part)) else {
+            return Followed::Nothing;
         };
+        fetch.add(part);
+        if fetch.wanted().is_some() {
+            self.fetch = Some(fetch);
+            self.last_asked = None;
+            return Followed::Nothing;
+        }
+        let Some(rows) = fetch.rows() else { return Followed::Nothing };
+        self.last_asked = None;
+        let changes = self.changes_to(rows);
+        self.apply(place, changes)
+    }
+
+    /// The changes that make the copy hold these rows and no others.
+    fn changes_to(&self, rows: Vec<crate::snapshot::Row>) -> Vec<RowChange> {
+        let keep: std::collections::BTreeSet<&str> =
+            rows.iter().map(|(key, _)| key.as_str()).collect();
+        let old = self.copy.rows().keys().filter(|key| !keep.contains(key.as_str()));
+        let gone: Vec<RowChange> = old.map(RowChange::gone).collect();
+        let put = rows.into_iter().map(|(key, value)| RowChange { key, value: Some(value) });
+        gone.into_iter().chain(put).collect()
+    }
+
+    fn apply(&mut self, place: topazyard_types::Place, changes: Vec<RowChange>) -> Followed {
         if changes.is_empty() && place == self.copy.place() {
             return Followed::Nothing;
         }
--- a/libraries/topazyard-wire/src/message/feed.rs
+++ b/libraries/topazyard-wire/src/message/feed.rs
@@ -11,6 +11,8 @@
         nonce: u64,
         /// The place read so far.
         after: Place,
+        /// The part of a snapshot that the asking node lacks next, while it fetches one.
+        part: Option<PartWanted>,
         /// How old the last return is that the asking node got, if it got any.
         heard: Option<topazyard_types::DurationMs>,
         /// How the asking node fares.
@@ -36,6 +38,26 @@
     },
 }
 
+/// The part of a snapshot that a follower lacks next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct PartWanted {
+    /// The place of the snapshot.
+    pub place: Place,
+    /// The part, counted from 0.
+    pub part: u32,
+}
+
+/// A part of an encoded snapshot.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct SnapshotPart {
+    /// Which part, counted from 0.
+    pub part: u32,
+    /// How many there are.
+    pub parts: u32,
+    /// Its bytes; all parts together are the encoded rows.
+    pub bytes: bytes::Bytes,
+}
+
 /// What a return of the feed brings.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Matter {
@@ -43,6 +65,9 @@
     Changes(Vec<crate::RowChange>),
     /// Everything: the place asked for is too old or unknown.
     View(Vec<(String, bytes::Bytes)>),
+    /// A part of everything, where that is too large for one return. It was confirmed when the
+    /// snapshot was made, and says nothing of what was acknowledged since.
+    Part(SnapshotPart),
 }
 
 /// How the asking node fares.
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -67,6 +67,7 @@
     pub(crate) last_ticket: Ticket,
     pub(crate) operate: operate::OperateInbox,
     order_bounds: orders::OrderBounds,
+    snapshots: feed::Snapshots,
     pub(crate) seen: vitals::Seen,
     tuning: tuning::Tuning,
     listing: listing::Listing,
@@ -94,7 +95,12 @@
 #[derive(Debug)]
 pub(crate) enum Waiting {
     /// A follower of the feed.
-    Follower { to: std::net::SocketAddr, nonce: u64, after: topazyard_types::Place },
+    Follower {
+        to: std::net::SocketAddr,
+        nonce: u64,
+        after: topazyard_types::Place,
+        part: Option<topazyard_wire::message::feed::PartWanted>,
+    },
     /// A command whose outcome is known once it is committed.
     Command(operate::Origin, OperateOutcome),
     /// A query, answered from the committed state.
@@ -134,6 +140,7 @@
             last_ticket: 0,
             operate: operate::OperateInbox::new(life),
             order_bounds: orders::OrderBounds::within(&start.resources),
+            snapshots: feed::Snapshots::new(),
             seen: vitals::Seen::default(),
             tuning: tuning::Tuning::default(),
             listing: listing::Listing::default(),
@@ -226,7 +233,9 @@
     /// Answers one whose ticket is committed.
     fn settle(&mut self, waiting: Waiting, now: MonotonicMs, out: &mut Out) {
         match waiting {
-            Waiting::Follower { to, nonce, after } => self.send_news(to, nonce, after, out),
+            Waiting::Follower { to, nonce, after, part } => {
+                self.send_news(to, nonce, after, part, out);
+            }
             Waiting::Command(origin, outcome) => self.answer(origin, outcome, now, out),
             Waiting::Query(origin, query) => {
                 let outcome = self.query(&query, now);
@@ -298,6 +307,7 @@
         self.listing_beat(now, out);
         if !self.pair.is_serving() {
             self.serving_since = None;
+            self.snapshots.clear();
         }
         if now.since(self.last_plan) >= crate::planner::EVERY {
             self.last_plan = now;
--- a/programs/topazyard-control/tests/fleet/mod.rs
+++ b/programs/topazyard-control/tests/fleet/mod.rs
@@ -52,6 +52,8 @@
     pub network: fn(&Message) -> Fate,
     /// Frames that the test lets arrive.
     pub late: Vec<Frame>,
+    /// A node outside the fleet, and what it was sent.
+    outside: Option<(std::net::SocketAddr, Vec<Message>)>,
 }
 
 pub fn at(number: usize) -> std::net::SocketAddr {
@@ -82,6 +84,7 @@
             resources: topazyard_spec::Resources::default(),
             network: |_| Fate::Arrives,
             late: Vec::new(),
+            outside: None,
         };
         (0..size).for_each(|_| fleet.add());
         fleet
@@ -155,6 +158,12 @@
         while let Some((number, effect)) = queue.pop_front() {
             let (to, input) = match effect {
                 Effect::Send { to, message } => {
+                    if let Some((address, messages)) = &mut self.outside
+                        && *address == to
+                    {
+                        messages.push(message);
+                        continue;
+                    }
                     let Some(to) = (0..self.nodes.len()).find(|other| at(*other) == to) else {
                         continue;
                     };
@@ -194,6 +203,20 @@
         }
     }
 
+    /// Lets a node outside the fleet send a frame, and gives what it is sent.
+    pub fn frame(
+        &mut self,
+        to: usize,
+        sender: NodeId,
+        from: std::net::SocketAddr,
+        message: Message,
+    ) -> Vec<Message> {
+        self.outside = Some((from, Vec::new()));
+        let effects = self.step(to, Input::Frame { sender, from, message });
+        self.happen(to, effects);
+        self.outside.take().map(|(_, messages)| messages).unwrap_or_default()
+    }
+
     /// Lets a frame arrive.
     pub fn arrive(&mut self, frame: Frame) {
         let Frame { to, sender, from, message } = frame;
@@ -237,6 +260,7 @@
                 let ask = FeedMessage::Ask {
                     nonce: 1,
                     after: Default::default(),
+                    part: None,
                     heard: Some(DurationMs(0)),
                     vitals: vitals.clone(),
                 };
--- a/programs/topazyard-edge-agent/src/machine.rs
+++ b/programs/topazyard-edge-agent/src/machine.rs
@@ -7,7 +7,7 @@
 use topazyard_wire::driver::disked::Remembered;
 use topazyard_wire::message::Message;
 use topazyard_wire::message::cohort::{Duty, Member};
-use topazyard_wire::message::feed::{FeedMessage, Vitals};
+use topazyard_wire::message::feed::{FeedMessage, PartWanted, Vitals};
 use topazyard_wire::{Effect, Group, Input, Machine, WriteToken};
 
 /// The same while it is not known who leads.
@@ -51,6 +51,7 @@
     nonce: u64,
     relay_nonce: u64,
     after: topazyard_types::Place,
+    part: Option<PartWanted>,
     heard: Option<topazyard_types::DurationMs>,
     vitals: Vitals,
     at: MonotonicMs,
@@ -126,6 +127,7 @@
         let message = FeedMessage::Ask {
             nonce: passed.nonce,
             after: passed.after,
+            part: passed.part,
             heard: passed.heard,
             vitals: passed.vitals.clone(),
         };
@@ -142,15 +144,22 @@
         out: &mut Out,
     ) {
         match message {
-            FeedMessage::Ask { nonce, after, heard, vitals } => {
+            FeedMessage::Ask { nonce, after, part, heard, vitals } => {
                 if from != self.relay {
                     return;
                 }
                 self.relay_heard = Some(now);
                 // The relay asks again only when it gave the last asking up.
                 let unanswered = self.passed.is_some();
-                self.passed =
-                    Some(Passed { nonce: 0, relay_nonce: nonce, after, heard, vitals, at: now });
+                self.passed = Some(Passed {
+                    nonce: 0,
+                    relay_nonce: nonce,
+                    after,
+                    part,
+                    heard,
+                    vitals,
+                    at: now,
+                });
                 if unanswered {
                     self.leader = None;
                 }
--- a/programs/topazyard-edge-agent/tests/looking.rs
+++ b/programs/topazyard-edge-agent/tests/looking.rs
@@ -4,7 +4,7 @@
 use topazyard_types::{Epoch, MonotonicMs, NodeId, Place, Sequence};
 use topazyard_wire::message::Message;
 use topazyard_wire::message::cohort::{Duty, Member};
-use topazyard_wire::message::feed::{FeedMessage, Matter, Vitals};
+use topazyard_wire::message::feed::{FeedMessage, Matter, PartWanted, Vitals};
 use topazyard_wire::{Effect, Input, Machine as _};
 
 type Address = std::net::SocketAddr;
@@ -22,6 +22,8 @@
     asked: Vec<(Address, u64)>,
     /// What its relay was told: the nonce and the place.
     told: Vec<(u64, Place)>,
+    /// The part of a snapshot that was asked for last.
+    part: Option<PartWanted>,
 }
 
 impl Agent {
@@ -44,14 +46,17 @@
         };
         let now = MonotonicMs(100_000);
         let machine = AgentMachine::new(start);
-        Self { machine, now, asked: Vec::new(), told: Vec::new() }
+        Self { machine, now, asked: Vec::new(), told: Vec::new(), part: None }
     }
 
     fn step(&mut self, input: Input<topazyard_edge_agent::AgentCall>) {
         for effect in self.machine.step(input, self.now) {
             let Effect::Send { to, message: Message::Feed(message) } = effect else { continue };
             match message {
-                FeedMessage::Ask { nonce, .. } => self.asked.push((to, nonce)),
+                FeedMessage::Ask { nonce, part, .. } => {
+                    self.asked.push((to, nonce));
+                    self.part = part;
+                }
                 FeedMessage::News { nonce, place, .. } => {
                     assert_eq!(to, at(RELAY));
                     self.told.push((nonce, place));
@@ -68,9 +73,14 @@
 
     /// Its relay asks.
     fn relay_asks(&mut self, nonce: u64) {
+        self.relay_asks_for(nonce, None);
+    }
+
+    /// Its relay asks for a part of a snapshot.
+    fn relay_asks_for(&mut self, nonce: u64, part: Option<PartWanted>) {
         let vitals = Vitals::Edge { ready: false, waiting: 0, refused: 0 };
         let after = Place::default();
-        self.hear(at(RELAY), FeedMessage::Ask { nonce, after, heard: None, vitals });
+        self.hear(at(RELAY), FeedMessage::Ask { nonce, after, part, heard: None, vitals });
     }
 
     fn news(&mut self, from: Address, nonce: u64, sequence: u64) {
@@ -174,3 +184,17 @@
     agent.beat(1);
     assert_eq!(agent.take_asked().0.len(), 3);
 }
+
+// Else a relay gets the first part of a large snapshot again and again.
+#[test]
+fn the_part_that_a_relay_lacks_is_asked_for() {
+    let mut agent = Agent::new(3);
+    agent.relay_asks(5);
+    assert_eq!(agent.part, None);
+    let (asked, nonce) = agent.take_asked();
+    agent.news(*asked.first().expect("one"), nonce, 8);
+    let place = Place { epoch: Epoch(1), sequence: Sequence(8) };
+    let wanted = Some(PartWanted { place, part: 1 });
+    agent.relay_asks_for(6, wanted);
+    assert_eq!(agent.part, wanted);
+}
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -339,7 +339,8 @@
         }
     }
 
-    fn beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    /// Asks the feed, if it is time to.
+    fn ask_feed(&mut self, now: MonotonicMs, out: &mut Out) {
         let vitals = Vitals::Edge {
             ready: self.unready(now).is_none(),
             waiting: (self.admission.waiting() + self.requests.wanting()) as u32,
@@ -349,6 +350,10 @@
             self.refused_for_room = 0;
             out.push(Effect::Send { to, message: Message::Feed(message) });
         }
+    }
+
+    fn beat(&mut self, now: MonotonicMs, out: &mut Out) {
+        self.ask_feed(now, out);
         self.counting_beat(now, out);
         self.admission_beat(now, out);
         self.requests_beat(now, out);
@@ -468,6 +473,9 @@
                 // Only its own agent may tell it what is in force.
                 Message::Feed(message) if from == self.agent => {
                     self.take_news(from, message, &mut out);
+                    if self.follower.is_fetching() {
+                        self.ask_feed(now, &mut out);
+                    }
                 }
                 Message::Counter(message) => self.receive_counter(&message, now, &mut out),
                 Message::Parcel(message) => self.receive_parcel(message, now, &mut out),
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -201,18 +201,23 @@
         }
     }
 
+    /// Asks the feed, if it is time to.
+    fn ask_feed(&mut self, now: MonotonicMs, out: &mut Out) {
+        let vitals = self.vitals(now);
+        if let Some((to, message)) = self.follower.beat(now, || vitals) {
+            out.push(Effect::Send { to, message: Message::Feed(message) });
+        }
+    }
+
     fn beat(&mut self, now: MonotonicMs, out: &mut Out) {
         let outgoing = self.cohort.beat(now);
         out.extend(topazyard_cohort::effects(outgoing));
         self.remember_addresses(out);
-        let vitals = self.vitals(now);
         self.follower.learn_sources(self.cohort.addresses(Duty::Control));
         let behind = self.behind_since.is_some_and(|at| self.follower.confirmed_at() <= Some(at));
         let waits = self.hosted.values().any(|hosted| hosted.waits_for_control(now));
         self.follower.hurry(behind || waits);
-        if let Some((to, message)) = self.follower.beat(now, || vitals) {
-            out.push(Effect::Send { to, message: Message::Feed(message) });
-        }
+        self.ask_feed(now, out);
         let shards: Vec<ShardId> = self.hosted.keys().copied().collect();
         for shard in &shards {
             let Some(hosted) = self.hosted.get_mut(shard) else { continue };
@@ -311,6 +316,9 @@
                         self.view = FleetView::read(self.follower.copy().rows());
                         self.settle_roles(now, &mut out);
                     }
+                    if self.follower.is_fetching() {
+                        self.ask_feed(now, &mut out);
+                    }
                     self.answer_asides(now, &mut out);
                 }
                 Message::Pair(message) => self.receive_pair(sender, from, message, now, &mut out),
