Say in the log which orders were not taken, and what operators do then

Two tests more: of two copies of a command one runs (red with the check on the confirmed copy taken out), and an order that was under way when the primary died is taken once (held before).

--- a/fleet-measure/src/scale/fleet.rs
+++ b/fleet-measure/src/scale/fleet.rs
@@ -56,6 +56,9 @@
     time_us: u64,
     last_event: u64,
     outcomes: Vec<OperateOutcome>,
+    resources: topazyard_spec::Resources,
+    /// Nodes that hear only each other.
+    island: Vec<usize>,
 }
 
 /// What a machine put out, whichever it is.
@@ -110,6 +113,11 @@
 impl Fleet {
     /// Three control nodes, three storage nodes and so many edge nodes, each a relay and an agent.
     pub fn start(edges: usize) -> Self {
+        Self::start_within(edges, topazyard_spec::Resources::default())
+    }
+
+    /// The same, each with so many resources.
+    pub fn start_within(edges: usize, resources: topazyard_spec::Resources) -> Self {
         let mut fleet = Self {
             nodes: Vec::new(),
             places: std::collections::BTreeMap::new(),
@@ -117,6 +125,8 @@
             time_us: 0,
             last_event: 0,
             outcomes: Vec::new(),
+            resources,
+            island: Vec::new(),
         };
         let seeds: Vec<_> = (0..3).map(|number| address(0, number)).collect();
         let mut first = Vec::new();
@@ -182,7 +192,7 @@
             chance,
             loaded: Default::default(),
             bounds: topazyard_spec::Bounds::default(),
-            resources: topazyard_spec::Resources::default(),
+            resources: self.resources.clone(),
             may_found: true,
         }
     }
@@ -310,17 +320,86 @@
         node.meter.codec_us += thread_us() - begun;
         node.meter.frames_out += 1;
         node.meter.bytes_out += bytes.len() as u64;
-        if let Some(place) = self.places.get(&to).copied() {
+        if let Some(place) = self.places.get(&to).copied()
+            && self.island.contains(&index) == self.island.contains(&place)
+        {
             self.after(WAY_US, Event::Frame(place, bytes));
         }
     }
 
+    /// Cuts these nodes off from all others, and no others.
+    pub fn cut_off(&mut self, nodes: &[usize]) {
+        self.island = nodes.to_vec();
+    }
+
+    /// Lets time pass until something holds, looked at each millisecond, and gives how much passed.
+    pub fn ms_until(&mut self, what: &str, holds: impl Fn(&mut Self) -> bool) -> u64 {
+        for ms in 0..60_000 {
+            if holds(self) {
+                return ms;
+            }
+            self.run_ms(1);
+        }
+        eprintln!("the fleet never got as far as this: {what}");
+        std::process::exit(1);
+    }
+
+    /// Gives the control primary a command, and how long it takes until it is done.
+    pub fn ms_of_command(&mut self, command: Command) -> u64 {
+        let before = self.outcomes.len();
+        self.call_primary(command);
+        let ms = self.ms_until("a command has its outcome", |fleet| fleet.outcomes.len() > before);
+        self.exit_if_refused();
+        ms
+    }
+
+    fn relay_vitals(&mut self, index: usize) -> Option<topazyard_relay::machine::RelayVitals> {
+        let now = self.now();
+        let Body::Relay(machine) = &mut self.nodes[index].body else { return None };
+        let request = topazyard_relay::RelayCall::Vitals;
+        let effects = machine.step(Input::Call { call: CallId(1), request }, now);
+        effects.into_iter().find_map(|effect| match effect {
+            Effect::Return { value: topazyard_relay::RelayReturn::Vitals(vitals), .. } => {
+                Some(*vitals)
+            }
+            _ => None,
+        })
+    }
+
+    /// The version in force at a relay.
+    pub fn relay_version(&mut self, index: usize) -> Option<u64> {
+        self.relay_vitals(index)?.spec.map(|version| version.0)
+    }
+
+    /// How old the last confirmation is that a relay has of the feed.
+    pub fn relay_feed_age_ms(&mut self, index: usize) -> Option<u64> {
+        self.relay_vitals(index)?.feed_age_ms.map(|age| age.0)
+    }
+
+    /// The control primary, its backup and the third control node.
+    pub fn control_roles(&mut self) -> (usize, usize, usize) {
+        let primary = self.control_primary();
+        self.reset();
+        self.run_ms(1_000);
+        let mut others: Vec<usize> = (0..3).filter(|index| *index != primary).collect();
+        // The backup is the one of the two that gets the primary's batches.
+        others.sort_by_key(|index| std::cmp::Reverse(self.nodes[*index].meter.bytes_in));
+        (primary, others[0], others[1])
+    }
+
     /// Gives the control primary a command; gives the processor time of the step that takes it, in
     /// microseconds. It must not be refused.
     pub fn command(&mut self, command: Command) -> f64 {
+        let before = self.outcomes.len();
+        let took = self.call_primary(command);
+        self.run_until("a command has its outcome", |fleet| fleet.outcomes.len() > before);
+        self.exit_if_refused();
+        took
+    }
+
+    fn call_primary(&mut self, command: Command) -> f64 {
         let now = self.now();
         let index = self.control_primary();
-        let before = self.outcomes.len();
         let outcomes = &mut self.outcomes;
         let Body::Control(machine) = &mut self.nodes[index].body else { return 0.0 };
         let request = ControlCall::Operate(Operate::Command(command));
@@ -330,12 +409,14 @@
         let took = thread_us() - begun;
         self.nodes[index].meter.step_us += took;
         self.make_happen(index, out);
-        self.run_until("a command has its outcome", |fleet| fleet.outcomes.len() > before);
+        took
+    }
+
+    fn exit_if_refused(&self) {
         if let Some(OperateOutcome::Refused(error)) = self.outcomes.last() {
             eprintln!("a command was refused: {error:?}");
             std::process::exit(1);
         }
-        took
     }
 
     /// What a client was sent, taken out.
--- a/fleet-measure/src/scale/mod.rs
+++ b/fleet-measure/src/scale/mod.rs
@@ -3,6 +3,7 @@
 //! Processor time is that of the thread (steps, and the encoding and decoding of frames); sockets,
 //! threads and disks are not in it. Each size is measured several times and the median is shown.
 
+mod catch_up;
 mod counter;
 mod engines;
 mod fleet;
@@ -36,6 +37,21 @@
         #[arg(long, default_value_t = 10)]
         changes: usize,
     },
+    /// A relay and a control node that were cut off while configurations changed
+    CatchUp {
+        /// Routes
+        #[arg(long, value_delimiter = ',', default_values_t = [20, 300])]
+        routes: Vec<usize>,
+        /// Changes that were missed
+        #[arg(long, value_delimiter = ',', default_values_t = [1, 100, 1_000])]
+        changes: Vec<usize>,
+        /// Memory of each process in MB; 0: unlimited
+        #[arg(long, default_value_t = 256)]
+        memory_mb: u64,
+        /// Disk of each process in MB; 0: unlimited
+        #[arg(long, default_value_t = 128)]
+        disk_mb: u64,
+    },
     /// Engines on the list, one of which changes at a time
     Engines {
         /// Engines
@@ -70,6 +86,14 @@
     match scale {
         Scale::Followers { sizes, times } => followers::run(sizes, *times),
         Scale::Routes { sizes, times, changes } => routes::run(sizes, *times, *changes),
+        Scale::CatchUp { routes, changes, memory_mb, disk_mb } => {
+            let resources = topazyard_spec::Resources {
+                memory_bytes: memory_mb * 1_000_000,
+                disk_bytes: disk_mb * 1_000_000,
+                ..Default::default()
+            };
+            catch_up::run(routes, changes, &resources);
+        }
         Scale::Engines { sizes, times } => engines::run(sizes, *times),
         Scale::Counter { sizes, times } => counter::run(sizes, *times),
         Scale::Items { sizes, times } => items::run(sizes, *times),
--- a/programs/topazyard-control/src/machine/operate.rs
+++ b/programs/topazyard-control/src/machine/operate.rs
@@ -77,6 +77,21 @@
     queued: Queued,
 }
 
+/// The log's line for an operator's order that was not taken.
+fn not_taken(
+    command: &Command,
+    error: &ApiError,
+) -> Option<Effect<OperateOutcome, super::ControlTask>> {
+    let order = match command {
+        Command::TakeSpec { base, version, .. } => format!("spec {version} on {base}"),
+        Command::SubmitSpec { base, .. } => format!("submission on {base}"),
+        Command::RetireNamed(name) => format!("retirement of {name}"),
+        _ => return None,
+    };
+    let text = format!("{order} not taken: {}", error.code);
+    Some(Effect::Note { grave: false, text })
+}
+
 /// Calls that wait.
 #[derive(Debug)]
 pub(crate) struct OperateInbox {
@@ -236,7 +251,10 @@
         // A refusal is committed like a read: what it was judged by is then confirmed state.
         let (changes, outcome) = match self.judge(&command, now) {
             Ok((changes, done)) => (changes, OperateOutcome::Done(done.to_string())),
-            Err(error) => (Vec::new(), OperateOutcome::Refused(error)),
+            Err(error) => {
+                out.extend(not_taken(&command, &error));
+                (Vec::new(), OperateOutcome::Refused(error))
+            }
         };
         self.submit(changes, Waiting::Command(origin, outcome));
     }
--- a/programs/topazyard-control/tests/orders.rs
+++ b/programs/topazyard-control/tests/orders.rs
@@ -325,3 +325,69 @@
 fn of_three_orders_under_one_number_one_is_confirmed() {
     (0..9).for_each(raced);
 }
+
+fn is_answer(message: &Message) -> bool {
+    matches!(message, Message::Operate(OperateMessage::Answer { .. }))
+}
+
+fn stage_of(fleet: &Fleet, id: topazyard_types::NodeId) -> topazyard_wire::state::StorageStage {
+    let primary = fleet.primary().expect("a primary");
+    let rows = &fleet.nodes[primary].rows[&topazyard_wire::Group::Control];
+    topazyard_wire::state::FleetView::read(rows).storage[&id].stage
+}
+
+// The answer to the first copy is under way still, so that its caller waits; the second copy must
+// not undo what came in between.
+#[test]
+fn of_two_copies_of_a_command_one_runs() {
+    use topazyard_wire::state::StorageStage::{Active, Emptying};
+    let mut fleet = running();
+    fleet.storage = (1..=4).map(storage).collect();
+    fleet.run(4_000);
+    let id = fleet.storage[0].id;
+    let primary = fleet.primary().expect("a primary");
+    fleet.network = |message| match message {
+        message if is_ask(message) => Fate::ArrivesTwice,
+        message if is_answer(message) => Fate::Waits,
+        _ => Fate::Arrives,
+    };
+    assert_eq!(at_once(&mut fleet, (primary + 1) % 3, Command::EmptyStorage(id)), None);
+    assert_eq!(stage_of(&fleet, id), Emptying);
+    fleet.network = |_| Fate::Arrives;
+    taken(fleet.command((primary + 2) % 3, Command::AddStorage(id)));
+    assert_eq!(stage_of(&fleet, id), Active);
+    fleet.arrive_all();
+    fleet.run(300);
+    assert_eq!(stage_of(&fleet, id), Active);
+}
+
+// The primary dies with the answer on its lips, or before the order was committed. Whichever, the
+// order is taken once, and a rival on the same base then isn't.
+#[test]
+fn an_order_that_was_under_way_when_the_primary_died_is_taken_once() {
+    for is_committed in [true, false] {
+        let mut fleet = running();
+        taken(fleet.command(0, order(0, 3, "a")));
+        let primary = fleet.primary().expect("a primary");
+        let (asking, other) = ((primary + 1) % 3, (primary + 2) % 3);
+        fleet.network = match is_committed {
+            true => |message| if is_answer(message) { Fate::Waits } else { Fate::Arrives },
+            false => |message| match message {
+                Message::Pair(_) => Fate::Waits,
+                _ => Fate::Arrives,
+            },
+        };
+        assert_eq!(at_once(&mut fleet, asking, order(3, 5, "a")), None);
+        fleet.stop(primary, false);
+        fleet.network = |_| Fate::Arrives;
+        let late = std::mem::take(&mut fleet.late);
+        fleet.run(3_000);
+        fleet.start(primary);
+        taken(fleet.command(other, order(3, 5, "a")));
+        late.into_iter().for_each(|frame| fleet.arrive(frame));
+        fleet.run(3_000);
+        refused(fleet.command(asking, order(3, 5, "b")), Code::StaleBase);
+        taken(fleet.command(primary, order(3, 5, "a")));
+        source_is(&mut fleet, asking, "a 5");
+    }
+}
