--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -8,6 +8,7 @@
 mod leaving;
 mod listing;
 mod operate;
+mod orders;
 mod patience;
 mod queries;
 mod tuning;
@@ -68,6 +69,8 @@
     pub(crate) waiting: std::collections::BTreeMap<Ticket, Waiting>,
     pub(crate) last_ticket: Ticket,
     pub(crate) operate: operate::OperateInbox,
+    order_bounds: orders::OrderBounds,
+    snapshots: feed::Snapshots,
     pub(crate) seen: vitals::Seen,
     tuning: tuning::Tuning,
     listing: listing::Listing,
@@ -96,7 +99,12 @@
 #[derive(Debug, Clone)]
 pub(crate) enum Waiting {
     /// A follower of the feed.
-    Follower { to: std::net::SocketAddr, nonce: u64, after: topazyard_types::Place },
+    Follower {
+        to: std::net::SocketAddr,
+        nonce: u64,
+        after: topazyard_types::Place,
+        part: Option<topazyard_wire::message::feed::PartWanted>,
+    },
     /// A command whose outcome is known once it is committed.
     Command(operate::Origin, OperateOutcome),
     /// A query, answered from the committed state.
@@ -135,6 +143,8 @@
             waiting: std::collections::BTreeMap::new(),
             last_ticket: 0,
             operate: operate::OperateInbox::new(life),
+            order_bounds: orders::OrderBounds::within(&start.resources),
+            snapshots: feed::Snapshots::new(),
             seen: vitals::Seen::default(),
             tuning: tuning::Tuning::default(),
             listing: listing::Listing::default(),
@@ -239,7 +249,9 @@
     /// Answers one whose ticket is committed.
     fn settle(&mut self, waiting: Waiting, now: MonotonicMs, out: &mut Out) {
         match waiting {
-            Waiting::Follower { to, nonce, after } => self.send_news(to, nonce, after, out),
+            Waiting::Follower { to, nonce, after, part } => {
+                self.send_news(to, nonce, after, part, out);
+            }
             Waiting::Command(origin, outcome) => self.answer(origin, outcome, now, out),
             Waiting::Query(origin, query) => {
                 let outcome = self.query(&query, now);
@@ -318,6 +330,7 @@
         self.listing_beat(now, out);
         if !self.pair.is_serving() {
             self.serving_since = None;
+            self.snapshots.clear();
         }
         if now.since(self.last_plan) >= crate::planner::EVERY {
             self.last_plan = now;
@@ -392,11 +405,13 @@
                 Message::Pair(message) => self.receive_pair(sender, from, message, now, &mut out),
                 Message::Feed(message) => self.receive_feed(sender, from, message, now, &mut out),
                 Message::Wish(wish) => self.take_wish(sender, &wish, now),
-                Message::Operate(message) => self.receive_operate(from, message, now, &mut out),
+                Message::Operate(message) => {
+                    self.receive_operate(sender, from, message, now, &mut out);
+                }
                 Message::Counter(_) | Message::Parcel(_) | Message::Told(..) => {}
             },
         }
-        self.run_commands(now);
+        self.run_commands(now, &mut out);
         let outputs = self.pair.proceed(now);
         self.take_pair(outputs, now, &mut out);
         out
