Believe a response only if it carries the request's own id

Cause: a response with the not-executed mark, or 421, and without an id counted as the request's own. On a connection that is used again a surplus response of the request before may be read in the place of the next, which then went to a second engine, or was answered 503, although it ran.

Decision: no exception. Ruled out: an exception for new connections, since a connection opened ahead of need is not new when it is used.

--- a/programs/topazyard-relay/src/front/dialect.rs
+++ b/programs/topazyard-relay/src/front/dialect.rs
@@ -4,10 +4,10 @@
 use topazyard_types::{DurationMs, EngineName, Tokens};
 
 /// What a request's head says, whatever the names.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct RequestFacts {
     /// How its client tells its requests apart; the engine's response carries it back.
-    pub request_id: Option<hyper::header::HeaderValue>,
+    pub request_id: hyper::header::HeaderValue,
     /// How long the client waits, if it says so.
     pub wait: Option<DurationMs>,
     /// Prompt tokens and most tokens out, if stated.
@@ -59,11 +59,13 @@
     /// Says in the head what is said to an engine.
     fn address(&self, headers: &mut hyper::HeaderMap, to: &Addressed<'_>);
 
-    /// What the head of a response to that request says.
+    /// What the head of a response says that came where the response to that request is due. Only
+    /// one that carries the request's id speaks of it: on a connection that is used again, what is
+    /// read may have been sent before the request was.
     fn judge(
         &self,
         head: &hyper::http::response::Parts,
-        request_id: Option<&hyper::header::HeaderValue>,
+        request_id: &hyper::header::HeaderValue,
     ) -> Verdict;
 
     /// A refusal as the client gets it.
--- a/programs/topazyard-relay/src/front/items.rs
+++ b/programs/topazyard-relay/src/front/items.rs
@@ -53,10 +53,13 @@
     run: &RoutedRun,
     names: &dyn Dialect,
 ) -> (RunEnd, EngineUse) {
-    let request_id = HeaderValue::from_str(&run.directions.id).ok();
-    let request = request_id.as_ref().and_then(|id| request_of(run, id, names));
     // An item that no request can carry will never run.
-    let Some(request) = request else { return (RunEnd::NotRun, EngineUse::Unsent) };
+    let Ok(request_id) = HeaderValue::from_str(&run.directions.id) else {
+        return (RunEnd::NotRun, EngineUse::Unsent);
+    };
+    let Some(request) = request_of(run, &request_id, names) else {
+        return (RunEnd::NotRun, EngineUse::Unsent);
+    };
     let Some(mut connection) = connection_to(run).await else {
         return (RunEnd::NotRun, EngineUse::Unreachable);
     };
@@ -74,7 +77,7 @@
     let first = handle.clock().now().since(sent_at);
     let is_delimited = super::engine::is_delimited(response.headers());
     let (head, body) = response.into_parts();
-    match (names.judge(&head, request_id.as_ref()), head.status.as_u16()) {
+    match (names.judge(&head, &request_id), head.status.as_u16()) {
         (Verdict::TurnedAway, _) => (RunEnd::NotRun, EngineUse::TurnedAway),
         (Verdict::Failure, 500) => (RunEnd::Failed, EngineUse::Failed),
         (Verdict::Response, 422) => (RunEnd::Impossible, EngineUse::Whole(first)),
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -244,7 +244,7 @@
             // Its end could not be told from a cut.
             return Err(self.failed(Failure::Broken, EngineUse::Failed));
         }
-        match self.names.judge(&head, self.facts.request_id.as_ref()) {
+        match self.names.judge(&head, &self.facts.request_id) {
             Verdict::Response => Ok(Begun { connection, head, body, first }),
             Verdict::TurnedAway => {
                 tokio::spawn(keep_after(connection, head, body));
--- a/programs/topazyard-relay/tests/routed.rs
+++ b/programs/topazyard-relay/tests/routed.rs
@@ -65,7 +65,7 @@
 impl Dialect for Plain {
     fn read(&self, head: &hyper::http::request::Parts) -> Result<RequestFacts, ApiError> {
         Ok(RequestFacts {
-            request_id: head.headers.get("x-id").cloned(),
+            request_id: head.headers.get("x-id").cloned().expect("an id"),
             wait: number(&head.headers, "x-wait").map(DurationMs),
             cost: Some(Tokens(1)),
             prefix: Vec::new(),
@@ -87,9 +87,9 @@
     fn judge(
         &self,
         head: &hyper::http::response::Parts,
-        request_id: Option<&hyper::header::HeaderValue>,
+        request_id: &hyper::header::HeaderValue,
     ) -> Verdict {
-        if head.headers.get("x-id") != request_id {
+        if head.headers.get("x-id") != Some(request_id) {
             Verdict::Foreign
         } else if head.headers.contains_key("x-turned-away") {
             Verdict::TurnedAway
