Pass on no answer whose end could be read in two ways

- An engine's answer with both a length and chunks was passed on with the length that it named and the bytes of the chunks.
A client would have read what lies beyond as the answer to its next request (debug builds break the connection there).
Such an answer is now a broken one, as is one with any other transfer coding.
- A client of HTTP/1.0 got a stream piece by piece and reads to the end of its connection, so that a cut stream looked whole.
It now gets the stream whole or not at all, as on the own interface.

The stand-ins of routed.rs move to tests/loopback, in whatever names an adapter has, so that the platform's tests can use them.

--- a/programs/topazyard-relay/src/front/engine.rs
+++ b/programs/topazyard-relay/src/front/engine.rs
@@ -42,21 +42,25 @@
         .map_err(|_| OutwardError::NotConnected)
 }
 
-/// Whether the end of a return's body can be told from a cut. One that just ends with its
-/// connection can't be.
+/// Whether the end of a return's body can be told from a cut, in one way and no other. One that just
+/// ends with its connection can't be, and one that tells its length twice may be read in two ways.
 ///
 /// ```
 /// let mut headers = hyper::HeaderMap::new();
 /// assert!(!topazyard_relay::front::engine::is_delimited(&headers));
 /// headers.insert("content-length", 5.into());
 /// assert!(topazyard_relay::front::engine::is_delimited(&headers));
+/// headers.insert("transfer-encoding", "chunked".parse().unwrap());
+/// assert!(!topazyard_relay::front::engine::is_delimited(&headers));
 /// ```
 pub fn is_delimited(headers: &hyper::HeaderMap) -> bool {
-    let chunked = headers
-        .get(hyper::header::TRANSFER_ENCODING)
-        .and_then(|value| value.to_str().ok())
-        .is_some_and(|value| value.to_ascii_lowercase().ends_with("chunked"));
-    chunked || headers.contains_key(hyper::header::CONTENT_LENGTH)
+    let has_length = headers.contains_key(hyper::header::CONTENT_LENGTH);
+    let mut codings = headers.get_all(hyper::header::TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => has_length,
+        (Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked") && !has_length,
+        (Some(_), Some(_)) => false,
+    }
 }
 
 /// Looks whether an engine is well.
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -46,6 +46,8 @@
     facts: RequestFacts,
     chart: Chart,
     terms: Admitted,
+    /// Whether the response is passed on piece by piece.
+    stream: bool,
     method: hyper::Method,
     uri: hyper::Uri,
     headers: hyper::HeaderMap,
@@ -117,12 +119,15 @@
     chart.wait();
     chart.hold();
     let last_event = facts.last_event;
+    // A client of HTTP/1.0 could not tell a cut stream from a whole one: it gets it whole.
+    let stream = terms.stream && head.version >= hyper::Version::HTTP_11;
     let session = Session {
         ending,
         names: names.clone(),
         facts,
         chart,
         terms,
+        stream,
         method: head.method,
         uri: head.uri,
         headers: of_both_sides(head.headers),
@@ -173,7 +178,7 @@
                 Err(Next::Another) => self.ask_for_another().await?,
             }
         };
-        if self.terms.stream && begun.head.status.is_success() {
+        if self.stream && begun.head.status.is_success() {
             return Ok(self.relay(begun));
         }
         self.relay_whole(begun).await
--- /dev/null
+++ b/programs/topazyard-relay/tests/loopback/mod.rs
@@ -0,0 +1,421 @@
+//! A relay on routes and its engines in one process over loopback, in whatever names an outer
+//! adapter has: engines do what a script says, and tell what they got.
+//!
+//! Engines share one script: whichever is asked next does what comes next in it.
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use topazyard_relay::front::routed::Names;
+use topazyard_types::{EngineName, Epoch, FleetId, NodeId, Place, Sequence, ShardId, SpecVersion};
+use topazyard_wire::api::{ApiError, Ran};
+use topazyard_wire::message::control::{CoreNode, ShardRecord};
+use topazyard_wire::message::counter::{CounterBody, CounterMessage};
+use topazyard_wire::message::feed::{FeedMessage, Matter};
+use topazyard_wire::message::{FRAME_VERSION, Frame, Message};
+use topazyard_wire::state::{IN_FORCE, InForceRow, engine_key, route_key, shard_key};
+
+type Address = std::net::SocketAddr;
+
+const FLEET: FleetId = FleetId(4);
+const HOST: &str = "a.example";
+
+/// One runtime for all tests, as in those of the own interface. One thread, as each thread keeps
+/// its own connections to engines.
+pub fn runtime() -> &'static tokio::runtime::Runtime {
+    static RUNTIME: std::sync::OnceLock<tokio::runtime::Runtime> = std::sync::OnceLock::new();
+    RUNTIME.get_or_init(|| {
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        builder.worker_threads(1).enable_all().build().expect("a runtime")
+    })
+}
+
+fn free_address() -> Address {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+/// A relay's machine and links, on a port that is free.
+fn spawn_relay(
+    agent: Address,
+) -> (topazyard_relay::front::Handle, tokio::sync::mpsc::Receiver<topazyard_relay::RelayTask>) {
+    let bounds = topazyard_spec::Bounds::default;
+    let spawned = (0..10).find_map(|_| {
+        // Between the look and the use another may take it.
+        let address = free_address();
+        let start = topazyard_relay::Start { node: NodeId(9), agent, bounds: bounds() };
+        let place = topazyard_wire::driver::Place { fleet: FLEET, node: NodeId(9), address };
+        let (tasks, begun) = tokio::sync::mpsc::channel(64);
+        let make = move |_| (topazyard_relay::RelayMachine::new(&start), Vec::new());
+        let handle = topazyard_wire::driver::spawn(make, place, None, tasks).ok()?;
+        Some((handle, begun))
+    });
+    spawned.expect("a relay")
+}
+
+/// An adapter's names, and the headers of requests that engines and clients need to know.
+#[derive(Clone)]
+pub struct Wording {
+    pub names: Names,
+    /// The header with a request's id.
+    pub id: &'static str,
+    /// The header with the engine that is meant.
+    pub engine: &'static str,
+    /// The header with the last event that is there already.
+    pub last_event: &'static str,
+}
+
+/// What the engine that is asked next does. `{id}` stands for the request's id.
+#[derive(Clone)]
+pub enum Then {
+    /// Sends this and keeps the connection.
+    Keep(String),
+    /// Sends this and closes.
+    Close(String),
+    /// Sends this and resets the connection.
+    Reset(String),
+    /// Sends this, and resets the connection when the next request arrives, without reading it.
+    Forget(String),
+    /// Sends this and says nothing more until the other side closes.
+    Hang(String),
+}
+
+/// A request as an engine got it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seen {
+    pub engine: usize,
+    /// The how manieth connection of all engines it came on.
+    pub connection: usize,
+    pub id: String,
+    pub after: Option<u64>,
+    pub body: String,
+}
+
+/// Asks for what comes next in the script.
+type Script = tokio::sync::mpsc::UnboundedSender<tokio::sync::oneshot::Sender<Then>>;
+
+/// Owns a script until nobody asks any more.
+fn read_out(script: Vec<Then>) -> Script {
+    let (sender, mut askings) = tokio::sync::mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        for then in script {
+            let Some(asking): Option<tokio::sync::oneshot::Sender<Then>> = askings.recv().await
+            else {
+                return;
+            };
+            let _ = asking.send(then);
+        }
+    });
+    sender
+}
+
+/// A relay with its engines.
+pub struct Edge {
+    wording: Wording,
+    relay: Address,
+    saw: tokio::sync::mpsc::UnboundedReceiver<Seen>,
+}
+
+impl Edge {
+    /// A relay that is ready, beside a stand-in agent and counter, with so many engines.
+    pub async fn ready(
+        wording: Wording,
+        engines: usize,
+        script: impl IntoIterator<Item = Then>,
+    ) -> Self {
+        static LAST: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+        let script = read_out(script.into_iter().collect());
+        let connections = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+        let (tell, saw) = tokio::sync::mpsc::unbounded_channel();
+        let mut listed = Vec::new();
+        for index in 0..engines {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            // Connections are kept by an engine's name, for all relays of this process.
+            let number = LAST.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            let address = listener.local_addr().expect("its address");
+            listed.push((EngineName(format!("e{number}")), address));
+            let engine = Engine {
+                wording: wording.clone(),
+                index,
+                name: format!("e{number}"),
+                script: script.clone(),
+                connections: connections.clone(),
+                tell: tell.clone(),
+            };
+            tokio::spawn(engine.listen(listener));
+        }
+        let core = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let agent = core.local_addr().expect("its address");
+        tokio::spawn(be_core(core, agent, listed));
+        let (handle, begun) = spawn_relay(agent);
+        let names = wording.names.clone();
+        let tasks = topazyard_relay::front::tasks::run(handle.clone(), begun, Some(names.clone()));
+        tokio::spawn(tasks);
+        let http = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let relay = http.local_addr().expect("its address");
+        let asked = handle.clone();
+        tokio::spawn(topazyard_wire::http::inward::serve(http, move |request| {
+            topazyard_relay::front::routed::answer(handle.clone(), names.clone(), request)
+        }));
+        while !matches!(
+            asked.call(topazyard_relay::RelayCall::Ready).await,
+            Ok(topazyard_relay::RelayReturn::Noted)
+        ) {
+            tokio::task::yield_now().await;
+        }
+        Self { wording, relay, saw }
+    }
+
+    /// Sends a request and reads until the relay closes.
+    pub async fn ask(&self, path: &str, id: &str) -> Got {
+        self.ask_more(path, id, "").await
+    }
+
+    /// The same with more headers.
+    pub async fn ask_more(&self, path: &str, id: &str, more: &str) -> Got {
+        let request = self.request(path, id, &format!("connection: close\r\n{more}"));
+        let mut client = self.connect().await;
+        client.write_all(request.as_bytes()).await.expect("the relay takes it");
+        read_all(&mut client).await
+    }
+
+    /// A request as a client writes it; its body is its id, in three letters.
+    pub fn request(&self, path: &str, id: &str, more: &str) -> String {
+        let id_header = self.wording.id;
+        format!(
+            "POST {path} HTTP/1.1\r\nhost: {HOST}\r\n{id_header}: {id}\r\n\
+             {more}content-length: 3\r\n\r\n{id:0>3}"
+        )
+    }
+
+    /// A client's connection.
+    pub async fn connect(&self) -> tokio::net::TcpStream {
+        tokio::net::TcpStream::connect(self.relay).await.expect("it listens")
+    }
+
+    /// All that engines got so far.
+    pub fn ran(&mut self) -> Vec<Seen> {
+        std::iter::from_fn(|| self.saw.try_recv().ok()).collect()
+    }
+
+    /// The next that an engine gets.
+    pub async fn runs(&mut self) -> Seen {
+        self.saw.recv().await.expect("engines outlive the relay")
+    }
+}
+
+/// Reads until the relay closes; a connection that breaks ends the reading too.
+pub async fn read_all(client: &mut tokio::net::TcpStream) -> Got {
+    let mut got = Vec::new();
+    let _ = client.read_to_end(&mut got).await;
+    Got(String::from_utf8(got).expect("text"))
+}
+
+/// What a client got.
+#[derive(Debug)]
+pub struct Got(pub String);
+
+impl Got {
+    /// Its status.
+    pub fn status(&self) -> &str {
+        self.0.split(' ').nth(1).unwrap_or("")
+    }
+
+    /// Its body.
+    pub fn body(&self) -> &str {
+        self.0.split_once("\r\n\r\n").map_or("", |(_, body)| body)
+    }
+
+    /// What its chunks hold, and whether the last one is there.
+    pub fn chunks(&self) -> (String, bool) {
+        let mut rest = self.body();
+        let mut all = String::new();
+        while let Some((size, after)) = rest.split_once("\r\n") {
+            let size = usize::from_str_radix(size, 16).expect("a chunk's size");
+            if size == 0 {
+                return (all, after == "\r\n");
+            }
+            let piece = after.get(..size).unwrap_or(after);
+            all.push_str(piece);
+            rest = after.get(size + 2..).unwrap_or("");
+        }
+        (all, false)
+    }
+
+    /// A final answer that says whether the request may have run.
+    pub fn refused(&self, status: &str, ran: Ran) {
+        assert_eq!(self.status(), status, "{}", self.0);
+        let error: ApiError = serde_json::from_str(self.body()).expect("an error");
+        assert_eq!(error.ran, ran, "{}", self.0);
+    }
+}
+
+/// An engine.
+#[derive(Clone)]
+struct Engine {
+    wording: Wording,
+    index: usize,
+    name: String,
+    script: Script,
+    connections: std::sync::Arc<std::sync::atomic::AtomicUsize>,
+    tell: tokio::sync::mpsc::UnboundedSender<Seen>,
+}
+
+impl Engine {
+    async fn listen(self, listener: tokio::net::TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let number = self.connections.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            tokio::spawn(self.clone().serve(stream, number));
+        }
+    }
+
+    async fn serve(self, mut stream: tokio::net::TcpStream, connection: usize) {
+        let mut read = Vec::new();
+        loop {
+            let (end, length) = loop {
+                if let Some((end, length)) = head_of(&read)
+                    && read.len() >= end + length
+                {
+                    break (end, length);
+                }
+                match stream.read_buf(&mut read).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(_) => {}
+                }
+            };
+            let request: Vec<u8> = read.drain(..end + length).collect();
+            let head = String::from_utf8_lossy(&request[..end]).into_owned();
+            let said = |name| value(&head, name).unwrap_or("");
+            assert_eq!(said(self.wording.engine), self.name, "it is meant");
+            let (asking, next) = tokio::sync::oneshot::channel();
+            let _ = self.script.send(asking);
+            let next = next.await.ok();
+            let ran = Seen {
+                engine: self.index,
+                connection,
+                id: said(self.wording.id).to_owned(),
+                after: said(self.wording.last_event).parse().ok(),
+                body: String::from_utf8_lossy(&request[end..]).into_owned(),
+            };
+            let _ = self.tell.send(ran);
+            let Some(next) = next else { return };
+            let (Then::Keep(text)
+            | Then::Close(text)
+            | Then::Reset(text)
+            | Then::Forget(text)
+            | Then::Hang(text)) = &next;
+            let text = text.replace("{id}", said(self.wording.id));
+            let _ = stream.write_all(text.as_bytes()).await;
+            match next {
+                Then::Keep(_) => {}
+                Then::Close(_) => return,
+                Then::Reset(_) => {
+                    let _ = stream.set_zero_linger();
+                    return;
+                }
+                Then::Forget(_) => {
+                    let _ = stream.readable().await;
+                    let _ = stream.set_zero_linger();
+                    return;
+                }
+                Then::Hang(_) => {
+                    let _ = stream.read_to_end(&mut Vec::new()).await;
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn value<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| {
+        let (key, value) = line.split_once(':')?;
+        key.eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
+fn head_of(request: &[u8]) -> Option<(usize, usize)> {
+    let text = std::str::from_utf8(request).ok()?;
+    let end = text.find("\r\n\r\n")? + 4;
+    let length = value(&text[..end], "content-length").and_then(|length| length.parse().ok());
+    Some((end, length.unwrap_or(0)))
+}
+
+/// The agent beside the relay, and the counter's primary, which grants all.
+async fn be_core(
+    listener: tokio::net::TcpListener,
+    address: Address,
+    engines: Vec<(EngineName, Address)>,
+) {
+    let (sender, mut frames) = tokio::sync::mpsc::unbounded_channel();
+    tokio::spawn(topazyard_wire::link::inward::listen(listener, FLEET, move |frame| {
+        let _ = sender.send(frame);
+    }));
+    let mut links = topazyard_wire::link::Links::default();
+    while let Some(frame) = frames.recv().await {
+        let Frame { address: to, message, .. } = frame;
+        let message = match message {
+            Message::Feed(FeedMessage::Ask { nonce, .. }) => {
+                let place = Place { epoch: Epoch(1), sequence: Sequence(1) };
+                let matter = Matter::View(rows(address, &engines));
+                Message::Feed(FeedMessage::News { nonce, place, matter })
+            }
+            Message::Counter(CounterMessage { epoch, body }) => {
+                let body = match body {
+                    CounterBody::Add(hold) => CounterBody::Added { id: hold.id, granted: true },
+                    CounterBody::Renew { number, .. } => CounterBody::Renewed { number },
+                    _ => continue,
+                };
+                Message::Counter(CounterMessage { epoch, body })
+            }
+            _ => continue,
+        };
+        let frame =
+            Frame { version: FRAME_VERSION, fleet: FLEET, sender: NodeId(1), address, message };
+        links.send(to, frame.encode());
+    }
+}
+
+fn rows(core: Address, engines: &[(EngineName, Address)]) -> Vec<(String, bytes::Bytes)> {
+    use topazyard_wire::rows::encode;
+    let text = r#"{"pools":[{"name":"main","limit_tokens":100000}]}"#.to_owned();
+    let in_force = InForceRow { version: SpecVersion(1), text };
+    let shard = ShardRecord {
+        epoch: Epoch(1),
+        primary: CoreNode { id: NodeId(1), address: core },
+        copies: 2,
+        backups: Vec::new(),
+        fallbacks: Vec::new(),
+        learners: Vec::new(),
+    };
+    let mut rows = vec![
+        (IN_FORCE.to_owned(), encode(&in_force)),
+        (shard_key(ShardId::COUNTER), encode(&shard)),
+    ];
+    for (name, kind, most) in [
+        ("safe", "safe", 3),
+        ("unsafe", "unsafe", 3),
+        ("stream", "streaming", 3),
+        ("resumable", "streaming", 2),
+    ] {
+        let text = format!(
+            r#"{{"name":"{name}","host":"{HOST}","path_prefix":"/{name}/","kind":"{kind}",
+            "timeout_ms":10000,"target_latency_ms":4000,"max_attempts":{most},
+            "resumable":{},"pools":[{{"pool":"main","weight":1}}]}}"#,
+            name == "resumable"
+        );
+        let route: topazyard_spec::Route = serde_json::from_str(&text).expect("a route");
+        rows.push((route_key(&route.name), encode(&route)));
+    }
+    for (name, address) in engines {
+        let engine = topazyard_spec::Engine {
+            name: name.clone(),
+            address: *address,
+            pool: "main".into(),
+            models: Vec::new(),
+            state: topazyard_spec::EngineState::Ready,
+            domain: None,
+            slots: 0,
+        };
+        rows.push((engine_key(name), encode(&engine)));
+    }
+    rows
+}
--- a/programs/topazyard-relay/tests/routed.rs
+++ b/programs/topazyard-relay/tests/routed.rs
@@ -1,59 +1,14 @@
 //! The routes' front and its engines, in one process over loopback: engines that break off, turn
 //! away, answer with what isn't theirs, or keep and close connections.
-//!
-//! Engines share one script: whichever is asked next does what comes next in it.
 
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+mod loopback;
+
+use loopback::{Edge, Then, Wording, read_all, runtime};
+use tokio::io::AsyncWriteExt as _;
 use topazyard_relay::front::dialect::{Addressed, Dialect, RequestFacts, Verdict};
-use topazyard_types::{
-    DurationMs, EngineName, Epoch, FleetId, NodeId, Place, RouteName, Sequence, ShardId,
-    SpecVersion, Tokens,
-};
+use topazyard_types::{DurationMs, RouteName, Tokens};
 use topazyard_wire::api::{ApiError, Ran};
 use topazyard_wire::http::Body;
-use topazyard_wire::message::control::{CoreNode, ShardRecord};
-use topazyard_wire::message::counter::{CounterBody, CounterMessage};
-use topazyard_wire::message::feed::{FeedMessage, Matter};
-use topazyard_wire::message::{FRAME_VERSION, Frame, Message};
-use topazyard_wire::state::{IN_FORCE, InForceRow, engine_key, route_key, shard_key};
-
-type Address = std::net::SocketAddr;
-
-const FLEET: FleetId = FleetId(4);
-const HOST: &str = "a.example";
-
-/// One runtime for all tests, as in those of the own interface. One thread, as each thread keeps
-/// its own connections to engines.
-fn runtime() -> &'static tokio::runtime::Runtime {
-    static RUNTIME: std::sync::OnceLock<tokio::runtime::Runtime> = std::sync::OnceLock::new();
-    RUNTIME.get_or_init(|| {
-        let mut builder = tokio::runtime::Builder::new_multi_thread();
-        builder.worker_threads(1).enable_all().build().expect("a runtime")
-    })
-}
-
-fn free_address() -> Address {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
-}
-
-/// A relay's machine and links, on a port that is free.
-fn spawn_relay(
-    agent: Address,
-) -> (topazyard_relay::front::Handle, tokio::sync::mpsc::Receiver<topazyard_relay::RelayTask>) {
-    let bounds = topazyard_spec::Bounds::default;
-    let spawned = (0..10).find_map(|_| {
-        // Between the look and the use another may take it.
-        let address = free_address();
-        let start = topazyard_relay::Start { node: NodeId(9), agent, bounds: bounds() };
-        let place = topazyard_wire::driver::Place { fleet: FLEET, node: NodeId(9), address };
-        let (tasks, begun) = tokio::sync::mpsc::channel(64);
-        let make = move |_| (topazyard_relay::RelayMachine::new(&start), Vec::new());
-        let handle = topazyard_wire::driver::spawn(make, place, None, tasks).ok()?;
-        Some((handle, begun))
-    });
-    spawned.expect("a relay")
-}
 
 /// Names of the tests' own: `x-id`, `x-to`, `x-after`, `x-turned-away`.
 struct Plain;
@@ -123,310 +78,15 @@
     }
 }
 
-/// What the engine that is asked next does. `{id}` stands for the request's id.
-#[derive(Clone)]
-enum Then {
-    /// Sends this and keeps the connection.
-    Keep(String),
-    /// Sends this and closes.
-    Close(String),
-    /// Sends this and resets the connection.
-    Reset(String),
-}
-
-/// A request as an engine got it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Seen {
-    engine: usize,
-    /// The how manieth connection of all engines it came on.
-    connection: usize,
-    after: Option<u64>,
-    body: String,
-}
-
-/// Asks for what comes next in the script.
-type Script = tokio::sync::mpsc::UnboundedSender<tokio::sync::oneshot::Sender<Then>>;
-
-/// Owns a script until nobody asks any more.
-fn read_out(script: Vec<Then>) -> Script {
-    let (sender, mut askings) = tokio::sync::mpsc::unbounded_channel();
-    tokio::spawn(async move {
-        for then in script {
-            let Some(asking): Option<tokio::sync::oneshot::Sender<Then>> = askings.recv().await
-            else {
-                return;
-            };
-            let _ = asking.send(then);
-        }
-    });
-    sender
-}
-
-struct Edge {
-    relay: Address,
-    saw: tokio::sync::mpsc::UnboundedReceiver<Seen>,
-}
-
-impl Edge {
-    /// A relay that is ready, beside a stand-in agent and counter, with so many engines.
-    async fn ready(engines: usize, script: impl IntoIterator<Item = Then>) -> Self {
-        static LAST: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
-        let script = read_out(script.into_iter().collect());
-        let connections = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
-        let (tell, saw) = tokio::sync::mpsc::unbounded_channel();
-        let mut listed = Vec::new();
-        for index in 0..engines {
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            // Connections are kept by an engine's name, for all relays of this process.
-            let number = LAST.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-            let address = listener.local_addr().expect("its address");
-            listed.push((EngineName(format!("e{number}")), address));
-            let engine = Engine {
-                index,
-                name: format!("e{number}"),
-                script: script.clone(),
-                connections: connections.clone(),
-                tell: tell.clone(),
-            };
-            tokio::spawn(engine.listen(listener));
-        }
-        let core = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let agent = core.local_addr().expect("its address");
-        tokio::spawn(be_core(core, agent, listed));
-        let (handle, begun) = spawn_relay(agent);
-        let names: topazyard_relay::front::routed::Names = std::sync::Arc::new(Plain);
-        let tasks = topazyard_relay::front::tasks::run(handle.clone(), begun, Some(names.clone()));
-        tokio::spawn(tasks);
-        let http = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let relay = http.local_addr().expect("its address");
-        let asked = handle.clone();
-        tokio::spawn(topazyard_wire::http::inward::serve(http, move |request| {
-            topazyard_relay::front::routed::answer(handle.clone(), names.clone(), request)
-        }));
-        while !matches!(
-            asked.call(topazyard_relay::RelayCall::Ready).await,
-            Ok(topazyard_relay::RelayReturn::Noted)
-        ) {
-            tokio::task::yield_now().await;
-        }
-        Self { relay, saw }
-    }
-
-    /// Sends a request and reads until the relay closes.
-    async fn ask(&self, path: &str, id: &str) -> Got {
-        self.ask_more(path, id, "").await
-    }
-
-    async fn ask_more(&self, path: &str, id: &str, more: &str) -> Got {
-        let mut client = tokio::net::TcpStream::connect(self.relay).await.expect("it listens");
-        let request = format!(
-            "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nconnection: close\r\nx-id: {id}\r\n\
-             x-wait: 5000\r\n{more}content-length: 3\r\n\r\n{id:0>3}"
-        );
-        client.write_all(request.as_bytes()).await.expect("the relay takes it");
-        let mut got = Vec::new();
-        // A connection that breaks ends the reading too.
-        let _ = client.read_to_end(&mut got).await;
-        Got(String::from_utf8(got).expect("text"))
-    }
-
-    /// All that engines got so far.
-    fn ran(&mut self) -> Vec<Seen> {
-        std::iter::from_fn(|| self.saw.try_recv().ok()).collect()
-    }
-}
-
-/// What a client got.
-#[derive(Debug)]
-struct Got(String);
-
-impl Got {
-    fn status(&self) -> &str {
-        self.0.split(' ').nth(1).unwrap_or("")
-    }
-
-    fn body(&self) -> &str {
-        self.0.split_once("\r\n\r\n").map_or("", |(_, body)| body)
-    }
-
-    /// What its chunks hold, and whether the last one is there.
-    fn chunks(&self) -> (String, bool) {
-        let mut rest = self.body();
-        let mut all = String::new();
-        while let Some((size, after)) = rest.split_once("\r\n") {
-            let size = usize::from_str_radix(size, 16).expect("a chunk's size");
-            if size == 0 {
-                return (all, after == "\r\n");
-            }
-            let piece = after.get(..size).unwrap_or(after);
-            all.push_str(piece);
-            rest = after.get(size + 2..).unwrap_or("");
-        }
-        (all, false)
-    }
-
-    /// A final answer that says whether the request may have run.
-    fn refused(&self, status: &str, ran: Ran) {
-        assert_eq!(self.status(), status, "{}", self.0);
-        let error: ApiError = serde_json::from_str(self.body()).expect("an error");
-        assert_eq!(error.ran, ran, "{}", self.0);
-    }
-}
-
-/// An engine.
-#[derive(Clone)]
-struct Engine {
-    index: usize,
-    name: String,
-    script: Script,
-    connections: std::sync::Arc<std::sync::atomic::AtomicUsize>,
-    tell: tokio::sync::mpsc::UnboundedSender<Seen>,
-}
-
-impl Engine {
-    async fn listen(self, listener: tokio::net::TcpListener) {
-        while let Ok((stream, _)) = listener.accept().await {
-            let number = self.connections.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-            tokio::spawn(self.clone().serve(stream, number));
-        }
-    }
-
-    async fn serve(self, mut stream: tokio::net::TcpStream, connection: usize) {
-        let mut read = Vec::new();
-        loop {
-            let (end, length) = loop {
-                if let Some((end, length)) = head_of(&read)
-                    && read.len() >= end + length
-                {
-                    break (end, length);
-                }
-                match stream.read_buf(&mut read).await {
-                    Ok(0) | Err(_) => return,
-                    Ok(_) => {}
-                }
-            };
-            let request: Vec<u8> = read.drain(..end + length).collect();
-            let head = String::from_utf8_lossy(&request[..end]).into_owned();
-            assert_eq!(value(&head, "x-to"), Some(self.name.as_str()), "it is meant");
-            let (asking, next) = tokio::sync::oneshot::channel();
-            let _ = self.script.send(asking);
-            let next = next.await.ok();
-            let ran = Seen {
-                engine: self.index,
-                connection,
-                after: value(&head, "x-after").and_then(|after| after.parse().ok()),
-                body: String::from_utf8_lossy(&request[end..]).into_owned(),
-            };
-            let _ = self.tell.send(ran);
-            let Some(next) = next else { return };
-            let (Then::Keep(text) | Then::Close(text) | Then::Reset(text)) = &next;
-            let text = text.replace("{id}", value(&head, "x-id").unwrap_or(""));
-            let _ = stream.write_all(text.as_bytes()).await;
-            match next {
-                Then::Keep(_) => {}
-                Then::Close(_) => return,
-                Then::Reset(_) => {
-                    let _ = stream.set_zero_linger();
-                    return;
-                }
-            }
-        }
-    }
-}
-
-fn value<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    head.lines().find_map(|line| {
-        let (key, value) = line.split_once(':')?;
-        key.eq_ignore_ascii_case(name).then(|| value.trim())
-    })
-}
-
-fn head_of(request: &[u8]) -> Option<(usize, usize)> {
-    let text = std::str::from_utf8(request).ok()?;
-    let end = text.find("\r\n\r\n")? + 4;
-    let length = value(&text[..end], "content-length").and_then(|length| length.parse().ok());
-    Some((end, length.unwrap_or(0)))
-}
-
-/// The agent beside the relay, and the counter's primary, which grants all.
-async fn be_core(
-    listener: tokio::net::TcpListener,
-    address: Address,
-    engines: Vec<(EngineName, Address)>,
-) {
-    let (sender, mut frames) = tokio::sync::mpsc::unbounded_channel();
-    tokio::spawn(topazyard_wire::link::inward::listen(listener, FLEET, move |frame| {
-        let _ = sender.send(frame);
-    }));
-    let mut links = topazyard_wire::link::Links::default();
-    while let Some(frame) = frames.recv().await {
-        let Frame { address: to, message, .. } = frame;
-        let message = match message {
-            Message::Feed(FeedMessage::Ask { nonce, .. }) => {
-                let place = Place { epoch: Epoch(1), sequence: Sequence(1) };
-                let matter = Matter::View(rows(address, &engines));
-                Message::Feed(FeedMessage::News { nonce, place, matter })
-            }
-            Message::Counter(CounterMessage { epoch, body }) => {
-                let body = match body {
-                    CounterBody::Add(hold) => CounterBody::Added { id: hold.id, granted: true },
-                    CounterBody::Renew { number, .. } => CounterBody::Renewed { number },
-                    _ => continue,
-                };
-                Message::Counter(CounterMessage { epoch, body })
-            }
-            _ => continue,
-        };
-        let frame =
-            Frame { version: FRAME_VERSION, fleet: FLEET, sender: NodeId(1), address, message };
-        links.send(to, frame.encode());
-    }
-}
-
-fn rows(core: Address, engines: &[(EngineName, Address)]) -> Vec<(String, bytes::Bytes)> {
-    use topazyard_wire::rows::encode;
-    let text = r#"{"pools":[{"name":"main","limit_tokens":100000}]}"#.to_owned();
-    let in_force = InForceRow { version: SpecVersion(1), text };
-    let shard = ShardRecord {
-        epoch: Epoch(1),
-        primary: CoreNode { id: NodeId(1), address: core },
-        copies: 2,
-        backups: Vec::new(),
-        fallbacks: Vec::new(),
-        learners: Vec::new(),
+/// A relay that is ready, with so many engines, in these names.
+async fn ready(engines: usize, script: impl IntoIterator<Item = Then>) -> Edge {
+    let wording = Wording {
+        names: std::sync::Arc::new(Plain),
+        id: "x-id",
+        engine: "x-to",
+        last_event: "x-after",
     };
-    let mut rows = vec![
-        (IN_FORCE.to_owned(), encode(&in_force)),
-        (shard_key(ShardId::COUNTER), encode(&shard)),
-    ];
-    for (name, kind, most) in [
-        ("safe", "safe", 3),
-        ("unsafe", "unsafe", 3),
-        ("stream", "streaming", 3),
-        ("resumable", "streaming", 2),
-    ] {
-        let text = format!(
-            r#"{{"name":"{name}","host":"{HOST}","path_prefix":"/{name}/","kind":"{kind}",
-            "timeout_ms":10000,"target_latency_ms":4000,"max_attempts":{most},
-            "resumable":{},"pools":[{{"pool":"main","weight":1}}]}}"#,
-            name == "resumable"
-        );
-        let route: topazyard_spec::Route = serde_json::from_str(&text).expect("a route");
-        rows.push((route_key(&route.name), encode(&route)));
-    }
-    for (name, address) in engines {
-        let engine = topazyard_spec::Engine {
-            name: name.clone(),
-            address: *address,
-            pool: "main".into(),
-            models: Vec::new(),
-            state: topazyard_spec::EngineState::Ready,
-            domain: None,
-            slots: 0,
-        };
-        rows.push((engine_key(name), encode(&engine)));
-    }
-    rows
+    Edge::ready(wording, engines, script).await
 }
 
 fn whole(body: &str) -> String {
@@ -457,7 +117,7 @@
 fn a_whole_stream_is_passed_on_whole() {
     runtime().block_on(async {
         for path in ["/stream/1", "/resumable/1"] {
-            let mut edge = Edge::ready(2, [Then::Keep(stream(1..=5) + STREAM_END)]).await;
+            let mut edge = ready(2, [Then::Keep(stream(1..=5) + STREAM_END)]).await;
             let got = edge.ask(path, "a").await;
             assert_eq!(got.status(), "200", "{got:?}");
             assert_eq!(got.chunks(), (events(1..=5), true));
@@ -479,7 +139,7 @@
             Then::Close(stream(1..=2) + half + STREAM_END),
         ] {
             let rest = Then::Keep(stream(3..=5) + STREAM_END);
-            let mut edge = Edge::ready(3, [cut, rest]).await;
+            let mut edge = ready(3, [cut, rest]).await;
             let got = edge.ask("/resumable/1", "a").await;
             assert_eq!(got.chunks(), (events(1..=5), true), "{got:?}");
             let ran = edge.ran();
@@ -495,7 +155,7 @@
 fn a_client_that_takes_a_stream_up_gets_what_comes_after_its_last_event() {
     runtime().block_on(async {
         let script = [Then::Close(stream(5..=6)), Then::Keep(stream(7..=8) + STREAM_END)];
-        let mut edge = Edge::ready(3, script).await;
+        let mut edge = ready(3, script).await;
         let got = edge.ask_more("/resumable/1", "a", "x-after: 4\r\n").await;
         assert_eq!(got.chunks(), (events(5..=8), true), "{got:?}");
         let after: Vec<_> = edge.ran().iter().map(|ran| ran.after).collect();
@@ -509,7 +169,7 @@
     runtime().block_on(async {
         for wrong in [1..=5, 2..=5, 4..=5] {
             let script = [Then::Close(stream(1..=2)), Then::Keep(stream(wrong) + STREAM_END)];
-            let mut edge = Edge::ready(3, script).await;
+            let mut edge = ready(3, script).await;
             let got = edge.ask("/resumable/1", "a").await;
             assert_eq!(got.chunks(), (events(1..=2), false), "{got:?}");
             assert_eq!(edge.ran().len(), 2, "two tries are all that its route allows");
@@ -521,7 +181,7 @@
 #[test]
 fn a_stream_that_is_not_resumable_breaks_its_clients_connection_when_cut() {
     runtime().block_on(async {
-        let mut edge = Edge::ready(3, [Then::Close(stream(1..=3))]).await;
+        let mut edge = ready(3, [Then::Close(stream(1..=3))]).await;
         let got = edge.ask("/stream/1", "a").await;
         assert_eq!(got.status(), "200");
         assert_eq!(got.chunks(), (events(1..=3), false), "what came before is passed on");
@@ -535,13 +195,13 @@
     runtime().block_on(async {
         let foreign = || Then::Keep(whole("secret").replace("{id}", "b"));
         for path in ["/unsafe/1", "/stream/1"] {
-            let mut edge = Edge::ready(3, [foreign(), Then::Keep(whole("own"))]).await;
+            let mut edge = ready(3, [foreign(), Then::Keep(whole("own"))]).await;
             let got = edge.ask(path, "a").await;
             assert!(!got.0.contains("secret"), "{got:?}");
             got.refused("502", Ran::MayHaveRun);
             assert_eq!(edge.ran().len(), 1, "it may have run");
         }
-        let mut edge = Edge::ready(3, [foreign(), Then::Keep(whole("own"))]).await;
+        let mut edge = ready(3, [foreign(), Then::Keep(whole("own"))]).await;
         let got = edge.ask("/safe/1", "a").await;
         assert_eq!((got.status(), got.body()), ("200", "own"), "{got:?}");
         // The connection on which it came is not used again, whatever else may still come there.
@@ -549,7 +209,7 @@
         assert_ne!(ran[0].connection, ran[1].connection);
         // Midway in a stream it is the same.
         let script = [Then::Close(stream(1..=2)), Then::Keep(stream(3..=5).replace("{id}", "b"))];
-        let edge = Edge::ready(3, script).await;
+        let edge = ready(3, script).await;
         let got = edge.ask("/resumable/1", "a").await;
         assert_eq!(got.chunks(), (events(1..=2), false), "{got:?}");
     });
@@ -561,13 +221,13 @@
     runtime().block_on(async {
         let away = || Then::Keep(TURNED_AWAY.to_owned());
         for path in ["/safe/1", "/unsafe/1", "/stream/1"] {
-            let mut edge = Edge::ready(5, [away(), away(), Then::Keep(whole("own"))]).await;
+            let mut edge = ready(5, [away(), away(), Then::Keep(whole("own"))]).await;
             let got = edge.ask(path, "a").await;
             assert!(got.status() == "200" && got.0.contains("own"), "{got:?}");
             let engines: std::collections::BTreeSet<usize> =
                 edge.ran().iter().map(|ran| ran.engine).collect();
             assert_eq!(engines.len(), 3, "each another one");
-            let mut edge = Edge::ready(5, [away(), away(), away(), away()]).await;
+            let mut edge = ready(5, [away(), away(), away(), away()]).await;
             edge.ask(path, "a").await.refused("503", Ran::NotRun);
             assert_eq!(edge.ran().len(), 3, "its route allows three");
         }
@@ -586,18 +246,18 @@
             Then::Close(cut.to_owned()),
             Then::Close("no HTTP at all\r\n\r\n".to_owned()),
         ] {
-            let mut edge = Edge::ready(3, [then.clone(), Then::Keep(whole("own"))]).await;
+            let mut edge = ready(3, [then.clone(), Then::Keep(whole("own"))]).await;
             edge.ask("/unsafe/1", "a").await.refused("502", Ran::MayHaveRun);
             assert_eq!(edge.ran().len(), 1);
             // One that may be repeated is, and its client doesn't notice.
-            let mut edge = Edge::ready(3, [then, Then::Keep(whole("own"))]).await;
+            let mut edge = ready(3, [then, Then::Keep(whole("own"))]).await;
             let got = edge.ask("/safe/1", "a").await;
             assert_eq!((got.status(), got.body()), ("200", "own"), "{got:?}");
             assert_eq!(edge.ran().len(), 2);
         }
         // Turned away first and lost then: that it did not run at the first says nothing.
         let script = [Then::Keep(TURNED_AWAY.to_owned()), Then::Close(String::new())];
-        let edge = Edge::ready(3, script).await;
+        let edge = ready(3, script).await;
         edge.ask("/unsafe/1", "a").await.refused("502", Ran::MayHaveRun);
     });
 }
@@ -612,7 +272,7 @@
             Then::Keep(TURNED_AWAY.to_owned()),
             Then::Keep(whole("4")),
         ];
-        let mut edge = Edge::ready(1, script).await;
+        let mut edge = ready(1, script).await;
         assert_eq!(edge.ask("/safe/1", "a").await.body(), "1");
         assert!(edge.ask("/stream/1", "b").await.chunks().1);
         edge.ask("/safe/1", "c").await.refused("503", Ran::NotRun);
@@ -629,7 +289,185 @@
         let closes = |text: String| text.replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n");
         // The engine says so and waits for the other side to close.
         let script = [Then::Keep(closes(whole("1"))), Then::Keep(whole("2"))];
-        let mut edge = Edge::ready(1, script).await;
+        let mut edge = ready(1, script).await;
+        assert_eq!(edge.ask("/unsafe/1", "a").await.body(), "1");
+        assert_eq!(edge.ask("/unsafe/1", "b").await.body(), "2");
+        let connections: Vec<usize> = edge.ran().iter().map(|ran| ran.connection).collect();
+        assert_eq!(connections, [0, 1]);
+    });
+}
+
+// Else the answer to one request reaches a client in the place of another's.
+#[test]
+fn requests_that_are_sent_ahead_are_answered_in_their_order() {
+    runtime().block_on(async {
+        let script = [
+            Then::Keep(whole("first")),
+            Then::Keep(stream(1..=2) + STREAM_END),
+            Then::Keep(whole("third")),
+        ];
+        let mut edge = ready(1, script).await;
+        let mut client = edge.connect().await;
+        let requests = edge.request("/unsafe/1", "a", "")
+            + &edge.request("/stream/1", "b", "")
+            + &edge.request("/unsafe/1", "c", "connection: close\r\n");
+        client.write_all(requests.as_bytes()).await.expect("the relay takes it");
+        let got = read_all(&mut client).await.0;
+        let ids: Vec<&str> = got.lines().filter_map(|line| line.strip_prefix("x-id: ")).collect();
+        assert_eq!(ids, ["a", "b", "c"], "{got}");
+        let places: Vec<_> =
+            ["first", "word 1", "word 2", "third"].map(|text| got.find(text)).into();
+        assert!(places.is_sorted() && places.iter().all(Option::is_some), "{got}");
+        assert_eq!(edge.ran().len(), 3);
+    });
+}
+
+// Else what comes after a cut answer is taken for the rest of it, or a cut one for a whole.
+#[test]
+fn nothing_follows_on_a_connection_after_a_cut_answer() {
+    runtime().block_on(async {
+        let mut edge = ready(1, [Then::Close(stream(1..=2)), Then::Keep(whole("next"))]).await;
+        let mut client = edge.connect().await;
+        let requests = edge.request("/stream/1", "a", "") + &edge.request("/unsafe/1", "b", "");
+        client.write_all(requests.as_bytes()).await.expect("the relay takes it");
+        let got = read_all(&mut client).await;
+        assert_eq!(got.chunks(), (events(1..=2), false), "{got:?}");
+        assert!(!got.0.contains("next"), "{got:?}");
+        assert_eq!(edge.ran().len(), 1);
+    });
+}
+
+// Else a client of HTTP/1.0, which reads to the end of its connection, takes a cut stream for whole.
+#[test]
+fn a_client_that_could_not_tell_a_cut_gets_a_stream_whole_or_not_at_all() {
+    runtime().block_on(async {
+        for (path, status, body) in
+            [("/stream/1", "502", None), ("/resumable/1", "200", Some(events(1..=5)))]
+        {
+            let script = [Then::Close(stream(1..=2)), Then::Keep(stream(1..=5) + STREAM_END)];
+            let edge = ready(2, script).await;
+            let mut client = edge.connect().await;
+            let request = edge.request(path, "a", "").replace("HTTP/1.1", "HTTP/1.0");
+            client.write_all(request.as_bytes()).await.expect("the relay takes it");
+            let got = read_all(&mut client).await;
+            assert_eq!(got.status(), status, "{got:?}");
+            assert!(body.is_none_or(|body| got.body() == body), "{got:?}");
+        }
+    });
+}
+
+// Else an engine's answer to a client that left meets the next client's request.
+#[test]
+fn the_connection_of_a_request_whose_client_left_is_not_used_again() {
+    runtime().block_on(async {
+        for (path, begun) in [("/unsafe/1", String::new()), ("/stream/1", stream(1..=2))] {
+            for half in [false, true] {
+                let script = [Then::Hang(begun.clone()), Then::Keep(whole("own"))];
+                let mut edge = ready(1, script).await;
+                let mut client = edge.connect().await;
+                let request = edge.request(path, "a", "");
+                client.write_all(request.as_bytes()).await.expect("the relay takes it");
+                let first = edge.runs().await;
+                if half {
+                    // It only says that it sends no more: the answer is its own, or there is none.
+                    client.shutdown().await.expect("it is open");
+                    let got = read_all(&mut client).await;
+                    assert!(!got.0.contains("own"), "{got:?}");
+                } else {
+                    client.set_zero_linger().expect("it is open");
+                    drop(client);
+                }
+                let got = edge.ask("/unsafe/1", "b").await;
+                assert_eq!((got.status(), got.body()), ("200", "own"), "{got:?}");
+                let second = edge.runs().await;
+                assert_eq!((first.id.as_str(), second.id.as_str()), ("a", "b"));
+                assert_ne!(first.connection, second.connection);
+                assert!(edge.ran().is_empty());
+            }
+        }
+    });
+}
+
+// Else the body of a refused request is read as a request, which no client sent.
+#[test]
+fn the_body_of_a_refused_request_is_no_request() {
+    runtime().block_on(async {
+        let mut edge = ready(1, [Then::Keep(whole("own"))]).await;
+        let hidden = edge.request("/unsafe/1", "hidden", "");
+        let head = "POST /nowhere/1 HTTP/1.1\r\nhost: a.example\r\nx-id: a\r\n";
+        for framing in [
+            format!("content-length: {}\r\n\r\n{hidden}", hidden.len()),
+            format!("transfer-encoding: chunked\r\n\r\n{:x}\r\n{hidden}\r\n0\r\n\r\n", hidden.len()),
+            // Two ways to tell the length: whichever is believed, the other hides nothing.
+            format!("content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{hidden}\r\n0\r\n\r\n", hidden.len()),
+        ] {
+            let mut client = edge.connect().await;
+            let request = format!("{head}connection: close\r\n{framing}");
+            client.write_all(request.as_bytes()).await.expect("the relay takes it");
+            let got = read_all(&mut client).await;
+            assert!(got.0.matches("HTTP/1.1").count() <= 1, "{got:?}");
+        }
+        assert!(edge.ran().is_empty());
+    });
+}
+
+// Else a client gets an answer whose length is told in two ways, and reads its end as another's.
+#[test]
+fn an_answer_that_tells_its_length_in_two_ways_is_not_passed_on() {
+    runtime().block_on(async {
+        let two = "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n8\r\nabcdefgh\r\n0\r\n\r\n";
+        let coded = "HTTP/1.1 200 OK\r\nx-id: {id}\r\ntransfer-encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+        let endless = "HTTP/1.1 200 OK\r\nx-id: {id}\r\n\r\nabc";
+        for (text, closes) in [(two, false), (coded, false), (endless, true)] {
+            let then = |text: &str| match closes {
+                true => Then::Close(text.to_owned()),
+                false => Then::Keep(text.to_owned()),
+            };
+            let mut edge = ready(2, [then(text), Then::Keep(whole("own"))]).await;
+            edge.ask("/unsafe/1", "a").await.refused("502", Ran::MayHaveRun);
+            let got = edge.ask("/unsafe/1", "b").await;
+            assert_eq!((got.status(), got.body()), ("200", "own"), "{got:?}");
+            let ran = edge.ran();
+            assert_eq!(ran.len(), 2);
+            assert_ne!(ran[0].connection, ran[1].connection);
+        }
+    });
+}
+
+// Else a request on a connection that its engine had forgotten, or that breaks once it was read, is
+// said not to have run, or is sent again by itself.
+#[test]
+fn a_request_on_a_kept_connection_that_breaks_may_have_run() {
+    runtime().block_on(async {
+        for (first, second, read) in [
+            (Then::Forget(whole("1")), None, 0),
+            (Then::Keep(whole("1")), Some(Then::Reset(String::new())), 1),
+            (Then::Keep(whole("1")), Some(Then::Close(String::new())), 1),
+            (Then::Keep(whole("1")), Some(Then::Hang(String::new())), 1),
+        ] {
+            let last = Then::Keep(whole("3"));
+            let script: Vec<Then> =
+                [Some(first), second, Some(last)].into_iter().flatten().collect();
+            let mut edge = ready(1, script).await;
+            assert_eq!(edge.ask("/unsafe/1", "a").await.body(), "1");
+            let got = edge.ask_more("/unsafe/1", "b", "x-wait: 300\r\n").await;
+            let error: ApiError = serde_json::from_str(got.body()).expect("an error");
+            assert!(["502", "504"].contains(&got.status()), "{got:?}");
+            assert_eq!(error.ran, Ran::MayHaveRun, "{got:?}");
+            // What else was kept of that engine is not trusted either.
+            assert_eq!(edge.ask("/unsafe/1", "c").await.body(), "3");
+            let ran = edge.ran();
+            assert_eq!(ran.iter().filter(|ran| ran.id == "b").count(), read);
+            assert_eq!((ran[0].connection, ran.last().expect("c").connection), (0, 1));
+        }
+    });
+}
+
+// Else a request that was never sent is lost with a connection that was closed while it was idle.
+#[test]
+fn a_connection_that_was_closed_while_idle_costs_no_request() {
+    runtime().block_on(async {
+        let mut edge = ready(1, [Then::Close(whole("1")), Then::Keep(whole("2"))]).await;
         assert_eq!(edge.ask("/unsafe/1", "a").await.body(), "1");
         assert_eq!(edge.ask("/unsafe/1", "b").await.body(), "2");
         let connections: Vec<usize> = edge.ran().iter().map(|ran| ran.connection).collect();
