Tell in the log how engines fail under requests

The relay's log named no engine: surplus answers, resets and silence could only be guessed from what clients got. Now a sum every 10 s while anything fails (broken, foreign, errors, silent, and the engine with most), and one line when an engine is left alone and when it works again. A line for each failure was ruled out: there would be most of them when most goes wrong.

The chart tells answers of other requests and an engine's own failures apart from broken connections; what follows from them is the same. An item's stream that ended within an event no longer leaves its connection among the kept ones.

--- a/programs/topazyard-relay/src/front/items.rs
+++ b/programs/topazyard-relay/src/front/items.rs
@@ -7,6 +7,7 @@
 use super::engine::span;
 use crate::machine::routed_items::RoutedRun;
 use crate::machine::{EngineUse, RelayCall, RelayReturn};
+use crate::prompt::Failure;
 use http_body_util::BodyExt as _;
 use hyper::header::HeaderValue;
 use topazyard_types::DurationMs;
@@ -72,14 +73,17 @@
     let response = match sent {
         Ok(Ok(response)) => response,
         Ok(Err(SendError::Unsent)) => return (RunEnd::NotRun, EngineUse::Unsent),
-        Ok(Err(SendError::Broken)) | Err(_) => return (RunEnd::Unknown, EngineUse::Failed),
+        Ok(Err(SendError::Broken)) => {
+            return (RunEnd::Unknown, failed(handle, run, Failure::Broken));
+        }
+        Err(_) => return (RunEnd::Unknown, failed(handle, run, Failure::TimedOut)),
     };
     let first = handle.clock().now().since(sent_at);
     let is_delimited = super::engine::is_delimited(response.headers());
     let (head, body) = response.into_parts();
     match (names.judge(&head, &request_id), head.status.as_u16()) {
         (Verdict::TurnedAway, _) => (RunEnd::NotRun, EngineUse::TurnedAway),
-        (Verdict::Failure, 500) => (RunEnd::Failed, EngineUse::Failed),
+        (Verdict::Failure, 500) => (RunEnd::Failed, failed(handle, run, Failure::Failed)),
         (Verdict::Response, 422) => (RunEnd::Impossible, EngineUse::Whole(first)),
         (Verdict::Response, 200) => {
             let mut events = Events::after(run.progress.clone());
@@ -87,18 +91,25 @@
             let limit = span(crate::machine::items::RUN_LIMIT);
             let whole = tokio::time::timeout(limit, reading).await == Ok(true);
             if !(whole && is_delimited) {
-                return (RunEnd::Broken(events.so_far()), EngineUse::Failed);
+                return (RunEnd::Broken(events.so_far()), failed(handle, run, Failure::Broken));
             }
+            let Some(text) = events.whole() else {
+                return (RunEnd::Unknown, failed(handle, run, Failure::Broken));
+            };
             connections::keep(connection, &head.headers);
-            match events.whole() {
-                Some(text) => (RunEnd::Done { text }, EngineUse::Whole(first)),
-                None => (RunEnd::Unknown, EngineUse::Failed),
-            }
+            (RunEnd::Done { text }, EngineUse::Whole(first))
         }
-        _ => (RunEnd::Unknown, EngineUse::Failed),
+        (Verdict::Foreign, _) => (RunEnd::Unknown, failed(handle, run, Failure::Foreign)),
+        _ => (RunEnd::Unknown, failed(handle, run, Failure::Failed)),
     }
 }
 
+/// Says what went wrong with an item's engine.
+fn failed(handle: &Handle, run: &RoutedRun, failure: Failure) -> EngineUse {
+    handle.tell(RelayCall::EngineFailed(run.target.engine.clone(), failure));
+    EngineUse::Failed
+}
+
 /// Reads events to the proper end of the body; false if it broke off, fell silent or made no
 /// sense.
 async fn read_events(
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -205,12 +205,21 @@
 
     fn failed(&mut self, failure: Failure, engine_use: EngineUse) -> Next {
         self.ending.engine_use = engine_use;
+        if engine_use == EngineUse::Failed {
+            self.tell_failure(failure);
+        }
         if matches!(engine_use, EngineUse::Failed | EngineUse::Unreachable) {
             connections::forget(&self.terms.chosen.target.engine);
         }
         self.chart.fail(failure, self.now())
     }
 
+    /// Says what went wrong with the request's engine.
+    fn tell_failure(&self, failure: Failure) {
+        let engine = self.terms.chosen.target.engine.clone();
+        self.ending.handle.tell(RelayCall::EngineFailed(engine, failure));
+    }
+
     /// Connects, looks a last time whether it may be sent, sends, and judges the response's head.
     async fn try_engine(&mut self) -> Result<Begun, Next> {
         let chosen = self.terms.chosen.clone();
@@ -256,10 +265,10 @@
                 Err(self.failed(Failure::TurnedAway, EngineUse::TurnedAway))
             }
             Verdict::Failure if self.terms.repeatable && !self.chart.is_last_try() => {
-                Err(self.failed(Failure::Broken, EngineUse::Failed))
+                Err(self.failed(Failure::Failed, EngineUse::Failed))
             }
             Verdict::Failure => Ok(Begun { connection, head, body, first }),
-            Verdict::Foreign => Err(self.failed(Failure::Broken, EngineUse::Failed)),
+            Verdict::Foreign => Err(self.failed(Failure::Foreign, EngineUse::Failed)),
         }
     }
 
@@ -314,9 +323,12 @@
             Ok(Ok(body)) => {
                 self.chart.relay();
                 self.chart.complete();
-                let succeeded = head.status.is_success();
-                self.ending.engine_use =
-                    if succeeded { EngineUse::Whole(first) } else { EngineUse::Failed };
+                self.ending.engine_use = if head.status.is_success() {
+                    EngineUse::Whole(first)
+                } else {
+                    self.tell_failure(Failure::Failed);
+                    EngineUse::Failed
+                };
                 connections::keep(connection, &head.headers);
                 return Ok(passed_on(&head, topazyard_wire::http::whole(body.to_bytes())));
             }
--- a/programs/topazyard-relay/src/machine/choice.rs
+++ b/programs/topazyard-relay/src/machine/choice.rs
@@ -7,7 +7,7 @@
 
 use super::engines::Engines;
 use super::requests::PromptPart;
-use super::{EngineUse, Out, RelayTask, Target};
+use super::{EngineUse, Out, RelayReturn, RelayTask, Target};
 use topazyard_spec::{Engine, EngineState};
 use topazyard_types::{Digest, DurationMs, EngineName, MonotonicMs, NodeId, PoolName};
 use topazyard_wire::Effect;
@@ -62,6 +62,8 @@
     behind_until: Option<MonotonicMs>,
     /// Whether it is left alone until it takes a connection again.
     pause: Option<DurationMs>,
+    /// Whether the log says that it is left alone.
+    told_alone: bool,
 }
 
 impl Learned {
@@ -72,6 +74,17 @@
     pub(super) fn is_busy(&self) -> bool {
         self.open > 0
     }
+
+    /// What is to be told of it in the log, once each time it changes.
+    fn note_of(&mut self, engine: &EngineName) -> Option<Effect<RelayReturn, RelayTask>> {
+        let is_alone = self.pause.is_some();
+        if self.told_alone == is_alone {
+            return None;
+        }
+        self.told_alone = is_alone;
+        let what = if is_alone { "is left alone: it failed" } else { "works again" };
+        Some(Effect::Note { grave: false, text: format!("engine {engine} {what}") })
+    }
 }
 
 impl Engines {
@@ -221,6 +234,7 @@
     pub(super) fn reach_beat(&mut self, view: &FleetView, now: MonotonicMs, out: &mut Out) {
         for engine in view.engines.values().filter(|e| e.state == EngineState::Ready) {
             let Some(known) = self.known.get_mut(&engine.name) else { continue };
+            out.extend(known.learned.note_of(&engine.name));
             let Some(pause) = known.learned.pause else { continue };
             if known.ill_until.is_some_and(|until| now.plus(DurationMs(50)) >= until) {
                 // It stays out until the answer is here.
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -9,7 +9,9 @@
 pub mod parcels;
 pub mod requests;
 pub mod routed_items;
+mod troubles;
 
+use crate::prompt::Failure;
 use topazyard_replication::{Follower, follower::Followed};
 use topazyard_types::{
     DurationMs, EngineName, Life, ModelName, MonotonicMs, NodeId, ParcelId, RouteName, ShardId,
@@ -99,6 +101,8 @@
     Retry(PromptId, EngineUse),
     /// That engine has said nothing for longer than it should.
     Doubt(EngineName),
+    /// A request failed at that engine.
+    EngineFailed(EngineName, Failure),
     /// The request has ended, whichever way.
     RequestEnded(PromptId, EngineUse),
     /// Whether an engine that was left alone took a connection.
@@ -237,6 +241,7 @@
     allowed: u64,
     refused: std::collections::BTreeMap<Code, u64>,
     refused_for_room: u32,
+    troubles: troubles::Troubles,
     /// Whether it takes nothing new.
     drains: bool,
 }
@@ -265,6 +270,7 @@
             allowed: 0,
             refused: std::collections::BTreeMap::new(),
             refused_for_room: 0,
+            troubles: troubles::Troubles::default(),
             drains: false,
         }
     }
@@ -353,6 +359,7 @@
         self.admission_beat(now, out);
         self.requests_beat(now, out);
         self.engines_beat(now, out);
+        self.troubles_beat(now, out);
         self.items_beat(now, out);
         self.parcels_beat(now, out);
     }
@@ -395,6 +402,10 @@
                 self.engines.doubt(&engine, now);
                 RelayReturn::Noted
             }
+            RelayCall::EngineFailed(engine, failure) => {
+                self.count_failure(engine, failure);
+                RelayReturn::Noted
+            }
             RelayCall::RequestEnded(id, engine_use) => {
                 self.end_request(id, engine_use, now, out);
                 RelayReturn::Noted
--- a/programs/topazyard-relay/src/prompt/chart.rs
+++ b/programs/topazyard-relay/src/prompt/chart.rs
@@ -33,12 +33,16 @@
 }
 
 /// What can go wrong with an engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Failure {
     /// No connection could be made: nothing was sent.
     NotConnected,
     /// The connection broke, or the return made no sense.
     Broken,
+    /// What came in the place of the return belongs to no request that was sent.
+    Foreign,
+    /// The engine said that it failed.
+    Failed,
     /// Nothing came in time.
     TimedOut,
     /// The engine said that it did not run it, and never will.
@@ -228,9 +232,10 @@
                 let error = match failure {
                     Failure::TurnedAway => ApiError::not_run(Code::TurnedAway),
                     Failure::TimedOut => ApiError::may_have_run(Code::EngineTimeout),
-                    Failure::Broken | Failure::NotConnected => {
-                        ApiError::may_have_run(Code::EngineFailed)
-                    }
+                    Failure::Broken
+                    | Failure::Foreign
+                    | Failure::Failed
+                    | Failure::NotConnected => ApiError::may_have_run(Code::EngineFailed),
                 };
                 Next::Answer(self.refuse(error))
             }
--- a/programs/topazyard-relay/tests/requests.rs
+++ b/programs/topazyard-relay/tests/requests.rs
@@ -2,6 +2,7 @@
 
 use topazyard_relay::machine::requests::{Admitted, Arrival, PromptPart};
 use topazyard_relay::machine::{EngineUse, PromptId};
+use topazyard_relay::prompt::Failure;
 use topazyard_relay::{RelayCall, RelayMachine, RelayReturn, RelayTask, Start};
 use topazyard_spec::EngineState;
 use topazyard_types::{
@@ -68,6 +69,7 @@
     released: Vec<HoldId>,
     vitals: Vec<Vitals>,
     reached_for: Vec<EngineName>,
+    notes: Vec<String>,
     returned: std::collections::BTreeMap<CallId, RelayReturn>,
 }
 
@@ -93,6 +95,7 @@
             released: Vec::new(),
             vitals: Vec::new(),
             reached_for: Vec::new(),
+            notes: Vec::new(),
             returned: Default::default(),
         };
         relay.beat(0);
@@ -133,6 +136,7 @@
                     self.vitals.push(vitals);
                 }
                 Effect::Return { call, value } => drop(self.returned.insert(call, value)),
+                Effect::Note { text, .. } => self.notes.push(text),
                 Effect::Start(RelayTask::Reach(target)) => self.reached_for.push(target.engine),
                 _ => {}
             }
@@ -573,6 +577,46 @@
     assert!(is_chosen(&mut relay, 1_000));
 }
 
+// Else an operator can't see from the log which engines fail, or the log fills up with one line
+// for each failure.
+#[test]
+fn failures_of_engines_are_told_as_a_sum_and_once_when_one_is_left_alone() {
+    let mut relay = Relay::granted();
+    relay.notes.clear();
+    let engine = EngineName("m3".to_owned());
+    let other = EngineName("m4".to_owned());
+    let gone = EngineName("gone".to_owned());
+    for (engine, failure) in [
+        (&other, Failure::Broken),
+        (&engine, Failure::Foreign),
+        (&engine, Failure::Foreign),
+        (&gone, Failure::Broken),
+        (&engine, Failure::TimedOut),
+    ] {
+        relay.call(RelayCall::EngineFailed(engine.clone(), failure));
+    }
+    relay.pass(9_000);
+    assert!(relay.notes.is_empty(), "{:?}", relay.notes);
+    relay.pass(20_000);
+    let sum = "engines failed in 10 s: 1 broken, 2 foreign, 1 silent; most at m3: 3";
+    assert_eq!(relay.notes, [sum]);
+    relay.notes.clear();
+    let request = relay.arrive("/x", 1, 1_000, &parts(1, 0));
+    let engine = relay.engine(request);
+    relay.end(request, FIRST);
+    fail_engine(&mut relay, &engine, 2);
+    relay.pass(100);
+    assert_eq!(relay.notes, [format!("engine {engine} is left alone: it failed")]);
+    relay.call(RelayCall::Reached(engine.clone(), true));
+    relay.notes.clear();
+    for own in 0..100 {
+        let request = relay.arrive("/x", 1, 1_000, &parts(1, own));
+        relay.end(request, FIRST);
+        relay.pass(25);
+    }
+    assert_eq!(relay.notes, [format!("engine {engine} works again")]);
+}
+
 // Else each engine reads each shared part anew; or one engine gets all that share a part.
 #[test]
 fn prompts_of_one_key_stay_with_three_engines_and_spread_over_these() {
