--- a/programs/topazyard-relay/src/machine/choice.rs
+++ b/programs/topazyard-relay/src/machine/choice.rs
@@ -62,8 +62,8 @@
     behind_until: Option<MonotonicMs>,
     /// Whether it is left alone until it takes a connection again.
     pause: Option<DurationMs>,
-    /// Whether the log says that it is left alone.
-    told_alone: bool,
+    /// Whether the log says that it is paused.
+    is_logged_as_paused: bool,
 }
 
 impl Learned {
@@ -76,13 +76,13 @@
     }
 
     /// What is to be told of it in the log, once each time it changes.
-    fn note_of(&mut self, engine: &EngineName) -> Option<Effect<RelayReturn, RelayTask>> {
-        let is_alone = self.pause.is_some();
-        if self.told_alone == is_alone {
+    fn state_change(&mut self, engine: &EngineName) -> Option<Effect<RelayReturn, RelayTask>> {
+        let is_paused = self.pause.is_some();
+        if self.is_logged_as_paused == is_paused {
             return None;
         }
-        self.told_alone = is_alone;
-        let what = if is_alone { "is left alone: it failed" } else { "works again" };
+        self.is_logged_as_paused = is_paused;
+        let what = if is_paused { "is paused after failures" } else { "is used again" };
         Some(Effect::Note { grave: false, text: format!("engine {engine} {what}") })
     }
 }
@@ -234,7 +234,7 @@
     pub(super) fn reach_beat(&mut self, view: &FleetView, now: MonotonicMs, out: &mut Out) {
         for engine in view.engines.values().filter(|e| e.state == EngineState::Ready) {
             let Some(known) = self.known.get_mut(&engine.name) else { continue };
-            out.extend(known.learned.note_of(&engine.name));
+            out.extend(known.learned.state_change(&engine.name));
             let Some(pause) = known.learned.pause else { continue };
             if known.ill_until.is_some_and(|until| now.plus(DurationMs(50)) >= until) {
                 // It stays out until the answer is here.
--- a/programs/topazyard-relay/src/machine/troubles.rs
+++ b/programs/topazyard-relay/src/machine/engine_failures.rs
@@ -11,13 +11,13 @@
 
 /// Failures of engines that were not told yet.
 #[derive(Debug, Default)]
-pub(crate) struct Troubles {
+pub(crate) struct EngineFailures {
     by_failure: std::collections::BTreeMap<Failure, u32>,
     by_engine: std::collections::BTreeMap<EngineName, u32>,
     span_began: MonotonicMs,
 }
 
-impl Troubles {
+impl EngineFailures {
     fn line(&self) -> Option<String> {
         let counts: Vec<String> = self
             .by_failure
@@ -45,17 +45,17 @@
     /// A request failed at an engine. What is not listed any more is not counted.
     pub(super) fn count_failure(&mut self, engine: EngineName, failure: Failure) {
         if self.view.engines.contains_key(&engine) {
-            *self.troubles.by_failure.entry(failure).or_default() += 1;
-            *self.troubles.by_engine.entry(engine).or_default() += 1;
+            *self.engine_failures.by_failure.entry(failure).or_default() += 1;
+            *self.engine_failures.by_engine.entry(engine).or_default() += 1;
         }
     }
 
-    pub(super) fn troubles_beat(&mut self, now: MonotonicMs, out: &mut Out) {
-        if self.troubles.by_failure.is_empty() {
-            self.troubles.span_began = now;
-        } else if now.since(self.troubles.span_began) >= SPAN {
-            let told = std::mem::take(&mut self.troubles);
-            self.troubles.span_began = now;
+    pub(super) fn engine_failures_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+        if self.engine_failures.by_failure.is_empty() {
+            self.engine_failures.span_began = now;
+        } else if now.since(self.engine_failures.span_began) >= SPAN {
+            let told = std::mem::take(&mut self.engine_failures);
+            self.engine_failures.span_began = now;
             out.extend(told.line().map(|text| Effect::Note { grave: false, text }));
         }
     }
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -4,12 +4,12 @@
 mod admission;
 mod choice;
 mod counting;
+mod engine_failures;
 mod engines;
 pub mod items;
 pub mod parcels;
 pub mod requests;
 pub mod routed_items;
-mod troubles;
 
 use crate::prompt::Failure;
 use topazyard_replication::{Follower, follower::Followed};
@@ -241,7 +241,7 @@
     allowed: u64,
     refused: std::collections::BTreeMap<Code, u64>,
     refused_for_room: u32,
-    troubles: troubles::Troubles,
+    engine_failures: engine_failures::EngineFailures,
     /// Whether it takes nothing new.
     drains: bool,
 }
@@ -270,7 +270,7 @@
             allowed: 0,
             refused: std::collections::BTreeMap::new(),
             refused_for_room: 0,
-            troubles: troubles::Troubles::default(),
+            engine_failures: engine_failures::EngineFailures::default(),
             drains: false,
         }
     }
@@ -359,7 +359,7 @@
         self.admission_beat(now, out);
         self.requests_beat(now, out);
         self.engines_beat(now, out);
-        self.troubles_beat(now, out);
+        self.engine_failures_beat(now, out);
         self.items_beat(now, out);
         self.parcels_beat(now, out);
     }
