--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -46,6 +46,8 @@
     facts: RequestFacts,
     chart: Chart,
     terms: Admitted,
+    /// Whether the response is passed on piece by piece.
+    stream: bool,
     method: hyper::Method,
     uri: hyper::Uri,
     headers: hyper::HeaderMap,
@@ -117,12 +119,15 @@
     chart.wait();
     chart.hold();
     let last_event = facts.last_event;
+    // A client of HTTP/1.0 could not tell a cut stream from a whole one: it gets it whole.
+    let stream = terms.stream && head.version >= hyper::Version::HTTP_11;
     let session = Session {
         ending,
         names: names.clone(),
         facts,
         chart,
         terms,
+        stream,
         method: head.method,
         uri: head.uri,
         headers: of_both_sides(head.headers),
@@ -173,7 +178,7 @@
                 Err(Next::Another) => self.ask_for_another().await?,
             }
         };
-        if self.terms.stream && begun.head.status.is_success() {
+        if self.stream && begun.head.status.is_success() {
             return Ok(self.relay(begun));
         }
         self.relay_whole(begun).await
@@ -200,12 +205,21 @@
 
     fn failed(&mut self, failure: Failure, engine_use: EngineUse) -> Next {
         self.ending.engine_use = engine_use;
+        if engine_use == EngineUse::Failed {
+            self.tell_failure(failure);
+        }
         if matches!(engine_use, EngineUse::Failed | EngineUse::Unreachable) {
             connections::forget(&self.terms.chosen.target.engine);
         }
         self.chart.fail(failure, self.now())
     }
 
+    /// Says what went wrong with the request's engine.
+    fn tell_failure(&self, failure: Failure) {
+        let engine = self.terms.chosen.target.engine.clone();
+        self.ending.handle.tell(RelayCall::EngineFailed(engine, failure));
+    }
+
     /// Connects, looks a last time whether it may be sent, sends, and judges the response's head.
     async fn try_engine(&mut self) -> Result<Begun, Next> {
         let chosen = self.terms.chosen.clone();
@@ -244,17 +258,17 @@
             // Its end could not be told from a cut.
             return Err(self.failed(Failure::Broken, EngineUse::Failed));
         }
-        match self.names.judge(&head, self.facts.request_id.as_ref()) {
+        match self.names.judge(&head, &self.facts.request_id) {
             Verdict::Response => Ok(Begun { connection, head, body, first }),
             Verdict::TurnedAway => {
                 tokio::spawn(keep_after(connection, head, body));
                 Err(self.failed(Failure::TurnedAway, EngineUse::TurnedAway))
             }
             Verdict::Failure if self.terms.repeatable && !self.chart.is_last_try() => {
-                Err(self.failed(Failure::Broken, EngineUse::Failed))
+                Err(self.failed(Failure::Failed, EngineUse::Failed))
             }
             Verdict::Failure => Ok(Begun { connection, head, body, first }),
-            Verdict::Foreign => Err(self.failed(Failure::Broken, EngineUse::Failed)),
+            Verdict::Foreign => Err(self.failed(Failure::Foreign, EngineUse::Failed)),
         }
     }
 
@@ -309,9 +323,12 @@
             Ok(Ok(body)) => {
                 self.chart.relay();
                 self.chart.complete();
-                let succeeded = head.status.is_success();
-                self.ending.engine_use =
-                    if succeeded { EngineUse::Whole(first) } else { EngineUse::Failed };
+                self.ending.engine_use = if head.status.is_success() {
+                    EngineUse::Whole(first)
+                } else {
+                    self.tell_failure(Failure::Failed);
+                    EngineUse::Failed
+                };
                 connections::keep(connection, &head.headers);
                 return Ok(passed_on(&head, topazyard_wire::http::whole(body.to_bytes())));
             }
