Let a learner follow the claimer that is ahead in turn

Cause: with two losses borne, two backups that claim the next epoch need two learners each. The one behind in turn yields to the other, but the learner that both asked stayed with it for half of the bound on contact; by then the one behind, filled and left without a word, had begun to claim anew and held the learner again.

Ruled out: the choice of learners (both chose whom they heard) and the votes (nobody came to ask).

A learner now goes over at once to a claimer that is ahead in turn of the one that it follows, as a claimer that is behind already did. Turns are an order, so it never goes to and fro. Whoever leads is decided by the witnesses as before.

--- a/libraries/topazyard-replication/src/pair/mod.rs
+++ b/libraries/topazyard-replication/src/pair/mod.rs
@@ -167,9 +167,12 @@
         matches!(self.role, Role::Follower(_)) && self.copy.place().epoch == self.epoch
     }
 
-    /// Whether this node follows that primary.
-    pub fn follows(&self, primary: NodeId) -> bool {
-        matches!(&self.role, Role::Follower(follow) if follow.primary == primary)
+    /// Whom this node follows, if it follows anybody.
+    pub fn followed(&self) -> Option<NodeId> {
+        match &self.role {
+            Role::Follower(follow) => Some(follow.primary),
+            _ => None,
+        }
     }
 
     /// When this follower last heard its primary.
--- a/programs/topazyard-control/src/machine/claim.rs
+++ b/programs/topazyard-control/src/machine/claim.rs
@@ -302,10 +302,12 @@
             }
             self.claim = None;
         }
-        // One source at a time, so that two copies don't mix for long.
-        let follows_other = self.pair.epoch() == message.epoch
+        // One source at a time, so that two copies don't mix for long. Of two that claim the one
+        // ahead in turn is followed, as the other yields to it too.
+        let follows_now = self.pair.epoch() == message.epoch
             && self.pair.heard_primary().is_some_and(|at| now.since(at) < self.patience.learner);
-        if follows_other && !self.pair.follows(sender) {
+        let followed = self.pair.followed().filter(|_| follows_now);
+        if followed.and_then(|node| record.turn(node)).is_some_and(|other| other < turn) {
             return;
         }
         let outputs = self.pair.become_follower(message.epoch, sender, now);
