Let simulated disks run full

The scenario `fulldisks` fills disks of control and storage, as many at once as may be lost, three times for 1 to 4 s and once for 15 s; at times the process on one is killed and starts while there is no room, so that it waits. What was handed to a full disk is synced in its order once there is room, and lost with the power before.

--- a/fleet-simulator/src/faults/mod.rs
+++ b/fleet-simulator/src/faults/mod.rs
@@ -55,6 +55,12 @@
     SlowDisk(Whom, u64),
     /// All disks are as fast as ever.
     FastDisks,
+    /// A disk takes no more bytes.
+    FullDisk(Whom),
+    /// Every process whose disk is full is killed.
+    KillFull,
+    /// All disks have room again.
+    Room,
     /// An engine fares so.
     Engine(u16, EngineMood),
     /// The platform lists an engine as leaving.
@@ -116,6 +122,7 @@
             | Fault::Freeze(whom, _)
             | Fault::CutOff(whom, _)
             | Fault::SlowDisk(whom, _)
+            | Fault::FullDisk(whom)
             | Fault::Drain(whom)
             | Fault::Empty(whom)
             | Fault::Start(whom)
@@ -207,6 +214,23 @@
                 self.nodes.iter_mut().for_each(|node| node.disk.slow_us = 0);
                 self.mend(Struck::SlowDisk);
             }
+            Fault::FullDisk(_) => {
+                if let Some(index) = struck {
+                    self.nodes[index.0].disk.is_full = true;
+                    self.strike_for(index, Struck::FullDisk);
+                }
+            }
+            Fault::KillFull => {
+                for at in 0..self.nodes.len() {
+                    if self.nodes[at].disk.is_full {
+                        self.stop(NodeIndex(at), false);
+                    }
+                }
+            }
+            Fault::Room => {
+                (0..self.nodes.len()).for_each(|at| self.make_room(NodeIndex(at)));
+                self.mend(Struck::FullDisk);
+            }
             Fault::Engine(at, mood) => self.set_mood(usize::from(at), mood),
             Fault::EngineLeaves(at) => {
                 let name = self.engines[usize::from(at)].name.clone();
--- a/fleet-simulator/src/history.rs
+++ b/fleet-simulator/src/history.rs
@@ -133,9 +133,11 @@
     Cut,
     /// Its disk is slow.
     SlowDisk,
+    /// Its disk is full.
+    FullDisk,
 }
 
-/// A time during which a machine was struck: off, frozen, cut off, or with a slow disk.
+/// A time during which a machine was struck: off, frozen, cut off, or with a slow or full disk.
 #[derive(Debug, Clone)]
 pub struct StruckSeen {
     /// The process on it.
--- a/fleet-simulator/src/run.rs
+++ b/fleet-simulator/src/run.rs
@@ -33,6 +33,8 @@
     Blackout,
     /// Disks turn slow or stall.
     SlowDisks,
+    /// Disks run full, some while their process is killed and starts again.
+    FullDisks,
     /// Nodes are cut off, one way, both, flapping; core and storage are split; a domain is cut.
     Cuts,
     /// Machines are replaced by empty ones at new addresses, and one is added.
@@ -62,7 +64,7 @@
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::Calm,
         Self::Crowds,
         Self::Ceiling,
@@ -72,6 +74,7 @@
         Self::Power,
         Self::Blackout,
         Self::SlowDisks,
+        Self::FullDisks,
         Self::Cuts,
         Self::Replaced,
         Self::Seeds,
@@ -437,6 +440,26 @@
                 at += 5_000;
             }
         }
+        Scenario::FullDisks => {
+            for n in 0..4 {
+                let struck: Vec<Whom> = match two {
+                    true => together(&mut rng).to_vec(),
+                    false => vec![with_disk(&mut rng)],
+                };
+                let ms = if n == 3 { 15_000 } else { rng.random_range(1_000..4_000) };
+                for whom in struck {
+                    faults.push((at, Fault::FullDisk(whom)));
+                }
+                if rng.random_range(0..2) == 0 {
+                    // The process on it is killed too, and finds no room when it starts.
+                    faults.push((at + 300, Fault::KillFull));
+                    faults.push((at + 600, Fault::StartAll));
+                }
+                at += ms;
+                faults.push((at, Fault::Room));
+                at += 9_000;
+            }
+        }
         Scenario::Cuts => {
             for n in 0..5 {
                 let way = [Way::Both, Way::Outward, Way::Inward][rng.random_range(0..3)];
--- a/fleet-simulator/src/world/disk.rs
+++ b/fleet-simulator/src/world/disk.rs
@@ -1,6 +1,7 @@
 //! Disks: writes are synced in order after a while; what was not synced is lost with the power.
 
 use super::{Event, NodeIndex, Plant, World};
+use topazyard_wire::disk::DiskState;
 use topazyard_wire::rows::Loaded;
 use topazyard_wire::{RowChange, WriteToken};
 
@@ -13,6 +14,12 @@
     pub(crate) last_write: u64,
     /// How long a sync takes besides its usual time, in microseconds.
     pub slow_us: u64,
+    /// Whether it takes no more bytes: what is handed to it waits.
+    pub is_full: bool,
+    /// Whether the process on it was told so.
+    pub(crate) is_told_full: bool,
+    /// Whether the process on it waits for room before it starts.
+    pub(crate) is_awaited: bool,
 }
 
 impl Disk {
@@ -33,7 +40,7 @@
 
     /// The process is killed: the system may have synced some more of what was handed over.
     pub fn outlive(&mut self, more: usize) {
-        for _ in 0..more {
+        for _ in 0..if self.is_full { 0 } else { more } {
             if let Some((_, token, changes)) = self.queue.pop_front() {
                 self.apply(token, changes);
             }
@@ -43,6 +50,21 @@
 }
 
 impl World {
+    /// A disk has room again: what waited is synced, or the process that waited starts.
+    pub(crate) fn make_room(&mut self, node: NodeIndex) {
+        let disk = &mut self.nodes[node.0].disk;
+        if !std::mem::replace(&mut disk.is_full, false) {
+            return;
+        }
+        let (write, is_awaited) = (disk.last_write, std::mem::take(&mut disk.is_awaited));
+        if is_awaited {
+            self.start(node);
+            return;
+        }
+        let usual = self.draw(400..100_000);
+        self.after(usual, Event::Synced(node, write));
+    }
+
     pub(crate) fn write(&mut self, node: NodeIndex, token: WriteToken, changes: Vec<RowChange>) {
         let usual = self.draw(400..3_000);
         let disk = &mut self.nodes[node.0].disk;
@@ -57,7 +79,15 @@
         if self.defer_if_frozen(node, || Event::Synced(node, write)) {
             return;
         }
+        if self.nodes[node.0].disk.is_full {
+            self.nodes[node.0].disk.is_told_full = true;
+            self.tell_disk(node, DiskState::Full);
+            return;
+        }
         let lies = self.plant == Some(Plant::LyingDisk);
+        if std::mem::take(&mut self.nodes[node.0].disk.is_told_full) {
+            self.tell_disk(node, DiskState::Healthy);
+        }
         let mut tokens = Vec::new();
         let disk = &mut self.nodes[node.0].disk;
         while disk.queue.front().is_some_and(|(number, _, _)| *number <= write) {
--- a/fleet-simulator/src/world/nodes.rs
+++ b/fleet-simulator/src/world/nodes.rs
@@ -7,6 +7,7 @@
 use topazyard_relay::{RelayCall, RelayMachine, RelayReturn, RelayTask};
 use topazyard_storage::StorageMachine;
 use topazyard_types::{CallId, MonotonicMs, NodeId};
+use topazyard_wire::disk::DiskState;
 use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::cohort::{Duty, Member};
 use topazyard_wire::message::operate::{Operate, OperateOutcome};
@@ -145,12 +146,17 @@
         if self.nodes[index.0].is_on() {
             return;
         }
+        if self.nodes[index.0].disk.is_full {
+            self.nodes[index.0].disk.is_awaited = true;
+            return;
+        }
         let chance = self.draw(0..u64::MAX);
         let fresh = NodeId(self.draw(1..u64::MAX) | 1);
         let time = self.time;
         let name = self.nodes[index.0].name.clone();
         self.mend_where(|struck| struck.by == Struck::Off && struck.name == name);
         let node = &mut self.nodes[index.0];
+        node.disk.is_told_full = false;
         let seeds = node.seeds.clone();
         node.life += 1;
         node.clock_at = (time, 0);
@@ -340,6 +346,10 @@
         self.step(index, StepInput::Written(token));
     }
 
+    pub(crate) fn tell_disk(&mut self, index: NodeIndex, state: DiskState) {
+        self.step(index, StepInput::Disk(state));
+    }
+
     /// Calls into a relay's machine.
     pub(crate) fn call_relay(&mut self, index: NodeIndex, request: RelayCall, caller: Caller) {
         let call = self.note_call(index, caller);
@@ -596,6 +606,7 @@
     Beat,
     Frame(NodeId, std::net::SocketAddr, Message),
     Written(WriteToken),
+    Disk(DiskState),
     Relay(CallId, RelayCall),
     Control(CallId, topazyard_control::ControlCall),
 }
@@ -607,6 +618,7 @@
             Self::Beat => Some(Input::Beat),
             Self::Frame(sender, from, message) => Some(Input::Frame { sender, from, message }),
             Self::Written(token) => Some(Input::Written(token)),
+            Self::Disk(state) => Some(Input::Disk(state)),
             Self::Relay(..) | Self::Control(..) => None,
         }
     }
--- a/fleet-simulator/tests/lines.rs
+++ b/fleet-simulator/tests/lines.rs
@@ -5,7 +5,7 @@
 use fleet_simulator::{Deployment, Scenario, run};
 
 /// Seeds that once crossed a line.
-const REGRESSIONS: [(&str, Scenario, u64); 16] = [
+const REGRESSIONS: [(&str, Scenario, u64); 17] = [
     ("cristallo", Scenario::Cuts, 11),
     ("cristallo", Scenario::Cuts, 108),
     ("cristallo", Scenario::Cuts, 5008),
@@ -17,6 +17,7 @@
     ("cristallo", Scenario::Cuts, 9014),
     ("cristallo", Scenario::Untidy, 9115),
     ("quito", Scenario::SlowDisks, 20030),
+    ("grown-quito", Scenario::FullDisks, 6),
     ("quito", Scenario::Cuts, 20017),
     ("cristallo", Scenario::Cuts, 20017),
     ("cristallo", Scenario::Chaos, 111),
@@ -80,6 +81,7 @@
     power_and_disks_are_lost: Power,
     every_machine_loses_power: Blackout,
     disks_are_slow_or_stall: SlowDisks,
+    disks_run_full: FullDisks,
     nodes_are_cut_off_and_split: Cuts,
     machines_are_replaced_and_added: Replaced,
     all_seeds_are_exchanged: Seeds,
