--- a/fleet-simulator/src/plan/losses.rs
+++ b/fleet-simulator/src/plan/losses.rs
@@ -83,6 +83,25 @@
         }
     }
 
+    /// Several short times without room and a long one; in some of them the process on the disk is
+    /// killed too, and finds no room when it starts.
+    pub(super) fn full_disks(&mut self) {
+        for n in 0..4 {
+            let struck = if self.two() { self.together().to_vec() } else { vec![self.with_disk()] };
+            let ms = if n == 3 { 15_000 } else { self.rng.random_range(1_000..4_000) };
+            for whom in struck {
+                self.add(0, Fault::FullDisk(whom));
+            }
+            if self.rng.random_range(0..2) == 0 {
+                self.add(300, Fault::KillFull);
+                self.add(600, Fault::StartAll);
+            }
+            self.at += ms;
+            self.add(0, Fault::Room);
+            self.at += 9_000;
+        }
+    }
+
     pub(super) fn domains(&mut self) {
         // Whatever shares the fate of a domain: its engines go with it.
         let (engines, domains) = (self.deployment.engines, self.deployment.domains);
--- a/fleet-simulator/src/plan/mod.rs
+++ b/fleet-simulator/src/plan/mod.rs
@@ -46,6 +46,7 @@
         Scenario::Power => draft.power(),
         Scenario::Blackout => draft.blackout(),
         Scenario::SlowDisks => draft.slow_disks(),
+        Scenario::FullDisks => draft.full_disks(),
         Scenario::Cuts => draft.cuts(),
         Scenario::Replaced => draft.replaced(),
         Scenario::Seeds => draft.seeds(),
--- a/fleet-simulator/src/scenario.rs
+++ b/fleet-simulator/src/scenario.rs
@@ -22,6 +22,8 @@
     Blackout,
     /// Disks turn slow or stall.
     SlowDisks,
+    /// Disks run full, some while their process is killed and starts again.
+    FullDisks,
     /// Nodes are cut off, one way, both, flapping; core and storage are split; a domain is cut.
     Cuts,
     /// Machines are replaced by empty ones at new addresses, and one is added.
@@ -64,7 +66,7 @@
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::Calm,
         Self::Crowds,
         Self::Ceiling,
@@ -74,6 +76,7 @@
         Self::Power,
         Self::Blackout,
         Self::SlowDisks,
+        Self::FullDisks,
         Self::Cuts,
         Self::Replaced,
         Self::Seeds,
--- a/fleet-simulator/src/world/nodes/mod.rs
+++ b/fleet-simulator/src/world/nodes/mod.rs
@@ -130,12 +130,17 @@
         if self.nodes[index.0].is_on() {
             return;
         }
+        if self.nodes[index.0].disk.is_full {
+            self.nodes[index.0].disk.is_awaited = true;
+            return;
+        }
         let chance = self.draw(0..u64::MAX);
         let fresh = NodeId(self.draw(1..u64::MAX) | 1);
         let time = self.time;
         let name = self.nodes[index.0].name.clone();
         self.mend_off(&name);
         let node = &mut self.nodes[index.0];
+        node.disk.is_told_full = false;
         let seeds = node.seeds.clone();
         node.life += 1;
         node.clock_at = (time, 0);
--- a/fleet-simulator/src/world/nodes/steps.rs
+++ b/fleet-simulator/src/world/nodes/steps.rs
@@ -4,6 +4,7 @@
 use crate::world::{Caller, Event, World};
 use topazyard_relay::{RelayCall, RelayReturn, RelayTask};
 use topazyard_types::{CallId, NodeId};
+use topazyard_wire::disk::DiskState;
 use topazyard_wire::message::operate::{Operate, OperateOutcome};
 use topazyard_wire::{Effect, Input, Machine as _, Message, WriteToken};
 
@@ -54,6 +55,10 @@
         self.step(index, StepInput::Written(token));
     }
 
+    pub(crate) fn tell_disk(&mut self, index: NodeIndex, state: DiskState) {
+        self.step(index, StepInput::Disk(state));
+    }
+
     /// Calls into a relay's machine.
     pub(crate) fn call_relay(&mut self, index: NodeIndex, request: RelayCall, caller: Caller) {
         let call = self.note_call(index, caller);
@@ -252,6 +257,7 @@
     Beat,
     Frame(NodeId, std::net::SocketAddr, Message),
     Written(WriteToken),
+    Disk(DiskState),
     Relay(CallId, RelayCall),
     Control(CallId, topazyard_control::ControlCall),
 }
@@ -263,6 +269,7 @@
             Self::Beat => Some(Input::Beat),
             Self::Frame(sender, from, message) => Some(Input::Frame { sender, from, message }),
             Self::Written(token) => Some(Input::Written(token)),
+            Self::Disk(state) => Some(Input::Disk(state)),
             Self::Relay(..) | Self::Control(..) => None,
         }
     }
--- a/libraries/topazyard-replication/src/snapshot.rs
+++ b/libraries/topazyard-replication/src/snapshot.rs
@@ -49,7 +49,7 @@
 }
 
 /// The parts of one snapshot that a follower has so far.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Fetch {
     place: Place,
     parts: u32,
--- a/libraries/topazyard-wire/src/message/control.rs
+++ b/libraries/topazyard-wire/src/message/control.rs
@@ -105,6 +105,8 @@
         heard: Vec<CoreNode>,
         /// The sender's zone.
         zone: topazyard_types::DomainName,
+        /// Whether its disk takes writes: without them it can neither vote nor hold a copy.
+        takes_writes: bool,
     },
     /// Promise to take nothing lower.
     Prepare {
--- a/programs/topazyard-control/src/machine/claim.rs
+++ b/programs/topazyard-control/src/machine/claim.rs
@@ -45,6 +45,11 @@
         let patience = DurationMs(
             self.patience.primary.0 + self.patience.turn.0 * turn.saturating_sub(1) as u64,
         );
+        let is_full = self.disk.is_full();
+        if is_full && !is_primary {
+            // It could not sync that it asks.
+            return false;
+        }
         if self.claimed > record.epoch {
             // It stopped answering before it restarted, or yielded: ask again if nobody leads.
             let led = self.pair.heard_primary();
@@ -53,7 +58,8 @@
         }
         if is_primary {
             let silent = self.pair.backup_silent_since();
-            return silent.is_some_and(|since| now.since(since) >= self.patience.backup)
+            return is_full
+                || silent.is_some_and(|since| now.since(since) >= self.patience.backup)
                 || self.pair.oldest_write(now) >= self.patience.write
                 || (self.pair.is_serving() && self.next_witnesses(record, &[], now).is_some())
                 || record.backups.iter().any(|node| self.core.is_leaving(node.id))
@@ -74,14 +80,18 @@
         record.epoch == founding::FIRST || self.pair.copy().place().epoch >= record.epoch
     }
 
-    /// The other core nodes that are heard.
+    /// The other core nodes that are heard and whose disks take writes.
     pub(super) fn others_heard(&self, now: MonotonicMs) -> impl Iterator<Item = CoreNode> {
         let heard = self.core.heard.values().map(|seen| seen.node);
-        heard.filter(move |node| node.id != self.me.id && self.core.is_heard(node.id, now))
+        heard.filter(move |node| node.id != self.me.id && self.core.takes_writes(node.id, now))
     }
 
     fn begin_claim(&mut self, now: MonotonicMs, out: &mut Out) {
         let Some(base) = self.witness.record().cloned() else { return };
+        if self.disk.is_full() {
+            // Nothing of this claim goes on before there is room: let the backup ask at once.
+            self.say_leaving(now, out);
+        }
         let mut silent = if base.primary.id == self.me.id {
             self.pair.silent_backups(self.patience.backup, now)
         } else {
@@ -269,7 +279,7 @@
         let Some(turn) = record.turn(sender) else { return };
         let claims = message.epoch == record.epoch.next()
             && matches!(message.body, PairBody::Digests { .. });
-        if !claims || sender == self.me.id {
+        if !claims || sender == self.me.id || self.disk.is_full() {
             return;
         }
         if let Some(claim) = &self.claim {
@@ -280,7 +290,6 @@
             }
             self.claim = None;
         }
-        // One source at a time, so that two copies don't mix for long.
         if self.keeps_source(record, sender, message.epoch, now) {
             return;
         }
--- a/programs/topazyard-control/src/machine/core.rs
+++ b/programs/topazyard-control/src/machine/core.rs
@@ -18,6 +18,10 @@
 pub(crate) struct Heard {
     pub(crate) node: CoreNode,
     pub(crate) at: MonotonicMs,
+    /// When it last said that its disk takes writes.
+    wrote: MonotonicMs,
+    /// Whether it takes writes now.
+    pub(super) takes_writes: bool,
     /// Whether it knows no record at all.
     pub(super) empty: bool,
     /// Whether it hears this node.
@@ -75,12 +79,23 @@
         self.leaving.retain(|other, said| *other != id || now.since(*said) < HEARD_WITHIN);
     }
 
-    /// For how long a node has not been heard.
+    /// Whether a node was heard lately and may be given a duty that writes.
+    pub(crate) fn takes_writes(&self, id: NodeId, now: MonotonicMs) -> bool {
+        self.is_heard(id, now) && self.heard.get(&id).is_some_and(|heard| heard.takes_writes)
+    }
+
+    /// The nodes that said last that their disk is full.
+    pub(crate) fn full_nodes(&self) -> Vec<std::net::SocketAddr> {
+        let full = self.heard.values().filter(|heard| !heard.takes_writes);
+        full.map(|heard| heard.node.address).collect()
+    }
+
+    /// For how long a node has not been heard, or has said that its disk takes no writes.
     pub(crate) fn silence(&self, id: NodeId, now: MonotonicMs) -> DurationMs {
         if self.is_leaving(id) {
             return DurationMs(u64::MAX);
         }
-        let since = self.heard.get(&id).map(|heard| heard.at).or(self.watching_since);
+        let since = self.heard.get(&id).map(|heard| heard.wrote).or(self.watching_since);
         since.map_or(DurationMs(0), |since| now.since(since))
     }
 }
@@ -107,8 +122,12 @@
         to.extend(record.iter().flat_map(|r| r.witnesses.iter().map(|node| node.address)));
         to.remove(&self.me.address);
         for to in to {
-            let zone = self.cohort.own_domain().clone();
-            let beat = CoreMessage::Beat { record: record.clone(), heard: heard.clone(), zone };
+            let beat = CoreMessage::Beat {
+                record: record.clone(),
+                heard: heard.clone(),
+                zone: self.cohort.own_domain().clone(),
+                takes_writes: !self.disk.is_full(),
+            };
             out.push(Effect::Send { to, message: Message::Core(beat) });
         }
     }
@@ -167,11 +186,15 @@
         out: &mut Out,
     ) {
         match message {
-            CoreMessage::Beat { record, heard, zone } => {
+            CoreMessage::Beat { record, heard, zone, takes_writes } => {
+                let known = self.core.heard.get(&sender).map(|known| known.wrote);
+                let wrote = if takes_writes { now } else { known.unwrap_or(now) };
                 self.core.heard.retain(|id, other| *id == sender || other.node.address != from);
                 let seen = Heard {
                     node: CoreNode { id: sender, address: from },
                     at: now,
+                    wrote,
+                    takes_writes,
                     empty: record.is_none(),
                     hears_us: heard.iter().any(|node| node.id == self.me.id),
                     zone,
@@ -218,6 +241,10 @@
         if record.and_then(|record| founding::voter(record, id, address)).is_none() {
             return;
         }
+        // A vote counts once it is synced: who votes anew in the meantime is asked again.
+        if !self.disk.takes_more() {
+            return;
+        }
         if let Some((changes, say)) = ask(&mut self.witness) {
             self.write_own(Group::Witness, changes, vec![AfterWrite::Say(to, say)], out);
         }
--- a/programs/topazyard-control/src/machine/founding.rs
+++ b/programs/topazyard-control/src/machine/founding.rs
@@ -80,13 +80,16 @@
     /// The first record to ask for, if it is this node's turn to ask for one.
     fn first_record(&self, now: MonotonicMs) -> Option<EpochRecord> {
         let genesis = self.witness.genesis().filter(|_| self.witness.record().is_none())?;
+        if self.disk.is_full() {
+            return None;
+        }
         let turn = genesis.witnesses.iter().position(|seed| seed.address == self.me.address)?;
         let heard: Vec<&super::core::Heard> = self.core.heard_lately(now).collect();
         if heard.iter().any(|heard| !heard.empty) {
             // A fleet exists.
             return None;
         }
-        let joins = |heard: &&&super::core::Heard| heard.hears_us;
+        let joins = |heard: &&&super::core::Heard| heard.hears_us && heard.takes_writes;
         let joining: Vec<&super::core::Heard> = heard.iter().filter(joins).copied().collect();
         let is_seed = |heard: &&&super::core::Heard| {
             genesis.witnesses.iter().any(|seed| seed.address == heard.node.address)
--- a/programs/topazyard-control/src/machine/leaving.rs
+++ b/programs/topazyard-control/src/machine/leaving.rs
@@ -44,7 +44,7 @@
         }
     }
 
-    fn say_leaving(&self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn say_leaving(&self, now: MonotonicMs, out: &mut Out) {
         for node in self.others_heard(now) {
             let message = Message::Core(CoreMessage::Leaving);
             out.push(Effect::Send { to: node.address, message });
--- a/programs/topazyard-control/src/machine/operate.rs
+++ b/programs/topazyard-control/src/machine/operate.rs
@@ -62,7 +62,7 @@
 }
 
 /// A command that waits at the primary.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Queued {
     origin: Origin,
     command: Command,
@@ -71,7 +71,7 @@
 }
 
 /// A command that waits for the word that its caller still does.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Offered {
     from: NodeId,
     queued: Queued,
--- a/programs/topazyard-control/tests/claims.rs
+++ b/programs/topazyard-control/tests/claims.rs
@@ -88,6 +88,7 @@
             record: Some(record),
             heard: vec![node(ME)],
             zone: format!("zone-{from}").as_str().into(),
+            takes_writes: true,
         };
         self.hear(from, Message::Core(beat));
     }
