--- a/fleet-measure/src/scale/items.rs
+++ b/fleet-measure/src/scale/items.rs
@@ -208,12 +208,15 @@
     };
     let begun = process_us();
     let (sender, synced) = std::sync::mpsc::channel();
+    let again = folder.clone();
     let writer = topazyard_wire::disk::Writer::start(
         disk.database,
-        move |token| {
-            let _ = sender.send(token);
+        move || topazyard_wire::disk::open(&again).map(|disk| disk.database),
+        move |event| match event {
+            topazyard_wire::disk::DiskEvent::Written(token) => drop(sender.send(token)),
+            topazyard_wire::disk::DiskEvent::State(state) => eprintln!("the disk is {state:?}"),
+            topazyard_wire::disk::DiskEvent::Failed(error) => eprintln!("{error}"),
         },
-        |error| eprintln!("the disk failed: {error}"),
     );
     for (token, changes) in writes {
         let write = topazyard_wire::disk::DiskWrite { token, changes };
