--- a/programs/topazyard-relay/tests/loopback/mod.rs
+++ b/programs/topazyard-relay/tests/loopback/mod.rs
@@ -7,6 +7,7 @@
 use topazyard_relay::front::routed::Names;
 use topazyard_types::{EngineName, Epoch, FleetId, NodeId, Place, Sequence, ShardId, SpecVersion};
 use topazyard_wire::api::{ApiError, Ran};
+use topazyard_wire::http::inward;
 use topazyard_wire::message::control::{CoreNode, ShardRecord};
 use topazyard_wire::message::counter::{CounterBody, CounterMessage};
 use topazyard_wire::message::feed::{FeedMessage, Matter};
@@ -112,6 +113,7 @@
     adapter: Adapter,
     relay: Address,
     saw: tokio::sync::mpsc::UnboundedReceiver<Seen>,
+    stage: tokio::sync::watch::Sender<inward::Stage>,
 }
 
 impl Edge {
@@ -152,16 +154,18 @@
         let http = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let relay = http.local_addr().expect("its address");
         let asked = handle.clone();
-        tokio::spawn(topazyard_wire::http::inward::serve(http, move |request| {
+        let answer = move |request| {
             topazyard_relay::front::routed::answer(handle.clone(), names.clone(), request)
-        }));
+        };
+        let (stage, drain) = tokio::sync::watch::channel(inward::Stage::Serving);
+        tokio::spawn(inward::serve_draining(http, answer, drain));
         while !matches!(
             asked.call(topazyard_relay::RelayCall::Ready).await,
             Ok(topazyard_relay::RelayReturn::Noted)
         ) {
             tokio::task::yield_now().await;
         }
-        Self { adapter, relay, saw }
+        Self { adapter, relay, saw, stage }
     }
 
     /// Sends a request and reads until the relay closes.
@@ -191,6 +195,11 @@
         tokio::net::TcpStream::connect(self.relay).await.expect("it listens")
     }
 
+    /// The relay is about to end: it takes nothing new and answers what it has read.
+    pub fn end(&self) {
+        self.stage.send(inward::Stage::Ending).expect("it serves");
+    }
+
     /// All that engines got so far.
     pub fn ran(&mut self) -> Vec<Seen> {
         std::iter::from_fn(|| self.saw.try_recv().ok()).collect()
--- a/programs/topazyard-relay/tests/routed.rs
+++ b/programs/topazyard-relay/tests/routed.rs
@@ -465,6 +465,24 @@
     });
 }
 
+// Else a client sends its next request on a connection that a relay at its end won't read any more.
+#[test]
+fn a_relay_that_ends_closes_idle_connections_without_a_word() {
+    runtime().block_on(async {
+        let mut edge = ready(1, [Then::Keep(whole("1"))]).await;
+        let mut client = edge.connect().await;
+        let request = edge.request("/unsafe/1", "a", "");
+        client.write_all(request.as_bytes()).await.expect("the relay takes it");
+        let mut got = Vec::new();
+        while !got.ends_with(b"\r\n\r\n1") {
+            client.read_buf(&mut got).await.expect("a response");
+        }
+        edge.end();
+        assert_eq!(read_all(&mut client).await.0, "");
+        assert_eq!(edge.ran().len(), 1);
+    });
+}
+
 // Else a request that was never sent is lost with a connection that was closed while it was idle.
 #[test]
 fn a_connection_that_was_closed_while_idle_costs_no_request() {
