--- a/programs/topazyard-relay/tests/loopback/mod.rs
+++ b/programs/topazyard-relay/tests/loopback/mod.rs
@@ -5,12 +5,19 @@
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use topazyard_relay::front::routed::Names;
-use topazyard_types::{EngineName, Epoch, FleetId, NodeId, Place, Sequence, ShardId, SpecVersion};
+use topazyard_types::{
+    EngineName, Epoch, FleetId, ItemNumber, NodeId, ParcelId, Place, Sequence, ShardId,
+    SpecVersion, Tokens,
+};
 use topazyard_wire::api::{ApiError, Ran};
 use topazyard_wire::http::inward;
 use topazyard_wire::message::control::{CoreNode, ShardRecord};
 use topazyard_wire::message::counter::{CounterBody, CounterMessage};
 use topazyard_wire::message::feed::{FeedMessage, Matter};
+use topazyard_wire::message::parcel::{
+    Directions, Item, LeasedItem, ParcelBody, ParcelCall, ParcelMessage, ParcelReturn, Progress,
+    Run, RunEnd,
+};
 use topazyard_wire::message::{FRAME_VERSION, Frame, Message};
 use topazyard_wire::state::{IN_FORCE, InForceRow, engine_key, route_key, shard_key};
 
@@ -114,6 +121,8 @@
     relay: Address,
     saw: tokio::sync::mpsc::UnboundedReceiver<Seen>,
     stage: tokio::sync::watch::Sender<inward::Stage>,
+    items: tokio::sync::mpsc::UnboundedSender<String>,
+    ended: tokio::sync::mpsc::UnboundedReceiver<RunEnd>,
 }
 
 impl Edge {
@@ -146,7 +155,10 @@
         }
         let core = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let agent = core.local_addr().expect("its address");
-        tokio::spawn(be_core(core, agent, listed));
+        let (items, handed_in) = tokio::sync::mpsc::unbounded_channel();
+        let (tell_end, ended) = tokio::sync::mpsc::unbounded_channel();
+        let shard = Shard { handed_in, tell_end, leases: 0 };
+        tokio::spawn(be_core(core, agent, listed, shard));
         let (handle, begun) = spawn_relay(agent);
         let names = adapter.names.clone();
         let tasks = topazyard_relay::front::tasks::run(handle.clone(), begun, Some(names.clone()));
@@ -165,7 +177,7 @@
         ) {
             tokio::task::yield_now().await;
         }
-        Self { adapter, relay, saw, stage }
+        Self { adapter, relay, saw, stage, items, ended }
     }
 
     /// Sends a request and reads until the relay closes.
@@ -195,6 +207,12 @@
         tokio::net::TcpStream::connect(self.relay).await.expect("it listens")
     }
 
+    /// Hands in an item under that id, and waits for the end of its run.
+    pub async fn run_item(&mut self, id: &str) -> RunEnd {
+        self.items.send(id.to_owned()).expect("the shard outlives the relay");
+        self.ended.recv().await.expect("the shard outlives the relay")
+    }
+
     /// The relay is about to end: it takes nothing new and answers what it has read.
     pub fn end(&self) {
         self.stage.send(inward::Stage::Ending).expect("it serves");
@@ -348,11 +366,57 @@
     Some((end, length.unwrap_or(0)))
 }
 
-/// The agent beside the relay, and the counter's primary, which grants all.
+/// The batch that all items are of.
+fn parcel() -> ParcelId {
+    ParcelId::of_host(HOST, "1")
+}
+
+/// The primary of the shard with that batch: it leases what was handed in, and tells how it ended.
+struct Shard {
+    handed_in: tokio::sync::mpsc::UnboundedReceiver<String>,
+    tell_end: tokio::sync::mpsc::UnboundedSender<RunEnd>,
+    leases: u64,
+}
+
+impl Shard {
+    fn answer(&mut self, call: ParcelCall) -> ParcelReturn {
+        match call {
+            ParcelCall::Lease { .. } => {
+                let handed_in = std::iter::from_fn(|| self.handed_in.try_recv().ok());
+                let ids: Vec<String> = handed_in.collect();
+                ParcelReturn::Leased(ids.into_iter().map(|id| self.lease(id)).collect())
+            }
+            ParcelCall::Finish(_, end) => {
+                let _ = self.tell_end.send(end);
+                ParcelReturn::Noted
+            }
+            _ => ParcelReturn::Noted,
+        }
+    }
+
+    fn lease(&mut self, id: String) -> LeasedItem {
+        self.leases += 1;
+        let directions =
+            Directions { id, path: "/batch/1".to_owned(), headers: Vec::new(), prefix: Vec::new() };
+        let item = Item {
+            model: "".into(),
+            body: bytes::Bytes::from_static(b"item"),
+            repeatable: true,
+            cost: Tokens(1),
+            directions: Some(directions),
+        };
+        let run = Run { parcel: parcel(), item: ItemNumber(0), lease: self.leases };
+        let route = Some(("batch".into(), HOST.to_owned()));
+        LeasedItem { run, item, route, progress: Progress::default() }
+    }
+}
+
+/// The agent beside the relay, the counter's primary, which grants all, and a shard's.
 async fn be_core(
     listener: tokio::net::TcpListener,
     address: Address,
     engines: Vec<(EngineName, Address)>,
+    mut shard: Shard,
 ) {
     let (sender, mut frames) = tokio::sync::mpsc::unbounded_channel();
     tokio::spawn(topazyard_wire::link::inward::listen(listener, FLEET, move |frame| {
@@ -375,6 +439,13 @@
                 };
                 Message::Counter(CounterMessage { epoch, body })
             }
+            Message::Parcel(ParcelMessage {
+                body: ParcelBody::Call(call), call: number, ..
+            }) => {
+                let body = ParcelBody::Return(shard.answer(call));
+                let shard = parcel().shard;
+                Message::Parcel(ParcelMessage { shard, epoch: Epoch(1), call: number, body })
+            }
             _ => continue,
         };
         let frame =
@@ -398,6 +469,7 @@
     let mut rows = vec![
         (IN_FORCE.to_owned(), encode(&in_force)),
         (shard_key(ShardId::COUNTER), encode(&shard)),
+        (shard_key(parcel().shard), encode(&shard)),
     ];
     for (name, kind, most) in [
         ("safe", "safe", 3),
@@ -414,6 +486,13 @@
         let route: topazyard_spec::Route = serde_json::from_str(&text).expect("a route");
         rows.push((route_key(&route.name), encode(&route)));
     }
+    let batch = format!(
+        r#"{{"name":"batch","host":"{HOST}","path_prefix":"/batch/","kind":"batch",
+        "timeout_ms":10000,"max_attempts":2,"pools":[{{"pool":"main","weight":1}}],
+        "batch":{{"ceiling_tokens":700,"run_target_ms":8000,"retention_ms":40000}}}}"#
+    );
+    let batch: topazyard_spec::Route = serde_json::from_str(&batch).expect("a route");
+    rows.push((route_key(&batch.name), encode(&batch)));
     for (name, address) in engines {
         let engine = topazyard_spec::Engine {
             name: name.clone(),
--- a/programs/topazyard-relay/tests/routed.rs
+++ b/programs/topazyard-relay/tests/routed.rs
@@ -11,6 +11,7 @@
 use topazyard_types::{DurationMs, EngineName, RouteName, Tokens};
 use topazyard_wire::api::{ApiError, Ran};
 use topazyard_wire::http::Body;
+use topazyard_wire::message::parcel::RunEnd;
 
 /// Names of the tests' own: `x-id`, `x-to`, `x-after`, `x-turned-away`.
 struct Plain;
@@ -522,3 +523,24 @@
         assert_eq!(read.matches("POST /x").count(), 1, "{read}");
     });
 }
+
+// Else a part of an item's output is its result, or the connection with the rest is used again.
+#[test]
+fn an_item_whose_stream_is_cut_anywhere_has_no_result() {
+    runtime().block_on(async {
+        let within = "11\r\nid: 3\ndata: half\n\r\n";
+        for cut in [
+            Then::Close(stream(1..=2)),
+            Then::Reset(String::new()),
+            Then::Keep(stream(1..=2) + within + STREAM_END),
+        ] {
+            let mut edge = ready(1, [cut, Then::Keep(stream(1..=3) + STREAM_END)]).await;
+            let end = edge.run_item("a").await;
+            assert!(matches!(end, RunEnd::Broken(_) | RunEnd::Unknown), "{end:?}");
+            let text = "word 1\nword 2\nword 3".to_owned();
+            assert_eq!(edge.run_item("a").await, RunEnd::Done { text });
+            let ran = edge.ran();
+            assert_ne!(ran[0].connection, ran[1].connection);
+        }
+    });
+}
