--- a/programs/topazyard-relay/tests/routed.rs
+++ b/programs/topazyard-relay/tests/routed.rs
@@ -11,6 +11,7 @@
 use topazyard_types::{DurationMs, EngineName, RouteName, Tokens};
 use topazyard_wire::api::{ApiError, Ran};
 use topazyard_wire::http::Body;
+use topazyard_wire::message::parcel::RunEnd;
 
 /// Names of the tests' own: `x-id`, `x-to`, `x-after`, `x-turned-away`.
 struct Plain;
@@ -465,6 +466,24 @@
     });
 }
 
+// Else a client sends its next request on a connection that a relay at its end won't read any more.
+#[test]
+fn a_relay_that_ends_closes_idle_connections_without_a_word() {
+    runtime().block_on(async {
+        let mut edge = ready(1, [Then::Keep(whole("1"))]).await;
+        let mut client = edge.connect().await;
+        let request = edge.request("/unsafe/1", "a", "");
+        client.write_all(request.as_bytes()).await.expect("the relay takes it");
+        let mut got = Vec::new();
+        while !got.ends_with(b"\r\n\r\n1") {
+            client.read_buf(&mut got).await.expect("a response");
+        }
+        edge.end();
+        assert_eq!(read_all(&mut client).await.0, "");
+        assert_eq!(edge.ran().len(), 1);
+    });
+}
+
 // Else a request that was never sent is lost with a connection that was closed while it was idle.
 #[test]
 fn a_connection_that_was_closed_while_idle_costs_no_request() {
@@ -504,3 +523,24 @@
         assert_eq!(read.matches("POST /x").count(), 1, "{read}");
     });
 }
+
+// Else a part of an item's output is its result, or the connection with the rest is used again.
+#[test]
+fn an_item_whose_stream_is_cut_anywhere_has_no_result() {
+    runtime().block_on(async {
+        let within = "11\r\nid: 3\ndata: half\n\r\n";
+        for cut in [
+            Then::Close(stream(1..=2)),
+            Then::Reset(String::new()),
+            Then::Keep(stream(1..=2) + within + STREAM_END),
+        ] {
+            let mut edge = ready(1, [cut, Then::Keep(stream(1..=3) + STREAM_END)]).await;
+            let end = edge.run_item("a").await;
+            assert!(matches!(end, RunEnd::Broken(_) | RunEnd::Unknown), "{end:?}");
+            let text = "word 1\nword 2\nword 3".to_owned();
+            assert_eq!(edge.run_item("a").await, RunEnd::Done { text });
+            let ran = edge.ran();
+            assert_ne!(ran[0].connection, ran[1].connection);
+        }
+    });
+}
