Leave orders unclear that were taken before digests were kept

Cause: a data folder of a program that kept no digests tells nothing of what it had taken, so an order that came again after the exchange was refused as stale. All versions up to the newest then count as forgotten. Seen red: refused with stale_base.

--- a/programs/topazyard-control/src/machine/orders.rs
+++ b/programs/topazyard-control/src/machine/orders.rs
@@ -91,12 +91,18 @@
     }
 
     fn forgotten_up_to(&self) -> SpecVersion {
-        self.pair.copy().get(ORDERS_FORGOTTEN).unwrap_or_default()
+        let copy = self.pair.copy();
+        if copy.with_prefix(ORDERS).next().is_none() {
+            // All that was taken so far was taken by a program that kept no digests.
+            return self.newest_version();
+        }
+        copy.get(ORDERS_FORGOTTEN).unwrap_or_default()
     }
 
     /// The changes that remember an order that is taken now, under the newest version.
     pub(super) fn remember_order(&self, version: SpecVersion, digest: Digest) -> Vec<RowChange> {
         let last = self.pair.copy().with_prefix(ORDERS).last();
+        let is_first = last.is_none();
         let last = last.and_then(|(key, value)| {
             let row: OrdersRow = topazyard_wire::rows::decode(value)?;
             (row.orders.len() < ORDERS_IN_ROW).then(|| (key.to_owned(), row))
@@ -106,6 +112,9 @@
         let change = RowChange::put(key, &row);
         let mut changes = self.forget_oldest(&change);
         changes.push(change);
+        if is_first {
+            changes.push(RowChange::put(ORDERS_FORGOTTEN, &self.forgotten_up_to()));
+        }
         changes
     }
 
--- a/programs/topazyard-control/tests/orders.rs
+++ b/programs/topazyard-control/tests/orders.rs
@@ -391,3 +391,24 @@
         source_is(&mut fleet, asking, "a 5");
     }
 }
+
+// Folders of programs that kept no digests: what they had taken is neither refused nor taken again.
+#[test]
+fn orders_from_before_digests_were_kept_are_unclear() {
+    let mut fleet = running();
+    taken(fleet.command(0, order(0, 3, "a")));
+    taken(fleet.command(0, order(3, 5, "a")));
+    for number in 0..3 {
+        fleet.stop(number, false);
+        let rows = fleet.nodes[number].rows.get_mut(&topazyard_wire::Group::Control);
+        rows.into_iter().for_each(|rows| rows.retain(|key, _| !key.starts_with("order/")));
+    }
+    fleet.may_found = false;
+    (0..3).for_each(|number| fleet.start(number));
+    fleet.run(6_000);
+    refused(fleet.command(1, order(0, 3, "a")), Code::OutcomeUnknown);
+    taken(fleet.command(1, order(5, 7, "a")));
+    refused(fleet.command(1, order(0, 3, "a")), Code::OutcomeUnknown);
+    refused(fleet.command(1, order(5, 6, "b")), Code::StaleBase);
+    source_is(&mut fleet, 2, "a 7");
+}
