--- /dev/null
+++ b/fleet-simulator/src/check/configurations.rs
@@ -0,0 +1,195 @@
+//! Numbered configurations: one under each number and on each base, none refused that was taken,
+//! none in force that was refused, and what is read back or in force no older than acknowledged.
+
+use super::specs::IN_FORCE_US;
+use super::{Figures, Line, Violation, crossed};
+use crate::history::{History, InForceSeen, OrderAnswer, OrderSeen, ReadBack, ReadBackSeen, Us};
+
+pub(super) fn check(history: &History, violations: &mut Vec<Violation>, figures: &mut Figures) {
+    if history.orders.is_empty() {
+        return;
+    }
+    let taken: Vec<Option<Us>> =
+        history.orders.iter().map(|order| first_taken(history, order)).collect();
+    check_races(history, &taken, violations);
+    for (at, order) in history.orders.iter().enumerate() {
+        check_refusals(history, at, &taken, violations);
+        if !order.is_valid() && taken[at].is_some() {
+            crossed(violations, Line::SpecWrong, format!("invalid order {at} was taken"));
+        }
+        check_answered(history, at, violations);
+    }
+    check_read_backs(history, violations);
+    check_in_force(history, violations);
+    count(history, figures);
+}
+
+/// When it first showed that an order was taken: acknowledged, read back or in force.
+fn first_taken(history: &History, order: &OrderSeen) -> Option<Us> {
+    let read = history.read_backs.iter().filter_map(|read| match &read.told {
+        Some((at, ReadBack::Given(source))) if *source == order.source => Some(*at),
+        _ => None,
+    });
+    let in_force = history.in_force.iter().filter(|seen| is_of(seen, order)).map(|seen| seen.from);
+    order.first(OrderAnswer::Acknowledged).into_iter().chain(read).chain(in_force).min()
+}
+
+fn is_of(seen: &InForceSeen, order: &OrderSeen) -> bool {
+    seen.number == order.number && order.fingerprint == Some(seen.fingerprint)
+}
+
+/// Of all that share a number or a base one is taken at the most.
+fn check_races(history: &History, taken: &[Option<Us>], violations: &mut Vec<Violation>) {
+    let mut of_number = std::collections::BTreeMap::new();
+    let mut on_base = std::collections::BTreeMap::new();
+    for (at, order) in history.orders.iter().enumerate().filter(|(at, _)| taken[*at].is_some()) {
+        if let Some(other) = of_number.insert(order.number, at) {
+            let text = format!("orders {other} and {at} were both taken as {}", order.number);
+            crossed(violations, Line::OrderRace, text);
+        }
+        if let Some(other) = on_base.insert(order.base, at) {
+            let text = format!("orders {other} and {at} were both taken on {}", order.base);
+            crossed(violations, Line::OrderRace, text);
+        }
+    }
+}
+
+/// An order is refused for a cause, and one that was taken never: not before, as it then was in
+/// force though refused, and not when it is sent again.
+fn check_refusals(
+    history: &History,
+    at: usize,
+    taken: &[Option<Us>],
+    violations: &mut Vec<Violation>,
+) {
+    let order = &history.orders[at];
+    let Some(refused) = order.first(OrderAnswer::Refused) else { return };
+    let name = format!("order {at}, number {} on {},", order.number, order.base);
+    match taken[at] {
+        Some(taken) if taken <= refused => {
+            let ms = (taken / 1_000, refused / 1_000);
+            let text = format!("{name} taken by {} ms was refused at {} ms", ms.0, ms.1);
+            crossed(violations, Line::OrderRefused, text);
+        }
+        Some(taken) => {
+            let ms = (refused / 1_000, taken / 1_000);
+            let text = format!("{name} refused at {} ms was in force at {} ms", ms.0, ms.1);
+            crossed(violations, Line::SpecWrong, text);
+        }
+        None if !has_cause(history, at, taken, refused) => {
+            let text = format!("{name} was refused at {} ms without a cause", refused / 1_000);
+            crossed(violations, Line::OrderRefused, text);
+        }
+        None => {}
+    }
+}
+
+/// Whether an order may have been refused by then: it is invalid, its base was not surely taken, or
+/// another may have been taken on that base or a later one.
+fn has_cause(history: &History, at: usize, taken: &[Option<Us>], refused: Us) -> bool {
+    let order = &history.orders[at];
+    let base_is_taken = order.base == 0
+        || history.orders.iter().any(|other| {
+            let acknowledged = other.first(OrderAnswer::Acknowledged);
+            other.number == order.base && acknowledged.is_some_and(|at| at <= order.sent())
+        });
+    let overtaken = history.orders.iter().enumerate().any(|(number, other)| {
+        number != at
+            && other.is_valid()
+            && other.base >= order.base
+            && other.sent() < refused
+            && (taken[number].is_some() || other.first(OrderAnswer::Refused).is_none())
+    });
+    !order.is_valid() || !base_is_taken || overtaken
+}
+
+/// Whoever asks long enough is told what became of an order.
+fn check_answered(history: &History, at: usize, violations: &mut Vec<Violation>) {
+    let order = &history.orders[at];
+    let is_clear = order.attempts.iter().any(|attempt| {
+        matches!(attempt.answer, Some((_, OrderAnswer::Acknowledged | OrderAnswer::Refused)))
+    });
+    if !is_clear && !order.attempts.is_empty() {
+        let times = order.attempts.len();
+        let text = format!("order {at} had no clear answer in {times} sendings");
+        crossed(violations, Line::Recovery, text);
+    }
+}
+
+fn check_read_backs(history: &History, violations: &mut Vec<Violation>) {
+    let acknowledged: Vec<(Us, u64)> = history
+        .orders
+        .iter()
+        .filter_map(|order| Some((order.first(OrderAnswer::Acknowledged)?, order.number)))
+        .collect();
+    let mut read: Vec<(Us, u64)> = Vec::new();
+    for seen in &history.read_backs {
+        let newest_before = |known: &[(Us, u64)]| {
+            let before = known.iter().filter(|(at, _)| *at < seen.asked);
+            before.map(|(_, number)| *number).max().unwrap_or(0)
+        };
+        let promised = newest_before(&acknowledged).max(newest_before(&read));
+        match number_read(history, seen) {
+            Some(Some(number)) => {
+                read.extend(seen.told.as_ref().map(|(at, _)| (*at, number)));
+                if number < promised {
+                    let (asked, node) = (seen.asked / 1_000, &seen.node);
+                    let text = format!("{node} read {number} at {asked} ms after {promised}");
+                    crossed(violations, Line::SpecWrong, text);
+                }
+            }
+            Some(None) if promised > 0 => {
+                let (asked, node) = (seen.asked / 1_000, &seen.node);
+                let text = format!("{node} read nothing known at {asked} ms after {promised}");
+                crossed(violations, Line::SpecWrong, text);
+            }
+            Some(None) | None => {}
+        }
+    }
+}
+
+/// The number of what was read back, if the answer was clear and if it is any order's.
+fn number_read(history: &History, seen: &ReadBackSeen) -> Option<Option<u64>> {
+    match &seen.told {
+        Some((_, ReadBack::Given(source))) => {
+            let order = history.orders.iter().find(|order| order.source == *source);
+            Some(order.map(|order| order.number))
+        }
+        Some((_, ReadBack::Missing)) => Some(None),
+        Some((_, ReadBack::Unclear)) | None => None,
+    }
+}
+
+fn check_in_force(history: &History, violations: &mut Vec<Violation>) {
+    let mut newest = std::collections::BTreeMap::new();
+    for seen in &history.in_force {
+        let (relay, number) = (&seen.relay, seen.number);
+        let ms = (seen.from / 1_000, seen.until / 1_000);
+        if !history.orders.iter().any(|order| is_of(seen, order)) {
+            let text = format!("{relay} had a mixture under {number} from {} ms", ms.0);
+            crossed(violations, Line::FeedMixed, text);
+        }
+        let before = newest.entry((relay, seen.life)).or_insert(number);
+        if number < *before {
+            let text = format!("{relay} went back from {before} to {number} at {} ms", ms.0);
+            crossed(violations, Line::FeedBack, text);
+        }
+        *before = number.max(*before);
+        let overtaken = history.orders.iter().filter(|order| order.number > number);
+        let since = overtaken.filter_map(|order| order.first(OrderAnswer::Acknowledged)).min();
+        if since.is_some_and(|since| since + IN_FORCE_US < seen.until) {
+            let text = format!("{relay} had {number} at {} ms, long after a later one", ms.1);
+            crossed(violations, Line::SpecLate, text);
+        }
+    }
+}
+
+fn count(history: &History, figures: &mut Figures) {
+    let answered = |answer| history.orders.iter().filter(|o| o.first(answer).is_some()).count();
+    figures.orders = (answered(OrderAnswer::Acknowledged), answered(OrderAnswer::Refused));
+    let sendings = history.orders.iter().map(|order| order.attempts.len());
+    figures.most_sendings = sendings.max().unwrap_or(0);
+    let told = history.read_backs.iter().filter_map(|read| read.told.as_ref());
+    let given = told.filter(|(_, read)| *read != ReadBack::Unclear).count();
+    figures.read_backs = (given, history.read_backs.len() - given);
+}
--- a/fleet-simulator/src/check/mod.rs
+++ b/fleet-simulator/src/check/mod.rs
@@ -1,6 +1,7 @@
 //! The checker: it judges a history by what was seen from outside, line by line of what must
 //! never happen.
 
+mod configurations;
 mod engines;
 mod parcels;
 mod prompts;
@@ -24,6 +25,14 @@
     SpecLate,
     /// A refused spec took effect, or one read back was older than acknowledged.
     SpecWrong,
+    /// Two configurations were taken under one number or on one base.
+    OrderRace,
+    /// A configuration was refused though it was taken, or without a cause.
+    OrderRefused,
+    /// What a relay had in force was no configuration that anybody ordered.
+    FeedMixed,
+    /// What a relay had in force went back.
+    FeedBack,
     /// An engine got work long after it was known to leave.
     EngineLeaving,
     /// A stream lost, repeated or spliced pieces.
@@ -98,6 +107,12 @@
     pub longest_below_half_ms: u64,
     /// The same for a quarter of its former level.
     pub longest_below_quarter_ms: u64,
+    /// Numbered configurations that were acknowledged, and that were refused.
+    pub orders: (usize, usize),
+    /// The most sendings of an order.
+    pub most_sendings: usize,
+    /// Read-backs that were given, and that gave nothing clear.
+    pub read_backs: (usize, usize),
     /// The most tokens in flight at engines.
     pub most_tokens: u64,
     /// When the last item that ran had ended.
@@ -117,6 +132,7 @@
     prompts::check(history, &mut violations);
     engines::check(history, bounds, &mut violations, &mut figures);
     specs::check(history, &mut violations);
+    configurations::check(history, &mut violations, &mut figures);
     parcels::check(history, bounds, &mut violations, &mut figures);
     service::check(history, bounds, &mut violations, &mut figures);
     (violations, figures)
--- a/fleet-simulator/src/faults/mod.rs
+++ b/fleet-simulator/src/faults/mod.rs
@@ -1,7 +1,8 @@
 //! Faults, as they are caused.
 
 use crate::history::{FaultSeen, Struck};
-use crate::world::{Caller, EngineMood, Event, Kind, NodeIndex, Plant, World};
+use crate::people::Doing;
+use crate::world::{Caller, EngineMood, Event, Kind, NodeIndex, Plant, REPLACED, World};
 use topazyard_types::ShardId;
 use topazyard_wire::message::operate::{Command, Operate};
 
@@ -14,6 +15,10 @@
     ControlPrimary,
     /// Whoever is the control backup then: a control node that is not the primary.
     OtherControl,
+    /// The first backup of control then.
+    ControlBackup,
+    /// A control node that runs and is neither primary nor backup then.
+    ControlSpare,
     /// Whoever leads a shard then.
     ShardPrimary(u16),
     /// Another node that holds a copy of a shard then.
@@ -37,6 +42,8 @@
     Freeze(Whom, u64),
     /// A process is cut off from all others; the numbers say which ways are cut.
     CutOff(Whom, Way),
+    /// A control node is cut off from the other control nodes alone.
+    CutOffFromCore(Whom, Way),
     /// Control nodes are split from all storage nodes.
     SplitCoreFromStorage,
     /// A domain is cut off from all others.
@@ -67,6 +74,18 @@
     Parcels(u64),
     /// A machine is replaced by an empty one at a new address.
     Replace(Whom),
+    /// An empty machine is started at a new address to take a machine's place, which runs on.
+    Succeed(Whom),
+    /// A control node is told to leave.
+    Leave(Whom),
+    /// A machine whose place another took is taken away.
+    Remove(Whom),
+    /// An operator has a storage node retired, and takes it away once that is done.
+    Retire(Whom),
+    /// Of a hundred answers to operators so many are lost.
+    LoseAnswers(u64),
+    /// Operators order a numbered configuration every so many milliseconds.
+    OrdersEvery(u64),
     /// A new storage node is added.
     AddStorage,
     /// A relay is asked to drain.
@@ -102,6 +121,8 @@
                     node.kind == Kind::Control && node.is_on() && Some(*index) != primary
                 })
             }
+            Whom::ControlBackup => self.control_backup(),
+            Whom::ControlSpare => self.control_spare(),
             Whom::ShardPrimary(shard) => self.shard_primary(ShardId(*shard)),
             Whom::ShardHolder(shard) => self.other_holder(ShardId(*shard)),
         }
@@ -115,6 +136,11 @@
             | Fault::LoseDisk(whom)
             | Fault::Freeze(whom, _)
             | Fault::CutOff(whom, _)
+            | Fault::CutOffFromCore(whom, _)
+            | Fault::Succeed(whom)
+            | Fault::Leave(whom)
+            | Fault::Remove(whom)
+            | Fault::Retire(whom)
             | Fault::SlowDisk(whom, _)
             | Fault::Drain(whom)
             | Fault::Empty(whom)
@@ -141,7 +167,7 @@
             }
             Fault::StartAll => {
                 for at in 0..self.nodes.len() {
-                    if !self.nodes[at].name.ends_with("(replaced)") {
+                    if !self.nodes[at].is_replaced() {
                         self.start(NodeIndex(at));
                     }
                 }
@@ -153,21 +179,18 @@
             }
             Fault::CutOff(_, way) => {
                 if let Some(index) = struck {
-                    let address = self.nodes[index.0].address;
-                    self.strike_for(index, Struck::Cut);
-                    self.cut_where(|from, to| match way {
-                        Way::Both => from == address || to == address,
-                        Way::Outward => from == address,
-                        Way::Inward => to == address,
-                    });
+                    self.cut_off(index, way, |_| true);
+                }
+            }
+            Fault::CutOffFromCore(_, way) => {
+                if let Some(index) = struck {
+                    let core = self.addresses_of(Kind::Control);
+                    self.cut_off(index, way, |other| core.contains(&other));
                 }
             }
             Fault::SplitCoreFromStorage => {
-                let of = |world: &Self, kind| -> std::collections::BTreeSet<_> {
-                    let nodes = world.nodes.iter().filter(|node| node.kind == kind);
-                    nodes.map(|node| node.address).collect()
-                };
-                let (core, storage) = (of(self, Kind::Control), of(self, Kind::Storage));
+                let core = self.addresses_of(Kind::Control);
+                let storage = self.addresses_of(Kind::Storage);
                 self.cut_where(|from, to| {
                     (core.contains(&from) && storage.contains(&to))
                         || (storage.contains(&from) && core.contains(&to))
@@ -220,7 +243,34 @@
             }
             Fault::Crowd(rate) => self.people.habits.prompts_per_s = rate,
             Fault::Parcels(count) => (0..count).for_each(|_| self.hand_in_parcel()),
-            Fault::Replace(_) => self.replace(struck),
+            Fault::Replace(_) => {
+                if let Some(index) = struck {
+                    self.stop(index, true);
+                    self.succeed(index);
+                }
+            }
+            Fault::Succeed(_) => {
+                if let Some(index) = struck {
+                    self.succeed(index);
+                }
+            }
+            Fault::Leave(_) => {
+                if let Some(index) = struck {
+                    self.tell_to_leave(index);
+                }
+            }
+            Fault::Remove(_) => {
+                if let Some(index) = struck {
+                    self.remove(index);
+                }
+            }
+            Fault::Retire(_) => {
+                if let Some(index) = struck {
+                    self.after(0, Event::Person(Doing::Retire(index)));
+                }
+            }
+            Fault::LoseAnswers(percent) => self.people.habits.answers_lost_percent = percent,
+            Fault::OrdersEvery(ms) => self.people.habits.orders_every_ms = ms,
             Fault::AddStorage => {
                 let number = self.nodes.iter().filter(|n| n.kind == Kind::Storage).count() + 1;
                 let domain = number as u16 % self.domains;
@@ -274,12 +324,36 @@
         }
     }
 
-    fn replace(&mut self, struck: Option<NodeIndex>) {
-        let Some(index) = struck else { return };
-        self.stop(index, true);
+    fn addresses_of(&self, kind: Kind) -> std::collections::BTreeSet<std::net::SocketAddr> {
+        let nodes = self.nodes.iter().filter(|node| node.kind == kind);
+        nodes.map(|node| node.address).collect()
+    }
+
+    /// Cuts a node off from those others, one way or both.
+    fn cut_off(
+        &mut self,
+        index: NodeIndex,
+        way: Way,
+        is_other: impl Fn(std::net::SocketAddr) -> bool,
+    ) {
+        let address = self.nodes[index.0].address;
+        self.strike_for(index, Struck::Cut);
+        self.cut_where(|from, to| {
+            let (outward, inward) =
+                (from == address && is_other(to), to == address && is_other(from));
+            match way {
+                Way::Both => outward || inward,
+                Way::Outward => outward,
+                Way::Inward => inward,
+            }
+        });
+    }
+
+    /// Starts an empty machine at a new address in a machine's place.
+    fn succeed(&mut self, index: NodeIndex) {
         let (kind, domain) = (self.nodes[index.0].kind, self.nodes[index.0].domain);
         let name = self.nodes[index.0].name.clone();
-        self.nodes[index.0].name = format!("{name} (replaced)");
+        self.nodes[index.0].name = format!("{name}{REPLACED}");
         let port = 3_000 + self.nodes.len() as u16;
         if kind == Kind::Control {
             // Whoever sets up machines from now on names the new one as a seed.
--- a/fleet-simulator/src/history.rs
+++ b/fleet-simulator/src/history/mod.rs
@@ -1,7 +1,13 @@
 //! What was seen from outside. Moments are microseconds of simulated time.
 
+mod configurations;
+
 use topazyard_wire::api::Ran;
 
+pub use configurations::{
+    InForceSeen, OrderAnswer, OrderAttempt, OrderSeen, ReadBack, ReadBackSeen,
+};
+
 /// A moment of simulated time.
 pub type Us = u64;
 
@@ -243,6 +249,12 @@
     pub specs: Vec<SpecSeen>,
     /// Reads of the spec in force.
     pub spec_reads: Vec<SpecRead>,
+    /// Numbered configurations that were ordered.
+    pub orders: Vec<OrderSeen>,
+    /// Read-backs of the numbered configuration in force.
+    pub read_backs: Vec<ReadBackSeen>,
+    /// What each relay had in force, in the order in which it was seen.
+    pub in_force: Vec<InForceSeen>,
     /// Engine lists.
     pub engine_lists: Vec<EngineListSeen>,
     /// Faults, for the trace.
--- /dev/null
+++ b/fleet-simulator/src/people/configurations.rs
@@ -0,0 +1,283 @@
+//! Operators with numbered configurations, each taken in one step: they race, send an order again
+//! unchanged to any node until its answer is clear, and read back what is in force.
+
+mod contents;
+mod sending;
+
+use super::Doing;
+use crate::history::{OrderAnswer, OrderSeen, ReadBack, ReadBackSeen, Us};
+use crate::world::{Caller, Event, Kind, NodeIndex, Plant, World};
+use contents::Fault;
+pub(crate) use contents::fingerprint;
+use topazyard_wire::api::Code;
+use topazyard_wire::message::operate::{Operate, OperateOutcome, Query};
+
+/// Something that an operator with numbered configurations does.
+#[derive(Debug, Clone, Copy)]
+pub enum OrderDoing {
+    /// Begin the next orders, and so on.
+    Begin,
+    /// Send an order to a node.
+    Send(usize),
+    /// A sending of an order arrives at a node.
+    Arrives(usize, usize, NodeIndex),
+    /// A sending of an order was silent for long enough, or is answered.
+    Answered(usize, usize),
+    /// Read back what is in force, and so on.
+    Read,
+    /// A read-back arrives at a node.
+    ReadArrives(usize, NodeIndex),
+    /// A read-back is answered.
+    ReadAnswered(usize),
+}
+
+impl OrderDoing {
+    pub(super) fn event(self) -> Event {
+        Event::Person(Doing::Configuration(self))
+    }
+}
+
+/// How an order stands with its operator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// It is sent until its answer is clear.
+    Open,
+    /// Its answer was clear.
+    Closed,
+}
+
+/// The orders of all operators.
+#[derive(Debug, Default)]
+pub(super) struct Orders {
+    standings: Vec<Standing>,
+    /// The newest number that an operator saw acknowledged or read back.
+    newest: u64,
+}
+
+/// How often what is in force is read back.
+const READ_EVERY_US: Us = 250_000;
+/// After how long an answer comes no more: the node's own front answers by then that it knows
+/// nothing.
+const ANSWER_WITHIN_US: Us = 900_000;
+/// How far orders of the past reach that are sent again.
+const SENT_AGAIN_OF: u64 = 3;
+
+impl World {
+    /// The first configuration, and whatever follows it.
+    pub fn first_order(&mut self) {
+        let content = self.new_content(None);
+        self.begin_order(1, 0, content, 0);
+        self.after(0, OrderDoing::Begin.event());
+        self.after(READ_EVERY_US, OrderDoing::Read.event());
+    }
+
+    pub(super) fn order_doing(&mut self, doing: OrderDoing) {
+        match doing {
+            OrderDoing::Begin => self.begin_orders(),
+            OrderDoing::Send(order) => self.send_order(order),
+            OrderDoing::Arrives(order, attempt, node) => self.order_arrives(order, attempt, node),
+            OrderDoing::Answered(order, attempt) => {
+                self.order_answered(order, attempt, OrderAnswer::Unclear);
+            }
+            OrderDoing::Read => self.read_back(),
+            OrderDoing::ReadArrives(read, node) => self.read_arrives(read, node),
+            OrderDoing::ReadAnswered(_) => {}
+        }
+    }
+
+    /// A control node answered an operator.
+    pub(super) fn order_told(&mut self, doing: OrderDoing, outcome: OperateOutcome) {
+        let lost = self.people.habits.answers_lost_percent;
+        let loses_all = self.plant == Some(Plant::LoseAnswers) && self.people.orders.newest > 0;
+        if loses_all || (lost > 0 && self.draw(0..100) < lost) {
+            return;
+        }
+        match doing {
+            OrderDoing::Answered(order, attempt) => {
+                let asked = self.history.orders[order].attempts[attempt].asked;
+                if self.time < asked + ANSWER_WITHIN_US {
+                    let answer = self.spoiled(attempt, answer_of(&outcome));
+                    self.order_answered(order, attempt, answer);
+                }
+            }
+            OrderDoing::ReadAnswered(read) => self.read_told(read, outcome),
+            _ => {}
+        }
+    }
+
+    /// An answer as the planted bug would have it.
+    fn spoiled(&self, attempt: usize, answer: OrderAnswer) -> OrderAnswer {
+        use OrderAnswer::{Acknowledged, Refused};
+        match (self.plant, answer) {
+            (Some(Plant::AcknowledgeAll), Refused) => Acknowledged,
+            (Some(Plant::RefuseSentAgain), Acknowledged) if attempt > 0 => Refused,
+            (Some(Plant::RefuseTaken), Acknowledged) if attempt == 0 => Refused,
+            _ => answer,
+        }
+    }
+
+    fn begin_orders(&mut self) {
+        let every = self.people.habits.orders_every_ms.max(1) * 1_000;
+        let next = every / 2 + self.draw(0..every);
+        self.after(next, OrderDoing::Begin.event());
+        let open = self.people.orders.standings.iter().filter(|s| **s == Standing::Open).count();
+        let room = self.people.habits.orders_at_once.saturating_sub(open);
+        let base = self.people.orders.newest;
+        if !self.people.habits.is_open || base == 0 || room == 0 {
+            return;
+        }
+        match self.draw(0..10) {
+            0..=3 => self.order_on(base, None),
+            4 | 5 => {
+                // Two operators under one number.
+                let number = self.next_number(base);
+                self.order_numbered(number, base, 0);
+                let after = self.draw(0..3_000);
+                self.order_numbered(number, base, after);
+            }
+            6 => {
+                let many = self.draw(2..9).min(room as u64);
+                (0..many).for_each(|_| self.order_on(base, None));
+            }
+            7 => {
+                let fault = Fault::ALL[self.draw(0..Fault::ALL.len() as u64) as usize];
+                self.order_on(base, Some(fault));
+            }
+            8 => self.order_in_turn(base),
+            _ => self.send_again(),
+        }
+    }
+
+    /// Two orders of which one builds on the other, which may still be under way.
+    fn order_in_turn(&mut self, base: u64) {
+        let number = self.next_number(base);
+        self.order_numbered(number, base, 0);
+        let next = self.next_number(number);
+        let after = self.draw(0..30_000);
+        self.order_numbered(next, number, after);
+    }
+
+    fn next_number(&mut self, base: u64) -> u64 {
+        base + self.draw(1..9)
+    }
+
+    fn order_on(&mut self, base: u64, fault: Option<Fault>) {
+        let number = match fault {
+            Some(Fault::NumberNotAbove) => base - self.draw(0..base),
+            _ => self.next_number(base),
+        };
+        let content = self.new_content(fault);
+        self.begin_order(number, base, content, 0);
+    }
+
+    fn order_numbered(&mut self, number: u64, base: u64, after: Us) {
+        let content = self.new_content(None);
+        self.begin_order(number, base, content, after);
+    }
+
+    fn begin_order(&mut self, number: u64, base: u64, content: contents::Content, after: Us) {
+        let order = self.history.orders.len();
+        self.history.orders.push(OrderSeen {
+            number,
+            base,
+            source: content.source,
+            fingerprint: content.fingerprint,
+            attempts: Vec::new(),
+        });
+        self.people.orders.standings.push(Standing::Open);
+        self.after(after, OrderDoing::Send(order).event());
+    }
+
+    /// Sends an order again that was acknowledged, the newest or any before it.
+    fn send_again(&mut self) {
+        let acknowledged: Vec<usize> = (0..self.history.orders.len())
+            .filter(|order| {
+                let is_closed = self.people.orders.standings[*order] == Standing::Closed;
+                let seen = &self.history.orders[*order];
+                is_closed && seen.first(OrderAnswer::Acknowledged).is_some()
+            })
+            .collect();
+        let Some(newest) = acknowledged.last().copied() else { return };
+        let order = match self.draw(0..SENT_AGAIN_OF) {
+            0 => acknowledged[self.draw(0..acknowledged.len() as u64) as usize],
+            _ => newest,
+        };
+        self.people.orders.standings[order] = Standing::Open;
+        self.after(0, OrderDoing::Send(order).event());
+    }
+
+    fn order_answered(&mut self, order: usize, attempt: usize, answer: OrderAnswer) {
+        let time = self.time;
+        let seen = &mut self.history.orders[order];
+        let number = seen.number;
+        let known = &mut seen.attempts[attempt].answer;
+        if known.is_some() {
+            return;
+        }
+        *known = Some((time, answer));
+        match answer {
+            OrderAnswer::Unclear => self.send_later(order),
+            OrderAnswer::Refused => self.people.orders.standings[order] = Standing::Closed,
+            OrderAnswer::Acknowledged => {
+                self.people.orders.standings[order] = Standing::Closed;
+                self.saw_newest(number);
+            }
+        }
+    }
+
+    fn saw_newest(&mut self, number: u64) {
+        let newest = &mut self.people.orders.newest;
+        *newest = number.max(*newest);
+    }
+
+    fn read_back(&mut self) {
+        self.after(READ_EVERY_US, OrderDoing::Read.event());
+        let Some(node) = self.draw_node(Kind::Control) else { return };
+        let read = self.history.read_backs.len();
+        let (name, asked) = (self.nodes[node.0].name.clone(), self.time);
+        self.history.read_backs.push(ReadBackSeen { node: name, asked, told: None });
+        let way = self.way();
+        self.after(way, OrderDoing::ReadArrives(read, node).event());
+    }
+
+    fn read_arrives(&mut self, read: usize, node: NodeIndex) {
+        if self.defer_if_frozen(node, || OrderDoing::ReadArrives(read, node).event()) {
+            return;
+        }
+        if self.nodes[node.0].is_on() {
+            let caller = Caller::Person(Doing::Configuration(OrderDoing::ReadAnswered(read)));
+            self.call_control(node, Operate::Query(Query::ReadSource), caller);
+        }
+    }
+
+    fn read_told(&mut self, read: usize, outcome: OperateOutcome) {
+        let time = self.time;
+        let read_back = match outcome {
+            OperateOutcome::Done(source) => ReadBack::Given(source.into()),
+            OperateOutcome::Refused(error) if error.code == Code::NotFound => ReadBack::Missing,
+            OperateOutcome::Refused(_) => ReadBack::Unclear,
+        };
+        let read_back = match (self.plant, read_back) {
+            (Some(Plant::ReadFirst), ReadBack::Given(_)) => {
+                ReadBack::Given(self.history.orders[0].source.clone())
+            }
+            (_, read_back) => read_back,
+        };
+        if let ReadBack::Given(source) = &read_back {
+            let found = self.history.orders.iter().find(|order| order.source == *source);
+            let number = found.map_or(0, |order| order.number);
+            self.saw_newest(number);
+        }
+        self.history.read_backs[read].told = Some((time, read_back));
+    }
+}
+
+fn answer_of(outcome: &OperateOutcome) -> OrderAnswer {
+    match outcome {
+        OperateOutcome::Done(_) => OrderAnswer::Acknowledged,
+        OperateOutcome::Refused(error) => match error.code.status() {
+            408 | 429 | 500.. => OrderAnswer::Unclear,
+            _ => OrderAnswer::Refused,
+        },
+    }
+}
--- /dev/null
+++ b/fleet-simulator/src/people/configurations/contents.rs
@@ -0,0 +1,100 @@
+//! What stands in a numbered configuration: lanes as ever, and routes that come, change and go.
+
+use crate::world::World;
+use topazyard_spec::Bundle;
+use topazyard_types::Digest;
+
+/// What is wrong with an invalid configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Fault {
+    /// It can't be read whole.
+    Unreadable,
+    /// A route names an unknown pool.
+    UnknownPool,
+    /// Two routes share host and prefix.
+    SamePlace,
+    /// A route's weights add up to 0.
+    NoWeight,
+    /// Its number is not above the one that it builds on.
+    NumberNotAbove,
+}
+
+impl Fault {
+    pub(super) const ALL: [Self; 5] = [
+        Self::Unreadable,
+        Self::UnknownPool,
+        Self::SamePlace,
+        Self::NoWeight,
+        Self::NumberNotAbove,
+    ];
+}
+
+/// The content of a configuration.
+#[derive(Debug, Clone)]
+pub(super) struct Content {
+    /// What the operator sends and reads back; it is the bundle itself.
+    pub(super) source: bytes::Bytes,
+    /// What tells it apart where it is in force; none if its content is invalid.
+    pub(super) fingerprint: Option<Digest>,
+}
+
+/// Routes whose number of tokens, pools and times change from one configuration to the next.
+const CHANGING_ROUTES: u64 = 6;
+
+impl World {
+    /// A content that no other order has: one route tells it apart.
+    pub(super) fn new_content(&mut self, fault: Option<Fault>) -> Content {
+        let order = self.history.orders.len();
+        let mut routes = vec![route("only", &format!("/{order}/"), "main", 1, 1_000)];
+        for number in 0..CHANGING_ROUTES {
+            // Some routes go and come back.
+            if self.draw(0..4) > 0 {
+                let timeout_ms = 500 + 250 * self.draw(0..4);
+                routes.push(route(&format!("route-{number}"), "/", "main", 1, timeout_ms));
+            }
+        }
+        match fault {
+            Some(Fault::UnknownPool) => routes.push(route("lost", "/", "no such pool", 1, 500)),
+            Some(Fault::NoWeight) => routes.push(route("light", "/", "main", 0, 500)),
+            Some(Fault::SamePlace) => routes.push(route("only", "/again/", "main", 1, 500)),
+            Some(Fault::Unreadable | Fault::NumberNotAbove) | None => {}
+        }
+        let mut text = self.bundle_of("m-only", "main", &routes).to_string();
+        if fault == Some(Fault::Unreadable) {
+            text.truncate(text.len() / 2);
+        }
+        let fingerprint = Bundle::read(&text).ok().map(|bundle| {
+            let routes = bundle.routes.clone();
+            fingerprint(&Bundle { routes: Vec::new(), ..bundle }, routes.iter())
+        });
+        Content { source: text.into(), fingerprint }
+    }
+}
+
+fn route(
+    name: &str,
+    path_prefix: &str,
+    pool: &str,
+    weight: u32,
+    timeout_ms: u64,
+) -> serde_json::Value {
+    serde_json::json!({
+        "name": name, "host": format!("{name}.example"), "path_prefix": path_prefix,
+        "kind": "safe", "pools": [{"pool": pool, "weight": weight}],
+        "timeout_ms": timeout_ms, "max_attempts": 2,
+    })
+}
+
+/// What tells a configuration apart: the bundle without its routes, and its routes in any order.
+pub(crate) fn fingerprint<'a>(
+    bundle: &Bundle,
+    routes: impl Iterator<Item = &'a topazyard_spec::Route>,
+) -> Digest {
+    let rest = serde_json::to_vec(bundle).unwrap_or_default();
+    let mut parts: Vec<Vec<u8>> =
+        routes.map(|route| serde_json::to_vec(route).unwrap_or_default()).collect();
+    parts.sort();
+    parts.push(rest);
+    let parts: Vec<&[u8]> = parts.iter().map(Vec::as_slice).collect();
+    Digest::of(&parts)
+}
--- /dev/null
+++ b/fleet-simulator/src/people/configurations/sending.rs
@@ -0,0 +1,76 @@
+//! How an order travels: to any node that the operator's list names, again after a failure or a
+//! second of silence, with a pause that grows.
+
+use super::{OrderDoing, Standing};
+use crate::history::{OrderAnswer, OrderAttempt, Us};
+use crate::people::Doing;
+use crate::world::{Caller, Kind, NodeIndex, Plant, World};
+use topazyard_types::SpecVersion;
+use topazyard_wire::message::operate::{Command, Operate};
+
+/// After how long without an answer an operator goes on to another node.
+const SILENCE_US: Us = 1_000_000;
+/// The pause before an order is sent again; it doubles with each sending.
+const PAUSE_US: Us = 50_000;
+/// The longest pause.
+const LONGEST_PAUSE_US: Us = 800_000;
+
+impl World {
+    /// Sends an order to any control node on the list: ones that just went still stand there.
+    pub(super) fn send_order(&mut self, order: usize) {
+        if self.people.orders.standings[order] == Standing::Closed {
+            return;
+        }
+        let Some(node) = self.draw_listed_control() else { return };
+        let attempt = self.history.orders[order].attempts.len();
+        let (name, asked) = (self.nodes[node.0].name.clone(), self.time);
+        let sent = OrderAttempt { node: name, asked, answer: None };
+        self.history.orders[order].attempts.push(sent);
+        let way = self.way();
+        self.after(way, OrderDoing::Arrives(order, attempt, node).event());
+        self.after(SILENCE_US, OrderDoing::Answered(order, attempt).event());
+    }
+
+    fn draw_listed_control(&mut self) -> Option<NodeIndex> {
+        let listed: Vec<usize> = (0..self.nodes.len())
+            .filter(|at| {
+                let node = &self.nodes[*at];
+                node.kind == Kind::Control && !node.is_replaced()
+            })
+            .collect();
+        let at = self.draw(0..listed.len().max(1) as u64) as usize;
+        listed.get(at).map(|at| NodeIndex(*at))
+    }
+
+    pub(super) fn order_arrives(&mut self, order: usize, attempt: usize, node: NodeIndex) {
+        let again = OrderDoing::Arrives(order, attempt, node);
+        // What lies in a frozen process's socket is taken when it wakes.
+        if self.defer_if_frozen(node, || again.event()) {
+            return;
+        }
+        if !self.nodes[node.0].is_on() {
+            self.order_answered(order, attempt, OrderAnswer::Unclear);
+            return;
+        }
+        if self.plant == Some(Plant::RefuseIdly) && attempt == 0 && order > 0 {
+            self.order_answered(order, attempt, OrderAnswer::Refused);
+            return;
+        }
+        let seen = &self.history.orders[order];
+        let command = Command::TakeSpec {
+            base: SpecVersion(seen.base),
+            version: SpecVersion(seen.number),
+            text: String::from_utf8_lossy(&seen.source).into_owned(),
+            source: seen.source.clone(),
+        };
+        let caller = Caller::Person(Doing::Configuration(OrderDoing::Answered(order, attempt)));
+        self.call_control(node, Operate::Command(command), caller);
+    }
+
+    pub(super) fn send_later(&mut self, order: usize) {
+        let sent = self.history.orders[order].attempts.len().min(8) as u32;
+        let pause = (PAUSE_US << sent).min(LONGEST_PAUSE_US);
+        let pause = pause / 2 + self.draw(0..pause);
+        self.after(pause, OrderDoing::Send(order).event());
+    }
+}
--- a/fleet-simulator/src/people/mod.rs
+++ b/fleet-simulator/src/people/mod.rs
@@ -1,11 +1,14 @@
 //! Visitors, operators and the platform, as they act on the fleet from outside.
 
+mod configurations;
 mod operators;
 mod parcels;
 mod platform;
 mod prompts;
+mod retirement;
 
 use crate::world::{NodeIndex, World};
+pub(crate) use configurations::fingerprint;
 
 /// Something that somebody outside does.
 #[derive(Debug, Clone)]
@@ -34,8 +37,18 @@
     PutEngines,
     /// The engine list was sent.
     EnginesSent(usize),
+    /// Ask for a storage node to be retired, until that is acknowledged.
+    Retire(NodeIndex),
+    /// That was answered.
+    RetireAnswered(NodeIndex),
+    /// Ask whether a storage node is retired, until it is.
+    AskRetired(NodeIndex),
+    /// That was answered.
+    RetiredAnswered(NodeIndex),
     /// Weigh the waiting parcel work, and so on.
     WeighWaiting,
+    /// Something about numbered configurations.
+    Configuration(configurations::OrderDoing),
     /// Read the spec in force, and so on.
     ReadSpec,
     /// The spec in force was asked for.
@@ -57,6 +70,12 @@
     pub parcel_every_s: u64,
     /// Seconds between specs; 0 for none.
     pub spec_every_s: u64,
+    /// Milliseconds between numbered configurations; 0 for specs that are signed off instead.
+    pub orders_every_ms: u64,
+    /// The most orders of numbered configurations under way at once.
+    pub orders_at_once: usize,
+    /// Of a hundred answers to operators so many are lost.
+    pub answers_lost_percent: u64,
     /// Lanes that specs have besides the usual ones.
     pub more_lanes: u64,
     /// The budget of in-flight tokens.
@@ -78,6 +97,9 @@
             parcel_items: 20,
             parcel_every_s: 0,
             spec_every_s: 0,
+            orders_every_ms: 0,
+            orders_at_once: 8,
+            answers_lost_percent: 0,
             more_lanes: 0,
             limit_tokens: 40_000,
             waiting_ceiling: 60_000,
@@ -96,6 +118,9 @@
     ready: std::collections::BTreeSet<NodeIndex>,
     parcels: Vec<parcels::ParcelVisitor>,
     specs: Vec<operators::SpecOperator>,
+    orders: configurations::Orders,
+    /// Storage nodes whose retirement was acknowledged.
+    retiring: std::collections::BTreeSet<NodeIndex>,
     /// Engines that the platform wants listed as ready.
     pub listed_ready: std::collections::BTreeSet<String>,
 }
@@ -108,6 +133,11 @@
 }
 
 impl World {
+    /// Whether operators order numbered configurations.
+    pub(crate) fn has_orders(&self) -> bool {
+        self.people.habits.orders_every_ms > 0
+    }
+
     /// Hands in a kind of work with a body of its own.
     pub(crate) fn new_work(
         &mut self,
@@ -175,13 +205,18 @@
             Doing::NextSpec => self.next_spec(),
             Doing::Spec(spec) => self.look_after_spec(spec),
             Doing::PutEngines => self.put_engines(),
+            Doing::Configuration(doing) => self.order_doing(doing),
             Doing::ReadSpec => self.read_spec(),
             Doing::WeighWaiting => {
                 self.after(250_000, crate::world::Event::Person(Doing::WeighWaiting));
                 let waiting = self.waiting_work();
                 self.history.waiting.push((self.time, waiting));
             }
+            Doing::Retire(node) => self.retire(node),
+            Doing::AskRetired(node) => self.ask_retired(node),
             Doing::Ready(_)
+            | Doing::RetireAnswered(_)
+            | Doing::RetiredAnswered(_)
             | Doing::ParcelCall(..)
             | Doing::SpecCall(..)
             | Doing::EnginesSent(_)
@@ -208,8 +243,11 @@
     ) {
         match doing {
             Doing::SpecCall(spec, serial, step) => self.spec_told(spec, serial, step, &outcome),
+            Doing::RetireAnswered(node) => self.retire_told(node, &outcome),
+            Doing::RetiredAnswered(node) => self.retired_told(node, &outcome),
             Doing::EnginesSent(list) => self.engines_told(list, &outcome),
             Doing::SpecAsked(asked) => self.spec_read(asked, &outcome),
+            Doing::Configuration(doing) => self.order_told(doing, outcome),
             _ => {}
         }
     }
--- a/fleet-simulator/src/people/operators.rs
+++ b/fleet-simulator/src/people/operators.rs
@@ -40,6 +40,9 @@
 
     pub(super) fn next_spec(&mut self) {
         let every = self.people.habits.spec_every_s;
+        if self.has_orders() {
+            return;
+        }
         self.after(every.max(1) * 1_000_000, Event::Person(Doing::NextSpec));
         let all_over = self.people.specs.iter().all(|spec| spec.step == Step::Over);
         if every == 0 || !self.people.habits.is_open || !all_over {
@@ -72,9 +75,19 @@
     }
 
     fn bundle(&self, spec: usize) -> String {
-        let habits = &self.people.habits;
         let model = &self.history.specs[spec].model;
         let pool = if self.people.specs[spec].is_broken { "no such pool" } else { "main" };
+        self.bundle_of(model, pool, &[]).to_string()
+    }
+
+    /// A bundle with a lane of its own, its parcels' lane at that pool, and these routes.
+    pub(super) fn bundle_of(
+        &self,
+        model: &str,
+        pool: &str,
+        routes: &[serde_json::Value],
+    ) -> serde_json::Value {
+        let habits = &self.people.habits;
         let mut lanes = vec![
             serde_json::json!({"name": "live", "kind": "live", "models": ["m"], "pool": "main"}),
             serde_json::json!({"name": "parcel", "kind": "parcel", "models": ["m"], "pool": pool}),
@@ -89,6 +102,7 @@
         serde_json::json!({
             "pools": [{"name": "main", "limit_tokens": habits.limit_tokens}],
             "lanes": lanes,
+            "routes": routes,
             "parcels": {
                 "waiting_ceiling_tokens": habits.waiting_ceiling,
                 "max_items": 1000, "max_item_bytes": 65536,
@@ -99,7 +113,6 @@
                 "live_ceiling_percent": habits.live_percents.2,
             },
         })
-        .to_string()
     }
 
     pub(super) fn look_after_spec(&mut self, spec: usize) {
@@ -200,6 +213,9 @@
     }
 
     pub(super) fn read_spec(&mut self) {
+        if self.has_orders() {
+            return;
+        }
         self.after(1_000_000, Event::Person(Doing::ReadSpec));
         if let Some(control) = self.draw_node(Kind::Control) {
             let request = Operate::Query(Query::ReadSpec(None));
--- /dev/null
+++ b/fleet-simulator/src/people/retirement.rs
@@ -0,0 +1,54 @@
+//! Operators who have a storage node retired, and take it away once that is done.
+
+use super::Doing;
+use crate::history::Us;
+use crate::world::{Caller, Event, Kind, NodeIndex, World};
+use topazyard_wire::message::operate::{Command, Operate, OperateOutcome, Query};
+
+/// How often it is asked for and after.
+const ASK_EVERY_US: Us = 500_000;
+
+impl World {
+    /// Asks for it, again and again until it is acknowledged.
+    pub(super) fn retire(&mut self, node: NodeIndex) {
+        if self.people.retiring.contains(&node) {
+            return;
+        }
+        self.after(ASK_EVERY_US, Event::Person(Doing::Retire(node)));
+        let command = Command::RetireNamed(self.name_in_fleet(node));
+        self.ask_of_retirement(Operate::Command(command), Doing::RetireAnswered(node));
+    }
+
+    pub(super) fn retire_told(&mut self, node: NodeIndex, outcome: &OperateOutcome) {
+        if matches!(outcome, OperateOutcome::Done(_)) && self.people.retiring.insert(node) {
+            self.after(0, Event::Person(Doing::AskRetired(node)));
+        }
+    }
+
+    /// Asks whether it is done, again and again until it is.
+    pub(super) fn ask_retired(&mut self, node: NodeIndex) {
+        if self.nodes[node.0].is_replaced() {
+            return;
+        }
+        self.after(ASK_EVERY_US, Event::Person(Doing::AskRetired(node)));
+        let query = Query::Retirement(self.name_in_fleet(node));
+        self.ask_of_retirement(Operate::Query(query), Doing::RetiredAnswered(node));
+    }
+
+    pub(super) fn retired_told(&mut self, node: NodeIndex, outcome: &OperateOutcome) {
+        let is_done = matches!(outcome, OperateOutcome::Done(text) if text.contains("completed"));
+        if is_done && !self.nodes[node.0].is_replaced() {
+            self.remove(node);
+        }
+    }
+
+    fn name_in_fleet(&self, node: NodeIndex) -> String {
+        format!("node-{}", self.nodes[node.0].id)
+    }
+
+    fn ask_of_retirement(&mut self, request: Operate, doing: Doing) {
+        if let Some(control) = self.draw_node(Kind::Control) {
+            self.call_control(control, request, Caller::Person(doing));
+        }
+    }
+}
--- /dev/null
+++ b/fleet-simulator/src/plan/core.rs
@@ -0,0 +1,228 @@
+//! Control under its worst days: cut off, raced at, struck again at once, left behind.
+
+use super::{Draft, named, numbered};
+use crate::faults::{Fault, Way, Whom};
+use rand::Rng as _;
+
+/// How long a machine that is back counts as lost.
+const CATCH_UP_MS: u64 = 5_000;
+/// For how long control nodes are cut off.
+const CUT_OFF_MS: u64 = 20_000;
+/// For how long a member is left behind.
+const ABSENT_MS: u64 = 20_000;
+
+impl Draft<'_> {
+    /// Members of the core, as many as may be lost at once, each another one.
+    fn core_members(&mut self) -> Vec<Whom> {
+        let mut roles = vec![
+            Whom::ControlPrimary,
+            Whom::ControlBackup,
+            Whom::ControlSpare,
+            named("control", self.rng.random_range(1..=3)),
+        ];
+        let many = usize::from(self.deployment.lost_machines);
+        if many > 1 {
+            // A seed may be any of the others.
+            roles.truncate(3);
+        }
+        (0..many).map(|_| roles.swap_remove(self.rng.random_range(0..roles.len()))).collect()
+    }
+
+    fn way(&mut self) -> Way {
+        [Way::Both, Way::Outward, Way::Inward][self.rng.random_range(0..3)]
+    }
+
+    pub(super) fn cut_off_control(&mut self) {
+        self.add(0, Fault::LoseAnswers(10));
+        for _ in 0..3 {
+            let way = self.way();
+            let only_core = self.rng.random_range(0..2) == 0;
+            for whom in self.core_members() {
+                let fault = match only_core {
+                    true => Fault::CutOffFromCore(whom, way),
+                    false => Fault::CutOff(whom, way),
+                };
+                self.add(0, fault);
+            }
+            self.add(CUT_OFF_MS, Fault::Mend);
+            // The next one in turn, sometimes as soon as the last one counts no more.
+            self.at += CUT_OFF_MS + CATCH_UP_MS + self.rng.random_range(0..3_000);
+        }
+        self.add(0, Fault::LoseAnswers(0));
+    }
+
+    pub(super) fn races(&mut self) {
+        self.add(0, Fault::OrdersEvery(80));
+        self.add(0, Fault::LoseAnswers(50));
+        for _ in 0..4 {
+            let share = self.rng.random_range(50..400);
+            self.add(0, Fault::Untidy(share));
+            self.add(4_000, Fault::Untidy(0));
+            self.add(4_000, Fault::LoseAnswers(20));
+            let strikes = self.rng.random_range(500..6_000);
+            for whom in self.core_members() {
+                let fault = match self.rng.random_range(0..3) {
+                    0 => Fault::Freeze(whom, 1_500),
+                    1 => Fault::LosePower(whom),
+                    _ => Fault::Kill(whom),
+                };
+                self.add(strikes, fault);
+            }
+            self.add(strikes + 1_500, Fault::StartAll);
+            self.add(strikes + 1_500, Fault::LoseAnswers(50));
+            self.at += strikes + 1_500 + CATCH_UP_MS;
+        }
+        self.add(0, Fault::LoseAnswers(0));
+    }
+
+    pub(super) fn second_loss(&mut self) {
+        let storages = self.count_storages();
+        for round in 0..7 {
+            // A clean leave beside a loss, and a retirement beside a wipe.
+            if round == 3 {
+                let node = named("storage", self.rng.random_range(1..=storages));
+                self.add(0, Fault::AddStorage);
+                self.add(6_000, Fault::Retire(node));
+                self.at += 6_500;
+            }
+            let down = self.rng.random_range(200..2_500);
+            let members = self.worst_members();
+            let kind = self.rng.random_range(0..5);
+            if kind == 4 {
+                // The new one has had its time when the old one leaves, so that the next loss may
+                // come at once.
+                self.planned_replacement();
+                continue;
+            }
+            for whom in members {
+                let fault = match kind {
+                    0 => Fault::LoseDisk(whom),
+                    1 => Fault::Replace(whom),
+                    2 => Fault::LosePower(whom),
+                    _ => Fault::Kill(whom),
+                };
+                self.add(0, fault);
+            }
+            self.add(down, Fault::StartAll);
+            self.at += down + CATCH_UP_MS + self.rng.random_range(0..40);
+        }
+    }
+
+    fn planned_replacement(&mut self) {
+        let number = self.rng.random_range(1..=self.count_controls());
+        let name = named("control", number);
+        let old = Whom::Named(format!("control-{number} (replaced)"));
+        self.add(0, Fault::Succeed(name));
+        self.at += CATCH_UP_MS + self.rng.random_range(0..40);
+        self.add(0, Fault::Leave(old.clone()));
+        self.add(200, Fault::Remove(old));
+        self.at += 210;
+    }
+
+    /// Machines whose loss at this moment hurts most, as many as may be lost at once.
+    fn worst_members(&mut self) -> Vec<Whom> {
+        let shard = self.rng.random_range(0..5);
+        let all = [
+            vec![Whom::ControlPrimary, Whom::ControlBackup],
+            vec![Whom::ControlBackup, Whom::ControlSpare],
+            vec![Whom::ControlSpare, Whom::ControlPrimary],
+            vec![Whom::ShardPrimary(shard), Whom::ControlPrimary],
+            vec![Whom::ShardHolder(shard), Whom::ShardPrimary(shard)],
+        ];
+        let mut members = all[self.rng.random_range(0..all.len())].clone();
+        members.truncate(usize::from(self.deployment.lost_machines));
+        members
+    }
+
+    pub(super) fn long_absent(&mut self) {
+        self.add(0, Fault::LoseAnswers(10));
+        for _ in 0..2 {
+            let members = self.core_members();
+            let edge = [named("agent", 1), named("relay", 2)];
+            let kind = self.rng.random_range(0..4);
+            for whom in members.into_iter().chain(edge) {
+                let fault = match kind {
+                    0 => Fault::Kill(whom),
+                    1 => Fault::LosePower(whom),
+                    2 => Fault::Freeze(whom, ABSENT_MS),
+                    _ => Fault::CutOff(whom, Way::Both),
+                };
+                self.add(0, fault);
+            }
+            self.add(0, Fault::OrdersEvery(40));
+            self.add(ABSENT_MS, Fault::StartAll);
+            self.add(ABSENT_MS, Fault::Mend);
+            self.add(ABSENT_MS + 1_000, Fault::OrdersEvery(300));
+            self.at += ABSENT_MS + CATCH_UP_MS + self.rng.random_range(0..40);
+            // One after the other leads and goes, so that the one that was away must lead.
+            for _ in 0..2 {
+                self.add(0, Fault::Kill(Whom::ControlPrimary));
+                if self.two() {
+                    self.add(0, Fault::Kill(Whom::ControlBackup));
+                }
+                self.add(1_500, Fault::StartAll);
+                self.at += 1_500 + CATCH_UP_MS;
+            }
+        }
+        self.add(0, Fault::LoseAnswers(0));
+    }
+
+    pub(super) fn core_troubles(&mut self) {
+        self.add(0, Fault::LoseAnswers(10));
+        for _ in 0..5 {
+            match self.rng.random_range(0..6) {
+                0 => self.core_without_power(),
+                1 => self.all_without_power(),
+                2 => self.planned_replacement(),
+                3 => {
+                    let seed = named("control", self.rng.random_range(1..=3));
+                    self.add(0, Fault::Replace(seed));
+                }
+                4 => {
+                    let way = [Way::Outward, Way::Inward][self.rng.random_range(0..2)];
+                    let ms = self.rng.random_range(500..8_000);
+                    for whom in self.core_members() {
+                        self.add(0, Fault::CutOff(whom, way));
+                    }
+                    self.add(ms, Fault::Mend);
+                    self.at += ms;
+                }
+                _ => self.claim_on_slow_disks(),
+            }
+            self.at += CATCH_UP_MS + self.rng.random_range(0..1_000);
+        }
+        self.add(0, Fault::LoseAnswers(0));
+    }
+
+    fn core_without_power(&mut self) {
+        for whom in numbered("control", self.count_controls()) {
+            let starts = self.rng.random_range(200..1_400);
+            self.add(0, Fault::LosePower(whom.clone()));
+            self.add(starts, Fault::Start(whom));
+        }
+        self.at += 1_400;
+    }
+
+    fn all_without_power(&mut self) {
+        let all = numbered("control", self.count_controls())
+            .chain(numbered("storage", self.count_storages()))
+            .chain(numbered("agent", self.count_relays()))
+            .chain(numbered("relay", self.count_relays()));
+        for whom in all {
+            self.add(0, Fault::LosePower(whom));
+        }
+        self.add(1_400, Fault::StartAll);
+        self.at += 1_400 + CATCH_UP_MS;
+    }
+
+    /// The primary goes while whoever takes over has a slow or stalled disk.
+    fn claim_on_slow_disks(&mut self) {
+        let ms = [50, 400, 3_000, 20_000][self.rng.random_range(0..4)];
+        self.add(0, Fault::SlowDisk(Whom::ControlBackup, ms));
+        self.add(0, Fault::SlowDisk(Whom::ControlSpare, ms / 2));
+        self.add(300, Fault::Kill(Whom::ControlPrimary));
+        self.add(3_000, Fault::FastDisks);
+        self.add(3_500, Fault::StartAll);
+        self.at += 3_500;
+    }
+}
--- a/fleet-simulator/src/plan/mod.rs
+++ b/fleet-simulator/src/plan/mod.rs
@@ -1,6 +1,7 @@
 //! A scenario's faults, planned from the seed.
 
 mod chaos;
+mod core;
 mod load;
 mod losses;
 mod machines;
@@ -57,6 +58,11 @@
         Scenario::Controls => draft.controls(),
         Scenario::Herd => draft.herd(),
         Scenario::Chaos => draft.chaos(),
+        Scenario::CutOffControl => draft.cut_off_control(),
+        Scenario::Races => draft.races(),
+        Scenario::SecondLoss => draft.second_loss(),
+        Scenario::LongAbsent => draft.long_absent(),
+        Scenario::CoreTroubles => draft.core_troubles(),
     }
     draft.finish()
 }
--- a/fleet-simulator/src/run.rs
+++ b/fleet-simulator/src/run.rs
@@ -71,7 +71,7 @@
 /// What people do in a scenario, unless told otherwise.
 pub fn habits(deployment: &crate::Deployment, scenario: Scenario) -> Habits {
     let cost = deployment.words + deployment.new_tokens;
-    Habits {
+    let usual = Habits {
         prompts_per_s: deployment.prompts_per_s,
         words: deployment.words,
         new_tokens: deployment.new_tokens,
@@ -81,7 +81,12 @@
         limit_tokens: if scenario == Scenario::Crowds { 25 * cost } else { 40_000 },
         spec_every_s: if scenario == Scenario::Operators { 2 } else { 6 },
         ..Habits::default()
+    };
+    if !scenario.has_orders() {
+        return usual;
     }
+    // What is watched here is control; a lighter load makes room for longer runs.
+    Habits { prompts_per_s: 12, parcel_items: 10, parcel_every_s: 4, orders_every_ms: 300, ..usual }
 }
 
 /// Runs a scenario from a seed.
@@ -105,7 +110,11 @@
     let mut world = build(deployment, seed);
     world.plant = plant;
     world.people.habits = Habits { is_open: false, ..habits };
-    world.first_spec();
+    if world.has_orders() {
+        world.first_order();
+    } else {
+        world.first_spec();
+    }
     world.list_engines();
     let usual =
         [Doing::NextPrompt, Doing::AskReady, Doing::NextParcel, Doing::NextSpec, Doing::ReadSpec];
--- a/fleet-simulator/src/scenario.rs
+++ b/fleet-simulator/src/scenario.rs
@@ -47,11 +47,24 @@
     Herd,
     /// Everything, drawn by chance.
     Chaos,
+    /// Control nodes are cut off from the core or from all, one way or both, for 20 s, while
+    /// operators order numbered configurations on either side.
+    CutOffControl,
+    /// Operators race under the same number and base, and answers to them are lost, while frames
+    /// come late and control is struck.
+    Races,
+    /// The next loss comes as soon as the one before it counts no more.
+    SecondLoss,
+    /// Hundreds of configurations are taken while a member of the core and relays are away; then
+    /// it must do without the others.
+    LongAbsent,
+    /// All of control loses its power, seeds are exchanged, disks stall while others take over.
+    CoreTroubles,
 }
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 26] = [
         Self::Calm,
         Self::Crowds,
         Self::Ceiling,
@@ -73,8 +86,25 @@
         Self::Controls,
         Self::Herd,
         Self::Chaos,
+        Self::CutOffControl,
+        Self::Races,
+        Self::SecondLoss,
+        Self::LongAbsent,
+        Self::CoreTroubles,
     ];
 
+    /// Whether operators order numbered configurations instead of signing specs off.
+    pub fn has_orders(self) -> bool {
+        matches!(
+            self,
+            Self::CutOffControl
+                | Self::Races
+                | Self::SecondLoss
+                | Self::LongAbsent
+                | Self::CoreTroubles
+        )
+    }
+
     /// Its name, as the command line takes it.
     ///
     /// ```
--- a/fleet-simulator/src/world/mod.rs
+++ b/fleet-simulator/src/world/mod.rs
@@ -12,6 +12,7 @@
 pub use disk::Disk;
 pub use engines::{Engine, EngineMood};
 pub use network::Network;
+pub(crate) use nodes::REPLACED;
 pub use nodes::{Kind, Node, NodeIndex};
 pub use sessions::{Session, SessionEvent};
 
@@ -87,6 +88,8 @@
     /// What waited in each shard when it was last weighed, and at which place.
     pub(crate) weighed:
         std::collections::BTreeMap<topazyard_types::ShardId, (topazyard_types::Place, u64)>,
+    /// What each relay last had in force, by its place in the history.
+    pub(crate) last_in_force: std::collections::BTreeMap<NodeIndex, usize>,
     /// Bugs planted to show that the checker can fail.
     pub plant: Option<Plant>,
 }
@@ -130,6 +133,22 @@
     KeepOldSpec,
     /// Whoever follows the feed reads a lane into the spec that nobody declared.
     MapAll,
+    /// Refused numbered configurations are said to be acknowledged.
+    AcknowledgeAll,
+    /// A numbered configuration that is sent again is said to be refused.
+    RefuseSentAgain,
+    /// A numbered configuration that was taken is said to be refused.
+    RefuseTaken,
+    /// A node refuses numbered configurations without asking anybody.
+    RefuseIdly,
+    /// Every answer to an operator is lost once the first configuration is taken.
+    LoseAnswers,
+    /// Every read-back gives the first configuration.
+    ReadFirst,
+    /// A route is lost on its way to whoever follows the feed.
+    LoseRoute,
+    /// A relay that learns of a configuration goes on with the one before it for once.
+    GoBack,
     /// Syncs are said before they happen, so that a power loss takes acknowledged writes.
     LyingDisk,
 }
@@ -155,6 +174,7 @@
             domains,
             bounds: topazyard_spec::Bounds::default(),
             weighed: std::collections::BTreeMap::new(),
+            last_in_force: std::collections::BTreeMap::new(),
             plant: None,
         }
     }
--- a/fleet-simulator/src/world/network.rs
+++ b/fleet-simulator/src/world/network.rs
@@ -84,7 +84,7 @@
 
 fn spoil_news(plant: Plant, matter: &mut Matter) {
     use topazyard_wire::rows::{decode, encode};
-    use topazyard_wire::state::{IN_FORCE, InForceRow};
+    use topazyard_wire::state::{IN_FORCE, InForceRow, ROUTES};
     let mapped = |value: &mut bytes::Bytes| {
         if let Some(row) = decode::<InForceRow>(value) {
             let text = row.text.replacen("[\"m\"]", "[\"m\",\"unmapped\"]", 1);
@@ -93,7 +93,11 @@
     };
     match (plant, matter) {
         (Plant::KeepOldSpec, Matter::Changes(changes)) => {
-            changes.retain(|change| change.key != IN_FORCE);
+            changes.retain(|change| change.key != IN_FORCE && !change.key.starts_with(ROUTES));
+        }
+        (Plant::LoseRoute, Matter::Changes(changes)) => {
+            let of_route = changes.iter().position(|change| change.key.starts_with(ROUTES));
+            of_route.map(|at| changes.remove(at));
         }
         (Plant::MapAll, Matter::Changes(changes)) => {
             let of_spec = changes.iter_mut().filter(|change| change.key == IN_FORCE);
--- /dev/null
+++ b/fleet-simulator/src/world/nodes/in_force.rs
@@ -0,0 +1,58 @@
+//! What relays have in force of numbered configurations, as they learn it and for how long.
+
+use super::{Body, NodeIndex};
+use crate::history::InForceSeen;
+use crate::people::fingerprint;
+use crate::world::{Plant, World};
+
+impl World {
+    /// Notes what a relay has in force after it heard of the feed.
+    pub(super) fn see_in_force(&mut self, index: NodeIndex) {
+        let (time, now) = (self.time, self.node_clock(index));
+        let node = &self.nodes[index.0];
+        let Body::Relay(machine) = &node.body else { return };
+        let Some(view) = machine.in_force(now) else { return };
+        let Some((version, bundle)) = &view.spec else { return };
+        let seen = InForceSeen {
+            relay: node.name.clone(),
+            life: node.life,
+            number: version.0,
+            fingerprint: fingerprint(bundle, view.routes.iter()),
+            from: time,
+            until: time,
+        };
+        let before = self.last_in_force.get(&index).map(|at| self.history.in_force[*at].clone());
+        let before = before.filter(|before| before.life == seen.life);
+        let is_same = |before: &InForceSeen| {
+            (before.number, before.fingerprint) == (seen.number, seen.fingerprint)
+        };
+        match before {
+            Some(before) if is_same(&before) => self.extend_in_force(index),
+            Some(before) if self.plant == Some(Plant::GoBack) => {
+                self.note_in_force(index, seen);
+                self.note_in_force(index, InForceSeen { from: time, until: time, ..before });
+            }
+            _ => self.note_in_force(index, seen),
+        }
+    }
+
+    fn note_in_force(&mut self, index: NodeIndex, seen: InForceSeen) {
+        self.last_in_force.insert(index, self.history.in_force.len());
+        self.history.in_force.push(seen);
+    }
+
+    /// Notes that a relay that steps has in force still what it had.
+    pub(super) fn extend_in_force(&mut self, index: NodeIndex) {
+        let (time, now) = (self.time, self.node_clock(index));
+        let node = &self.nodes[index.0];
+        let Body::Relay(machine) = &node.body else { return };
+        if machine.in_force(now).is_none() {
+            return;
+        }
+        let Some(at) = self.last_in_force.get(&index) else { return };
+        let seen = &mut self.history.in_force[*at];
+        if seen.life == node.life {
+            seen.until = time;
+        }
+    }
+}
--- a/fleet-simulator/src/world/nodes/mod.rs
+++ b/fleet-simulator/src/world/nodes/mod.rs
@@ -1,6 +1,7 @@
 //! Simulated processes, each with one of the real machines.
 
 mod clocks;
+mod in_force;
 mod steps;
 mod watch;
 
@@ -46,6 +47,9 @@
     Relay(Box<RelayMachine>),
 }
 
+/// How the name of a process ends whose place another took, or that was taken away.
+pub(crate) const REPLACED: &str = " (replaced)";
+
 /// A process.
 pub struct Node {
     /// Its name.
@@ -77,6 +81,11 @@
 }
 
 impl Node {
+    /// Whether another machine took its place, or it was taken away.
+    pub fn is_replaced(&self) -> bool {
+        self.name.ends_with(REPLACED)
+    }
+
     /// Whether it runs.
     pub fn is_on(&self) -> bool {
         !matches!(self.body, Body::Off)
@@ -125,7 +134,7 @@
         let fresh = NodeId(self.draw(1..u64::MAX) | 1);
         let time = self.time;
         let name = self.nodes[index.0].name.clone();
-        self.mend_where(|struck| struck.by == Struck::Off && struck.name == name);
+        self.mend_off(&name);
         let node = &mut self.nodes[index.0];
         let seeds = node.seeds.clone();
         node.life += 1;
@@ -249,6 +258,24 @@
         self.mend_where(|struck| struck.by == by);
     }
 
+    /// Takes a machine away that is not missed, as others have what it had.
+    pub(crate) fn remove(&mut self, index: NodeIndex) {
+        self.stop(index, true);
+        let node = &mut self.nodes[index.0];
+        node.disk.synced.clear();
+        if !node.is_replaced() {
+            node.name.push_str(REPLACED);
+        }
+        let name = node.name.strip_suffix(REPLACED).unwrap_or_default().to_owned();
+        self.mend_off(&name);
+        self.mend_off(&format!("{name}{REPLACED}"));
+    }
+
+    /// Notes that the machine of that name is no longer missed.
+    pub(crate) fn mend_off(&mut self, name: &str) {
+        self.mend_where(|struck| struck.by == Struck::Off && struck.name == name);
+    }
+
     fn mend_where(&mut self, is_mended: impl Fn(&StruckSeen) -> bool) {
         let open = self.history.struck.iter_mut().filter(|struck| struck.until.is_none());
         for struck in open.filter(|struck| is_mended(struck)) {
@@ -281,8 +308,8 @@
         self.nodes.iter().position(found).map(NodeIndex)
     }
 
-    /// The process of that name.
+    /// The newest process of that name.
     pub fn named(&self, name: &str) -> Option<NodeIndex> {
-        self.nodes.iter().position(|node| node.name == name).map(NodeIndex)
+        self.nodes.iter().rposition(|node| node.name == name).map(NodeIndex)
     }
 }
--- a/fleet-simulator/src/world/nodes/steps.rs
+++ b/fleet-simulator/src/world/nodes/steps.rs
@@ -25,6 +25,9 @@
             return;
         }
         self.step(index, StepInput::Beat);
+        if self.has_orders() {
+            self.extend_in_force(index);
+        }
         self.after(BEAT_US, Event::Beat(index, life));
     }
 
@@ -40,7 +43,11 @@
             self.defer_if_frozen(index, || Event::Frame { to, from, sender, message });
             return;
         }
+        let is_news = self.has_orders() && matches!(message, Message::Feed(_));
         self.step(index, StepInput::Frame(sender, from, message));
+        if is_news {
+            self.see_in_force(index);
+        }
     }
 
     pub(crate) fn tell_written(&mut self, index: NodeIndex, token: WriteToken) {
@@ -60,6 +67,12 @@
         self.step(index, StepInput::Control(call, request));
     }
 
+    /// Tells a control node that its process is about to end.
+    pub(crate) fn tell_to_leave(&mut self, index: NodeIndex) {
+        let call = self.note_call(index, Caller::Nobody);
+        self.step(index, StepInput::Control(call, topazyard_control::ControlCall::Leave));
+    }
+
     fn note_call(&mut self, index: NodeIndex, caller: Caller) -> CallId {
         let node = &mut self.nodes[index.0];
         node.last_call += 1;
--- a/fleet-simulator/src/world/nodes/watch.rs
+++ b/fleet-simulator/src/world/nodes/watch.rs
@@ -11,6 +11,30 @@
         self.nodes.iter().position(serves).map(NodeIndex)
     }
 
+    /// The first backup of control, as the primary's record has it, if it runs.
+    pub fn control_backup(&self) -> Option<NodeIndex> {
+        let record = self.control_record()?;
+        self.find(record.backups.first()?.address)
+    }
+
+    /// A control node that runs and is neither primary nor backup.
+    pub fn control_spare(&self) -> Option<NodeIndex> {
+        let record = self.control_record()?;
+        let is_spare = |node: &Node| {
+            matches!(node.body, Body::Control(_))
+                && !node.is_replaced()
+                && !record.is_member(node.id)
+        };
+        self.nodes.iter().position(is_spare).map(NodeIndex)
+    }
+
+    fn control_record(&self) -> Option<topazyard_wire::message::control::EpochRecord> {
+        match &self.nodes[self.control_primary()?.0].body {
+            Body::Control(machine) => machine.record().cloned(),
+            _ => None,
+        }
+    }
+
     /// The storage node that serves a shard.
     pub fn shard_primary(&self, shard: topazyard_types::ShardId) -> Option<NodeIndex> {
         let serves =
--- a/fleet-simulator/tests/planted.rs
+++ b/fleet-simulator/tests/planted.rs
@@ -1,6 +1,8 @@
 //! Each checker can fail: a bug is planted in the simulated world, and the line must go red.
 
-use fleet_simulator::check::Line;
+use fleet_simulator::check::{Line, Violation};
+use fleet_simulator::people::Habits;
+use fleet_simulator::run::{habits, run_with};
 use fleet_simulator::world::Plant;
 use fleet_simulator::{Deployment, Scenario, run};
 
@@ -18,6 +20,74 @@
     assert!(SEEDS.into_iter().any(shows), "{plant:?} was not seen as {line:?}");
 }
 
+/// A calm run in which operators order numbered configurations and some of their answers are lost.
+fn run_with_orders(seed: u64, plant: Option<Plant>) -> Vec<Violation> {
+    let deployment = Deployment::quito();
+    let usual = habits(&deployment, Scenario::Calm);
+    let habits = Habits { orders_every_ms: 500, answers_lost_percent: 20, ..usual };
+    run_with(&deployment, Scenario::Calm, seed, plant, habits).violations
+}
+
+fn goes_red_with_orders(plant: Plant, line: Line) {
+    let clean = run_with_orders(*SEEDS.start(), None);
+    assert!(clean.is_empty(), "a line is crossed without any bug: {clean:#?}");
+    let shows = |seed| {
+        let violations = run_with_orders(seed, Some(plant));
+        violations.iter().any(|violation| violation.line == line)
+    };
+    assert!(SEEDS.into_iter().any(shows), "{plant:?} was not seen as {line:?}");
+}
+
+#[test]
+fn two_configurations_acknowledged_under_one_number_are_seen() {
+    goes_red_with_orders(Plant::AcknowledgeAll, Line::OrderRace);
+}
+
+#[test]
+fn an_invalid_configuration_that_is_acknowledged_is_seen() {
+    goes_red_with_orders(Plant::AcknowledgeAll, Line::SpecWrong);
+}
+
+#[test]
+fn a_taken_configuration_that_is_refused_when_sent_again_is_seen() {
+    goes_red_with_orders(Plant::RefuseSentAgain, Line::OrderRefused);
+}
+
+#[test]
+fn a_refused_configuration_in_force_is_seen() {
+    goes_red_with_orders(Plant::RefuseTaken, Line::SpecWrong);
+}
+
+#[test]
+fn a_refusal_without_a_cause_is_seen() {
+    goes_red_with_orders(Plant::RefuseIdly, Line::OrderRefused);
+}
+
+#[test]
+fn an_old_configuration_read_back_is_seen() {
+    goes_red_with_orders(Plant::ReadFirst, Line::SpecWrong);
+}
+
+#[test]
+fn a_mixture_of_two_configurations_is_seen() {
+    goes_red_with_orders(Plant::LoseRoute, Line::FeedMixed);
+}
+
+#[test]
+fn a_relay_that_goes_back_is_seen() {
+    goes_red_with_orders(Plant::GoBack, Line::FeedBack);
+}
+
+#[test]
+fn a_configuration_that_is_not_in_force_in_time_is_seen() {
+    goes_red_with_orders(Plant::KeepOldSpec, Line::SpecLate);
+}
+
+#[test]
+fn an_order_that_is_never_answered_is_seen() {
+    goes_red_with_orders(Plant::LoseAnswers, Line::Recovery);
+}
+
 #[test]
 fn work_run_twice_is_seen() {
     goes_red(Plant::RunTwice, Scenario::Calm, Line::RanTwiceOrRefused);
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -16,7 +16,7 @@
 use topazyard_types::{MonotonicMs, NodeId, ShardId};
 use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::cohort::Duty;
-use topazyard_wire::message::control::{CoreMessage, CoreNode};
+use topazyard_wire::message::control::{CoreMessage, CoreNode, EpochRecord};
 use topazyard_wire::message::operate::{Operate, OperateOutcome};
 use topazyard_wire::message::{Message, pair::PairMessage};
 use topazyard_wire::{Effect, Group, Input, Machine, RowChange, WriteToken};
@@ -157,6 +157,11 @@
         self.pair.is_serving()
     }
 
+    /// The newest record of the control state's holders that this node knows.
+    pub fn record(&self) -> Option<&EpochRecord> {
+        self.witness.record()
+    }
+
     pub(crate) fn next_ticket(&mut self) -> Ticket {
         self.last_ticket += 1;
         self.last_ticket
--- a/programs/topazyard-relay/src/machine/requests.rs
+++ b/programs/topazyard-relay/src/machine/requests.rs
@@ -196,6 +196,12 @@
         confirmed.map_or(MonotonicMs(0), |at| at.plus(self.routes_fresh_for))
     }
 
+    /// What is known of the fleet, while that may be used for requests on routes.
+    pub fn in_force(&self, now: MonotonicMs) -> Option<&topazyard_wire::state::FleetView> {
+        let is_usable = now < self.routes_until() && self.view.spec.is_some();
+        is_usable.then_some(&self.view)
+    }
+
     /// Lets a request in, makes it wait briefly, or refuses it at once.
     pub(super) fn arrive(
         &mut self,
@@ -238,11 +244,9 @@
     /// The checks that need no other process, cheapest first.
     fn judge_arrival(&self, arrival: &Arrival, now: MonotonicMs) -> Result<Judged, RelayReturn> {
         let refused = |code| RelayReturn::Refused(ApiError::not_run(code));
-        if now >= self.routes_until() || self.view.spec.is_none() {
-            return Err(refused(Code::StaleFeed));
-        }
-        let Some((_, bundle)) = &self.view.spec else { return Err(refused(Code::StaleFeed)) };
-        let Some(route) = self.view.routes.find(&arrival.host, &arrival.path) else {
+        let view = self.in_force(now).ok_or_else(|| refused(Code::StaleFeed))?;
+        let Some((_, bundle)) = &view.spec else { return Err(refused(Code::StaleFeed)) };
+        let Some(route) = view.routes.find(&arrival.host, &arrival.path) else {
             return Err(refused(Code::NoRoute));
         };
         if route.kind == RouteKind::Batch {
