--- a/fleet-simulator/tests/lines.rs
+++ b/fleet-simulator/tests/lines.rs
@@ -92,6 +92,11 @@
     all_control_processes_are_killed_at_once: Controls,
     many_processes_are_killed_at_once: Herd,
     anything_at_all: Chaos,
+    control_nodes_are_cut_off_for_long: CutOffControl,
+    operators_race_and_answers_are_lost: Races,
+    the_next_loss_comes_at_once: SecondLoss,
+    members_are_away_for_hundreds_of_changes: LongAbsent,
+    the_whole_core_is_in_trouble: CoreTroubles,
 }
 
 #[test]
