--- a/fleet-simulator/src/people/configurations.rs
+++ b/fleet-simulator/src/people/configurations.rs
@@ -88,7 +88,8 @@
     /// A control node answered an operator.
     pub(super) fn order_told(&mut self, doing: OrderDoing, outcome: OperateOutcome) {
         let lost = self.people.habits.answers_lost_percent;
-        if lost > 0 && self.draw(0..100) < lost {
+        let loses_all = self.plant == Some(Plant::LoseAnswers) && self.people.orders.newest > 0;
+        if loses_all || (lost > 0 && self.draw(0..100) < lost) {
             return;
         }
         match doing {
--- a/fleet-simulator/src/world/mod.rs
+++ b/fleet-simulator/src/world/mod.rs
@@ -141,6 +141,8 @@
     RefuseTaken,
     /// A node refuses numbered configurations without asking anybody.
     RefuseIdly,
+    /// Every answer to an operator is lost once the first configuration is taken.
+    LoseAnswers,
     /// Every read-back gives the first configuration.
     ReadFirst,
     /// A route is lost on its way to whoever follows the feed.
