--- a/programs/topazyard-control/src/machine/claim.rs
+++ b/programs/topazyard-control/src/machine/claim.rs
@@ -75,7 +75,7 @@
     }
 
     /// Whether this backup's copy holds all that was ever answered up to that record.
-    fn holds_all(&self, record: &EpochRecord) -> bool {
+    pub(super) fn holds_all(&self, record: &EpochRecord) -> bool {
         // Nothing was answered in the first epoch before this copy was compared.
         record.epoch == founding::FIRST || self.pair.copy().place().epoch >= record.epoch
     }
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -2,6 +2,7 @@
 
 mod claim;
 mod commands;
+mod confirm;
 mod core;
 mod feed;
 mod founding;
@@ -74,6 +75,7 @@
     order_bounds: orders::OrderBounds,
     snapshots: feed::Snapshots,
     pub(crate) seen: vitals::Seen,
+    confirming: confirm::Confirming,
     tuning: tuning::Tuning,
     listing: listing::Listing,
     /// The proposal of a new fleet's first record, while this node asks for it.
@@ -149,6 +151,7 @@
             order_bounds: orders::OrderBounds::within(&start.resources),
             snapshots: feed::Snapshots::new(),
             seen: vitals::Seen::default(),
+            confirming: confirm::Confirming::new(life),
             tuning: tuning::Tuning::default(),
             listing: listing::Listing::default(),
             founding: None,
@@ -362,6 +365,7 @@
         self.core_beat(now, out);
         self.claim_beat(now, out);
         self.leaving_tick(now, out);
+        self.confirm_beat(now, out);
         let outputs = self.pair.beat(now);
         self.take_pair(outputs, now, out);
         self.operate_beat(now, out);
@@ -454,6 +458,9 @@
                 Message::Operate(message) => {
                     self.receive_operate(sender, from, message, now, &mut out);
                 }
+                Message::Confirm(message) => {
+                    self.receive_confirm(sender, from, message, now, &mut out);
+                }
                 Message::Counter(_) | Message::Parcel(_) | Message::Told(..) => {}
             },
         }
--- a/programs/topazyard-control/tests/fleet/mod.rs
+++ b/programs/topazyard-control/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
 use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::Message;
 use topazyard_wire::message::cohort::{Duty, Member};
+use topazyard_wire::message::confirm::ConfirmMessage;
 use topazyard_wire::message::feed::{FeedMessage, Vitals};
 use topazyard_wire::message::operate::{Command, Operate, OperateOutcome, Query};
 use topazyard_wire::{Effect, Input, Machine as _, RowChange, WriteToken};
@@ -59,6 +60,8 @@
     pub late: Vec<Frame>,
     /// A node outside the fleet, and what it was sent.
     outside: Option<(std::net::SocketAddr, Vec<Message>)>,
+    /// What was said to those who asked for a confirmation.
+    pub confirmed: Vec<ConfirmMessage>,
 }
 
 pub fn at(number: usize) -> std::net::SocketAddr {
@@ -91,6 +94,7 @@
             network: |_| Fate::Arrives,
             late: Vec::new(),
             outside: None,
+            confirmed: Vec::new(),
         };
         (0..size).for_each(|_| fleet.add());
         fleet
@@ -172,6 +176,9 @@
                         continue;
                     }
                     let Some(to) = (0..self.nodes.len()).find(|other| at(*other) == to) else {
+                        if let Message::Confirm(message) = message {
+                            self.confirmed.push(message);
+                        }
                         continue;
                     };
                     let sender = self.id(number);
@@ -298,6 +305,14 @@
         topazyard_wire::rows::decode(&rows["id"]).expect("an id")
     }
 
+    /// Has a node hear a question of a storage node, which asks for a confirmation.
+    pub fn hear(&mut self, number: usize, asker: &Member, question: ConfirmMessage) {
+        let (sender, from) = (asker.id, asker.address);
+        let message = Message::Confirm(question);
+        let effects = self.step(number, Input::Frame { sender, from, message });
+        self.happen(number, effects);
+    }
+
     /// Which node serves, if one does.
     pub fn primary(&self) -> Option<usize> {
         self.nodes.iter().position(|node| node.machine.as_ref().is_some_and(|m| m.is_serving()))
