Let a long absence of the simulated core last for hundreds of changes

An order every 40 ms left 100 to 250 changes in the 20 s of an absence, as races and lost answers hold operators up.

--- a/fleet-simulator/src/plan/core.rs
+++ b/fleet-simulator/src/plan/core.rs
@@ -149,7 +149,7 @@
                 };
                 self.add(0, fault);
             }
-            self.add(0, Fault::OrdersEvery(40));
+            self.add(0, Fault::OrdersEvery(20));
             self.add(ABSENT_MS, Fault::StartAll);
             self.add(ABSENT_MS, Fault::Mend);
             self.add(ABSENT_MS + 1_000, Fault::OrdersEvery(300));
