Follow the writer's events in the measurement of items

The disk thread says what becomes of its writes in one kind of event now; the measurement still took two closures and did not build. A disk that runs full ends it as a failed write does.

--- a/fleet-measure/src/scale/items.rs
+++ b/fleet-measure/src/scale/items.rs
@@ -208,17 +208,16 @@
     };
     let begun = process_us();
     let (sender, synced) = std::sync::mpsc::channel();
-    let writer = topazyard_wire::disk::Writer::start(
-        disk.database,
-        move |token| {
-            let _ = sender.send(token);
-        },
-        |error| eprintln!("the disk failed: {error}"),
-    );
+    let place = folder.clone();
+    let reopen = move || topazyard_wire::disk::open::reopen(&place);
+    let writer = topazyard_wire::disk::Writer::start(disk.database, reopen, move |event| {
+        let _ = sender.send(event);
+    });
     for (token, changes) in writes {
         let write = topazyard_wire::disk::DiskWrite { token, changes };
-        if writer.write(write).is_err() || synced.recv().is_err() {
-            eprintln!("a write was not synced");
+        let told = writer.write(write).ok().and_then(|()| synced.recv().ok());
+        if !matches!(told, Some(topazyard_wire::disk::DiskEvent::Written(_))) {
+            eprintln!("a write was not synced: {told:?}");
             std::process::exit(1);
         }
     }
