Don't call a disk stalled that has just got room

They count from when there is room now. `what_waited_for_room_is_no_stall_once_there_is_some` was red before.

--- a/libraries/topazyard-wire/src/disk/state.rs
+++ b/libraries/topazyard-wire/src/disk/state.rs
@@ -41,9 +41,13 @@
 }
 
 impl DiskWatch {
-    /// The disk thread says that the disk is full, or no longer.
-    pub fn take_state(&mut self, state: DiskState) {
-        self.is_full = state == DiskState::Full;
+    /// The disk thread says that the disk is full, or no longer. What waited for room counts as
+    /// begun once there is some: the disk did not stall.
+    pub fn take_state(&mut self, state: DiskState, now: MonotonicMs) {
+        let was_full = std::mem::replace(&mut self.is_full, state == DiskState::Full);
+        if was_full && !self.is_full {
+            self.unsynced.iter_mut().for_each(|(_, begun)| *begun = now);
+        }
     }
 
     /// A write is handed to the disk.
--- a/libraries/topazyard-wire/tests/disks.rs
+++ b/libraries/topazyard-wire/tests/disks.rs
@@ -1,6 +1,7 @@
 //! Data folders: what is damaged or unknown is refused, and what was synced is read again.
 
-use topazyard_wire::disk::{DiskError, DiskEvent, DiskWrite, Writer, open};
+use topazyard_types::MonotonicMs;
+use topazyard_wire::disk::{DiskError, DiskEvent, DiskState, DiskWatch, DiskWrite, Writer, open};
 use topazyard_wire::{Group, RowChange, WriteToken};
 
 fn folder(name: &str) -> std::path::PathBuf {
@@ -111,3 +112,19 @@
     assert!(matches!(open(&folder).map(drop), Err(DiskError::UnknownFormat(_, 9))));
     std::fs::remove_dir_all(&folder).expect("its own folder");
 }
+
+#[test]
+fn what_waited_for_room_is_no_stall_once_there_is_some() {
+    let mut watch = DiskWatch::default();
+    let token = |number| WriteToken { group: Group::Node, number };
+    watch.begun(token(1), MonotonicMs(0));
+    watch.take_state(DiskState::Full, MonotonicMs(10));
+    watch.begun(token(2), MonotonicMs(20));
+    assert_eq!(watch.news(MonotonicMs(5_000)), Some(DiskState::Full));
+    assert!(!watch.takes_more());
+    watch.take_state(DiskState::Healthy, MonotonicMs(6_000));
+    assert_eq!(watch.news(MonotonicMs(6_000)), Some(DiskState::Healthy));
+    watch.synced(token(1));
+    assert_eq!(watch.state(MonotonicMs(6_900)), DiskState::Healthy);
+    assert_eq!(watch.state(MonotonicMs(7_000)), DiskState::Stalled);
+}
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -374,7 +374,7 @@
         }
         match input {
             Input::Beat => self.beat(now, &mut out),
-            Input::Disk(state) => self.disk.take_state(state),
+            Input::Disk(state) => self.disk.take_state(state, now),
             Input::Written(token) if token.group == Group::Control => {
                 let outputs = self.pair.written(token.number);
                 self.take_pair(outputs, now, &mut out);
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -307,7 +307,7 @@
             self.disk.synced(*token);
         }
         match input {
-            Input::Disk(state) => self.disk.take_state(state),
+            Input::Disk(state) => self.disk.take_state(state, now),
             Input::Beat => self.beat(now, &mut out),
             Input::Written(token) => match token.group {
                 Group::Shard(shard) => {
