Ask for votes in the test of what waits for room

The test had no learner, so that nobody asked the full witness for its vote; it held with the guard taken out. Now a spare node takes the copy and the vote is asked for for 120 s: 200 writes wait without the guard (seen), fewer than 64 with it.

--- a/programs/topazyard-control/tests/disks.rs
+++ b/programs/topazyard-control/tests/disks.rs
@@ -175,18 +175,20 @@
 
 #[test]
 fn what_waits_for_room_stays_bounded_however_long_it_lasts() {
-    let mut fleet = running(3);
-    let full = fleet.primary().expect("a primary");
+    let mut fleet = running(4);
+    let held = members(&mut fleet);
+    let full = (0..3).find(|number| !held.contains(number)).expect("a third seed");
     fleet.fill(full, true);
-    fleet.run(1_000);
-    // Its vote is asked for again and again now: no other majority is left.
-    let leads = fleet.primary().expect("another leads");
-    fleet.stop(leads, false);
+    fleet.run(300);
+    // The spare node takes the copy, but without the full one no majority of witnesses is left: its
+    // vote is asked for again and again.
+    fleet.stop(held[0], false);
     fleet.run(120_000);
+    assert_eq!(known_members(&mut fleet), None);
     assert!(fleet.unsynced(full) < 64, "{} writes wait", fleet.unsynced(full));
     fleet.make_room(full);
     fleet.run(4_000);
-    assert!(fleet.primary().is_some(), "the two that are left lead again");
+    assert!(members(&mut fleet).contains(&3), "the spare one took the place");
 }
 
 #[test]
