Give a new data file its name only once it is whole

Cause: redb sets the length of a new file before it writes the first page and its magic number. Where the disk was full, or lost power, between the two, the file looked damaged for ever: a storage node that started on an empty folder of a full disk waited for room and then ended with code 1 (seen with the real program on an 8 MB tmpfs). The file is now made as `node.redb.new` and renamed, with its folder synced, before anything is kept in it; one under that name that is not whole is made anew. A file under its own name is still never mended by guessing.

--- a/libraries/topazyard-wire/src/disk/open.rs
+++ b/libraries/topazyard-wire/src/disk/open.rs
@@ -14,6 +14,8 @@
 const CACHE_BYTES: usize = 4 * 1024 * 1024;
 /// The name of the file in its folder.
 pub(super) const FILE: &str = "node.redb";
+/// Its name until it is a whole, empty database.
+const NEW_FILE: &str = "node.redb.new";
 /// The name of the file by which room is looked for.
 const PROBE: &str = "node.room";
 /// How much room there must be before a file that found none is opened again: opening it reads all
@@ -74,10 +76,37 @@
 
 fn open_file(folder: &Path) -> Result<redb::Database, DiskError> {
     let path = folder.join(FILE);
+    match path.try_exists() {
+        Ok(true) => open_database(&path),
+        Ok(false) => make_file(folder, &path),
+        Err(error) => Err(DiskError::of_io(&path, &error)),
+    }
+}
+
+/// Makes the file under another name and gives it its own once it is whole. A file that lacks its
+/// first pages for want of room or power would otherwise look damaged for ever.
+fn make_file(folder: &Path, path: &Path) -> Result<redb::Database, DiskError> {
+    let new = folder.join(NEW_FILE);
+    let database = match open_database(&new) {
+        Err(DiskError::Damaged(..)) => {
+            // It was never whole, so nothing was ever kept in it.
+            std::fs::File::create(&new).map_err(|error| DiskError::of_io(&new, &error))?;
+            open_database(&new)?
+        }
+        opened => opened?,
+    };
+    let named = std::fs::rename(&new, path)
+        .and_then(|()| std::fs::File::open(folder))
+        .and_then(|folder| folder.sync_all());
+    named.map_err(|error| DiskError::of_io(path, &error))?;
+    Ok(database)
+}
+
+fn open_database(path: &Path) -> Result<redb::Database, DiskError> {
     let mut options = std::fs::OpenOptions::new();
-    let file = options.read(true).write(true).create(true).truncate(false).open(&path);
-    let file = file.map_err(|error| DiskError::of_io(&path, &error))?;
-    let of_database = |error| DiskError::of_database(&path, error);
+    let file = options.read(true).write(true).create(true).truncate(false).open(path);
+    let file = file.map_err(|error| DiskError::of_io(path, &error))?;
+    let of_database = |error| DiskError::of_database(path, error);
     let backend = redb::backends::FileBackend::new(file).map_err(of_database)?;
     let mut builder = redb::Database::builder();
     builder.set_cache_size(CACHE_BYTES);
--- a/libraries/topazyard-wire/tests/disks.rs
+++ b/libraries/topazyard-wire/tests/disks.rs
@@ -52,6 +52,21 @@
     std::fs::remove_dir_all(&folder).expect("its own folder");
 }
 
+#[test]
+fn a_file_that_was_never_whole_is_made_anew_and_one_that_was_is_not() {
+    // What is left where the first pages found no room: a length, and nothing in it.
+    let unfinished = vec![0_u8; 73_728];
+    let folder = folder("unfinished");
+    std::fs::create_dir_all(&folder).expect("a folder");
+    std::fs::write(folder.join("node.redb.new"), &unfinished).expect("a file");
+    drop(open(&folder).expect("a file made anew"));
+    let names = || std::fs::read_dir(&folder).expect("a folder").flatten().map(|e| e.file_name());
+    assert_eq!(names().collect::<Vec<_>>(), ["node.redb"]);
+    std::fs::write(folder.join("node.redb"), &unfinished).expect("a file");
+    assert!(matches!(open(&folder).map(drop), Err(DiskError::Damaged(..))));
+    std::fs::remove_dir_all(&folder).expect("its own folder");
+}
+
 #[test]
 fn a_file_that_another_process_holds_is_not_called_damaged() {
     let folder = folder("held");
