Take up work sooner where all machines lost power together

Now further attempts to connect are begun beside one that hangs; a follower that looks asks on every 100 ms, or 50 ms after it was turned away, and takes late returns; a primary hands over once a backup is heard or all are down; a node that just started gives backups as long as control gives silent nodes; wishes for different shards are fulfilled in one batch.

Ruled out: letting a restarted primary lead on in its epoch (its backup may have shown more).

--- a/libraries/topazyard-replication/src/follower.rs
+++ b/libraries/topazyard-replication/src/follower.rs
@@ -11,15 +11,20 @@
 /// How long it waits for a return before it asks elsewhere.
 const PATIENCE: DurationMs = DurationMs(450);
 /// How long it waits, while it looks for the primary, for one that may not run: whoever is not the
-/// primary says so at once. After each was asked so it waits longer, as the primary may be slow.
-const LOOKING_PATIENCE: DurationMs = DurationMs(150);
+/// primary says so at once.
+const LOOKING_PATIENCE: DurationMs = DurationMs(100);
+/// After how long another is asked where one knew of no primary.
+const TURNED_AWAY: DurationMs = DurationMs(50);
+/// After how many rounds of askings it looks less hurriedly.
+const HURRIED_ROUNDS: usize = 12;
+/// Askings whose return still counts, however late it comes.
+const MOST_ASKED: usize = 8;
 
 /// An asking that waits for its return.
 #[derive(Debug)]
 struct Asked {
     nonce: u64,
     at: MonotonicMs,
-    patience: DurationMs,
 }
 
 /// Follows the feed from one of several nodes.
@@ -29,7 +34,12 @@
     sources: Vec<std::net::SocketAddr>,
     next_source: usize,
     leader: Option<std::net::SocketAddr>,
-    asked: Option<Asked>,
+    /// Whether the leader has returned news, or was only named by another node.
+    leader_is_proven: bool,
+    /// Askings without a return, the newest last: one that was given up may still be answered.
+    asked: std::collections::VecDeque<Asked>,
+    /// Whether the newest asking still waits for its return.
+    waits: bool,
     /// How many askings had no return since the last news.
     unanswered: usize,
     last_asked: Option<MonotonicMs>,
@@ -64,7 +74,9 @@
             sources,
             next_source: 0,
             leader: None,
-            asked: None,
+            leader_is_proven: false,
+            asked: std::collections::VecDeque::new(),
+            waits: false,
             unanswered: 0,
             last_asked: None,
             last_nonce: life.first_number(),
@@ -109,59 +121,87 @@
         now: MonotonicMs,
         vitals: impl FnOnce() -> Vitals,
     ) -> Option<(std::net::SocketAddr, FeedMessage)> {
-        if let Some(asked) = &self.asked {
-            if now.since(asked.at) < asked.patience {
-                return None;
-            }
-            self.unanswered += 1;
-            self.leader = None;
-            self.asked = None;
-        } else {
-            let every = if self.hurried { HURRIED_EVERY } else { ASK_EVERY };
-            if self.last_asked.is_some_and(|at| now.since(at) < every) {
-                return None;
-            }
+        if !self.is_due(now) {
+            return None;
         }
-        let looks = self.leader.is_none() && self.confirmed.is_some();
-        let patience = match looks && self.unanswered <= self.sources.len() {
-            true => LOOKING_PATIENCE,
-            false => PATIENCE,
-        };
+        let silent = if self.waits { self.leader.take() } else { None };
+        self.unanswered += usize::from(self.waits);
         let to = match self.leader {
             Some(leader) => leader,
-            None => {
-                self.next_source = (self.next_source + 1) % self.sources.len().max(1);
-                *self.sources.get(self.next_source)?
-            }
+            None => self.next_source(silent)?,
         };
         self.last_nonce += 1;
-        self.asked = Some(Asked { nonce: self.last_nonce, at: now, patience });
+        if self.asked.len() >= MOST_ASKED {
+            self.asked.pop_front();
+        }
+        self.asked.push_back(Asked { nonce: self.last_nonce, at: now });
+        self.waits = true;
         self.last_asked = Some(now);
         let after = self.copy.place();
         let heard = self.confirmed.map(|at| now.since(at));
         Some((to, FeedMessage::Ask { nonce: self.last_nonce, after, heard, vitals: vitals() }))
     }
 
+    /// The node to ask next, which is another one than the leader that was just silent.
+    fn next_source(
+        &mut self,
+        silent: Option<std::net::SocketAddr>,
+    ) -> Option<std::net::SocketAddr> {
+        let known = self.sources.len().max(1);
+        self.next_source = (self.next_source + 1) % known;
+        if silent.is_some() && silent == self.sources.get(self.next_source).copied() {
+            self.next_source = (self.next_source + 1) % known;
+        }
+        self.sources.get(self.next_source).copied()
+    }
+
+    /// Whether it is time to ask: the newest asking was returned a while ago, or waited long enough.
+    fn is_due(&self, now: MonotonicMs) -> bool {
+        let looks = self.leader.is_none() || !self.leader_is_proven;
+        let others = self.sources.len().saturating_sub(1);
+        let is_hurried = self.unanswered <= (HURRIED_ROUNDS * others).max(1);
+        let every = match (self.waits, looks) {
+            (true, true) if is_hurried => LOOKING_PATIENCE,
+            (true, _) => PATIENCE,
+            (false, true) => TURNED_AWAY,
+            (false, false) if self.hurried => HURRIED_EVERY,
+            (false, false) => ASK_EVERY,
+        };
+        self.last_asked.is_none_or(|at| now.since(at) >= every)
+    }
+
+    /// Takes the asking of that nonce, and with it those before it.
+    fn take_asked(&mut self, nonce: u64) -> Option<Asked> {
+        let at = self.asked.iter().position(|asked| asked.nonce == nonce)?;
+        self.waits &= at + 1 < self.asked.len();
+        self.asked.drain(..=at).next_back()
+    }
+
     /// Takes a return from a node.
     pub fn receive(&mut self, from: std::net::SocketAddr, message: FeedMessage) -> Followed {
         match message {
             FeedMessage::News { nonce, place, matter } => {
-                let Some(asked) = self.asked.take_if(|asked| asked.nonce == nonce) else {
-                    return Followed::Nothing;
-                };
+                let Some(asked) = self.take_asked(nonce) else { return Followed::Nothing };
                 // Never back: a lower place comes from a node that was overtaken.
                 if place < self.copy.place() {
                     self.leader = None;
                     return Followed::Nothing;
                 }
                 self.leader = Some(from);
+                self.leader_is_proven = true;
+                // What was asked of others since needs no return any more.
+                self.waits = false;
                 self.unanswered = 0;
                 self.confirmed = Some(asked.at);
                 self.take(place, matter)
             }
             FeedMessage::Elsewhere { nonce, primary, .. } => {
-                if self.asked.take_if(|asked| asked.nonce == nonce).is_some() {
+                let is_newest = self.asked.back().is_some_and(|asked| asked.nonce == nonce);
+                if is_newest {
+                    self.asked.pop_back();
+                    self.waits = false;
                     self.leader = primary.filter(|primary| *primary != from);
+                    self.leader_is_proven = false;
                     if self.leader.is_some() {
                         // Ask there at once.
                         self.last_asked = None;
--- a/libraries/topazyard-wire/src/link/outward.rs
+++ b/libraries/topazyard-wire/src/link/outward.rs
@@ -1,11 +1,14 @@
 //! Links outward: one task per address with a bounded inbox. What doesn't fit or can't be sent is
 //! dropped; every protocol here asks again.
 
-use futures_util::SinkExt as _;
+use futures_util::{SinkExt as _, StreamExt as _};
 
 /// The most frames that wait for one address.
 const INBOX: usize = 2048;
 const CONNECT_MS: u64 = 500;
+/// After how long without a word of the other machine another attempt is made beside the first: the
+/// kernel repeats its own only after a second, and a machine that was off may be on again.
+const CONNECT_BESIDE_MS: u64 = 100;
 const WRITE_MS: u64 = 2_000;
 /// After how long a link over which nothing is confirmed is given up and made anew: what waits in
 /// it would come late, and after a cut only once the kernel tries again.
@@ -36,11 +39,31 @@
     }
 }
 
+/// Makes attempts, each a while after the one before, until one of them has any outcome: that of the
+/// first to end. Gives up after a while.
+pub async fn first_of_several<T, E, F>(attempt: impl Fn() -> F) -> Option<T>
+where
+    F: Future<Output = Result<T, E>>,
+{
+    let attempts = futures_util::stream::FuturesUnordered::new();
+    for number in 0..CONNECT_MS / CONNECT_BESIDE_MS {
+        let begins = std::time::Duration::from_millis(number * CONNECT_BESIDE_MS);
+        let attempt = &attempt;
+        attempts.push(async move {
+            tokio::time::sleep(begins).await;
+            attempt().await
+        });
+    }
+    let limit = std::time::Duration::from_millis(CONNECT_MS);
+    let mut attempts = std::pin::pin!(attempts);
+    let first = tokio::time::timeout(limit, attempts.next()).await;
+    first.ok().flatten()?.ok()
+}
+
 /// Writes frames until the link breaks or nobody sends any more.
 async fn run(to: std::net::SocketAddr, mut inbox: tokio::sync::mpsc::Receiver<bytes::Bytes>) {
-    let connect = tokio::net::TcpStream::connect(to);
-    let limit = std::time::Duration::from_millis(CONNECT_MS);
-    let Ok(Ok(stream)) = tokio::time::timeout(limit, connect).await else { return };
+    let connected = first_of_several(|| tokio::net::TcpStream::connect(to)).await;
+    let Some(stream) = connected else { return };
     let _ = stream.set_nodelay(true);
     let _ = rustix::net::sockopt::set_tcp_user_timeout(&stream, UNCONFIRMED_MS);
     let mut link = tokio_util::codec::FramedWrite::new(stream, super::codec());
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -17,7 +17,7 @@
 use topazyard_types::{MonotonicMs, NodeId, ShardId};
 use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::cohort::Duty;
-use topazyard_wire::message::control::{CoreMessage, CoreNode};
+use topazyard_wire::message::control::{CoreMessage, CoreNode, ShardWish};
 use topazyard_wire::message::operate::{Operate, OperateOutcome};
 use topazyard_wire::message::{Message, pair::PairMessage};
 use topazyard_wire::{Effect, Group, Input, Machine, RowChange, WriteToken};
@@ -68,6 +68,8 @@
     pub(crate) operate: operate::OperateInbox,
     pub(crate) seen: vitals::Seen,
     confirming: confirm::Confirming,
+    /// The last wish for each shard, with who made it, until it can be looked at.
+    wishes: std::collections::BTreeMap<ShardId, (NodeId, ShardWish)>,
     tuning: tuning::Tuning,
     listing: listing::Listing,
     /// Whether this node may be the first of a new fleet.
@@ -135,6 +137,7 @@
             operate: operate::OperateInbox::new(life),
             seen: vitals::Seen::default(),
             confirming: confirm::Confirming::new(life),
+            wishes: std::collections::BTreeMap::new(),
             tuning: tuning::Tuning::default(),
             listing: listing::Listing::default(),
             may_found,
@@ -374,7 +377,7 @@
                 Message::Core(message) => self.receive_core(sender, from, message, now, &mut out),
                 Message::Pair(message) => self.receive_pair(sender, from, message, now, &mut out),
                 Message::Feed(message) => self.receive_feed(sender, from, message, now, &mut out),
-                Message::Wish(wish) => self.take_wish(sender, &wish, now),
+                Message::Wish(wish) => self.take_wish(sender, wish),
                 Message::Operate(message) => self.receive_operate(from, message, now, &mut out),
                 Message::Confirm(message) => {
                     self.receive_confirm(sender, from, message, now, &mut out);
@@ -382,6 +385,7 @@
                 Message::Counter(_) | Message::Parcel(_) | Message::Told(..) => {}
             },
         }
+        self.fulfil_wishes(now);
         self.run_commands(now);
         let outputs = self.pair.proceed(now);
         self.take_pair(outputs, now, &mut out);
--- a/programs/topazyard-control/src/machine/vitals.rs
+++ b/programs/topazyard-control/src/machine/vitals.rs
@@ -1,11 +1,13 @@
 //! How the nodes that follow the feed fare, as they say it with each asking.
 
 use super::{ControlMachine, Waiting};
+use crate::planner::Standings;
 use topazyard_types::{DurationMs, MonotonicMs, NodeId};
 use topazyard_wire::RowChange;
 use topazyard_wire::message::cohort::{Member, Standing};
-use topazyard_wire::message::control::{ShardWish, Wish};
+use topazyard_wire::message::control::{ShardRecord, ShardWish, Wish};
 use topazyard_wire::message::feed::Vitals;
+use topazyard_wire::state::FleetView;
 
 /// After how long without a word a node is probed out of turn.
 const DOUBT_AFTER: DurationMs = DurationMs(500);
@@ -41,12 +43,12 @@
     /// How each storage node stands, for the planner.
     pub(super) fn storage_standings(
         &self,
-        known: &topazyard_wire::state::FleetView,
+        known: &FleetView,
         serving_since: MonotonicMs,
         now: MonotonicMs,
-    ) -> crate::planner::Standings {
+    ) -> Standings {
         let copies = u16::try_from(self.backups() + 1).unwrap_or(u16::MAX);
-        let mut standings = crate::planner::Standings { copies, ..Default::default() };
+        let mut standings = Standings { copies, ..Default::default() };
         for (id, seen) in &self.seen.nodes {
             if let Vitals::Storage { member, .. } = &seen.vitals
                 && now.since(seen.at) < self.patience.down
@@ -86,27 +88,40 @@
         }
     }
 
-    /// Takes a shard primary's wish, if it was made in the shard's present epoch.
-    pub(super) fn take_wish(&mut self, sender: NodeId, wish: &ShardWish, now: MonotonicMs) {
-        if !self.pair.is_serving() || self.pair.has_changes_pending() {
+    /// Keeps a shard primary's wish until nothing else is under way.
+    pub(super) fn take_wish(&mut self, sender: NodeId, wish: ShardWish) {
+        let is_shard = topazyard_types::ShardId::all().any(|shard| shard == wish.shard);
+        if self.pair.is_serving() && is_shard {
+            self.wishes.insert(wish.shard, (sender, wish));
+        }
+    }
+
+    /// Fulfils the wishes that came, all in one batch: each is about a shard of its own, and a fleet that
+    /// starts together has one for each.
+    pub(super) fn fulfil_wishes(&mut self, now: MonotonicMs) {
+        if self.wishes.is_empty() || self.pair.has_changes_pending() {
             return;
         }
-        let Some(record) = self.shard(wish.shard) else { return };
-        if record.epoch != wish.epoch || record.primary.id != sender {
+        let wishes = std::mem::take(&mut self.wishes);
+        if !self.pair.is_serving() {
             return;
         }
-        let view = topazyard_wire::state::FleetView::read(self.pair.copy().rows());
+        let view = FleetView::read(self.pair.copy().rows());
         let standings = self.storage_standings(&view, self.serving_since.unwrap_or(now), now);
-        let next = match &wish.wish {
-            Wish::DropBackups(silent) => {
-                crate::planner::without_backups(&view, &standings, &record, silent)
+        let mut changes = Vec::new();
+        for (shard, (sender, wish)) in wishes {
+            let record = view.shards.get(&shard);
+            // Only one made in the shard's present epoch.
+            let is_present =
+                |record: &&ShardRecord| record.epoch == wish.epoch && record.primary.id == sender;
+            let Some(record) = record.filter(is_present) else { continue };
+            if let Some(next) = wished(&view, &standings, record, &wish.wish) {
+                let key = topazyard_wire::state::shard_key(shard);
+                changes.push(RowChange::put(key, &next));
             }
-            Wish::PromoteLearners => crate::planner::promoted_learners(&view, &standings, &record),
-            Wish::HandOver => crate::planner::handed_over(&view, &standings, &record),
-        };
-        if let Some(next) = next {
-            let key = topazyard_wire::state::shard_key(wish.shard);
-            self.submit(vec![RowChange::put(key, &next)], Waiting::Planner);
+        }
+        if !changes.is_empty() {
+            self.submit(changes, Waiting::Planner);
         }
     }
 
@@ -118,3 +133,19 @@
         }
     }
 }
+
+/// The record that a wish makes of a shard's.
+fn wished(
+    view: &FleetView,
+    standings: &Standings,
+    record: &ShardRecord,
+    wish: &Wish,
+) -> Option<ShardRecord> {
+    match wish {
+        Wish::DropBackups(silent) => {
+            crate::planner::without_backups(view, standings, record, silent)
+        }
+        Wish::PromoteLearners => crate::planner::promoted_learners(view, standings, record),
+        Wish::HandOver => crate::planner::handed_over(view, standings, record),
+    }
+}
--- a/programs/topazyard-control/src/planner.rs
+++ b/programs/topazyard-control/src/planner.rs
@@ -123,8 +123,8 @@
     next
 }
 
-/// The record after the primary and a backup change places; if no backup works they are let go
-/// instead.
+/// The record after the primary and a backup change places. While none is heard, one may only be
+/// starting, as after a loss of power: they are let go once all of them are down.
 pub fn handed_over(
     view: &FleetView,
     standings: &Standings,
@@ -132,11 +132,12 @@
 ) -> Option<ShardRecord> {
     let works = |node: &&CoreNode| standings.works(node.id);
     let rank = |node: &&CoreNode| standings.slow.contains(&node.id);
-    let Some(successor) = record.backups.iter().filter(works).min_by_key(rank) else {
-        let all: Vec<NodeId> = record.backups.iter().map(|node| node.id).collect();
-        return without_backups(view, standings, record, &all);
-    };
-    Some(swapped(record, *successor))
+    if let Some(successor) = record.backups.iter().filter(works).min_by_key(rank) {
+        return Some(swapped(record, *successor));
+    }
+    let all: Vec<NodeId> = record.backups.iter().map(|node| node.id).collect();
+    let all_down = all.iter().all(|id| standings.down.contains(id));
+    if all_down { without_backups(view, standings, record, &all) } else { None }
 }
 
 /// The record after a backup leads and its primary takes its place.
--- a/programs/topazyard-control/tests/confirming.rs
+++ b/programs/topazyard-control/tests/confirming.rs
@@ -4,6 +4,7 @@
 
 use fleet::{BEAT, Fleet, storage};
 use topazyard_types::{Epoch, ShardId};
+use topazyard_wire::message::Message;
 use topazyard_wire::message::confirm::ConfirmMessage;
 
 /// Of a new fleet the first seed leads, and the second is its backup.
@@ -20,15 +21,25 @@
     fleet
 }
 
+fn ask(fleet: &mut Fleet, number: usize) {
+    fleet.told.clear();
+    let ask = ConfirmMessage::AskRecords { nonce: 77 };
+    fleet.hear(number, &storage(1), Message::Confirm(ask));
+}
+
+/// The records that were confirmed since the last question.
+fn confirmed(fleet: &Fleet) -> Option<Vec<(ShardId, Epoch)>> {
+    fleet.told.iter().find_map(|message| match message {
+        Message::Confirm(ConfirmMessage::Records { nonce: 77, epochs }) => Some(epochs.clone()),
+        _ => None,
+    })
+}
+
 /// The records that a node confirms when it is asked now.
 fn confirmed_by(fleet: &mut Fleet, number: usize) -> Option<Vec<(ShardId, Epoch)>> {
-    fleet.confirmed.clear();
-    fleet.hear(number, &storage(1), ConfirmMessage::AskRecords { nonce: 77 });
+    ask(fleet, number);
     fleet.run(2 * BEAT.0);
-    fleet.confirmed.iter().find_map(|message| match message {
-        ConfirmMessage::Records { nonce: 77, epochs } => Some(epochs.clone()),
-        _ => None,
-    })
+    confirmed(fleet)
 }
 
 #[test]
@@ -67,8 +78,7 @@
     fleet.run(4_000);
     assert_eq!(fleet.primary(), Some(PRIMARY), "it has another backup");
     fleet.start(BACKUP);
-    fleet.confirmed.clear();
-    fleet.hear(BACKUP, &storage(1), ConfirmMessage::AskRecords { nonce: 77 });
-    assert_eq!(fleet.confirmed, Vec::new());
+    ask(&mut fleet, BACKUP);
+    assert_eq!(confirmed(&fleet), None);
     assert_eq!(confirmed_by(&mut fleet, BACKUP), None);
 }
--- a/programs/topazyard-control/tests/fleet/mod.rs
+++ b/programs/topazyard-control/tests/fleet/mod.rs
@@ -7,7 +7,6 @@
 use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::Message;
 use topazyard_wire::message::cohort::{Duty, Member};
-use topazyard_wire::message::confirm::ConfirmMessage;
 use topazyard_wire::message::feed::{FeedMessage, Vitals};
 use topazyard_wire::message::operate::{Command, Operate, OperateOutcome, Query};
 use topazyard_wire::{Effect, Input, Machine as _};
@@ -28,8 +27,8 @@
     pub storage: Vec<Member>,
     pub now: MonotonicMs,
     pub may_found: bool,
-    /// What was said to those who asked for a confirmation.
-    pub confirmed: Vec<ConfirmMessage>,
+    /// What was said to storage nodes.
+    pub told: Vec<Message>,
 }
 
 fn at(number: usize) -> std::net::SocketAddr {
@@ -57,7 +56,7 @@
             storage: Vec::new(),
             now: MonotonicMs(86_400_000),
             may_found: true,
-            confirmed: Vec::new(),
+            told: Vec::new(),
         };
         (0..size).for_each(|_| fleet.add());
         fleet
@@ -132,9 +131,7 @@
             let (to, input) = match effect {
                 Effect::Send { to, message } => {
                     let Some(to) = (0..self.nodes.len()).find(|other| at(*other) == to) else {
-                        if let Message::Confirm(message) = message {
-                            self.confirmed.push(message);
-                        }
+                        self.told.push(message);
                         continue;
                     };
                     let rows = &self.nodes[number].rows[&topazyard_wire::Group::Node];
@@ -204,10 +201,9 @@
         }
     }
 
-    /// Has a node hear a question of a storage node, which asks for a confirmation.
-    pub fn hear(&mut self, number: usize, asker: &Member, question: ConfirmMessage) {
-        let (sender, from) = (asker.id, asker.address);
-        let message = Message::Confirm(question);
+    /// Has a node hear what a storage node says.
+    pub fn hear(&mut self, number: usize, from: &Member, message: Message) {
+        let (sender, from) = (from.id, from.address);
         let effects = self.step(number, Input::Frame { sender, from, message });
         self.happen(number, effects);
     }
--- a/programs/topazyard-control/tests/placement.rs
+++ b/programs/topazyard-control/tests/placement.rs
@@ -1,6 +1,8 @@
 //! Placement: it mends what is lost and then stands still.
 
-use topazyard_control::planner::{Standings, dropped_backups, plan, promoted_learners};
+use topazyard_control::planner::{
+    Standings, dropped_backups, handed_over, plan, promoted_learners,
+};
 use topazyard_types::{NodeId, ShardId};
 use topazyard_wire::message::cohort::{Duty, Member};
 use topazyard_wire::state::FleetView;
@@ -128,6 +130,26 @@
     assert_eq!(next.backups, [], "nothing is answered before a learner holds all");
 }
 
+#[test]
+fn a_backup_that_is_only_starting_is_not_let_go_by_a_primary_that_hands_over() {
+    // Seen as all machines lost power: a primary that was up first let its one backup go 35 ms after it
+    // had learned its record, and then waited 1.1 s for a learner.
+    let (members, view) = settled_fleet();
+    let record = view.shards.values().next().expect("a shard");
+    let backup = record.backups[0].id;
+    let mut standings = standings(&members);
+    standings.heard.remove(&backup);
+    assert_eq!(handed_over(&view, &standings, record), None, "it may be heard soon");
+    standings.down.insert(backup);
+    let alone = handed_over(&view, &standings, record).expect("it is lost");
+    assert_eq!((alone.primary, alone.backups.len()), (record.primary, 0));
+    assert!(!alone.learners.is_empty());
+    standings.down.clear();
+    standings.heard.insert(backup, members.iter().find(|m| m.id == backup).expect("known").clone());
+    let swapped = handed_over(&view, &standings, record).expect("it is heard");
+    assert_eq!((swapped.primary.id, swapped.backups), (backup, vec![record.primary]));
+}
+
 #[test]
 fn a_retired_node_is_given_nothing_while_it_runs_and_forgotten_once_it_is_down() {
     // Seen by hand: a node that was retired while it still ran was taken for a new one.
--- /dev/null
+++ b/programs/topazyard-control/tests/wishes.rs
@@ -0,0 +1,78 @@
+//! Wishes of shard primaries, as a fleet that starts together makes them: for every shard at once.
+
+mod fleet;
+
+use fleet::{BEAT, Fleet, storage};
+use topazyard_types::{Epoch, Place, ShardId};
+use topazyard_wire::message::Message;
+use topazyard_wire::message::control::{ShardRecord, ShardWish, Wish};
+use topazyard_wire::message::feed::{FeedMessage, Matter, Vitals};
+use topazyard_wire::state::FleetView;
+
+/// The shards' records, as the feed tells them.
+fn records(fleet: &mut Fleet) -> std::collections::BTreeMap<ShardId, ShardRecord> {
+    fleet.told.clear();
+    let member = storage(1);
+    let vitals = Vitals::Storage {
+        member: member.clone(),
+        write_wait_ms: 0,
+        waiting: Vec::new(),
+        live_tokens: None,
+    };
+    let ask = FeedMessage::Ask { nonce: 77, after: Place::default(), heard: None, vitals };
+    let primary = fleet.primary().expect("one leads");
+    fleet.hear(primary, &member, Message::Feed(ask));
+    fleet.run(2 * BEAT.0);
+    let rows = fleet.told.iter().find_map(|message| match message {
+        Message::Feed(FeedMessage::News { nonce: 77, matter: Matter::View(rows), .. }) => {
+            Some(rows.iter().cloned().collect())
+        }
+        _ => None,
+    });
+    FleetView::read(&rows.expect("everything")).shards
+}
+
+#[test]
+fn wishes_for_all_shards_that_come_in_one_moment_are_all_fulfilled() {
+    // Only the first was looked at, and the others 100 ms later, one at a time.
+    let mut fleet = Fleet::new(3, 3);
+    fleet.storage = (1..=3).map(storage).collect();
+    fleet.run(4_000);
+    let before = records(&mut fleet);
+    assert_eq!(before.len(), ShardId::all().count());
+    let primary = fleet.primary().expect("one leads");
+    // The first wish's batch is under way for as long as the control backup is away.
+    fleet.stop(1, false);
+    for (shard, record) in &before {
+        let wish = ShardWish { shard: *shard, epoch: record.epoch, wish: Wish::HandOver };
+        let owner = (1..=3).map(storage).find(|member| member.id == record.primary.id);
+        fleet.hear(primary, &owner.expect("known"), Message::Wish(wish));
+    }
+    fleet.start(1);
+    fleet.run(400);
+    let after = records(&mut fleet);
+    for (shard, record) in &before {
+        assert_eq!(after[shard].epoch, record.epoch.next(), "shard {shard}");
+        assert_eq!(after[shard].primary, record.backups[0]);
+    }
+}
+
+#[test]
+fn a_wish_of_another_epoch_or_of_another_node_changes_nothing() {
+    let mut fleet = Fleet::new(3, 3);
+    fleet.storage = (1..=3).map(storage).collect();
+    fleet.run(4_000);
+    let before = records(&mut fleet);
+    let primary = fleet.primary().expect("one leads");
+    let (shard, record) = before.iter().next().expect("a shard");
+    let wish = |epoch| ShardWish { shard: *shard, epoch, wish: Wish::HandOver };
+    for member in (1..=3).map(storage) {
+        let epoch = match member.id == record.primary.id {
+            true => Epoch(record.epoch.0 + 1),
+            false => record.epoch,
+        };
+        fleet.hear(primary, &member, Message::Wish(wish(epoch)));
+    }
+    fleet.run(BEAT.0);
+    assert_eq!(records(&mut fleet), before);
+}
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -21,6 +21,14 @@
 
 /// How old control's last word may be when a shard stops for a record with its learner.
 const HEARD_WITHIN: topazyard_types::DurationMs = topazyard_types::DurationMs(400);
+/// How long a backup may owe its confirmation.
+const BACKUP_PATIENCE: topazyard_types::DurationMs = topazyard_types::DurationMs(500);
+/// For how long after its start a node reckons with others that are only starting, in percent of the
+/// bound on contact.
+const STARTING_PERCENT: u64 = 100;
+/// How long it leaves a backup that may only be starting without a confirmation, likewise: as long as
+/// control waits before it counts a silent node as down.
+const STARTING_PATIENCE_PERCENT: u64 = 40;
 
 /// The effects of a storage node.
 pub(crate) type Out = Vec<Effect<StorageVitals, topazyard_wire::machine::NoTask>>;
@@ -63,6 +71,8 @@
     after_write: std::collections::BTreeMap<u64, ShardWish>,
     last_write: u64,
     last_sweep: MonotonicMs,
+    /// When this process began.
+    started: Option<MonotonicMs>,
     confirming: confirm::Confirming,
     /// When a frame told of an epoch that the feed has not told of yet.
     behind_since: Option<MonotonicMs>,
@@ -102,6 +112,7 @@
             after_write: std::collections::BTreeMap::new(),
             last_write: 0,
             last_sweep: MonotonicMs(0),
+            started: None,
             confirming: confirm::Confirming::new(life),
             behind_since: None,
             remembered,
@@ -212,7 +223,7 @@
         self.follower.learn_sources(self.cohort.addresses(Duty::Control));
         let behind = self.behind_since.is_some_and(|at| self.follower.confirmed_at() <= Some(at));
         let waits = self.hosted.values().any(|hosted| hosted.waits_for_control(now));
-        self.follower.hurry(behind || waits);
+        self.follower.hurry(behind || waits || self.is_starting(now));
         if let Some((to, message)) = self.follower.beat(now, || vitals) {
             out.push(Effect::Send { to, message: Message::Feed(message) });
         }
@@ -259,8 +270,22 @@
         }
     }
 
+    fn part_of_contact(&self, percent: u64) -> topazyard_types::DurationMs {
+        topazyard_types::DurationMs(self.bounds.contact.0 * percent / 100)
+    }
+
+    /// Whether this process began so lately that others may have begun with it and not be heard yet, as
+    /// after a loss of power.
+    fn is_starting(&self, now: MonotonicMs) -> bool {
+        let limit = self.part_of_contact(STARTING_PERCENT);
+        self.started.is_none_or(|at| now.since(at) < limit)
+    }
+
     fn wish_if_backup_silent(&mut self, shard: ShardId, now: MonotonicMs, out: &mut Out) {
-        let patience = topazyard_types::DurationMs(500);
+        let patience = match self.is_starting(now) {
+            true => self.part_of_contact(STARTING_PATIENCE_PERCENT),
+            false => BACKUP_PATIENCE,
+        };
         let Some(hosted) = self.hosted.get(&shard) else { return };
         let silent_since = hosted.pair.backup_silent_since();
         // Where control can't be heard either it may be this node that hears nobody.
@@ -282,6 +307,7 @@
 
     fn step(&mut self, input: Input<StorageCall>, now: MonotonicMs) -> Out {
         let mut out = Vec::new();
+        self.started.get_or_insert(now);
         match input {
             Input::Beat => self.beat(now, &mut out),
             Input::Written(token) => match token.group {
--- a/programs/topazyard-storage/tests/confirming.rs
+++ b/programs/topazyard-storage/tests/confirming.rs
@@ -99,6 +99,10 @@
 
     /// Learns of the control node, and of the record by the feed.
     fn learn(&mut self, record: &ShardRecord) {
+        self.learn_of(SHARD, record);
+    }
+
+    fn learn_of(&mut self, shard: ShardId, record: &ShardRecord) {
         let member = member(CONTROL, Duty::Control);
         let incarnation = topazyard_types::Incarnation(0);
         let news = vec![News { member, incarnation, standing: Standing::Alive }];
@@ -108,13 +112,29 @@
             Message::Feed(FeedMessage::Ask { nonce, .. }) => Some(*nonce),
             _ => None,
         });
-        let row = RowChange::put(topazyard_wire::state::shard_key(SHARD), record);
+        let row = RowChange::put(topazyard_wire::state::shard_key(shard), record);
         let matter = Matter::View(vec![(row.key, row.value.expect("a value"))]);
         let place = Place { epoch: Epoch(1), sequence: Sequence(record.epoch.0) };
         let nonce = ask.expect("it asks the feed");
         self.hear(CONTROL, Message::Feed(FeedMessage::News { nonce, place, matter }));
     }
 
+    /// Lets time pass with a control node that returns each asking of the feed.
+    fn run_with_control(&mut self, for_ms: u64) {
+        for _ in 0..for_ms / BEAT.0 {
+            self.sent.clear();
+            self.run(BEAT.0);
+            let asked = self.sent.iter().find_map(|(_, message)| match message {
+                Message::Feed(FeedMessage::Ask { nonce, after, .. }) => Some((*nonce, *after)),
+                _ => None,
+            });
+            if let Some((nonce, place)) = asked {
+                let matter = Matter::Changes(Vec::new());
+                self.hear(CONTROL, Message::Feed(FeedMessage::News { nonce, place, matter }));
+            }
+        }
+    }
+
     fn hear_primary(&mut self, body: PairBody) {
         let message = PairMessage { group: Group::Shard(SHARD), epoch: Epoch(1), body };
         self.hear(PRIMARY, Message::Pair(message));
@@ -271,3 +291,21 @@
     let compares = storage.sent.iter().any(|(_, message)| matches!(message, Message::Pair(_)));
     assert!(!compares, "its backup must keep what it holds");
 }
+
+#[test]
+fn a_primary_that_has_just_started_waits_for_a_backup_that_may_be_starting_too() {
+    let mut storage = Storage::start(PRIMARY, Default::default());
+    storage.learn_of(ShardId::COUNTER, &record(1));
+    let drops = |storage: &Storage| {
+        storage.sent.iter().any(|(_, message)| match message {
+            Message::Wish(wish) => wish.wish == Wish::DropBackups(vec![NodeId(BACKUP)]),
+            _ => false,
+        })
+    };
+    for _ in 0..11 {
+        storage.run_with_control(100);
+        assert!(!drops(&storage), "it may be heard soon");
+    }
+    storage.run_with_control(200);
+    assert!(drops(&storage), "it is lost");
+}
