--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -20,7 +20,7 @@
 use topazyard_types::{MonotonicMs, NodeId, ShardId};
 use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::cohort::Duty;
-use topazyard_wire::message::control::{CoreMessage, CoreNode, EpochRecord};
+use topazyard_wire::message::control::{CoreMessage, CoreNode, EpochRecord, ShardWish};
 use topazyard_wire::message::operate::{Operate, OperateOutcome};
 use topazyard_wire::message::{Message, pair::PairMessage};
 use topazyard_wire::{Effect, Group, Input, Machine, RowChange, WriteToken};
@@ -76,6 +76,8 @@
     snapshots: feed::Snapshots,
     pub(crate) seen: vitals::Seen,
     confirming: confirm::Confirming,
+    /// The last wish for each shard, with who made it, until it can be looked at.
+    wishes: std::collections::BTreeMap<ShardId, (NodeId, ShardWish)>,
     tuning: tuning::Tuning,
     listing: listing::Listing,
     /// The proposal of a new fleet's first record, while this node asks for it.
@@ -152,6 +154,7 @@
             snapshots: feed::Snapshots::new(),
             seen: vitals::Seen::default(),
             confirming: confirm::Confirming::new(life),
+            wishes: std::collections::BTreeMap::new(),
             tuning: tuning::Tuning::default(),
             listing: listing::Listing::default(),
             founding: None,
@@ -454,7 +457,7 @@
                 Message::Core(message) => self.receive_core(sender, from, message, now, &mut out),
                 Message::Pair(message) => self.receive_pair(sender, from, message, now, &mut out),
                 Message::Feed(message) => self.receive_feed(sender, from, message, now, &mut out),
-                Message::Wish(wish) => self.take_wish(sender, &wish, now),
+                Message::Wish(wish) => self.take_wish(sender, wish),
                 Message::Operate(message) => {
                     self.receive_operate(sender, from, message, now, &mut out);
                 }
@@ -464,6 +467,7 @@
                 Message::Counter(_) | Message::Parcel(_) | Message::Told(..) => {}
             },
         }
+        self.fulfil_wishes(now);
         self.run_commands(now, &mut out);
         let outputs = self.pair.proceed(now);
         self.take_pair(outputs, now, &mut out);
--- a/programs/topazyard-control/tests/fleet/mod.rs
+++ b/programs/topazyard-control/tests/fleet/mod.rs
@@ -8,7 +8,6 @@
 use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::Message;
 use topazyard_wire::message::cohort::{Duty, Member};
-use topazyard_wire::message::confirm::ConfirmMessage;
 use topazyard_wire::message::feed::{FeedMessage, Vitals};
 use topazyard_wire::message::operate::{Command, Operate, OperateOutcome, Query};
 use topazyard_wire::{Effect, Input, Machine as _, RowChange, WriteToken};
@@ -60,8 +59,8 @@
     pub late: Vec<Frame>,
     /// A node outside the fleet, and what it was sent.
     outside: Option<(std::net::SocketAddr, Vec<Message>)>,
-    /// What was said to those who asked for a confirmation.
-    pub confirmed: Vec<ConfirmMessage>,
+    /// What was said to storage nodes.
+    pub told: Vec<Message>,
 }
 
 pub fn at(number: usize) -> std::net::SocketAddr {
@@ -94,7 +93,7 @@
             network: |_| Fate::Arrives,
             late: Vec::new(),
             outside: None,
-            confirmed: Vec::new(),
+            told: Vec::new(),
         };
         (0..size).for_each(|_| fleet.add());
         fleet
@@ -176,9 +175,7 @@
                         continue;
                     }
                     let Some(to) = (0..self.nodes.len()).find(|other| at(*other) == to) else {
-                        if let Message::Confirm(message) = message {
-                            self.confirmed.push(message);
-                        }
+                        self.told.push(message);
                         continue;
                     };
                     let sender = self.id(number);
@@ -305,10 +302,9 @@
         topazyard_wire::rows::decode(&rows["id"]).expect("an id")
     }
 
-    /// Has a node hear a question of a storage node, which asks for a confirmation.
-    pub fn hear(&mut self, number: usize, asker: &Member, question: ConfirmMessage) {
-        let (sender, from) = (asker.id, asker.address);
-        let message = Message::Confirm(question);
+    /// Has a node hear what a storage node says.
+    pub fn hear(&mut self, number: usize, from: &Member, message: Message) {
+        let (sender, from) = (from.id, from.address);
         let effects = self.step(number, Input::Frame { sender, from, message });
         self.happen(number, effects);
     }
