Never propose a record without its backups

A claimer that hears too few to copy to emptied its list of learners while the pair went on with the ones of the round before. One that came back and was filled made the claimer propose a record with no backups; with its primary's disk lost nobody was a member any more, and the fleet stayed down for good though both other nodes held everything.

Proposing now asks for as many learners as there must be backups; the next look at who is heard chooses again. Ruled out: keeping the learners in the list, as the claimer then looks again only after the patience of a learner, and no longer yields to a primary that is back.

--- a/programs/topazyard-control/src/machine/claim.rs
+++ b/programs/topazyard-control/src/machine/claim.rs
@@ -229,9 +229,13 @@
         }
     }
 
-    /// The learners hold everything: ask the witnesses.
+    /// The learners hold everything: ask the witnesses. A learner that was given up, as too few were
+    /// heard, may come back filled: a record must name all the backups, so that one is chosen again.
     pub(super) fn propose(&mut self, now: MonotonicMs, out: &mut Out) {
         let Some(claim) = &self.claim else { return };
+        if claim.learners.len() < self.backups() {
+            return;
+        }
         let (base, backups) = (claim.base.clone(), claim.learners.clone());
         let witnesses = self.next_witnesses(&base, &backups, now);
         let witnesses = witnesses.unwrap_or_else(|| base.witnesses.clone());
