Let a primary ask again after a claim that came to nothing

A primary that let its backup's claim copy to it became that claimer's follower. Where the claimer was then lost it waited for good: a primary asks for another epoch only by what it sees of its own backups, and a follower sees none. Nobody served until the process was restarted.

It now asks once that claimer is silent for as long as a backup waits for its primary.

--- a/fleet-simulator/tests/model.rs
+++ b/fleet-simulator/tests/model.rs
@@ -178,6 +178,26 @@
     letters.into_iter().filter(|letter| letter.label == label).collect()
 }
 
+#[test]
+fn a_primary_that_let_a_claim_copy_to_it_asks_again() {
+    let mut world = World::founded(Settings::of(3));
+    world.apply(&Action::PowerLoss { kept: vec![0; 3] });
+    world.apply(&Action::Restart(1));
+    pass(&mut world, 750);
+    world.apply(&Action::Restart(0));
+    // The backup hears that the node is back, but not yet as its primary.
+    for letter in under_way(&world, "Digests") {
+        world.apply(&Action::Lose(letter));
+    }
+    until(&mut world, 3_000, |world| {
+        let digests = under_way(world, "Digests");
+        digests.iter().any(|letter| letter.to == Party::Node(0))
+    });
+    world.apply(&Action::Replace(1));
+    world.apply(&Action::Calm);
+    assert_eq!(world.violation(), None);
+}
+
 /// An order is acknowledged by a primary and a backup that was not told yet which record was
 /// decided; the primary loses its disk, and the backup of the epoch before asks for the same epoch.
 fn a_backup_that_confirmed_is_copied_over() -> World {
--- a/programs/topazyard-control/src/machine/claim.rs
+++ b/programs/topazyard-control/src/machine/claim.rs
@@ -50,16 +50,18 @@
             return led.is_none_or(|at| now.since(at) >= patience)
                 && (is_primary || self.holds_all(record));
         }
+        let follows_nobody = self.pair.heard_primary().is_some_and(|at| now.since(at) >= patience);
         if is_primary {
             let silent = self.pair.backup_silent_since();
-            return silent.is_some_and(|since| now.since(since) >= self.patience.backup)
+            // It may have let a backup's claim copy here that came to nothing.
+            return follows_nobody
+                || silent.is_some_and(|since| now.since(since) >= self.patience.backup)
                 || self.pair.oldest_write(now) >= self.patience.write
                 || (self.pair.is_serving() && self.next_witnesses(record, &[], now).is_some())
                 || (record.backups.len() < self.backups()
                     && self.others_heard(now).count() >= self.backups());
         }
-        let silent = self.pair.heard_primary();
-        self.holds_all(record) && silent.is_some_and(|at| now.since(at) >= patience)
+        self.holds_all(record) && follows_nobody
     }
 
     /// A primary that ends in order says so to the backup whose turn is next.
