--- a/fleet-measure/src/hollow.rs
+++ b/fleet-measure/src/hollow.rs
@@ -5,8 +5,8 @@
 use topazyard_edge_agent::AgentMachine;
 use topazyard_relay::{RelayCall, RelayMachine, RelayReturn};
 use topazyard_types::{CallId, FleetId, NodeId};
-use topazyard_wire::message::cohort::{Duty, Member};
 use topazyard_wire::message::feed::FeedMessage;
+use topazyard_wire::message::membership::{Duty, Member};
 use topazyard_wire::{Effect, Frame, Input, Machine, Message};
 
 /// Hollow edge nodes beside a real fleet
@@ -117,9 +117,8 @@
         let first = flags.first_port + 2 * number;
         let (agent, relay) = (at(first), at(first + 1));
         let id = topazyard_wire::driver::fresh_id();
-        let domain = topazyard_types::DomainName(format!("domain-{}", number % 3 + 1));
-        let member =
-            Member { id, name: None, address: agent, http: None, duty: Duty::Edge, domain };
+        let zone = topazyard_types::ZoneName(format!("zone-{}", number % 3 + 1));
+        let member = Member { id, name: None, address: agent, http: None, duty: Duty::Edge, zone };
         let machine = AgentMachine::new(topazyard_edge_agent::Start {
             member,
             seeds: flags.seeds.clone(),
@@ -255,7 +254,7 @@
 
 fn input<C>(told: Told) -> Input<C> {
     match told {
-        Told::Timer | Told::Ready => Input::Beat,
+        Told::Timer | Told::Ready => Input::Tick,
         Told::Frame(frame) => {
             Input::Frame { sender: frame.sender, from: frame.address, message: frame.message }
         }
--- a/fleet-measure/src/scale/fleet.rs
+++ b/fleet-measure/src/scale/fleet.rs
@@ -8,7 +8,7 @@
 use topazyard_storage::StorageMachine;
 use topazyard_types::{CallId, FleetId, MonotonicMs, NodeId, ShardId};
 use topazyard_wire::driver::DiskStart;
-use topazyard_wire::message::cohort::{Duty, Member};
+use topazyard_wire::message::membership::{Duty, Member};
 use topazyard_wire::message::operate::{Command, Operate, OperateOutcome};
 use topazyard_wire::{Effect, Input, Machine, Message, RowChange, WriteToken};
 
@@ -103,7 +103,7 @@
 impl Told {
     fn input<C>(self) -> Input<C> {
         match self {
-            Self::Timer => Input::Beat,
+            Self::Timer => Input::Tick,
             Self::Frame(sender, from, message) => Input::Frame { sender, from, message },
             Self::Written(token) => Input::Written(token),
         }
@@ -183,7 +183,7 @@
             address,
             http: None,
             duty,
-            domain: topazyard_types::DomainName(format!("zone-{}", number % 3)),
+            zone: topazyard_types::ZoneName(format!("zone-{}", number % 3)),
         };
         let chance = 0x9e37_79b9_7f4a_7c15_u64.wrapping_mul(number + 1);
         DiskStart {
@@ -353,14 +353,14 @@
         ms
     }
 
-    fn relay_vitals(&mut self, index: usize) -> Option<topazyard_relay::machine::RelayVitals> {
+    fn relay_health(&mut self, index: usize) -> Option<topazyard_relay::machine::RelayHealth> {
         let now = self.now();
         let Body::Relay(machine) = &mut self.nodes[index].body else { return None };
-        let request = topazyard_relay::RelayCall::Vitals;
+        let request = topazyard_relay::RelayCall::Health;
         let effects = machine.step(Input::Call { call: CallId(1), request }, now);
         effects.into_iter().find_map(|effect| match effect {
-            Effect::Return { value: topazyard_relay::RelayReturn::Vitals(vitals), .. } => {
-                Some(*vitals)
+            Effect::Return { value: topazyard_relay::RelayReturn::Health(health), .. } => {
+                Some(*health)
             }
             _ => None,
         })
@@ -368,12 +368,12 @@
 
     /// The version in force at a relay.
     pub fn relay_version(&mut self, index: usize) -> Option<u64> {
-        self.relay_vitals(index)?.spec.map(|version| version.0)
+        self.relay_health(index)?.spec.map(|version| version.0)
     }
 
     /// How old the last confirmation is that a relay has of the feed.
     pub fn relay_feed_age_ms(&mut self, index: usize) -> Option<u64> {
-        self.relay_vitals(index)?.feed_age_ms.map(|age| age.0)
+        self.relay_health(index)?.feed_age_ms.map(|age| age.0)
     }
 
     /// The control primary, its backup and the third control node.
--- a/fleet-measure/src/scale/samples.rs
+++ b/fleet-measure/src/scale/samples.rs
@@ -44,7 +44,7 @@
             pool: "main".into(),
             models: vec!["m".into()],
             state: state(number),
-            domain: Some(topazyard_types::DomainName(format!("zone-{}", number % 10))),
+            zone: Some(topazyard_types::ZoneName(format!("zone-{}", number % 10))),
             slots: 16,
         })
         .collect()
--- a/fleet-measure/src/simulated.rs
+++ b/fleet-measure/src/simulated.rs
@@ -77,7 +77,7 @@
 
 /// A row for each size of the fleet: frames a node and second, by kind.
 pub fn growth() {
-    println!("| processes | cohort | feed | counter | pair | core | parcel |");
+    println!("| processes | membership | feed | counter | replica | core | parcel |");
     println!("|---|---|---|---|---|---|---|");
     for relays in [9_u16, 22, 47, 97] {
         let deployment =
@@ -90,10 +90,10 @@
         };
         println!(
             "| {processes} | {:.1} | {:.1} | {:.1} | {:.1} | {:.1} | {:.1} |",
-            each("cohort"),
+            each("membership"),
             each("feed"),
             each("counter"),
-            each("pair"),
+            each("replica"),
             each("core"),
             each("parcel"),
         );
--- a/fleet-measure/src/watch.rs
+++ b/fleet-measure/src/watch.rs
@@ -14,7 +14,7 @@
     /// For how long
     #[arg(long, default_value_t = 20)]
     seconds: u64,
-    /// How long each visitor waits
+    /// How long each client waits
     #[arg(long, default_value_t = 1_500)]
     wait_ms: u64,
 }
--- a/fleet-simulator/src/deployment.rs
+++ b/fleet-simulator/src/deployment.rs
@@ -15,8 +15,8 @@
     pub relays: u16,
     /// Engines.
     pub engines: u16,
-    /// Failure domains.
-    pub domains: u16,
+    /// Failure zones.
+    pub zones: u16,
     /// Prompts a second.
     pub prompts_per_s: u64,
     /// Words of a prompt.
@@ -48,7 +48,7 @@
             storages: 3,
             relays: 9,
             engines: 12,
-            domains: 3,
+            zones: 3,
             prompts_per_s: 60,
             words: 150,
             new_tokens: 64,
@@ -70,7 +70,7 @@
             storages: 4,
             relays: 6,
             engines: 12,
-            domains: 4,
+            zones: 4,
             prompts_per_s: 40,
             words: 40,
             new_tokens: 32,
@@ -92,7 +92,7 @@
             storages: 9,
             relays: 5,
             engines: 8,
-            domains: 5,
+            zones: 5,
             prompts_per_s: 30,
             ..Self::cristallo()
         }
@@ -111,7 +111,7 @@
             storages: 10,
             relays: 4,
             engines: 8,
-            domains: 5,
+            zones: 5,
             prompts_per_s: 30,
             ..Self::quito()
         }
--- a/fleet-simulator/src/faults/mod.rs
+++ b/fleet-simulator/src/faults/mod.rs
@@ -46,10 +46,10 @@
     CutOffFromCore(Whom, Way),
     /// Control nodes are split from all storage nodes.
     SplitCoreFromStorage,
-    /// A domain is cut off from all others.
-    CutDomain(u16),
-    /// Every machine of a domain loses its power.
-    LoseDomain(u16),
+    /// A zone is cut off from all others.
+    CutZone(u16),
+    /// Every machine of a zone loses its power.
+    LoseZone(u16),
     /// Of ten thousand frames so many come twice, and as many up to 3 s late.
     Untidy(u64),
     /// From now on each clock runs up to a hundredth too fast or too slow.
@@ -74,7 +74,7 @@
     EngineLeaves(u16),
     /// The platform lists an engine as ready again.
     EngineReady(u16),
-    /// The visitors send so many prompts a second.
+    /// The clients send so many prompts a second.
     Crowd(u64),
     /// So many parcels land at once.
     Parcels(u64),
@@ -203,15 +203,15 @@
                         || (storage.contains(&from) && core.contains(&to))
                 });
             }
-            Fault::CutDomain(domain) => {
-                let inside = self.of_domain(domain);
+            Fault::CutZone(zone) => {
+                let inside = self.of_zone(zone);
                 inside.iter().for_each(|index| self.strike_for(*index, Struck::Cut));
                 let inside: std::collections::BTreeSet<_> =
                     inside.into_iter().map(|index| self.nodes[index.0].address).collect();
                 self.cut_where(|from, to| inside.contains(&from) != inside.contains(&to));
             }
-            Fault::LoseDomain(domain) => {
-                for index in self.of_domain(domain) {
+            Fault::LoseZone(zone) => {
+                for index in self.of_zone(zone) {
                     self.stop(index, true);
                 }
             }
@@ -297,10 +297,10 @@
             Fault::OrdersEvery(ms) => self.people.habits.orders_every_ms = ms,
             Fault::AddStorage => {
                 let number = self.nodes.iter().filter(|n| n.kind == Kind::Storage).count() + 1;
-                let domain = number as u16 % self.domains;
+                let zone = number as u16 % self.zones;
                 let port = 2_100 + number as u16;
                 let name = format!("storage-{number}");
-                let index = self.add_node(name, Kind::Storage, port, None, domain);
+                let index = self.add_node(name, Kind::Storage, port, None, zone);
                 self.start(index);
             }
             Fault::Drain(_) => {
@@ -321,8 +321,8 @@
         }
     }
 
-    fn of_domain(&self, domain: u16) -> Vec<NodeIndex> {
-        let is_inside = |at: &NodeIndex| self.nodes[at.0].domain == domain;
+    fn of_zone(&self, zone: u16) -> Vec<NodeIndex> {
+        let is_inside = |at: &NodeIndex| self.nodes[at.0].zone == zone;
         (0..self.nodes.len()).map(NodeIndex).filter(is_inside).collect()
     }
 
@@ -375,7 +375,7 @@
 
     /// Starts an empty machine at a new address in a machine's place.
     fn succeed(&mut self, index: NodeIndex) {
-        let (kind, domain) = (self.nodes[index.0].kind, self.nodes[index.0].domain);
+        let (kind, zone) = (self.nodes[index.0].kind, self.nodes[index.0].zone);
         let name = self.nodes[index.0].name.clone();
         self.nodes[index.0].name = format!("{name}{REPLACED}");
         let port = 3_000 + self.nodes.len() as u16;
@@ -385,7 +385,7 @@
             let address = std::net::SocketAddr::from(([10, 0, 0, 1], port));
             self.seeds.iter_mut().filter(|seed| **seed == old).for_each(|seed| *seed = address);
         }
-        let new = self.add_node(name, kind, port, None, domain);
+        let new = self.add_node(name, kind, port, None, zone);
         self.start(new);
     }
 
--- a/fleet-simulator/src/history/mod.rs
+++ b/fleet-simulator/src/history/mod.rs
@@ -11,7 +11,7 @@
 /// A moment of simulated time.
 pub type Us = u64;
 
-/// How a prompt ended for its visitor.
+/// How a prompt ended for its client.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PromptEnd {
     /// A return that looked whole.
@@ -42,7 +42,7 @@
     pub of: u32,
 }
 
-/// A prompt as its visitor saw it.
+/// A prompt as its client saw it.
 #[derive(Debug, Clone)]
 pub struct PromptSeen {
     /// Which work it is, in the engines' logs too.
@@ -53,7 +53,7 @@
     pub repeatable: bool,
     /// When it was sent.
     pub sent: Us,
-    /// How long the visitor waits.
+    /// How long the client waits.
     pub wait: Us,
     /// The relay it was sent to.
     pub relay: String,
@@ -66,7 +66,7 @@
 /// A run as an engine logged it.
 #[derive(Debug, Clone)]
 pub struct EngineRun {
-    /// Which work, or none if no visitor sent such a body.
+    /// Which work, or none if no client sent such a body.
     pub work: Option<usize>,
     /// The engine.
     pub engine: String,
@@ -106,7 +106,7 @@
     pub body: Option<bytes::Bytes>,
 }
 
-/// A read of a parcel as its visitor saw it.
+/// A read of a parcel as its client saw it.
 #[derive(Debug, Clone)]
 pub struct ReadSeen {
     /// When it was asked.
@@ -165,7 +165,7 @@
     }
 }
 
-/// A parcel as its visitor saw it.
+/// A parcel as its client saw it.
 #[derive(Debug, Clone)]
 pub struct ParcelSeen {
     /// Its id.
--- a/fleet-simulator/src/lib.rs
+++ b/fleet-simulator/src/lib.rs
@@ -1,7 +1,7 @@
 //! Whole clusters in one process, from a seed: the same machines as in the real processes, on a
 //! simulated network, clock and disk that loses what was not synced.
 //!
-//! The checker in [`check`] sees only what visitors, operators, the platform and the engines saw.
+//! The checker in [`check`] sees only what clients, operators, the platform and the engines saw.
 
 pub mod check;
 pub mod deployment;
--- a/fleet-simulator/src/model/action.rs
+++ b/fleet-simulator/src/model/action.rs
@@ -44,11 +44,11 @@
 /// One step of a run.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Action {
-    /// The oldest event under way happens; if there is none, time passes and everybody beats.
+    /// The oldest event under way happens; if there is none, time passes and everybody ticks.
     Next,
-    /// So many milliseconds pass, and everybody beats.
+    /// So many milliseconds pass, and everybody ticks.
     Tick(u64),
-    /// So many milliseconds pass, and one node alone beats.
+    /// So many milliseconds pass, and one node alone ticks.
     TickAlone(u64, usize),
     /// A message arrives, before older ones.
     Deliver(Letter),
@@ -150,7 +150,7 @@
         match self {
             Self::Next => write!(f, "next"),
             Self::Tick(ms) => write!(f, "{ms} ms pass"),
-            Self::TickAlone(ms, node) => write!(f, "{ms} ms pass, only n{node} beats"),
+            Self::TickAlone(ms, node) => write!(f, "{ms} ms pass, only n{node} ticks"),
             Self::Deliver(letter) => write!(f, "early: {letter}"),
             Self::Lose(letter) => write!(f, "lost: {letter}"),
             Self::Double(letter) => write!(f, "doubled: {letter}"),
--- a/fleet-simulator/src/model/fingerprint.rs
+++ b/fleet-simulator/src/model/fingerprint.rs
@@ -4,7 +4,7 @@
 use std::hash::Hasher as _;
 use topazyard_types::MonotonicMs;
 
-/// Moments that are longer ago than every patience are all alike.
+/// Moments that are longer ago than every timeout are all alike.
 const LONG_AGO_MS: u64 = 10_000;
 const MOMENT: &str = "MonotonicMs";
 
--- a/fleet-simulator/src/model/mod.rs
+++ b/fleet-simulator/src/model/mod.rs
@@ -31,8 +31,8 @@
     pub losses: u16,
     /// Followers of the feed.
     pub readers: usize,
-    /// Whether beats between core nodes arrive at once; else they are messages like all others.
-    pub beats_at_once: bool,
+    /// Whether ticks between core nodes arrive at once; else they are messages like all others.
+    pub ticks_at_once: bool,
     /// A fault of the surroundings that an invariant must see.
     pub plant: Option<Plant>,
     /// The one invariant that is looked at; all of them if none is named.
@@ -43,7 +43,7 @@
     /// A fleet of so many control nodes, as many losses as that tolerates, and one reader.
     pub fn of(nodes: usize) -> Self {
         let losses = if nodes >= 5 { 2 } else { 1 };
-        Self { nodes, losses, readers: 1, beats_at_once: true, plant: None, watched: None }
+        Self { nodes, losses, readers: 1, ticks_at_once: true, plant: None, watched: None }
     }
 }
 
--- a/fleet-simulator/src/model/network.rs
+++ b/fleet-simulator/src/model/network.rs
@@ -6,7 +6,7 @@
 use topazyard_wire::message::control::CoreMessage;
 use topazyard_wire::message::feed::FeedMessage;
 use topazyard_wire::message::operate::{Operate, OperateMessage, OperateOutcome};
-use topazyard_wire::message::pair::PairBody;
+use topazyard_wire::message::replica::ReplicaBody;
 
 /// What is under way.
 #[derive(Debug, Clone)]
@@ -71,29 +71,29 @@
 fn label_of(message: &Message) -> &'static str {
     match message {
         Message::Core(message) => match message {
-            CoreMessage::Beat { .. } => "Beat",
+            CoreMessage::Heartbeat { .. } => "Tick",
             CoreMessage::Prepare { .. } => "Prepare",
             CoreMessage::Promise { .. } => "Promise",
             CoreMessage::Accept { .. } => "Accept",
             CoreMessage::Accepted { .. } => "Accepted",
-            CoreMessage::Leaving { .. } => "Leaving",
+            CoreMessage::Leaving => "Leaving",
             CoreMessage::Outbid { .. } => "Outbid",
         },
-        Message::Pair(message) => match &message.body {
-            PairBody::Append { .. } => "Append",
-            PairBody::Appended { .. } => "Appended",
-            PairBody::OutOfStep => "OutOfStep",
-            PairBody::Digests { .. } => "Digests",
-            PairBody::Differ { .. } => "Differ",
-            PairBody::Range { .. } => "Range",
-            PairBody::InStep { .. } => "InStep",
+        Message::Replica(message) => match &message.body {
+            ReplicaBody::Append { .. } => "Append",
+            ReplicaBody::Appended { .. } => "Appended",
+            ReplicaBody::OutOfStep => "OutOfStep",
+            ReplicaBody::Digests { .. } => "Digests",
+            ReplicaBody::Differ { .. } => "Differ",
+            ReplicaBody::Range { .. } => "Range",
+            ReplicaBody::InStep { .. } => "InStep",
         },
         Message::Feed(FeedMessage::Ask { .. }) => "FeedAsk",
         Message::Feed(FeedMessage::News { .. }) => "FeedNews",
         Message::Feed(FeedMessage::Elsewhere { .. }) => "FeedElsewhere",
         Message::Operate(OperateMessage::Ask { .. }) => "PassedOn",
         Message::Operate(OperateMessage::Answer { .. }) => "PassedBack",
-        Message::Cohort(_) => "Cohort",
+        Message::Membership(_) => "Membership",
         _ => "Other",
     }
 }
--- a/fleet-simulator/src/model/search.rs
+++ b/fleet-simulator/src/model/search.rs
@@ -50,14 +50,14 @@
 
 /// The runs that a search begins with: who orders where.
 pub fn beginnings(settings: Settings) -> Vec<Vec<Action>> {
-    let pairs = (0..settings.nodes).flat_map(|a| (0..settings.nodes).map(move |b| (a, b)));
+    let replicas = (0..settings.nodes).flat_map(|a| (0..settings.nodes).map(move |b| (a, b)));
     let both = |(first, second)| {
         vec![
             Action::Order { operator: 0, node: first, skip: 0 },
             Action::Order { operator: 1, node: second, skip: 0 },
         ]
     };
-    pairs.map(both).collect()
+    replicas.map(both).collect()
 }
 
 /// Searches from every beginning, so many at a time. Each counts its own states.
--- a/fleet-simulator/src/model/walk.rs
+++ b/fleet-simulator/src/model/walk.rs
@@ -11,7 +11,7 @@
 const CALM_PERMILLE: u32 = 2;
 /// Troubles at once, above which a walk mends one before it makes another.
 const MOST_TROUBLES: usize = 3;
-/// Times that may pass at once: below and above each patience.
+/// Times that may pass at once: below and above each timeout.
 const TIMES_MS: [u64; 5] = [25, 100, 350, 700, 1_600];
 
 /// How a walk ended.
--- a/fleet-simulator/src/model/world.rs
+++ b/fleet-simulator/src/model/world.rs
@@ -11,9 +11,9 @@
 use super::{Action, Party, Settings, fingerprint};
 use std::sync::Arc;
 use topazyard_types::{DurationMs, MonotonicMs, NodeId};
-use topazyard_wire::message::cohort::{Duty, Member};
+use topazyard_wire::message::membership::{Duty, Member};
 
-/// How much time passes when nothing else happens: a few of these make every patience run out, the
+/// How much time passes when nothing else happens: a few of these make every timeout run out, the
 /// primary's before the backup's.
 pub const STEP_MS: u64 = 250;
 /// How long a calm lasts: longer than a fleet may take until it is whole again.
@@ -223,7 +223,7 @@
             address: node.address,
             http: None,
             duty: Duty::Control,
-            domain: format!("domain-{number}").as_str().into(),
+            zone: format!("zone-{number}").as_str().into(),
         };
         let bounds = topazyard_spec::Bounds {
             lost_machines: self.settings.losses,
--- a/fleet-simulator/src/model/world/apply.rs
+++ b/fleet-simulator/src/model/world/apply.rs
@@ -8,7 +8,7 @@
 use crate::model::{Action, Letter, Party};
 use topazyard_types::{DurationMs, SpecVersion};
 use topazyard_wire::message::Message;
-use topazyard_wire::message::feed::Vitals;
+use topazyard_wire::message::feed::Health;
 use topazyard_wire::message::operate::{Operate, Query};
 use topazyard_wire::{Input, WriteToken};
 
@@ -146,7 +146,7 @@
         self.now = self.now.plus(DurationMs(ms));
         for number in 0..self.nodes.len() {
             if alone.is_none_or(|alone| alone == number) && self.nodes[number].is_awake() {
-                self.step(number, Input::Beat);
+                self.step(number, Input::Tick);
             }
         }
         for number in 0..self.readers.len() {
@@ -156,9 +156,9 @@
     }
 
     fn reader_asks(&mut self, number: usize) {
-        let vitals = || Vitals::Edge { ready: true, waiting: 0, refused: 0 };
+        let health = || Health::Edge { ready: true, waiting: 0, refused: 0 };
         let reader = &mut self.readers[number];
-        let Some((to, message)) = reader.follower.beat(self.now, vitals) else { return };
+        let Some((to, message)) = reader.follower.tick(self.now, health) else { return };
         reader.since = self.judge.newest_acknowledged();
         let from = reader.address;
         let Some(party) = self.party_at(to) else { return };
--- a/fleet-simulator/src/model/world/carry.rs
+++ b/fleet-simulator/src/model/world/carry.rs
@@ -12,7 +12,7 @@
 use topazyard_wire::message::control::CoreMessage;
 use topazyard_wire::message::feed::{FeedMessage, Matter};
 use topazyard_wire::message::operate::OperateOutcome;
-use topazyard_wire::message::pair::{PairBody, PairMessage};
+use topazyard_wire::message::replica::{ReplicaBody, ReplicaMessage};
 use topazyard_wire::{Effect, Input, Machine as _, Message};
 
 pub(super) type ControlEffect = Effect<OperateOutcome, ControlTask>;
@@ -105,11 +105,11 @@
         let (sender, from) = (self.nodes[number].id, self.nodes[number].address);
         // Membership is no part of what is modelled: nothing is lost of it where nodes are linked.
         let at_once = match &message {
-            Message::Cohort(_) => !self.settings.beats_at_once,
-            Message::Core(CoreMessage::Beat { .. }) => self.settings.beats_at_once,
+            Message::Membership(_) => !self.settings.ticks_at_once,
+            Message::Core(CoreMessage::Heartbeat { .. }) => self.settings.ticks_at_once,
             _ => false,
         };
-        let dropped = matches!(message, Message::Cohort(_)) && !at_once;
+        let dropped = matches!(message, Message::Membership(_)) && !at_once;
         if dropped {
             return;
         }
@@ -135,10 +135,10 @@
         if self.settings.plant != Some(Plant::ForgeConfirmations) {
             return;
         }
-        let (Party::Node(backup), Message::Pair(sent)) = (to, message) else { return };
-        let PairBody::Append { round, .. } = sent.body else { return };
-        let body = PairBody::Appended { round };
-        let message = Message::Pair(PairMessage { body, ..sent.clone() });
+        let (Party::Node(backup), Message::Replica(sent)) = (to, message) else { return };
+        let ReplicaBody::Append { round, .. } = sent.body else { return };
+        let body = ReplicaBody::Appended { round };
+        let message = Message::Replica(ReplicaMessage { body, ..sent.clone() });
         let (sender, from) = (self.nodes[backup].id, self.nodes[backup].address);
         let to = self.nodes[number].address;
         // It comes from nowhere: nothing of the backup is under way.
--- a/fleet-simulator/src/model_command.rs
+++ b/fleet-simulator/src/model_command.rs
@@ -30,9 +30,9 @@
     /// The seed of the first walk
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// Whether beats between core nodes are messages like all others
+    /// Whether ticks between core nodes are messages like all others
     #[arg(long)]
-    beats_under_way: bool,
+    ticks_under_way: bool,
     /// How many at a time
     #[arg(long, default_value_t = 3)]
     threads: usize,
@@ -42,7 +42,7 @@
 pub fn run(flags: &ModelFlags) -> ExitCode {
     let mut settings = Settings::of(flags.nodes);
     settings.losses = flags.losses.unwrap_or(settings.losses);
-    settings.beats_at_once = !flags.beats_under_way;
+    settings.ticks_at_once = !flags.ticks_under_way;
     let searched = if flags.depth > 0 { run_search(flags, settings) } else { None };
     let walked = if flags.walks > 0 { run_walks(flags, settings) } else { None };
     match searched.or(walked) {
--- a/fleet-simulator/src/people/mod.rs
+++ b/fleet-simulator/src/people/mod.rs
@@ -1,4 +1,4 @@
-//! Visitors, operators and the platform, as they act on the fleet from outside.
+//! Clients, operators and the platform, as they act on the fleet from outside.
 
 mod configurations;
 mod operators;
@@ -116,7 +116,7 @@
     pub habits: Habits,
     works: std::collections::BTreeMap<bytes::Bytes, usize>,
     ready: std::collections::BTreeSet<NodeIndex>,
-    parcels: Vec<parcels::ParcelVisitor>,
+    parcels: Vec<parcels::ParcelClient>,
     specs: Vec<operators::SpecOperator>,
     orders: configurations::Orders,
     /// Storage nodes whose retirement was acknowledged.
@@ -185,7 +185,7 @@
         Some(nodes[at])
     }
 
-    /// The relay that the platform hands a visitor to: a ready one, or any if none is.
+    /// The relay that the platform hands a client to: a ready one, or any if none is.
     fn draw_relay(&mut self) -> Option<NodeIndex> {
         let ready: Vec<NodeIndex> = self.people.ready.iter().copied().collect();
         if ready.is_empty() {
--- a/fleet-simulator/src/people/parcels.rs
+++ b/fleet-simulator/src/people/parcels.rs
@@ -1,4 +1,4 @@
-//! Visitors with parcels: they hand in, read, list, ask items back and end.
+//! Clients with parcels: they hand in, read, list, ask items back and end.
 
 use super::Doing;
 use crate::history::{ListedReturn, ParcelSeen, ReadSeen, ReadTold, Us};
@@ -7,7 +7,7 @@
 use topazyard_types::{DurationMs, ItemNumber, ParcelId, Tokens};
 use topazyard_wire::message::parcel::{Item, ItemEnd, ParcelCall, ParcelReturn};
 
-/// What a visitor asked of its parcel.
+/// What a client asked of its parcel.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Asked {
     /// Take it.
@@ -22,9 +22,9 @@
     End,
 }
 
-/// A visitor with a parcel.
+/// A client with a parcel.
 #[derive(Debug)]
-pub(super) struct ParcelVisitor {
+pub(super) struct ParcelClient {
     serial: u64,
     asked: Option<Us>,
     /// The list being read, page by page.
@@ -35,7 +35,7 @@
     turn: u64,
 }
 
-/// After how many whole lists with all returns a visitor is content.
+/// After how many whole lists with all returns a client is content.
 const CONTENT: u32 = 3;
 /// For how long after its acceptance a parcel is read at the least.
 const READS_FOR_US: Us = 10_000_000;
@@ -78,7 +78,7 @@
         let ends_at = ends.then(|| self.time + 1_000_000 + 500_000 * (first_work as u64 % 7));
         let recalls =
             (self.draw(0..5) == 0).then(|| self.draw(0..habits.parcel_items.max(1)) as u32);
-        self.people.parcels.push(ParcelVisitor {
+        self.people.parcels.push(ParcelClient {
             serial: 0,
             asked: None,
             page: Vec::new(),
@@ -94,24 +94,24 @@
     pub(crate) fn parcels_are_done(&self) -> bool {
         let all = self.history.parcels.iter().zip(&self.people.parcels);
         all.into_iter()
-            .all(|(seen, visitor)| seen.accepted.is_none() || visitor.lists_whole >= CONTENT)
+            .all(|(seen, client)| seen.accepted.is_none() || client.lists_whole >= CONTENT)
     }
 
     fn next_asked(&mut self, parcel: usize) -> Asked {
         let time = self.time;
         let seen = &self.history.parcels[parcel];
-        let visitor = &mut self.people.parcels[parcel];
+        let client = &mut self.people.parcels[parcel];
         if seen.accepted.is_none() {
             return Asked::Submit;
         }
-        if let Some(item) = visitor.recalls.take() {
+        if let Some(item) = client.recalls.take() {
             return Asked::Recall(item);
         }
-        if seen.ended.is_none() && visitor.ends_at.is_some_and(|at| time >= at) {
+        if seen.ended.is_none() && client.ends_at.is_some_and(|at| time >= at) {
             return Asked::End;
         }
-        visitor.turn += 1;
-        if visitor.turn.is_multiple_of(4) { Asked::Read } else { Asked::List }
+        client.turn += 1;
+        if client.turn.is_multiple_of(4) { Asked::Read } else { Asked::List }
     }
 
     pub(super) fn look_after_parcel(&mut self, parcel: usize) {
@@ -158,10 +158,10 @@
             let read = ReadSeen { asked: time, relay, told: None };
             self.history.parcels[parcel].reads.push(read);
         }
-        let visitor = &mut self.people.parcels[parcel];
-        visitor.serial += 1;
-        visitor.asked = Some(time);
-        let doing = Doing::ParcelCall(parcel, visitor.serial, asked);
+        let client = &mut self.people.parcels[parcel];
+        client.serial += 1;
+        client.asked = Some(time);
+        let doing = Doing::ParcelCall(parcel, client.serial, asked);
         self.call_relay(relay, request, Caller::Person(doing));
     }
 
@@ -211,7 +211,7 @@
     /// A page of the list: an empty one ends the list, and the next is read from the start.
     fn listed(&mut self, parcel: usize, returns: &[topazyard_wire::message::parcel::ItemReturn]) {
         let changes = self.plant == Some(Plant::ChangeReturn) && self.draw(0..30) == 0;
-        let visitor = &mut self.people.parcels[parcel];
+        let client = &mut self.people.parcels[parcel];
         for item_return in returns {
             let (text, body) = match &item_return.end {
                 ItemEnd::Whole { status, body } => (format!("whole {status}"), Some(body.clone())),
@@ -221,12 +221,12 @@
                 ItemEnd::Abandoned => ("abandoned".to_owned(), None),
             };
             let item = item_return.item.0 + u32::from(changes);
-            visitor.page.push(ListedReturn { position: item_return.position, item, text, body });
+            client.page.push(ListedReturn { position: item_return.position, item, text, body });
         }
         if returns.is_empty() {
-            let list = std::mem::take(&mut visitor.page);
+            let list = std::mem::take(&mut client.page);
             if list.len() as u32 >= self.history.parcels[parcel].items {
-                visitor.lists_whole += 1;
+                client.lists_whole += 1;
             }
             let time = self.time;
             self.history.parcels[parcel].lists.push((time, list));
--- a/fleet-simulator/src/people/prompts.rs
+++ b/fleet-simulator/src/people/prompts.rs
@@ -1,4 +1,4 @@
-//! Visitors with prompts.
+//! Clients with prompts.
 
 use super::Doing;
 use crate::history::{PromptEnd, PromptSeen};
@@ -17,7 +17,7 @@
         self.send_prompt();
     }
 
-    /// Which model a visitor asks for: mostly the usual one, sometimes one that only some spec
+    /// Which model a client asks for: mostly the usual one, sometimes one that only some spec
     /// maps, sometimes one that none does.
     fn draw_model(&mut self) -> String {
         let specs = self.history.specs.len() as u64;
@@ -72,7 +72,7 @@
         }
         let seen = &self.history.prompts[prompt];
         if seen.sent + seen.wait + 1_500_000 < self.time {
-            // The visitor hung up while its relay was frozen.
+            // The client hung up while its relay was frozen.
             self.history.prompts[prompt].end = Some((self.time, PromptEnd::Broken));
             return;
         }
--- a/fleet-simulator/src/plan/losses.rs
+++ b/fleet-simulator/src/plan/losses.rs
@@ -102,12 +102,12 @@
         }
     }
 
-    pub(super) fn domains(&mut self) {
-        // Whatever shares the fate of a domain: its engines go with it.
-        let (engines, domains) = (self.deployment.engines, self.deployment.domains);
-        let of = |domain: u16| (0..engines).filter(move |n| (n + 1) % domains == domain);
-        let lost = self.rng.random_range(0..self.deployment.domains);
-        self.add(0, Fault::LoseDomain(lost));
+    pub(super) fn zones(&mut self) {
+        // Whatever shares the fate of a zone: its engines go with it.
+        let (engines, zones) = (self.deployment.engines, self.deployment.zones);
+        let of = |zone: u16| (0..engines).filter(move |n| (n + 1) % zones == zone);
+        let lost = self.rng.random_range(0..self.deployment.zones);
+        self.add(0, Fault::LoseZone(lost));
         for engine in of(lost) {
             self.add(0, Fault::Engine(engine, EngineMood::Gone));
             self.add(3_000, Fault::EngineLeaves(engine));
@@ -119,9 +119,8 @@
             self.add(500, Fault::EngineReady(engine));
         }
         self.at += 15_000;
-        let cut =
-            (lost + self.rng.random_range(1..self.deployment.domains)) % self.deployment.domains;
-        self.add(0, Fault::CutDomain(cut));
+        let cut = (lost + self.rng.random_range(1..self.deployment.zones)) % self.deployment.zones;
+        self.add(0, Fault::CutZone(cut));
         let after = self.rng.random_range(14_000..20_000);
         self.add(after, Fault::Mend);
     }
--- a/fleet-simulator/src/plan/mod.rs
+++ b/fleet-simulator/src/plan/mod.rs
@@ -53,7 +53,7 @@
         Scenario::Counter => draft.counter(),
         Scenario::Operators => draft.operators(),
         Scenario::Drains => draft.drains(),
-        Scenario::Domains => draft.domains(),
+        Scenario::Zones => draft.zones(),
         Scenario::Rolling => draft.rolling(),
         Scenario::Untidy => draft.untidy(),
         Scenario::Controls => draft.controls(),
--- a/fleet-simulator/src/plan/network.rs
+++ b/fleet-simulator/src/plan/network.rs
@@ -10,7 +10,7 @@
             let way = [Way::Both, Way::Outward, Way::Inward][self.rng.random_range(0..3)];
             let fault = match n {
                 3 => Fault::SplitCoreFromStorage,
-                4 => Fault::CutDomain(self.rng.random_range(0..self.deployment.domains)),
+                4 => Fault::CutZone(self.rng.random_range(0..self.deployment.zones)),
                 _ => Fault::CutOff(self.any(), way),
             };
             let flaps = self.rng.random_range(1..4);
--- a/fleet-simulator/src/run.rs
+++ b/fleet-simulator/src/run.rs
@@ -30,7 +30,7 @@
 
 /// Builds a fleet whose processes all start at once.
 pub fn build(deployment: &crate::Deployment, seed: u64) -> World {
-    let mut world = World::new(seed, deployment.domains);
+    let mut world = World::new(seed, deployment.zones);
     world.bounds.lost_machines = deployment.lost_machines;
     let at = |port: u16| std::net::SocketAddr::from(([10, 0, 0, 1], port));
     world.seeds = (1..=3).map(|n| at(1_000 + n)).collect();
@@ -40,7 +40,7 @@
             Kind::Control,
             1_000 + n,
             None,
-            n % deployment.domains,
+            n % deployment.zones,
         );
     }
     for n in 1..=deployment.storages {
@@ -49,13 +49,13 @@
             Kind::Storage,
             2_000 + n,
             None,
-            n % deployment.domains,
+            n % deployment.zones,
         );
     }
     for n in 1..=deployment.relays {
-        let domain = n % deployment.domains;
-        world.add_node(format!("agent-{n}"), Kind::Agent, 4_000 + n, Some(5_000 + n), domain);
-        world.add_node(format!("relay-{n}"), Kind::Relay, 5_000 + n, Some(4_000 + n), domain);
+        let zone = n % deployment.zones;
+        world.add_node(format!("agent-{n}"), Kind::Agent, 4_000 + n, Some(5_000 + n), zone);
+        world.add_node(format!("relay-{n}"), Kind::Relay, 5_000 + n, Some(4_000 + n), zone);
     }
     for n in 1..=deployment.engines {
         let name = format!("engine-{n}");
--- a/fleet-simulator/src/scenario.rs
+++ b/fleet-simulator/src/scenario.rs
@@ -24,7 +24,7 @@
     SlowDisks,
     /// Disks run full, some while their process is killed and starts again.
     FullDisks,
-    /// Nodes are cut off, one way, both, flapping; core and storage are split; a domain is cut.
+    /// Nodes are cut off, one way, both, flapping; core and storage are split; a zone is cut.
     Cuts,
     /// Machines are replaced by empty ones at new addresses, and one is added.
     Replaced,
@@ -36,9 +36,9 @@
     Operators,
     /// Relays are drained and storage nodes emptied, and then they go.
     Drains,
-    /// A whole domain, with its core, storage, edge and engines, loses power for long; another is
+    /// A whole zone, with its core, storage, edge and engines, loses power for long; another is
     /// cut off for long.
-    Domains,
+    Zones,
     /// Every process is restarted in turn, as when a new version is rolled out.
     Rolling,
     /// Frames come twice, late and out of order, and clocks run fast or slow.
@@ -83,7 +83,7 @@
         Self::Counter,
         Self::Operators,
         Self::Drains,
-        Self::Domains,
+        Self::Zones,
         Self::Rolling,
         Self::Untidy,
         Self::Controls,
--- a/fleet-simulator/src/world/mod.rs
+++ b/fleet-simulator/src/world/mod.rs
@@ -19,8 +19,8 @@
 /// Something that is to happen.
 #[derive(Debug)]
 pub(crate) enum Event {
-    /// A process's beat.
-    Beat(NodeIndex, u64),
+    /// A process's tick.
+    Tick(NodeIndex, u64),
     /// A frame arrives.
     Frame {
         to: std::net::SocketAddr,
@@ -82,7 +82,7 @@
     /// How much is sent, by kind of message.
     pub sent: std::collections::BTreeMap<&'static str, u64>,
     pub(crate) seeds: Vec<std::net::SocketAddr>,
-    pub(crate) domains: u16,
+    pub(crate) zones: u16,
     /// What the settings of all processes say of times and losses.
     pub(crate) bounds: topazyard_spec::Bounds,
     /// What waited in each shard when it was last weighed, and at which place.
@@ -105,7 +105,7 @@
     RepeatPiece,
     /// A cut return looks whole.
     CutLooksWhole,
-    /// A return goes to another visitor.
+    /// A return goes to another client.
     WrongReturn,
     /// A sent prompt is said not to have run.
     SayNotRun,
@@ -155,7 +155,7 @@
 
 impl World {
     /// An empty world.
-    pub fn new(seed: u64, domains: u16) -> Self {
+    pub fn new(seed: u64, zones: u16) -> Self {
         Self {
             time: 0,
             rng: rand::rngs::StdRng::seed_from_u64(seed),
@@ -171,7 +171,7 @@
             notes: Vec::new(),
             sent: std::collections::BTreeMap::new(),
             seeds: Vec::new(),
-            domains,
+            zones,
             bounds: topazyard_spec::Bounds::default(),
             weighed: std::collections::BTreeMap::new(),
             last_in_force: std::collections::BTreeMap::new(),
@@ -209,7 +209,7 @@
 
     fn happen(&mut self, event: Event) {
         match event {
-            Event::Beat(node, life) => self.beat_node(node, life),
+            Event::Tick(node, life) => self.ticks_node(node, life),
             Event::Frame { to, from, sender, message } => self.deliver(to, from, sender, message),
             Event::Synced(node, write) => self.sync(node, write),
             Event::Session(session, event) => self.session_event(session, event),
--- a/fleet-simulator/src/world/network.rs
+++ b/fleet-simulator/src/world/network.rs
@@ -114,9 +114,9 @@
 fn kind_of(message: &topazyard_wire::Message) -> &'static str {
     use topazyard_wire::Message;
     match message {
-        Message::Cohort(_) => "cohort",
+        Message::Membership(_) => "membership",
         Message::Core(_) => "core",
-        Message::Pair(_) => "pair",
+        Message::Replica(_) => "replica",
         Message::Feed(_) => "feed",
         Message::Wish(_) => "wish",
         Message::Operate(_) => "operate",
--- a/fleet-simulator/src/world/nodes/mod.rs
+++ b/fleet-simulator/src/world/nodes/mod.rs
@@ -14,7 +14,7 @@
 use topazyard_types::{CallId, NodeId};
 use topazyard_wire::RowChange;
 use topazyard_wire::driver::DiskStart;
-use topazyard_wire::message::cohort::{Duty, Member};
+use topazyard_wire::message::membership::{Duty, Member};
 
 /// Names a process in the world.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -60,8 +60,8 @@
     pub address: std::net::SocketAddr,
     /// Its neighbour, for relays and agents.
     pub beside: Option<std::net::SocketAddr>,
-    /// Its failure domain.
-    pub domain: u16,
+    /// Its failure zone.
+    pub zone: u16,
     /// The seeds in its settings: where control nodes were when it was set up.
     seeds: Vec<std::net::SocketAddr>,
     /// Its disk.
@@ -100,7 +100,7 @@
         kind: Kind,
         port: u16,
         beside: Option<u16>,
-        domain: u16,
+        zone: u16,
     ) -> NodeIndex {
         let at = |port: u16| std::net::SocketAddr::from(([10, 0, 0, 1], port));
         let seeds = self.seeds.clone();
@@ -109,7 +109,7 @@
             kind,
             address: at(port),
             beside: beside.map(at),
-            domain,
+            zone,
             seeds,
             disk: Disk::default(),
             body: Body::Off,
@@ -170,7 +170,7 @@
             address: node.address,
             http: None,
             duty,
-            domain: topazyard_types::DomainName(format!("domain-{}", node.domain)),
+            zone: topazyard_types::ZoneName(format!("zone-{}", node.zone)),
         };
         let loaded = node.disk.synced.clone();
         let bounds = self.bounds.clone();
@@ -215,8 +215,8 @@
         for effect in first {
             self.make_control(index, effect);
         }
-        let offset = self.draw(0..steps::BEAT_US);
-        self.after(offset, Event::Beat(index, life));
+        let offset = self.draw(0..steps::TICK_US);
+        self.after(offset, Event::Tick(index, life));
     }
 
     /// Ends a process; `power` says whether the power goes with it.
--- a/fleet-simulator/src/world/nodes/steps.rs
+++ b/fleet-simulator/src/world/nodes/steps.rs
@@ -8,8 +8,8 @@
 use topazyard_wire::message::operate::{Operate, OperateOutcome};
 use topazyard_wire::{Effect, Input, Machine as _, Message, WriteToken};
 
-/// How often a process beats.
-pub(super) const BEAT_US: u64 = 25_000;
+/// How often a process ticks.
+pub(super) const TICK_US: u64 = 25_000;
 
 /// What a machine put out, whichever machine it is.
 enum Outcome {
@@ -18,18 +18,18 @@
 }
 
 impl World {
-    pub(crate) fn beat_node(&mut self, index: NodeIndex, life: u64) {
+    pub(crate) fn ticks_node(&mut self, index: NodeIndex, life: u64) {
         if self.nodes[index.0].life != life {
             return;
         }
-        if self.defer_if_frozen(index, || Event::Beat(index, life)) {
+        if self.defer_if_frozen(index, || Event::Tick(index, life)) {
             return;
         }
-        self.step(index, StepInput::Beat);
+        self.step(index, StepInput::Tick);
         if self.has_orders() {
             self.extend_in_force(index);
         }
-        self.after(BEAT_US, Event::Beat(index, life));
+        self.after(TICK_US, Event::Tick(index, life));
     }
 
     pub(crate) fn deliver(
@@ -254,7 +254,7 @@
 
 /// What a machine is told, whichever it is.
 enum StepInput {
-    Beat,
+    Tick,
     Frame(NodeId, std::net::SocketAddr, Message),
     Written(WriteToken),
     Disk(DiskState),
@@ -266,7 +266,7 @@
     /// The input of a machine that takes no calls here.
     fn into_plain<C>(self) -> Option<Input<C>> {
         match self {
-            Self::Beat => Some(Input::Beat),
+            Self::Tick => Some(Input::Tick),
             Self::Frame(sender, from, message) => Some(Input::Frame { sender, from, message }),
             Self::Written(token) => Some(Input::Written(token)),
             Self::Disk(state) => Some(Input::Disk(state)),
--- a/fleet-simulator/src/world/sessions.rs
+++ b/fleet-simulator/src/world/sessions.rs
@@ -40,7 +40,7 @@
     Broken(u32),
     /// The head of the return was waited for long enough.
     HeadLate(u32),
-    /// The visitor's wait is over.
+    /// The client's wait is over.
     Deadline,
 }
 
@@ -117,14 +117,14 @@
         let id = PromptId(at as u64 + 1);
         self.call_relay(node, RelayCall::Ended(id, engine_use), Caller::Nobody);
         let way = self.way();
-        self.visitor_sees(prompt, self.time + way, end);
+        self.client_sees(prompt, self.time + way, end);
     }
 
-    fn visitor_sees(&mut self, prompt: usize, at: Us, end: PromptEnd) {
+    fn client_sees(&mut self, prompt: usize, at: Us, end: PromptEnd) {
         let seen = &mut self.history.prompts[prompt];
         if seen.end.is_none() {
             let gave_up = seen.sent + seen.wait + 1_500_000;
-            // A visitor that waited far beyond its time has hung up.
+            // A client that waited far beyond its time has hung up.
             seen.end = Some(if at > gave_up { (gave_up, PromptEnd::Broken) } else { (at, end) });
         }
     }
@@ -187,12 +187,12 @@
         session.got = 0;
         let (body, pieces, tries) = (session.body.clone(), session.pieces, session.tries);
         let name = session.target.as_ref().map(|target| target.engine.clone());
-        let patience = session.chart.patience(now);
+        let timeout = session.chart.timeout(now);
         let Some(engine) = name.and_then(|name| self.engine_named(&name)) else { return };
         let back = RunFor::Session(at, tries);
         let way = self.way_to_engine(Plant::SentLate);
         self.after(way, Event::Engine(EngineEvent::Arrives { engine, body, pieces, back }));
-        self.after(patience.0 * 1_000, Event::Session(at, SessionEvent::HeadLate(tries)));
+        self.after(timeout.0 * 1_000, Event::Session(at, SessionEvent::HeadLate(tries)));
     }
 
     fn way_to_engine(&mut self, late: Plant) -> Us {
@@ -300,7 +300,7 @@
                 if let Some(run) = run {
                     self.close_run(run);
                 }
-                self.visitor_sees(prompt, self.time + 1_000, PromptEnd::Broken);
+                self.client_sees(prompt, self.time + 1_000, PromptEnd::Broken);
             }
         }
         for at in 0..self.item_runs.len() {
--- a/fleet-simulator/tests/lines.rs
+++ b/fleet-simulator/tests/lines.rs
@@ -88,7 +88,7 @@
     the_counters_holders_are_lost: Counter,
     operators_race_while_specs_grow: Operators,
     machines_are_drained_before_they_go: Drains,
-    domains_are_lost_and_cut_off: Domains,
+    domains_are_lost_and_cut_off: Zones,
     every_process_is_restarted_in_turn: Rolling,
     frames_come_twice_and_late_and_clocks_drift: Untidy,
     all_control_processes_are_killed_at_once: Controls,
--- a/fleet-simulator/tests/model.rs
+++ b/fleet-simulator/tests/model.rs
@@ -54,8 +54,8 @@
 }
 
 #[test]
-fn walks_with_beats_under_way_cross_nothing() {
-    cross_nothing(Settings { beats_at_once: false, ..Settings::of(3) }, 1..=60);
+fn walks_with_ticks_under_way_cross_nothing() {
+    cross_nothing(Settings { ticks_at_once: false, ..Settings::of(3) }, 1..=60);
 }
 
 #[test]
--- a/fleet-simulator/tests/planted.rs
+++ b/fleet-simulator/tests/planted.rs
@@ -99,7 +99,7 @@
 }
 
 #[test]
-fn another_visitors_return_is_seen() {
+fn another_clients_return_is_seen() {
     goes_red(Plant::WrongReturn, Scenario::Calm, Line::WrongReturn);
 }
 
--- a/libraries/topazyard-cohort/src/gossip.rs
+++ b/libraries/topazyard-membership/src/gossip.rs
@@ -1,6 +1,6 @@
 //! News that travels with probes, each piece a bounded number of times.
 
-use topazyard_wire::message::cohort::News;
+use topazyard_wire::message::membership::News;
 
 /// Pieces of news in one message.
 const PIECES: usize = 8;
--- a/libraries/topazyard-cohort/src/cohort.rs
+++ b/libraries/topazyard-membership/src/membership.rs
@@ -4,7 +4,7 @@
 use crate::roll::{Known, Roll};
 use rand::seq::{IndexedRandom as _, SliceRandom as _};
 use topazyard_types::{DurationMs, Incarnation, MonotonicMs, NodeId};
-use topazyard_wire::message::cohort::{CohortMessage, Duty, Member, News, Standing};
+use topazyard_wire::message::membership::{Duty, Member, MembershipMessage, News, Standing};
 
 /// How often a member probes another.
 const PROBE_EVERY: DurationMs = DurationMs(400);
@@ -26,7 +26,7 @@
 const OPINIONS: usize = 2;
 
 /// A message and where it goes.
-pub type Outgoing = (std::net::SocketAddr, CohortMessage);
+pub type Outgoing = (std::net::SocketAddr, MembershipMessage);
 
 #[derive(Debug, Clone)]
 struct Probe {
@@ -48,7 +48,7 @@
 
 /// What one node knows of the fleet.
 #[derive(Debug, Clone)]
-pub struct Cohort {
+pub struct Membership {
     own: News,
     roll: Roll,
     gossip: Gossip,
@@ -62,17 +62,17 @@
     last_join: Option<MonotonicMs>,
 }
 
-impl Cohort {
+impl Membership {
     /// A node that knows only its seeds, and addresses it remembered.
     ///
     /// ```
-    /// use topazyard_cohort::Cohort;
+    /// use topazyard_membership::Membership;
     /// use topazyard_types::{MonotonicMs, NodeId};
-    /// use topazyard_wire::message::cohort::{Duty, Member};
+    /// use topazyard_wire::message::membership::{Duty, Member};
     /// let own = Member { id: NodeId(1), name: None, address: "127.0.0.1:1".parse().unwrap(),
-    ///     http: None, duty: Duty::Control, domain: "north".into() };
-    /// let mut cohort = Cohort::new(own, vec!["127.0.0.1:2".parse().unwrap()], 7);
-    /// assert_eq!(cohort.beat(MonotonicMs(1_000)).len(), 1); // asks its seed for the roster
+    ///     http: None, duty: Duty::Control, zone: "north".into() };
+    /// let mut membership = Membership::new(own, vec!["127.0.0.1:2".parse().unwrap()], 7);
+    /// assert_eq!(membership.tick(MonotonicMs(1_000)).len(), 1); // asks its seed for the roster
     /// ```
     pub fn new(own: Member, seeds: Vec<std::net::SocketAddr>, seed: u64) -> Self {
         use rand::SeedableRng as _;
@@ -102,9 +102,9 @@
         self.roll.members.values()
     }
 
-    /// The domain that this member stands in.
-    pub fn own_domain(&self) -> &topazyard_types::DomainName {
-        &self.own.member.domain
+    /// The zone that this member stands in.
+    pub fn own_zone(&self) -> &topazyard_types::ZoneName {
+        &self.own.member.zone
     }
 
     /// How a member stands, if it is known.
@@ -151,7 +151,7 @@
     }
 
     /// Time has passed.
-    pub fn beat(&mut self, now: MonotonicMs) -> Vec<Outgoing> {
+    pub fn tick(&mut self, now: MonotonicMs) -> Vec<Outgoing> {
         let mut out = Vec::new();
         self.join_if_due(now, &mut out);
         self.follow_up_probe(now, &mut out);
@@ -179,7 +179,9 @@
         if !alone {
             ask = ask.choose(&mut self.rng).copied().into_iter().collect();
         }
-        out.extend(ask.into_iter().map(|to| (to, CohortMessage::Join { news: self.own.clone() })));
+        out.extend(
+            ask.into_iter().map(|to| (to, MembershipMessage::Join { news: self.own.clone() })),
+        );
     }
 
     fn begin_probe(&mut self, now: MonotonicMs, out: &mut Vec<Outgoing>) {
@@ -210,7 +212,7 @@
         if target.standing == Standing::Suspect {
             news.push(target);
         }
-        out.push((address, CohortMessage::Probe { nonce, news }));
+        out.push((address, MembershipMessage::Probe { nonce, news }));
     }
 
     fn follow_up_probe(&mut self, now: MonotonicMs, out: &mut Vec<Outgoing>) {
@@ -235,7 +237,7 @@
             out.extend(
                 chosen
                     .into_iter()
-                    .map(|to| (to, CohortMessage::ProbeFor { nonce, target: address })),
+                    .map(|to| (to, MembershipMessage::ProbeFor { nonce, target: address })),
             );
         }
     }
@@ -262,27 +264,27 @@
     pub fn receive(
         &mut self,
         from: std::net::SocketAddr,
-        message: CohortMessage,
+        message: MembershipMessage,
         now: MonotonicMs,
     ) -> Vec<Outgoing> {
         let mut out = Vec::new();
         match message {
-            CohortMessage::Probe { nonce, news } => {
+            MembershipMessage::Probe { nonce, news } => {
                 self.take_news(news, now);
                 let news = self.news_to_send();
-                out.push((from, CohortMessage::ProbeReturn { nonce, news }));
+                out.push((from, MembershipMessage::ProbeReturn { nonce, news }));
             }
-            CohortMessage::ProbeReturn { nonce, news } => {
+            MembershipMessage::ProbeReturn { nonce, news } => {
                 self.take_news(news, now);
                 self.probe.take_if(|probe| probe.nonce == nonce);
                 if let Some(at) = self.errands.iter().position(|errand| errand.nonce == nonce) {
                     let errand = self.errands.swap_remove(at);
                     let news = self.news_to_send();
                     let nonce = errand.asker_nonce;
-                    out.push((errand.asker, CohortMessage::ProbeReturn { nonce, news }));
+                    out.push((errand.asker, MembershipMessage::ProbeReturn { nonce, news }));
                 }
             }
-            CohortMessage::ProbeFor { nonce, target } => {
+            MembershipMessage::ProbeFor { nonce, target } => {
                 let own_nonce = self.next_nonce();
                 self.errands.push(Errand {
                     nonce: own_nonce,
@@ -291,16 +293,16 @@
                     sent: now,
                 });
                 let news = self.news_to_send();
-                out.push((target, CohortMessage::Probe { nonce: own_nonce, news }));
+                out.push((target, MembershipMessage::Probe { nonce: own_nonce, news }));
             }
-            CohortMessage::Join { news } => {
+            MembershipMessage::Join { news } => {
                 self.take_news(vec![news], now);
                 let mut news: Vec<News> =
                     self.roll.members.values().map(|known| known.news.clone()).collect();
                 news.push(self.own.clone());
-                out.push((from, CohortMessage::Roster { news }));
+                out.push((from, MembershipMessage::Roster { news }));
             }
-            CohortMessage::Roster { news } => self.take_news(news, now),
+            MembershipMessage::Roster { news } => self.take_news(news, now),
         }
         out
     }
--- a/libraries/topazyard-cohort/src/roll.rs
+++ b/libraries/topazyard-membership/src/roll.rs
@@ -1,7 +1,7 @@
 //! What is known of each member.
 
 use topazyard_types::{MonotonicMs, NodeId};
-use topazyard_wire::message::cohort::{News, Standing};
+use topazyard_wire::message::membership::{News, Standing};
 
 /// A member as it is known here.
 #[derive(Debug, Clone)]
--- a/libraries/topazyard-replication/src/epoch/propose.rs
+++ b/libraries/topazyard-replication/src/epoch/propose.rs
@@ -1,4 +1,4 @@
-//! The proposer: a member of the old pair that asks the old witnesses for the next record.
+//! The proposer: a member of the old replica that asks the old witnesses for the next record.
 
 use topazyard_types::{DurationMs, Life, MonotonicMs, NodeId};
 use topazyard_wire::message::control::{Ballot, CoreMessage, EpochRecord};
@@ -75,7 +75,7 @@
 
     /// Calls a higher ballot if no decision came. Proposers wait differently long, so that one
     /// of two gets through.
-    pub fn beat(&mut self, now: MonotonicMs) -> Step {
+    pub fn tick(&mut self, now: MonotonicMs) -> Step {
         let apart = DurationMs(AGAIN.0 + self.me.0 % 7 * 50);
         if now.since(self.begun) < apart {
             return Step::Wait;
@@ -129,7 +129,7 @@
                 Step::Decided(record.clone())
             }
             (CoreMessage::Outbid { epoch, promised }, _) if *epoch == next => {
-                // The next beat calls a ballot above the one that outbid this.
+                // The next tick calls a ballot above the one that outbid this.
                 self.ballot.round = self.ballot.round.max(promised.round);
                 self.begun = self.begun.max(MonotonicMs(now.0.saturating_sub(AGAIN.0 / 2)));
                 Step::Wait
--- a/libraries/topazyard-replication/src/follower.rs
+++ b/libraries/topazyard-replication/src/follower.rs
@@ -5,17 +5,17 @@
 
 use topazyard_types::{DurationMs, Life, MonotonicMs};
 use topazyard_wire::RowChange;
-use topazyard_wire::message::feed::{FeedMessage, Matter, SnapshotPart, Vitals};
+use topazyard_wire::message::feed::{FeedMessage, Health, Matter, SnapshotPart};
 
 /// How often a follower asks.
 pub const ASK_EVERY: DurationMs = DurationMs(200);
 /// How often one asks for which something waits.
 const HURRIED_EVERY: DurationMs = DurationMs(50);
 /// How long it waits for a return before it asks elsewhere.
-const PATIENCE: DurationMs = DurationMs(450);
+const TIMEOUT: DurationMs = DurationMs(450);
 /// How long it waits, while it looks for the primary, for one that may not run: whoever is not the
 /// primary says so at once.
-const LOOKING_PATIENCE: DurationMs = DurationMs(100);
+const LOOKING_TIMEOUT: DurationMs = DurationMs(100);
 /// After how long another is asked where one knew of no primary.
 const TURNED_AWAY: DurationMs = DurationMs(50);
 /// After how many rounds of askings it looks less hurriedly.
@@ -110,7 +110,7 @@
     }
 
     /// Whether a snapshot is being fetched: then the next part is to be asked for at once rather
-    /// than at the next beat.
+    /// than at the next tick.
     pub fn is_fetching(&self) -> bool {
         self.fetch.is_some()
     }
@@ -130,10 +130,10 @@
     }
 
     /// Asks if it is time to.
-    pub fn beat(
+    pub fn tick(
         &mut self,
         now: MonotonicMs,
-        vitals: impl FnOnce() -> Vitals,
+        health: impl FnOnce() -> Health,
     ) -> Option<(std::net::SocketAddr, FeedMessage)> {
         if !self.is_due(now) {
             return None;
@@ -155,7 +155,7 @@
         let part = self.fetch.as_ref().and_then(crate::snapshot::Fetch::wanted);
         let heard = self.heard.map(|at| now.since(at));
         let nonce = self.last_nonce;
-        Some((to, FeedMessage::Ask { nonce, after, part, heard, vitals: vitals() }))
+        Some((to, FeedMessage::Ask { nonce, after, part, heard, health: health() }))
     }
 
     /// The node to ask next, which is another one than the leader that was just silent.
@@ -177,8 +177,8 @@
         let others = self.sources.len().saturating_sub(1);
         let is_hurried = self.unanswered <= (HURRIED_ROUNDS * others).max(1);
         let every = match (self.waits, looks) {
-            (true, true) if is_hurried => LOOKING_PATIENCE,
-            (true, _) => PATIENCE,
+            (true, true) if is_hurried => LOOKING_TIMEOUT,
+            (true, _) => TIMEOUT,
             (false, true) => TURNED_AWAY,
             (false, false) if self.hurried => HURRIED_EVERY,
             (false, false) => ASK_EVERY,
--- a/libraries/topazyard-replication/src/lib.rs
+++ b/libraries/topazyard-replication/src/lib.rs
@@ -4,11 +4,11 @@
 pub mod copy;
 pub mod epoch;
 pub mod follower;
-pub mod pair;
+pub mod replica;
 pub mod snapshot;
 
 pub use copy::Copy;
 pub use epoch::{Proposal, Witness};
 pub use follower::Follower;
-pub use pair::{Doubt, Followers, Pair, PairOutput, Ticket};
+pub use replica::{Doubt, Followers, Replica, ReplicaOutput, Ticket};
 pub use snapshot::Snapshot;
--- a/libraries/topazyard-replication/src/pair/follow.rs
+++ b/libraries/topazyard-replication/src/replica/follow.rs
@@ -1,8 +1,8 @@
 //! The follower's side: a backup, or a learner that is to become one.
 
-use super::{Doubt, From, MOST_UNSYNCED, Pair, PairOutput, Role};
+use super::{Doubt, From, MOST_UNSYNCED, Replica, ReplicaOutput, Role};
 use topazyard_types::{Digest, MonotonicMs, NodeId, Place, Sequence};
-use topazyard_wire::message::pair::{PairBody, RangePart};
+use topazyard_wire::message::replica::{RangePart, ReplicaBody};
 
 /// What a follower keeps of its primary.
 #[derive(Debug, Clone)]
@@ -121,13 +121,13 @@
     }
 }
 
-impl Pair {
+impl Replica {
     pub(super) fn follow_receive(
         &mut self,
         from: From,
-        body: PairBody,
+        body: ReplicaBody,
         now: MonotonicMs,
-        out: &mut Vec<PairOutput>,
+        out: &mut Vec<ReplicaOutput>,
     ) {
         let Role::Follower(follow) = &mut self.role else { return };
         if follow.primary != from.id {
@@ -139,14 +139,14 @@
             return;
         }
         match body {
-            PairBody::Append { round, sequence, changes } => {
+            ReplicaBody::Append { round, sequence, changes } => {
                 self.take_append(from, round, sequence, changes, now, out);
             }
-            PairBody::Digests { round, sequence, digests, .. } => {
+            ReplicaBody::Digests { round, sequence, digests, .. } => {
                 follow.begin_comparison(round, sequence, digests);
                 self.compare(from.address, now, out);
             }
-            PairBody::Range(part) => self.take_range(from, part, now, out),
+            ReplicaBody::Range(part) => self.take_range(from, part, now, out),
             _ => {}
         }
     }
@@ -158,7 +158,7 @@
         sequence: Sequence,
         changes: Vec<topazyard_wire::RowChange>,
         now: MonotonicMs,
-        out: &mut Vec<PairOutput>,
+        out: &mut Vec<ReplicaOutput>,
     ) {
         let held = self.copy.place().sequence;
         let in_step = self.was_in_step();
@@ -175,7 +175,7 @@
         let repeated = follow.last_append == Some(round);
         let fits = if changes.is_empty() { sequence == held } else { sequence == held.next() };
         if !in_step || !(fits || repeated) {
-            self.send(from.address, PairBody::OutOfStep, out);
+            self.send(from.address, ReplicaBody::OutOfStep, out);
             return;
         }
         if repeated && follow.appends.iter().any(|(_, _, waiting)| *waiting == round) {
@@ -187,7 +187,7 @@
             self.doubt = if changes.is_empty() { Doubt::Nothing } else { Doubt::LastBatch };
         }
         if changes.is_empty() || repeated {
-            self.send(from.address, PairBody::Appended { round }, out);
+            self.send(from.address, ReplicaBody::Appended { round }, out);
             return;
         }
         let rows = self.copy.apply(self.epoch, sequence, changes);
@@ -197,7 +197,7 @@
                     follow.appends.push((write, from.address, round));
                 }
             }
-            None => self.send(from.address, PairBody::Appended { round }, out),
+            None => self.send(from.address, ReplicaBody::Appended { round }, out),
         }
     }
 
@@ -207,7 +207,7 @@
         &mut self,
         primary: std::net::SocketAddr,
         now: MonotonicMs,
-        out: &mut Vec<PairOutput>,
+        out: &mut Vec<ReplicaOutput>,
     ) {
         self.doubt = Doubt::All;
         let own = self.copy.digests();
@@ -217,7 +217,7 @@
         if !compared.missing.is_empty() {
             let ranges = compared.missing.iter().copied().collect();
             let round = compared.round;
-            self.send(primary, PairBody::Differ { round, ranges }, out);
+            self.send(primary, ReplicaBody::Differ { round, ranges }, out);
             return;
         }
         let Some(compared) = follow.compared.take() else { return };
@@ -240,7 +240,7 @@
         from: From,
         part: RangePart,
         now: MonotonicMs,
-        out: &mut Vec<PairOutput>,
+        out: &mut Vec<ReplicaOutput>,
     ) {
         let Role::Follower(follow) = &mut self.role else { return };
         let Some(compared) = &mut follow.compared else { return };
@@ -259,7 +259,7 @@
         &mut self,
         primary: std::net::SocketAddr,
         round: u64,
-        out: &mut Vec<PairOutput>,
+        out: &mut Vec<ReplicaOutput>,
     ) {
         let sequence = self.copy.place().sequence;
         self.doubt = Doubt::SomeBatch;
@@ -267,10 +267,10 @@
             follow.last_append = None;
             follow.in_step_since = Some(round);
         }
-        self.send(primary, PairBody::InStep { round, sequence }, out);
+        self.send(primary, ReplicaBody::InStep { round, sequence }, out);
     }
 
-    pub(super) fn follow_written(&mut self, number: u64, out: &mut Vec<PairOutput>) {
+    pub(super) fn follow_written(&mut self, number: u64, out: &mut Vec<ReplicaOutput>) {
         let Role::Follower(follow) = &mut self.role else { return };
         let (done, waiting) = std::mem::take(&mut follow.appends)
             .into_iter()
@@ -278,7 +278,7 @@
         follow.appends = waiting;
         let step = follow.step.take_if(|(write, _, _)| *write <= number);
         for (_, to, round) in done {
-            self.send(to, PairBody::Appended { round }, out);
+            self.send(to, ReplicaBody::Appended { round }, out);
         }
         if let Some((_, primary, round)) = step {
             self.say_in_step(primary, round, out);
--- a/libraries/topazyard-replication/src/pair/lead.rs
+++ b/libraries/topazyard-replication/src/replica/lead.rs
@@ -1,10 +1,10 @@
 //! The primary's side: batches, the comparisons that bring backups in step, and the learners.
 
-use super::{Doubt, Followers, From, Pair, PairOutput, Role, Ticket};
+use super::{Doubt, Followers, From, Replica, ReplicaOutput, Role, Ticket};
 use topazyard_types::{DurationMs, MonotonicMs, NodeId, Sequence};
 use topazyard_wire::RowChange;
 use topazyard_wire::message::control::CoreNode;
-use topazyard_wire::message::pair::{Follows, PairBody, Part, RangePart};
+use topazyard_wire::message::replica::{Follows, Part, RangePart, ReplicaBody};
 
 /// After how long an append is sent again.
 const APPEND_AGAIN: DurationMs = DurationMs(100);
@@ -45,11 +45,11 @@
 
 impl Comparison {
     fn is_due_again(&self, now: MonotonicMs) -> bool {
-        let patience = match self.fetches {
+        let timeout = match self.fetches {
             Some(bytes) => DurationMs(FETCH_AGAIN.0 + bytes / BYTES_PER_MS),
             None => COMPARE_AGAIN,
         };
-        now.since(self.begun) >= patience
+        now.since(self.begun) >= timeout
     }
 }
 
@@ -220,7 +220,7 @@
     }
 }
 
-impl Pair {
+impl Replica {
     /// Submits changes; the ticket is committed once all copies have synced them. No changes
     /// make it a confirmed read.
     ///
@@ -252,8 +252,8 @@
     }
 
     /// Begins the next batch, if there is one and none is under way. The owner calls this after
-    /// it has dealt with all that the pair put out, while the copy holds only what is committed.
-    pub fn proceed(&mut self, now: MonotonicMs) -> Vec<PairOutput> {
+    /// it has dealt with all that the replica put out, while the copy holds only what is committed.
+    pub fn proceed(&mut self, now: MonotonicMs) -> Vec<ReplicaOutput> {
         let mut out = Vec::new();
         let Role::Primary(lead) = &mut self.role else { return out };
         let idle = lead.next_tickets.is_empty() && now.since(lead.last_batch) < KEEP_ALIVE;
@@ -289,12 +289,12 @@
     }
 
     /// Sends the batch under way to those backups in step that have not confirmed it.
-    fn send_append(&self, out: &mut Vec<PairOutput>) {
+    fn send_append(&self, out: &mut Vec<ReplicaOutput>) {
         let Role::Primary(lead) = &self.role else { return };
         let Some(batch) = &lead.under_way else { return };
         let owes = |backup: &&Backup| backup.is_in_step() && backup.confirmed != Some(batch.round);
         for backup in lead.backups.iter().filter(owes) {
-            let body = PairBody::Append {
+            let body = ReplicaBody::Append {
                 round: batch.round,
                 sequence: batch.sequence,
                 changes: batch.changes.clone(),
@@ -308,11 +308,11 @@
         with: CoreNode,
         of: Follows,
         now: MonotonicMs,
-        out: &mut Vec<PairOutput>,
+        out: &mut Vec<ReplicaOutput>,
     ) -> Option<Comparison> {
         self.last_round += 1;
         let round = self.last_round;
-        let body = PairBody::Digests {
+        let body = ReplicaBody::Digests {
             round,
             sequence: self.copy.place().sequence,
             digests: self.copy.digests().to_vec(),
@@ -322,7 +322,7 @@
         Some(Comparison { round, begun: now, fetches: None })
     }
 
-    pub(super) fn lead_beat(&mut self, now: MonotonicMs, out: &mut Vec<PairOutput>) {
+    pub(super) fn lead_tick(&mut self, now: MonotonicMs, out: &mut Vec<ReplicaOutput>) {
         let Role::Primary(lead) = &mut self.role else { return };
         if lead.phase != Phase::Stopped {
             let due: Vec<(usize, CoreNode)> = lead
@@ -343,10 +343,10 @@
             self.send_again(now, out);
             self.serve_if_in_step(out);
         }
-        self.learners_beat(now, out);
+        self.learners_tick(now, out);
     }
 
-    fn send_again(&mut self, now: MonotonicMs, out: &mut Vec<PairOutput>) {
+    fn send_again(&mut self, now: MonotonicMs, out: &mut Vec<ReplicaOutput>) {
         let Role::Primary(lead) = &mut self.role else { return };
         if let Some(batch) = &mut lead.under_way
             && now.since(batch.sent) >= APPEND_AGAIN
@@ -356,7 +356,7 @@
         }
     }
 
-    fn learners_beat(&mut self, now: MonotonicMs, out: &mut Vec<PairOutput>) {
+    fn learners_tick(&mut self, now: MonotonicMs, out: &mut Vec<ReplicaOutput>) {
         let Role::Primary(lead) = &mut self.role else { return };
         // Where only a backup out of step keeps the primary from serving, that one comes first.
         if lead.phase == Phase::Comparing && lead.answers {
@@ -393,29 +393,29 @@
     pub(super) fn lead_receive(
         &mut self,
         from: From,
-        body: PairBody,
+        body: ReplicaBody,
         now: MonotonicMs,
-        out: &mut Vec<PairOutput>,
+        out: &mut Vec<ReplicaOutput>,
     ) {
         let Role::Primary(lead) = &mut self.role else { return };
         let (backup, learner) = (lead.backup_at(from.id), lead.learner_at(from.id));
         match (body, backup, learner) {
-            (PairBody::Appended { round }, Some(at), _) => {
+            (ReplicaBody::Appended { round }, Some(at), _) => {
                 let under_way = lead.under_way.as_ref().is_some_and(|b| b.round == round);
                 if under_way && lead.backups[at].is_in_step() {
                     lead.backups[at].confirmed = Some(round);
                 }
                 self.finish_batch(out);
             }
-            (PairBody::OutOfStep, Some(at), _)
+            (ReplicaBody::OutOfStep, Some(at), _)
                 if lead.phase != Phase::Stopped && lead.backups[at].is_in_step() =>
             {
                 lead.backups[at].state = BackupState::Comparing(None, now);
                 lead.backups[at].confirmed = None;
                 lead.phase = Phase::Comparing;
-                self.lead_beat(now, out);
+                self.lead_tick(now, out);
             }
-            (PairBody::Differ { round, ranges }, _, _) if backup.or(learner).is_some() => {
+            (ReplicaBody::Differ { round, ranges }, _, _) if backup.or(learner).is_some() => {
                 let asked = ranges.into_iter().filter(|r| usize::from(*r) < crate::copy::RANGES);
                 let asked: Vec<_> =
                     asked.map(|range| (range, self.copy.range(usize::from(range)))).collect();
@@ -425,10 +425,10 @@
                     self.send_range(from.address, round, range, rows, out);
                 }
             }
-            (PairBody::InStep { round, sequence }, Some(at), _) => {
+            (ReplicaBody::InStep { round, sequence }, Some(at), _) => {
                 self.backup_in_step(at, round, sequence, out);
             }
-            (PairBody::InStep { round, sequence }, _, Some(at)) => {
+            (ReplicaBody::InStep { round, sequence }, _, Some(at)) => {
                 self.learner_in_step(at, round, sequence, now, out);
             }
             _ => {}
@@ -442,13 +442,13 @@
         round: u64,
         range: u16,
         rows: Vec<(String, bytes::Bytes)>,
-        out: &mut Vec<PairOutput>,
+        out: &mut Vec<ReplicaOutput>,
     ) {
         let parts = split_into_parts(rows);
         let of = u32::try_from(parts.len()).unwrap_or(u32::MAX);
         for (number, rows) in (0..).zip(parts) {
             let part = Part { number, of };
-            self.send(to, PairBody::Range(RangePart { round, range, part, rows }), out);
+            self.send(to, ReplicaBody::Range(RangePart { round, range, part, rows }), out);
         }
     }
 
@@ -457,7 +457,7 @@
         at: usize,
         round: u64,
         sequence: Sequence,
-        out: &mut Vec<PairOutput>,
+        out: &mut Vec<ReplicaOutput>,
     ) {
         let held = self.copy.place().sequence;
         let Role::Primary(lead) = &mut self.role else { return };
@@ -473,7 +473,7 @@
     }
 
     /// Begins to serve once all backups are in step.
-    fn serve_if_in_step(&mut self, out: &mut Vec<PairOutput>) {
+    fn serve_if_in_step(&mut self, out: &mut Vec<ReplicaOutput>) {
         let Role::Primary(lead) = &mut self.role else { return };
         if lead.phase != Phase::Comparing || !lead.answers || !lead.all_in_step() {
             return;
@@ -482,7 +482,7 @@
         if lead.under_way.is_none() {
             self.doubt = Doubt::Nothing;
         }
-        out.push(PairOutput::Serving);
+        out.push(ReplicaOutput::Serving);
         self.finish_batch(out);
     }
 
@@ -492,7 +492,7 @@
         round: u64,
         sequence: Sequence,
         now: MonotonicMs,
-        out: &mut Vec<PairOutput>,
+        out: &mut Vec<ReplicaOutput>,
     ) {
         let held = self.copy.place().sequence;
         let Role::Primary(lead) = &mut self.role else { return };
@@ -502,7 +502,7 @@
                     return;
                 }
                 lead.learners[at].learning = Learning::LastRound(None, now);
-                self.learners_beat(now, out);
+                self.learners_tick(now, out);
             }
             // A batch may be under way: it is in the copy, and from here on it is not answered
             // before the next epoch.
@@ -510,14 +510,14 @@
                 lead.learners[at].learning = Learning::Ready(*since);
                 if lead.filled().count() == lead.learners.len() {
                     lead.phase = Phase::Stopped;
-                    out.push(PairOutput::LearnersReady);
+                    out.push(ReplicaOutput::LearnersReady);
                 }
             }
             _ => {}
         }
     }
 
-    pub(super) fn lead_written(&mut self, number: u64, out: &mut Vec<PairOutput>) {
+    pub(super) fn lead_written(&mut self, number: u64, out: &mut Vec<ReplicaOutput>) {
         if let Role::Primary(lead) = &mut self.role
             && let Some(batch) = &mut lead.under_way
         {
@@ -527,7 +527,7 @@
     }
 
     /// The one place where something is said to be committed.
-    fn finish_batch(&mut self, out: &mut Vec<PairOutput>) {
+    fn finish_batch(&mut self, out: &mut Vec<ReplicaOutput>) {
         let Role::Primary(lead) = &mut self.role else { return };
         if !lead.is_serving() {
             return;
@@ -540,7 +540,7 @@
         let Some(batch) = done else { return };
         self.doubt = Doubt::Nothing;
         if !batch.tickets.is_empty() {
-            out.push(PairOutput::Committed(batch.tickets));
+            out.push(ReplicaOutput::Committed(batch.tickets));
         }
     }
 }
--- a/libraries/topazyard-replication/src/pair/mod.rs
+++ b/libraries/topazyard-replication/src/replica/mod.rs
@@ -1,7 +1,7 @@
 //! A primary and its backups: nothing is answered that not all of them have confirmed in the same
 //! epoch.
 //!
-//! The owner tells the pair which role it has in which epoch; the pair keeps the copies in step.
+//! The owner tells the replica which role it has in which epoch; the replica keeps the copies in step.
 //! One batch is under way at a time; what comes meanwhile forms the next. A read is a batch
 //! without changes, so that it is confirmed the same way.
 
@@ -10,7 +10,7 @@
 
 use topazyard_types::{Epoch, Life, MonotonicMs, NodeId};
 use topazyard_wire::message::control::CoreNode;
-use topazyard_wire::message::pair::{PairBody, PairMessage};
+use topazyard_wire::message::replica::{ReplicaBody, ReplicaMessage};
 use topazyard_wire::{Group, RowChange, WriteToken};
 
 pub use lead::Lead;
@@ -22,11 +22,11 @@
 /// Marks something submitted, so that the owner hears when it is committed.
 pub type Ticket = u64;
 
-/// What the pair wants done or has to say.
+/// What the replica wants done or has to say.
 #[derive(Debug)]
-pub enum PairOutput {
+pub enum ReplicaOutput {
     /// Send.
-    Send(std::net::SocketAddr, PairMessage),
+    Send(std::net::SocketAddr, ReplicaMessage),
     /// Write and sync.
     Write(WriteToken, Vec<RowChange>),
     /// These tickets are committed, in the order they came.
@@ -76,7 +76,7 @@
 
 /// One node's part in a group.
 #[derive(Debug, Clone)]
-pub struct Pair {
+pub struct Replica {
     group: Group,
     durable: bool,
     epoch: Epoch,
@@ -100,15 +100,15 @@
     pub address: std::net::SocketAddr,
 }
 
-impl Pair {
+impl Replica {
     /// A node's part in a group, with the copy it holds. Groups that are not durable are kept in
     /// memory only.
     ///
     /// ```
-    /// use topazyard_replication::{Copy, Pair};
+    /// use topazyard_replication::{Copy, Replica};
     /// use topazyard_types::Life;
-    /// let pair = Pair::new(topazyard_wire::Group::Control, true, Copy::default(), Life(1));
-    /// assert!(!pair.is_serving());
+    /// let replica = Replica::new(topazyard_wire::Group::Control, true, Copy::default(), Life(1));
+    /// assert!(!replica.is_serving());
     /// ```
     pub fn new(group: Group, durable: bool, copy: crate::Copy, life: Life) -> Self {
         Self {
@@ -200,12 +200,12 @@
     /// The backups that have owed the primary a confirmation for as long.
     pub fn silent_backups(
         &self,
-        patience: topazyard_types::DurationMs,
+        timeout: topazyard_types::DurationMs,
         now: MonotonicMs,
     ) -> Vec<NodeId> {
         match &self.role {
             Role::Primary(lead) => {
-                let silent = lead.owing().filter(|(_, since)| now.since(*since) >= patience);
+                let silent = lead.owing().filter(|(_, since)| now.since(*since) >= timeout);
                 silent.map(|(id, _)| id).collect()
             }
             _ => Vec::new(),
@@ -232,7 +232,7 @@
     }
 
     /// Becomes nothing to the group in an epoch.
-    pub fn become_idle(&mut self, epoch: Epoch) -> Vec<PairOutput> {
+    pub fn become_idle(&mut self, epoch: Epoch) -> Vec<ReplicaOutput> {
         self.change_role(epoch, Role::Idle)
     }
 
@@ -242,7 +242,7 @@
         epoch: Epoch,
         followers: Followers,
         now: MonotonicMs,
-    ) -> Vec<PairOutput> {
+    ) -> Vec<ReplicaOutput> {
         let carried = match std::mem::replace(&mut self.role, Role::Idle) {
             Role::Primary(lead) => Some(lead),
             other => {
@@ -252,7 +252,7 @@
         };
         let lead = Lead::new(followers, carried, now);
         let mut out = self.change_role(epoch, Role::Primary(Box::new(lead)));
-        self.lead_beat(now, &mut out);
+        self.lead_tick(now, &mut out);
         out
     }
 
@@ -262,7 +262,7 @@
         epoch: Epoch,
         primary: NodeId,
         now: MonotonicMs,
-    ) -> Vec<PairOutput> {
+    ) -> Vec<ReplicaOutput> {
         if let Role::Follower(follow) = &self.role
             && self.epoch == epoch
             && follow.primary == primary
@@ -273,7 +273,7 @@
     }
 
     /// The one place where the role changes. What was under way in a lost role is unknown.
-    fn change_role(&mut self, epoch: Epoch, role: Role) -> Vec<PairOutput> {
+    fn change_role(&mut self, epoch: Epoch, role: Role) -> Vec<ReplicaOutput> {
         self.epoch = epoch;
         self.settled = true;
         let led = matches!(self.role, Role::Primary(_));
@@ -284,7 +284,7 @@
         match std::mem::replace(&mut self.role, role) {
             Role::Primary(lead) => match lead.all_tickets() {
                 tickets if tickets.is_empty() => Vec::new(),
-                tickets => vec![PairOutput::Lost(tickets)],
+                tickets => vec![ReplicaOutput::Lost(tickets)],
             },
             _ => Vec::new(),
         }
@@ -295,9 +295,9 @@
     pub fn receive(
         &mut self,
         from: From,
-        message: PairMessage,
+        message: ReplicaMessage,
         now: MonotonicMs,
-    ) -> Vec<PairOutput> {
+    ) -> Vec<ReplicaOutput> {
         let mut out = Vec::new();
         if message.epoch != self.epoch {
             return out;
@@ -311,16 +311,16 @@
     }
 
     /// Time has passed.
-    pub fn beat(&mut self, now: MonotonicMs) -> Vec<PairOutput> {
+    pub fn tick(&mut self, now: MonotonicMs) -> Vec<ReplicaOutput> {
         let mut out = Vec::new();
         if self.is_primary() {
-            self.lead_beat(now, &mut out);
+            self.lead_tick(now, &mut out);
         }
         out
     }
 
     /// A write is synced.
-    pub fn written(&mut self, number: u64) -> Vec<PairOutput> {
+    pub fn written(&mut self, number: u64) -> Vec<ReplicaOutput> {
         let mut out = Vec::new();
         self.writes.remove(&number);
         match &self.role {
@@ -331,9 +331,9 @@
         out
     }
 
-    fn send(&self, to: std::net::SocketAddr, body: PairBody, out: &mut Vec<PairOutput>) {
-        let message = PairMessage { group: self.group, epoch: self.epoch, body };
-        out.push(PairOutput::Send(to, message));
+    fn send(&self, to: std::net::SocketAddr, body: ReplicaBody, out: &mut Vec<ReplicaOutput>) {
+        let message = ReplicaMessage { group: self.group, epoch: self.epoch, body };
+        out.push(ReplicaOutput::Send(to, message));
     }
 
     /// Writes rows, or gives none where the group is kept in memory only.
@@ -341,7 +341,7 @@
         &mut self,
         changes: Vec<RowChange>,
         now: MonotonicMs,
-        out: &mut Vec<PairOutput>,
+        out: &mut Vec<ReplicaOutput>,
     ) -> Option<u64> {
         if !self.durable || changes.is_empty() {
             return None;
@@ -349,7 +349,7 @@
         self.last_write += 1;
         self.writes.insert(self.last_write, now);
         let token = WriteToken { group: self.group, number: self.last_write };
-        out.push(PairOutput::Write(token, changes));
+        out.push(ReplicaOutput::Write(token, changes));
         Some(self.last_write)
     }
 }
--- a/libraries/topazyard-replication/tests/comparing.rs
+++ b/libraries/topazyard-replication/tests/comparing.rs
@@ -1,10 +1,10 @@
 //! Comparisons: a copy that is brought in step is the old one or the new one, never part of both.
 
-use topazyard_replication::pair::From;
-use topazyard_replication::{Copy, Followers, Pair, PairOutput};
+use topazyard_replication::replica::From;
+use topazyard_replication::{Copy, Followers, Replica, ReplicaOutput};
 use topazyard_types::{Epoch, Life, MonotonicMs, NodeId, Place, Sequence};
 use topazyard_wire::message::control::CoreNode;
-use topazyard_wire::message::pair::{Follows, PairBody, PairMessage, RangePart};
+use topazyard_wire::message::replica::{Follows, RangePart, ReplicaBody, ReplicaMessage};
 use topazyard_wire::{Group, RowChange};
 
 const NOW: MonotonicMs = MonotonicMs(10_000);
@@ -47,18 +47,18 @@
 
 /// A claimer's messages to the copy that it fills, one at a time.
 struct Filling {
-    primary: Pair,
-    learner: Pair,
+    primary: Replica,
+    learner: Replica,
     writes: Vec<Vec<RowChange>>,
-    at_learner: std::collections::VecDeque<PairMessage>,
+    at_learner: std::collections::VecDeque<ReplicaMessage>,
     is_ready: bool,
 }
 
 impl Filling {
     fn new(source: Copy, learner: Copy) -> Self {
         let mut filling = Self {
-            primary: Pair::new(Group::Control, true, source, Life(4 << 40)),
-            learner: Pair::new(Group::Control, true, learner, Life(9 << 40)),
+            primary: Replica::new(Group::Control, true, source, Life(4 << 40)),
+            learner: Replica::new(Group::Control, true, learner, Life(9 << 40)),
             writes: Vec::new(),
             at_learner: Default::default(),
             is_ready: false,
@@ -70,11 +70,11 @@
         filling
     }
 
-    fn take_primary(&mut self, out: Vec<PairOutput>) {
+    fn take_primary(&mut self, out: Vec<ReplicaOutput>) {
         for output in out {
             match output {
-                PairOutput::Send(_, message) => self.at_learner.push_back(message),
-                PairOutput::LearnersReady => self.is_ready = true,
+                ReplicaOutput::Send(_, message) => self.at_learner.push_back(message),
+                ReplicaOutput::LearnersReady => self.is_ready = true,
                 _ => {}
             }
         }
@@ -88,11 +88,11 @@
             let mut more = Vec::new();
             for output in outputs {
                 match output {
-                    PairOutput::Write(token, rows) => {
+                    ReplicaOutput::Write(token, rows) => {
                         self.writes.push(rows);
                         more.extend(self.learner.written(token.number));
                     }
-                    PairOutput::Send(_, message) => {
+                    ReplicaOutput::Send(_, message) => {
                         let out = self.primary.receive(from(2), message, NOW);
                         self.take_primary(out);
                     }
@@ -134,7 +134,7 @@
     // The claimer's digests and all but one of the ranges arrive; then the claimer is gone.
     while filling.at_learner.len() != 1 || filling.writes.is_empty() {
         let last = filling.at_learner.len() == 1
-            && matches!(filling.at_learner[0].body, PairBody::Range(_));
+            && matches!(filling.at_learner[0].body, ReplicaBody::Range(_));
         if last || !filling.step() {
             break;
         }
@@ -155,7 +155,7 @@
     let mut largest = 0;
     let mut parts = 0;
     loop {
-        if let Some(PairBody::Range(RangePart { part, rows, .. })) =
+        if let Some(ReplicaBody::Range(RangePart { part, rows, .. })) =
             filling.at_learner.front().map(|message| &message.body)
         {
             largest = largest.max(rows.iter().map(|(_, value)| value.len()).sum::<usize>());
@@ -198,7 +198,7 @@
             }
             // A last comparison may have to be begun again by the clock.
             for later in 1..40 {
-                let out = filling.primary.beat(MonotonicMs(NOW.0 + later * 500));
+                let out = filling.primary.tick(MonotonicMs(NOW.0 + later * 500));
                 filling.take_primary(out);
                 while filling.step() {}
             }
@@ -211,22 +211,25 @@
 /// A frame of the primary's former life fits the sequence by chance, and is not of this life.
 #[test]
 fn a_batch_of_a_former_life_of_the_primary_is_not_taken() {
-    let mut backup = Pair::new(Group::Control, false, copy_of(1), Life(9 << 40));
+    let mut backup = Replica::new(Group::Control, false, copy_of(1), Life(9 << 40));
     backup.become_follower(Epoch(1), NodeId(1), NOW);
-    let message = |body| PairMessage { group: Group::Control, epoch: Epoch(1), body };
+    let message = |body| ReplicaMessage { group: Group::Control, epoch: Epoch(1), body };
     let held = copy_of(1);
-    let digests = PairBody::Digests {
+    let digests = ReplicaBody::Digests {
         round: 7 << 40,
         sequence: Sequence(1),
         digests: held.digests().to_vec(),
         of: Follows::AsBackup,
     };
     let out = backup.receive(from(1), message(digests), NOW);
-    let in_step = |output: &PairOutput| {
-        matches!(output, PairOutput::Send(_, PairMessage { body: PairBody::InStep { .. }, .. }))
+    let in_step = |output: &ReplicaOutput| {
+        matches!(
+            output,
+            ReplicaOutput::Send(_, ReplicaMessage { body: ReplicaBody::InStep { .. }, .. })
+        )
     };
     assert!(out.iter().any(in_step), "{out:?}");
-    let late = PairBody::Append {
+    let late = ReplicaBody::Append {
         round: (3 << 40) + 9,
         sequence: Sequence(2),
         changes: vec![RowChange::put("row 1", &9_u8)],
@@ -234,7 +237,7 @@
     backup.receive(from(1), message(late), NOW);
     assert_eq!(backup.copy().rows(), held.rows());
     assert_eq!(backup.copy().place(), Place { epoch: Epoch(1), sequence: Sequence(1) });
-    let next = PairBody::Append {
+    let next = ReplicaBody::Append {
         round: (7 << 40) + 1,
         sequence: Sequence(2),
         changes: vec![RowChange::put("row 1", &9_u8)],
@@ -246,15 +249,15 @@
 /// Digests that come again late must not keep a backup from following.
 #[test]
 fn digests_that_come_twice_do_not_stop_a_backup() {
-    let mut backup = Pair::new(Group::Control, false, copy_of(1), Life(9 << 40));
+    let mut backup = Replica::new(Group::Control, false, copy_of(1), Life(9 << 40));
     backup.become_follower(Epoch(1), NodeId(1), NOW);
-    let message = |body| PairMessage { group: Group::Control, epoch: Epoch(1), body };
-    let append = |round: u64, sequence: u64| PairBody::Append {
+    let message = |body| ReplicaMessage { group: Group::Control, epoch: Epoch(1), body };
+    let append = |round: u64, sequence: u64| ReplicaBody::Append {
         round,
         sequence: Sequence(sequence),
         changes: vec![RowChange::put("row 1", &sequence)],
     };
-    let digests = PairBody::Digests {
+    let digests = ReplicaBody::Digests {
         round: 100,
         sequence: Sequence(1),
         digests: copy_of(1).digests().to_vec(),
@@ -264,8 +267,11 @@
     backup.receive(from(1), message(append(101, 2)), NOW);
     backup.receive(from(1), message(digests), NOW);
     let out = backup.receive(from(1), message(append(102, 3)), NOW);
-    let taken = |output: &PairOutput| {
-        matches!(output, PairOutput::Send(_, PairMessage { body: PairBody::Appended { .. }, .. }))
+    let taken = |output: &ReplicaOutput| {
+        matches!(
+            output,
+            ReplicaOutput::Send(_, ReplicaMessage { body: ReplicaBody::Appended { .. }, .. })
+        )
     };
     assert!(out.iter().any(taken), "{out:?}");
     assert_eq!(backup.copy().place().sequence, Sequence(3));
--- a/libraries/topazyard-replication/tests/epochs.rs
+++ b/libraries/topazyard-replication/tests/epochs.rs
@@ -67,7 +67,7 @@
                     proposals[who] = begin(who, &lives, now, &other);
                 }
                 7 => {
-                    if let Step::Say(message) = proposals[who].0.beat(MonotonicMs(now.0 + 2_000)) {
+                    if let Step::Say(message) = proposals[who].0.tick(MonotonicMs(now.0 + 2_000)) {
                         proposals[who].1 = message;
                     }
                 }
--- a/libraries/topazyard-replication/tests/looking.rs
+++ b/libraries/topazyard-replication/tests/looking.rs
@@ -2,7 +2,7 @@
 
 use topazyard_replication::{Follower, follower::Followed};
 use topazyard_types::{Epoch, Life, MonotonicMs, Place, Sequence};
-use topazyard_wire::message::feed::{FeedMessage, Matter, Vitals};
+use topazyard_wire::message::feed::{FeedMessage, Health, Matter};
 
 type Address = std::net::SocketAddr;
 
@@ -29,8 +29,8 @@
         let until = self.now.0 + for_ms;
         while self.now.0 < until {
             self.now.0 += 5;
-            let vitals = || Vitals::Edge { ready: true, waiting: 0, refused: 0 };
-            if let Some((to, FeedMessage::Ask { nonce, .. })) = self.follower.beat(self.now, vitals)
+            let health = || Health::Edge { ready: true, waiting: 0, refused: 0 };
+            if let Some((to, FeedMessage::Ask { nonce, .. })) = self.follower.tick(self.now, health)
             {
                 self.asked.push((to, self.now, nonce));
             }
--- a/libraries/topazyard-replication/tests/remembering.rs
+++ b/libraries/topazyard-replication/tests/remembering.rs
@@ -4,7 +4,7 @@
 use topazyard_replication::{Copy, Follower};
 use topazyard_types::{Epoch, Life, MonotonicMs, Place, Sequence};
 use topazyard_wire::RowChange;
-use topazyard_wire::message::feed::{FeedMessage, Matter, Vitals};
+use topazyard_wire::message::feed::{FeedMessage, Health, Matter};
 
 const MIB: usize = 1024 * 1024;
 
@@ -79,8 +79,8 @@
 /// Takes a follower from its place to that of a copy, as control does, and gives whether it got
 /// everything rather than the changes.
 fn follow(follower: &mut Follower, copy: &Copy, now: MonotonicMs) -> bool {
-    let vitals = || Vitals::Edge { ready: true, waiting: 0, refused: 0 };
-    let (to, asked) = follower.beat(now, vitals).expect("it asks");
+    let health = || Health::Edge { ready: true, waiting: 0, refused: 0 };
+    let (to, asked) = follower.tick(now, health).expect("it asks");
     let FeedMessage::Ask { nonce, after, .. } = asked else { panic!("{asked:?}") };
     let (matter, whole) = match copy.changes_after(after) {
         Some(changes) => (Matter::Changes(changes), false),
--- a/libraries/topazyard-replication/tests/pairs.rs
+++ b/libraries/topazyard-replication/tests/replicas.rs
@@ -1,10 +1,10 @@
 //! Pairs: nothing is committed that the backup has not synced in the same epoch.
 
-use topazyard_replication::pair::From;
-use topazyard_replication::{Copy, Followers, Pair, PairOutput};
+use topazyard_replication::replica::From;
+use topazyard_replication::{Copy, Followers, Replica, ReplicaOutput};
 use topazyard_types::{Epoch, Life, MonotonicMs, NodeId};
 use topazyard_wire::message::control::CoreNode;
-use topazyard_wire::message::pair::{PairBody, PairMessage};
+use topazyard_wire::message::replica::{ReplicaBody, ReplicaMessage};
 use topazyard_wire::{Group, RowChange};
 
 const NOW: MonotonicMs = MonotonicMs(10_000);
@@ -23,15 +23,16 @@
 }
 
 struct Two {
-    primary: Pair,
-    backup: Pair,
+    primary: Replica,
+    backup: Replica,
     committed: Vec<u64>,
 }
 
 impl Two {
     fn new(durable: bool) -> Self {
-        let pair = |life| Pair::new(Group::Control, durable, Copy::default(), Life(life));
-        let mut two = Self { primary: pair(4 << 30), backup: pair(9 << 30), committed: Vec::new() };
+        let replica = |life| Replica::new(Group::Control, durable, Copy::default(), Life(life));
+        let mut two =
+            Self { primary: replica(4 << 30), backup: replica(9 << 30), committed: Vec::new() };
         two.backup.become_follower(Epoch(1), NodeId(1), NOW);
         let out = two.primary.become_primary(Epoch(1), backed_by(2), NOW);
         two.run(true, out, NOW);
@@ -39,30 +40,30 @@
     }
 
     /// Carries all messages both ways and syncs all writes, unless the backup's disk stalls.
-    fn run(&mut self, backup_syncs: bool, first: Vec<PairOutput>, now: MonotonicMs) {
+    fn run(&mut self, backup_syncs: bool, first: Vec<ReplicaOutput>, now: MonotonicMs) {
         let mut at_primary = first;
-        let mut at_backup: Vec<PairOutput> = Vec::new();
+        let mut at_backup: Vec<ReplicaOutput> = Vec::new();
         while !at_primary.is_empty() || !at_backup.is_empty() {
             for output in std::mem::take(&mut at_primary) {
                 match output {
-                    PairOutput::Send(_, message) => {
+                    ReplicaOutput::Send(_, message) => {
                         let from = From { id: NodeId(1), address: node(1).address };
                         at_backup.extend(self.backup.receive(from, message, now));
                     }
-                    PairOutput::Write(token, _) => {
+                    ReplicaOutput::Write(token, _) => {
                         at_primary.extend(self.primary.written(token.number));
                     }
-                    PairOutput::Committed(tickets) => self.committed.extend(tickets),
+                    ReplicaOutput::Committed(tickets) => self.committed.extend(tickets),
                     _ => {}
                 }
             }
             for output in std::mem::take(&mut at_backup) {
                 match output {
-                    PairOutput::Send(_, message) => {
+                    ReplicaOutput::Send(_, message) => {
                         let from = From { id: NodeId(2), address: node(2).address };
                         at_primary.extend(self.primary.receive(from, message, now));
                     }
-                    PairOutput::Write(token, _) if backup_syncs => {
+                    ReplicaOutput::Write(token, _) if backup_syncs => {
                         at_backup.extend(self.backup.written(token.number));
                     }
                     _ => {}
@@ -100,15 +101,15 @@
 fn a_late_frame_of_a_lower_epoch_changes_nothing() {
     let mut two = Two::new(true);
     two.submit(1, "a", true);
-    // The same pair in the next epoch; then a batch of the one before arrives after all.
+    // The same replica in the next epoch; then a batch of the one before arrives after all.
     let out = two.primary.become_primary(Epoch(2), backed_by(2), NOW);
     two.backup.become_follower(Epoch(2), NodeId(1), NOW);
     two.run(true, out, NOW);
     let place = two.backup.copy().place();
-    let late = PairMessage {
+    let late = ReplicaMessage {
         group: Group::Control,
         epoch: Epoch(1),
-        body: PairBody::Append {
+        body: ReplicaBody::Append {
             round: 1,
             sequence: place.sequence.next(),
             changes: vec![RowChange::put("late", &1_u8)],
@@ -126,16 +127,16 @@
     // The primary restarts with the same epoch; its disk had synced the change.
     let rows = two.primary.copy().rows().clone();
     let copy = Copy::loaded(rows);
-    two.primary = Pair::new(Group::Control, true, copy, Life(77 << 30));
+    two.primary = Replica::new(Group::Control, true, copy, Life(77 << 30));
     two.primary.become_primary(Epoch(1), backed_by(2), NOW);
     assert!(two.primary.submit(2, vec![RowChange::put("b", &1_u8)]));
     // Every confirmation that the backup could still owe the former life arrives now.
     let from = From { id: NodeId(2), address: node(2).address };
     for round in (4_u64 << 29)..(4 << 29) + 50 {
-        let body = PairBody::Appended { round };
-        let message = PairMessage { group: Group::Control, epoch: Epoch(1), body };
+        let body = ReplicaBody::Appended { round };
+        let message = ReplicaMessage { group: Group::Control, epoch: Epoch(1), body };
         let out = two.primary.receive(from, message, NOW);
-        assert!(out.iter().all(|output| !matches!(output, PairOutput::Committed(_))));
+        assert!(out.iter().all(|output| !matches!(output, ReplicaOutput::Committed(_))));
     }
 }
 
@@ -151,8 +152,8 @@
             Copy::loaded(rows.collect())
         };
         let mut two = Two::new(true);
-        two.primary = Pair::new(Group::Control, true, copy(ours), Life(3 << 30));
-        two.backup = Pair::new(Group::Control, true, copy(theirs), Life(5 << 30));
+        two.primary = Replica::new(Group::Control, true, copy(ours), Life(3 << 30));
+        two.backup = Replica::new(Group::Control, true, copy(theirs), Life(5 << 30));
         two.backup.become_follower(Epoch(1), NodeId(1), NOW);
         let out = two.primary.become_primary(Epoch(1), backed_by(2), NOW);
         two.run(true, out, NOW);
@@ -165,7 +166,7 @@
 fn a_learner_is_ready_only_with_everything_and_stops_the_primary() {
     let mut two = Two::new(true);
     two.submit(1, "a", true);
-    let mut learner = Pair::new(Group::Control, true, Copy::default(), Life(6 << 30));
+    let mut learner = Replica::new(Group::Control, true, Copy::default(), Life(6 << 30));
     learner.become_follower(Epoch(2), NodeId(1), NOW);
     two.backup.become_idle(Epoch(2));
     let mut out = two.primary.become_primary(Epoch(2), filling(3), NOW);
@@ -174,21 +175,23 @@
         let mut back = Vec::new();
         for output in std::mem::take(&mut out) {
             match output {
-                PairOutput::Send(_, message) => {
+                ReplicaOutput::Send(_, message) => {
                     let from = From { id: NodeId(1), address: node(1).address };
                     back.extend(learner.receive(from, message, NOW));
                 }
-                PairOutput::LearnersReady => ready = two.primary.filled_learners() == [NodeId(3)],
+                ReplicaOutput::LearnersReady => {
+                    ready = two.primary.filled_learners() == [NodeId(3)]
+                }
                 _ => {}
             }
         }
         while let Some(output) = back.pop() {
             match output {
-                PairOutput::Send(_, message) => {
+                ReplicaOutput::Send(_, message) => {
                     let from = From { id: NodeId(3), address: node(3).address };
                     out.extend(two.primary.receive(from, message, NOW));
                 }
-                PairOutput::Write(token, _) => back.extend(learner.written(token.number)),
+                ReplicaOutput::Write(token, _) => back.extend(learner.written(token.number)),
                 _ => {}
             }
         }
--- a/libraries/topazyard-replication/tests/several.rs
+++ b/libraries/topazyard-replication/tests/several.rs
@@ -1,7 +1,7 @@
 //! As many backups as machines may be lost: none, one and two, all of which confirm each batch.
 
-use topazyard_replication::pair::From;
-use topazyard_replication::{Copy, Followers, Pair, PairOutput};
+use topazyard_replication::replica::From;
+use topazyard_replication::{Copy, Followers, Replica, ReplicaOutput};
 use topazyard_types::{DurationMs, Epoch, Life, MonotonicMs, NodeId};
 use topazyard_wire::message::control::CoreNode;
 use topazyard_wire::{Group, RowChange};
@@ -16,7 +16,7 @@
 
 /// A primary (node 1), its backups (from 2 on) and its learners after them.
 struct Fleet {
-    nodes: std::collections::BTreeMap<u64, Pair>,
+    nodes: std::collections::BTreeMap<u64, Replica>,
     /// Nodes that hear and say nothing.
     cut: std::collections::BTreeSet<u64>,
     /// Nodes whose disks sync nothing.
@@ -27,10 +27,10 @@
 
 impl Fleet {
     fn new(backups: u64, learners: u64, answers: bool) -> Self {
-        let pair = |id: u64| Pair::new(Group::Control, true, Copy::default(), Life(id << 30));
+        let replica = |id: u64| Replica::new(Group::Control, true, Copy::default(), Life(id << 30));
         let last = PRIMARY + backups + learners;
         let mut fleet = Self {
-            nodes: (PRIMARY..=last).map(|id| (id, pair(id))).collect(),
+            nodes: (PRIMARY..=last).map(|id| (id, replica(id))).collect(),
             cut: Default::default(),
             stalled: Default::default(),
             committed: Vec::new(),
@@ -49,17 +49,17 @@
         fleet
     }
 
-    fn node(&mut self, id: u64) -> &mut Pair {
+    fn node(&mut self, id: u64) -> &mut Replica {
         self.nodes.get_mut(&id).expect("a node of the fleet")
     }
 
     /// Carries all messages and syncs all writes, but for what is cut or stalled.
-    fn run(&mut self, of: u64, first: Vec<PairOutput>, now: MonotonicMs) {
-        let mut waiting: std::collections::VecDeque<(u64, PairOutput)> =
+    fn run(&mut self, of: u64, first: Vec<ReplicaOutput>, now: MonotonicMs) {
+        let mut waiting: std::collections::VecDeque<(u64, ReplicaOutput)> =
             first.into_iter().map(|output| (of, output)).collect();
         while let Some((id, output)) = waiting.pop_front() {
             let (to, more) = match output {
-                PairOutput::Send(to, message) => {
+                ReplicaOutput::Send(to, message) => {
                     let to = u64::from(to.port());
                     if self.cut.contains(&id) || self.cut.contains(&to) {
                         continue;
@@ -67,14 +67,14 @@
                     let from = From { id: NodeId(id), address: node(id).address };
                     (to, self.node(to).receive(from, message, now))
                 }
-                PairOutput::Write(token, _) if !self.stalled.contains(&id) => {
+                ReplicaOutput::Write(token, _) if !self.stalled.contains(&id) => {
                     (id, self.node(id).written(token.number))
                 }
-                PairOutput::Committed(tickets) => {
+                ReplicaOutput::Committed(tickets) => {
                     self.committed.extend(tickets);
                     continue;
                 }
-                PairOutput::LearnersReady => {
+                ReplicaOutput::LearnersReady => {
                     self.learners_ready = true;
                     continue;
                 }
@@ -91,8 +91,8 @@
         self.run(PRIMARY, out, NOW);
     }
 
-    fn beat(&mut self, now: MonotonicMs) {
-        let out = self.node(PRIMARY).beat(now);
+    fn tick(&mut self, now: MonotonicMs) {
+        let out = self.node(PRIMARY).tick(now);
         self.run(PRIMARY, out, now);
     }
 }
@@ -123,18 +123,18 @@
 
 #[test]
 fn only_the_backups_that_owe_a_confirmation_are_named_silent() {
-    let patience = DurationMs(500);
-    let late = NOW.plus(patience);
+    let timeout = DurationMs(500);
+    let late = NOW.plus(timeout);
     let mut fleet = Fleet::new(2, 0, true);
     fleet.cut.insert(3);
     fleet.submit(1, "a");
-    assert_eq!(fleet.node(PRIMARY).silent_backups(patience, NOW), []);
-    assert_eq!(fleet.node(PRIMARY).silent_backups(patience, late), [NodeId(3)]);
+    assert_eq!(fleet.node(PRIMARY).silent_backups(timeout, NOW), []);
+    assert_eq!(fleet.node(PRIMARY).silent_backups(timeout, late), [NodeId(3)]);
     fleet.cut.insert(2);
     let mut both = Fleet::new(2, 0, true);
     both.cut.extend([2, 3]);
     both.submit(1, "a");
-    assert_eq!(both.node(PRIMARY).silent_backups(patience, late), [NodeId(2), NodeId(3)]);
+    assert_eq!(both.node(PRIMARY).silent_backups(timeout, late), [NodeId(2), NodeId(3)]);
 }
 
 #[test]
@@ -144,7 +144,7 @@
     fleet.submit(1, "a");
     assert!(fleet.committed.is_empty());
     fleet.cut.clear();
-    fleet.beat(MonotonicMs(NOW.0 + 200));
+    fleet.tick(MonotonicMs(NOW.0 + 200));
     assert_eq!(fleet.committed, [1]);
 }
 
@@ -153,13 +153,13 @@
     let mut fleet = Fleet::new(2, 0, true);
     // Node 3 restarts with what it had synced and hears of its role again.
     let rows = fleet.node(3).copy().rows().clone();
-    fleet.nodes.insert(3, Pair::new(Group::Control, true, Copy::loaded(rows), Life(77 << 30)));
+    fleet.nodes.insert(3, Replica::new(Group::Control, true, Copy::loaded(rows), Life(77 << 30)));
     fleet.node(3).become_follower(Epoch(1), NodeId(PRIMARY), NOW);
     fleet.stalled.insert(3);
     fleet.submit(1, "a");
     assert!(fleet.committed.is_empty() && !fleet.node(PRIMARY).is_serving());
     fleet.stalled.clear();
-    fleet.beat(MonotonicMs(NOW.0 + 1_000));
+    fleet.tick(MonotonicMs(NOW.0 + 1_000));
     assert!(fleet.node(PRIMARY).is_serving());
     assert_eq!(fleet.committed, [1]);
     assert!(fleet.node(3).copy().rows().contains_key("a"));
@@ -170,7 +170,7 @@
     for backups in 0..=1 {
         let mut fleet = Fleet::new(backups, 0, false);
         fleet.submit(1, "a");
-        fleet.beat(MonotonicMs(NOW.0 + 1_000));
+        fleet.tick(MonotonicMs(NOW.0 + 1_000));
         assert!(fleet.committed.is_empty() && !fleet.node(PRIMARY).is_serving());
     }
 }
@@ -182,8 +182,8 @@
     let mut fleet = Fleet::new(1, 2, false);
     assert!(fleet.learners_ready);
     assert_eq!(fleet.node(PRIMARY).filled_learners(), [NodeId(3), NodeId(4)]);
-    let pair = |id: u64| Pair::new(Group::Control, true, Copy::default(), Life(id << 30));
-    fleet.nodes = (1..=3).map(|id| (id, pair(id))).collect();
+    let replica = |id: u64| Replica::new(Group::Control, true, Copy::default(), Life(id << 30));
+    fleet.nodes = (1..=3).map(|id| (id, replica(id))).collect();
     fleet.learners_ready = false;
     fleet.cut.insert(3);
     for id in 2..=3 {
@@ -195,7 +195,7 @@
     assert!(!fleet.learners_ready);
     assert_eq!(fleet.node(PRIMARY).filled_learners(), [NodeId(2)]);
     fleet.cut.clear();
-    fleet.beat(MonotonicMs(NOW.0 + 100));
+    fleet.tick(MonotonicMs(NOW.0 + 100));
     assert!(fleet.learners_ready);
 }
 
@@ -217,7 +217,7 @@
                         let change = RowChange::put(format!("row/{ticket}"), &ticket);
                         fleet.node(PRIMARY).submit(ticket, vec![change]);
                     }
-                    _ => fleet.beat(now),
+                    _ => fleet.tick(now),
                 }
                 let out = fleet.node(PRIMARY).proceed(now);
                 fleet.run(PRIMARY, out, now);
--- a/libraries/topazyard-spec/src/bundle.rs
+++ b/libraries/topazyard-spec/src/bundle.rs
@@ -48,8 +48,8 @@
     pub hold_expiry_ms: u64,
     /// How many prompts a relay lets wait briefly.
     #[garde(range(min = 0, max = 10_000))]
-    #[serde(default = "default_inbox")]
-    pub inbox_depth: u32,
+    #[serde(default = "default_queue")]
+    pub queue_depth: u32,
     /// The most connections that all nodes together may hold to one engine; 0 where it isn't said.
     #[garde(skip)]
     #[serde(default)]
@@ -167,7 +167,7 @@
 fn default_expiry() -> u64 {
     60_000
 }
-fn default_inbox() -> u32 {
+fn default_queue() -> u32 {
     100
 }
 fn default_value() -> u32 {
@@ -234,7 +234,7 @@
             name,
             limit_tokens: default_limit(),
             hold_expiry_ms: default_expiry(),
-            inbox_depth: default_inbox(),
+            queue_depth: default_queue(),
             max_connections: 0,
             engine: None,
         }
--- a/libraries/topazyard-spec/src/engines.rs
+++ b/libraries/topazyard-spec/src/engines.rs
@@ -25,9 +25,9 @@
     pub models: Vec<ModelName>,
     /// Whether it may be given work.
     pub state: EngineState,
-    /// The failure domain that it runs in, where the platform says so.
+    /// The failure zone that it runs in, where the platform says so.
     #[serde(default)]
-    pub domain: Option<topazyard_types::DomainName>,
+    pub zone: Option<topazyard_types::ZoneName>,
     /// Requests that it works on at once; 0 where nobody says it.
     #[serde(default)]
     pub slots: u32,
--- a/libraries/topazyard-spec/src/settings/bounds.rs
+++ b/libraries/topazyard-spec/src/settings/bounds.rs
@@ -31,8 +31,8 @@
     pub settle: DurationMs,
     /// Machines with a disk that may be lost at the same time.
     pub lost_machines: u16,
-    /// Domains that may be lost at the same time.
-    pub lost_domains: u16,
+    /// Zones that may be lost at the same time.
+    pub lost_zones: u16,
 }
 
 impl Default for Bounds {
@@ -51,7 +51,7 @@
             cancel: DurationMs(3_000),
             settle: DurationMs(1_000),
             lost_machines: 1,
-            lost_domains: 0,
+            lost_zones: 0,
         }
     }
 }
--- a/libraries/topazyard-spec/src/settings/check.rs
+++ b/libraries/topazyard-spec/src/settings/check.rs
@@ -1,6 +1,6 @@
 //! Settings after they were checked.
 
-use topazyard_types::{DomainName, FleetId};
+use topazyard_types::{FleetId, ZoneName};
 
 /// A process's place, checked.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -15,8 +15,8 @@
     pub http: Option<std::net::SocketAddr>,
     /// Where readiness is asked, if not at `http`.
     pub ready: Option<std::net::SocketAddr>,
-    /// The failure domain.
-    pub domain: DomainName,
+    /// The failure zone.
+    pub zone: ZoneName,
     /// Control processes to begin with: three, or fewer where the fleet has fewer.
     pub seeds: Vec<std::net::SocketAddr>,
     /// The data folder, for those that keep files.
@@ -129,9 +129,9 @@
         };
         let fleet = FleetId(settings.fleet.ok_or(SettingsError::Missing("fleet"))?);
         let own = settings.address.ok_or(SettingsError::Missing("address"))?;
-        let domain = settings.domain.ok_or(SettingsError::Missing("domain"))?;
-        if domain.is_empty() {
-            return Err(SettingsError::Empty("domain"));
+        let zone = settings.zone.ok_or(SettingsError::Missing("zone"))?;
+        if zone.is_empty() {
+            return Err(SettingsError::Empty("zone"));
         }
         let mut seeds = Vec::new();
         for seed in settings.seeds.ok_or(SettingsError::Missing("seeds"))? {
@@ -149,7 +149,7 @@
             fleet,
             address: address("address", &own)?,
             http: settings.http.map(|text| address("http", &text)).transpose()?,
-            domain: DomainName(domain),
+            zone: ZoneName(zone),
             seeds,
             data: settings.data,
             beside: settings.beside.map(|text| address("beside", &text)).transpose()?,
--- a/libraries/topazyard-spec/src/settings/raw.rs
+++ b/libraries/topazyard-spec/src/settings/raw.rs
@@ -17,9 +17,9 @@
     /// IP:PORT where this process serves HTTP
     #[arg(long)]
     pub http: Option<String>,
-    /// The failure domain this process stands in
+    /// The failure zone this process stands in
     #[arg(long)]
-    pub domain: Option<String>,
+    pub zone: Option<String>,
     /// Three IP:PORT of control processes, separated by commas
     #[arg(long, value_delimiter = ',')]
     pub seeds: Option<Vec<String>>,
@@ -37,9 +37,9 @@
     /// ```
     /// use topazyard_spec::Settings;
     /// let flags = Settings { fleet: Some(7), ..Settings::default() };
-    /// let file = Settings { fleet: Some(1), domain: Some("north".into()), ..Settings::default() };
+    /// let file = Settings { fleet: Some(1), zone: Some("north".into()), ..Settings::default() };
     /// let both = flags.over(file);
-    /// assert_eq!((both.fleet, both.domain.as_deref()), (Some(7), Some("north")));
+    /// assert_eq!((both.fleet, both.zone.as_deref()), (Some(7), Some("north")));
     /// ```
     #[must_use]
     pub fn over(self, file: Self) -> Self {
@@ -48,7 +48,7 @@
             fleet: self.fleet.or(file.fleet),
             address: self.address.or(file.address),
             http: self.http.or(file.http),
-            domain: self.domain.or(file.domain),
+            zone: self.zone.or(file.zone),
             seeds: self.seeds.or(file.seeds),
             data: self.data.or(file.data),
             beside: self.beside.or(file.beside),
--- a/libraries/topazyard-spec/tests/reading.rs
+++ b/libraries/topazyard-spec/tests/reading.rs
@@ -47,7 +47,7 @@
     Settings {
         fleet: Some(7),
         address: Some("127.0.0.1:1".into()),
-        domain: Some("north".into()),
+        zone: Some("north".into()),
         seeds: Some(["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"].map(str::to_owned).into()),
         ..Settings::default()
     }
--- a/libraries/topazyard-types/src/ids.rs
+++ b/libraries/topazyard-types/src/ids.rs
@@ -25,8 +25,8 @@
     CallId, u64
 );
 crate::name_type!(
-    /// A failure domain, such as a zone of machines that may go together.
-    DomainName
+    /// A failure zone, such as a zone of machines that may go together.
+    ZoneName
 );
 crate::name_type!(
     /// An engine's name on the platform's list.
--- a/libraries/topazyard-types/src/lib.rs
+++ b/libraries/topazyard-types/src/lib.rs
@@ -10,8 +10,8 @@
 
 pub use digest::Digest;
 pub use ids::{
-    CallId, DomainName, EngineName, FleetId, HoldId, ItemNumber, LaneName, Life, ModelName, NodeId,
-    ParcelId, PoolName, RouteName, ShardId,
+    CallId, EngineName, FleetId, HoldId, ItemNumber, LaneName, Life, ModelName, NodeId, ParcelId,
+    PoolName, RouteName, ShardId, ZoneName,
 };
 pub use times::{DurationMs, MonotonicMs};
 pub use tokens::Tokens;
--- a/libraries/topazyard-wire/src/api.rs
+++ b/libraries/topazyard-wire/src/api.rs
@@ -48,8 +48,8 @@
     Deadline,
     /// the token budget is used up
     Budget,
-    /// the relay's inbox is full
-    InboxFull,
+    /// the relay's queue is full
+    QueueFull,
     /// the ceiling on waiting parcel work is reached
     ParcelCeiling,
     /// no engine is ready for it
@@ -92,7 +92,7 @@
             Self::NoSuchPath | Self::NoLane | Self::NoRoute | Self::NotFound => 404,
             Self::StaleBase | Self::WrongState | Self::NoRoom | Self::HoldsCopies => 409,
             Self::InvalidSpec => 422,
-            Self::Deadline | Self::Budget | Self::InboxFull | Self::ParcelCeiling => 429,
+            Self::Deadline | Self::Budget | Self::QueueFull | Self::ParcelCeiling => 429,
             Self::NoEngine
             | Self::TurnedAway
             | Self::NoCounter
--- a/libraries/topazyard-wire/src/disk/writer.rs
+++ b/libraries/topazyard-wire/src/disk/writer.rs
@@ -37,7 +37,7 @@
 impl std::error::Error for WriterStopped {}
 
 /// The most writes that may wait for the disk.
-const INBOX: usize = 1024;
+const QUEUE_LIMIT: usize = 1024;
 /// The most writes in one transaction.
 const MOST_IN_BATCH: usize = 256;
 /// How long to wait before a write that found no room is tried again.
@@ -51,7 +51,7 @@
         reopen: impl FnMut() -> Result<redb::Database, DiskError> + Send + 'static,
         tell: impl Fn(DiskEvent) + Send + 'static,
     ) -> Self {
-        let (sender, receiver) = std::sync::mpsc::sync_channel::<DiskWrite>(INBOX);
+        let (sender, receiver) = std::sync::mpsc::sync_channel::<DiskWrite>(QUEUE_LIMIT);
         let mut file = WriterFile { database: Some(database), reopen, tell, is_full: false };
         std::thread::spawn(move || {
             while let Ok(first) = receiver.recv() {
--- a/libraries/topazyard-wire/src/driver/actor.rs
+++ b/libraries/topazyard-wire/src/driver/actor.rs
@@ -6,7 +6,7 @@
 /// What the actor is told.
 pub(crate) enum Signal<M: Machine> {
     /// Time has passed.
-    Beat,
+    Tick,
     /// A frame arrived.
     Frame(crate::Frame),
     /// A write is synced.
@@ -47,9 +47,9 @@
         _: &mut kameo::message::Context<Self, Self::Reply>,
     ) {
         let input = match signal {
-            Signal::Beat => {
+            Signal::Tick => {
                 self.calls.retain(|_, waiting| !waiting.is_closed());
-                Input::Beat
+                Input::Tick
             }
             Signal::Frame(frame) => {
                 Input::Frame { sender: frame.sender, from: frame.address, message: frame.message }
--- a/libraries/topazyard-wire/src/driver/disked.rs
+++ b/libraries/topazyard-wire/src/driver/disked.rs
@@ -2,7 +2,7 @@
 
 use super::{Place, StartError};
 use crate::disk::{DiskError, OpenFile};
-use crate::message::cohort::{Duty, Member};
+use crate::message::membership::{Duty, Member};
 
 /// From what a node with a disk starts.
 #[derive(Debug)]
@@ -112,7 +112,7 @@
         address: settings.address,
         http: settings.http,
         duty,
-        domain: settings.domain.clone(),
+        zone: settings.zone.clone(),
     };
     let place = Place { fleet: settings.fleet, node, address: settings.address };
     let seeds = settings.seeds.clone();
--- a/libraries/topazyard-wire/src/driver/spawn.rs
+++ b/libraries/topazyard-wire/src/driver/spawn.rs
@@ -58,8 +58,8 @@
 }
 
 /// Signals that may wait for the machine.
-const INBOX: usize = 8_192;
-const BEAT_MS: u64 = 25;
+const QUEUE_LIMIT: usize = 8_192;
+const TICK_MS: u64 = 25;
 /// The exit code of a process that could not go on.
 const GAVE_UP: i32 = 70;
 
@@ -90,7 +90,7 @@
     })
 }
 
-/// Starts a machine with its links, disk and beats on a thread of its own. `make` gives the
+/// Starts a machine with its links, disk and ticks on a thread of its own. `make` gives the
 /// machine and its first effects.
 ///
 /// # Errors
@@ -139,7 +139,7 @@
     started: &std::sync::mpsc::SyncSender<kameo::actor::ActorRef<super::actor::Driver<M>>>,
 ) {
     let fleet = driver.place.fleet;
-    let (events_sender, mut events) = tokio::sync::mpsc::channel(INBOX);
+    let (events_sender, mut events) = tokio::sync::mpsc::channel(QUEUE_LIMIT);
     driver.disk = disk.map(|disk| {
         let reopen = move || crate::disk::open::reopen(&disk.folder);
         crate::disk::Writer::start(disk.database, reopen, move |event| {
@@ -148,7 +148,7 @@
         })
     });
     first.into_iter().for_each(|effect| driver.make_happen(effect));
-    let mailbox = kameo::mailbox::bounded(INBOX);
+    let mailbox = kameo::mailbox::bounded(QUEUE_LIMIT);
     let actor = super::actor::Driver::spawn_with_mailbox(driver, mailbox);
     let _ = started.send(actor.clone());
 
@@ -167,14 +167,14 @@
             }
         }
     });
-    let beats = actor.clone();
+    let ticks = actor.clone();
     tokio::spawn(async move {
-        let mut every = tokio::time::interval(std::time::Duration::from_millis(BEAT_MS));
+        let mut every = tokio::time::interval(std::time::Duration::from_millis(TICK_MS));
         every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             every.tick().await;
-            // A beat that doesn't fit is made up for by the next.
-            let _ = beats.tell(super::actor::Signal::Beat).try_send();
+            // A tick that doesn't fit is made up for by the next.
+            let _ = ticks.tell(super::actor::Signal::Tick).try_send();
         }
     });
     let frames = actor.clone();
--- a/libraries/topazyard-wire/src/link/outward.rs
+++ b/libraries/topazyard-wire/src/link/outward.rs
@@ -1,10 +1,10 @@
-//! Links outward: one task per address with a bounded inbox. What doesn't fit or can't be sent is
+//! Links outward: one task per address with a bounded queue. What doesn't fit or can't be sent is
 //! dropped; every protocol here asks again.
 
 use futures_util::{SinkExt as _, StreamExt as _};
 
 /// The most frames that wait for one address.
-const INBOX: usize = 2048;
+const QUEUE_LIMIT: usize = 2048;
 const CONNECT_MS: u64 = 500;
 /// After how long without a word of the other machine another attempt is made beside the first: the
 /// kernel repeats its own only after a second, and a machine that was off may be on again.
@@ -31,8 +31,8 @@
             },
             None => frame,
         };
-        let (sender, receiver) = tokio::sync::mpsc::channel(INBOX);
-        // The inbox is new and empty, so the first frame always fits.
+        let (sender, receiver) = tokio::sync::mpsc::channel(QUEUE_LIMIT);
+        // The queue is new and empty, so the first frame always fits.
         let _ = sender.try_send(frame);
         self.senders.insert(to, sender);
         tokio::spawn(run(to, receiver));
@@ -61,17 +61,17 @@
 }
 
 /// Writes frames until the link breaks or nobody sends any more.
-async fn run(to: std::net::SocketAddr, mut inbox: tokio::sync::mpsc::Receiver<bytes::Bytes>) {
+async fn run(to: std::net::SocketAddr, mut queue: tokio::sync::mpsc::Receiver<bytes::Bytes>) {
     let connected = first_of_several(|| tokio::net::TcpStream::connect(to)).await;
     let Some(stream) = connected else { return };
     let _ = stream.set_nodelay(true);
     let _ = rustix::net::sockopt::set_tcp_user_timeout(&stream, UNCONFIRMED_MS);
     let mut link = tokio_util::codec::FramedWrite::new(stream, super::codec());
     let limit = std::time::Duration::from_millis(WRITE_MS);
-    while let Some(frame) = inbox.recv().await {
+    while let Some(frame) = queue.recv().await {
         let batch = async {
             link.feed(frame).await?;
-            while let Ok(frame) = inbox.try_recv() {
+            while let Ok(frame) = queue.try_recv() {
                 link.feed(frame).await?;
             }
             futures_util::SinkExt::<bytes::Bytes>::flush(&mut link).await
--- a/libraries/topazyard-wire/src/log/ring.rs
+++ b/libraries/topazyard-wire/src/log/ring.rs
@@ -3,7 +3,7 @@
 /// Lines kept.
 const LINES: usize = 2_000;
 /// Lines that may wait for the owner thread.
-const INBOX: usize = 4_096;
+const QUEUE_LIMIT: usize = 4_096;
 
 /// Whether each line also goes to standard output as it comes.
 static TO_OUTPUT: std::sync::atomic::AtomicBool = std::sync::atomic::AtomicBool::new(false);
@@ -43,7 +43,7 @@
         if TO_OUTPUT.load(std::sync::atomic::Ordering::Relaxed) {
             println!("{}", line.text);
         }
-        // A full inbox drops the line: logging never holds work up.
+        // A full queue drops the line: logging never holds work up.
         let _ = self.sender.try_send(line);
         Ok(())
     }
@@ -59,7 +59,7 @@
 /// # Errors
 /// The logger could not be built.
 pub fn start(folder: Option<std::path::PathBuf>) -> Result<(), spdlog::Error> {
-    let (sender, receiver) = std::sync::mpsc::sync_channel(INBOX);
+    let (sender, receiver) = std::sync::mpsc::sync_channel(QUEUE_LIMIT);
     let sink = RingSink { prop: spdlog::sink::SinkProp::default(), sender };
     let logger = spdlog::Logger::builder()
         .sink(std::sync::Arc::new(sink))
--- a/libraries/topazyard-wire/src/machine.rs
+++ b/libraries/topazyard-wire/src/machine.rs
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 pub enum Input<C> {
     /// Time has passed.
-    Beat,
+    Tick,
     /// A frame arrived.
     Frame {
         /// Who sent it.
--- a/libraries/topazyard-wire/src/message/control.rs
+++ b/libraries/topazyard-wire/src/message/control.rs
@@ -1,4 +1,4 @@
-//! Epochs of the control pair, and wishes of shard primaries.
+//! Epochs of the control replica, and wishes of shard primaries.
 
 use topazyard_types::{Epoch, Life, NodeId, ShardId};
 
@@ -98,13 +98,13 @@
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum CoreMessage {
     /// I am here and know this record.
-    Beat {
+    Heartbeat {
         /// The newest record decided, as far as the sender knows.
         record: Option<EpochRecord>,
         /// Core nodes the sender has lately heard.
         heard: Vec<CoreNode>,
         /// The sender's zone.
-        zone: topazyard_types::DomainName,
+        zone: topazyard_types::ZoneName,
         /// Whether its disk takes writes: without them it can neither vote nor hold a copy.
         takes_writes: bool,
     },
--- a/libraries/topazyard-wire/src/message/feed.rs
+++ b/libraries/topazyard-wire/src/message/feed.rs
@@ -16,9 +16,9 @@
         /// How old the last return is that the asking node got, if it got any.
         heard: Option<topazyard_types::DurationMs>,
         /// How the asking node fares.
-        vitals: Vitals,
+        health: Health,
     },
-    /// All up to `place`, confirmed by the pair after the asking.
+    /// All up to `place`, confirmed by the replica after the asking.
     News {
         /// Of which asking.
         nonce: u64,
@@ -72,7 +72,7 @@
 
 /// How the asking node fares.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub enum Vitals {
+pub enum Health {
     /// An edge node: what waits there and what it holds.
     Edge {
         /// Whether its relay is ready.
@@ -85,7 +85,7 @@
     /// A storage node.
     Storage {
         /// Who and where it is.
-        member: crate::message::cohort::Member,
+        member: crate::message::membership::Member,
         /// How its disk fares.
         disk: crate::disk::DiskState,
         /// How long the oldest write not yet synced has taken.
--- a/libraries/topazyard-wire/src/message/cohort.rs
+++ b/libraries/topazyard-wire/src/message/membership.rs
@@ -1,6 +1,6 @@
 //! Membership: probes to a few in turn, second opinions, news that spreads with them.
 
-use topazyard_types::{DomainName, Incarnation, NodeId};
+use topazyard_types::{Incarnation, NodeId, ZoneName};
 
 /// What a member does in the fleet.
 #[derive(
@@ -12,7 +12,7 @@
     Control,
     /// Keeps shards.
     Storage,
-    /// Serves visitors; its agent answers for it.
+    /// Serves clients; its agent answers for it.
     Edge,
 }
 
@@ -29,8 +29,8 @@
     pub http: Option<std::net::SocketAddr>,
     /// What it does.
     pub duty: Duty,
-    /// Its failure domain.
-    pub domain: DomainName,
+    /// Its failure zone.
+    pub zone: ZoneName,
 }
 
 /// How a member stands.
@@ -60,7 +60,7 @@
 
 /// What members say.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub enum CohortMessage {
+pub enum MembershipMessage {
     /// Are you there?
     Probe {
         /// Marks the return.
--- a/libraries/topazyard-wire/src/message/mod.rs
+++ b/libraries/topazyard-wire/src/message/mod.rs
@@ -1,13 +1,13 @@
 //! What the system's own processes say to each other.
 
-pub mod cohort;
 pub mod confirm;
 pub mod control;
 pub mod counter;
 pub mod feed;
+pub mod membership;
 pub mod operate;
-pub mod pair;
 pub mod parcel;
+pub mod replica;
 
 use topazyard_types::{FleetId, NodeId};
 
@@ -36,11 +36,11 @@
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Message {
     /// Membership.
-    Cohort(cohort::CohortMessage),
-    /// Epochs of the control pair.
+    Membership(membership::MembershipMessage),
+    /// Epochs of the control replica.
     Core(control::CoreMessage),
     /// A primary, its backups and its learners.
-    Pair(pair::PairMessage),
+    Replica(replica::ReplicaMessage),
     /// The numbered feed of control state.
     Feed(feed::FeedMessage),
     /// A shard primary's wish for another record.
@@ -74,12 +74,12 @@
     /// The frame's bytes.
     ///
     /// ```
-    /// use topazyard_wire::message::{cohort::CohortMessage, Frame, Message, FRAME_VERSION};
+    /// use topazyard_wire::message::{membership::MembershipMessage, Frame, Message, FRAME_VERSION};
     /// use topazyard_types::{FleetId, NodeId};
     /// let frame = Frame {
     ///     version: FRAME_VERSION, fleet: FleetId(7), sender: NodeId(1),
     ///     address: "127.0.0.1:9000".parse().unwrap(),
-    ///     message: Message::Cohort(CohortMessage::Probe { nonce: 1, news: vec![] }),
+    ///     message: Message::Membership(MembershipMessage::Probe { nonce: 1, news: vec![] }),
     /// };
     /// assert_eq!(Frame::decode(&frame.encode(), FleetId(7)), Ok(frame.clone()));
     /// assert!(Frame::decode(&frame.encode(), FleetId(8)).is_err());
--- a/libraries/topazyard-wire/src/message/pair.rs
+++ b/libraries/topazyard-wire/src/message/replica.rs
@@ -2,15 +2,15 @@
 
 use topazyard_types::{Digest, Epoch, Sequence};
 
-/// A message of one group's pair, under its epoch.
+/// A message of one group's replica, under its epoch.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct PairMessage {
+pub struct ReplicaMessage {
     /// Which group.
     pub group: crate::Group,
     /// The epoch; a lower one is refused.
     pub epoch: Epoch,
     /// What is said.
-    pub body: PairBody,
+    pub body: ReplicaBody,
 }
 
 /// What a node is to the primary that it is compared with.
@@ -44,16 +44,16 @@
     pub rows: Vec<(String, bytes::Bytes)>,
 }
 
-impl PairBody {
+impl ReplicaBody {
     /// Whether only a backup may be told this: one that knows the record that names it.
     pub fn is_for_backups(&self) -> bool {
         matches!(self, Self::Append { .. } | Self::Digests { of: Follows::AsBackup, .. })
     }
 }
 
-/// What a pair says.
+/// What a replica says.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub enum PairBody {
+pub enum ReplicaBody {
     /// Take these changes; no changes ask only for a confirmation.
     Append {
         /// Marks the confirmation.
--- a/libraries/topazyard-wire/src/rows.rs
+++ b/libraries/topazyard-wire/src/rows.rs
@@ -50,7 +50,7 @@
     postcard::from_bytes(bytes).ok()
 }
 
-/// A group of rows kept together: one table on disk, one pair that replicates it.
+/// A group of rows kept together: one table on disk, one replica that replicates it.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
 )]
--- a/libraries/topazyard-wire/src/state.rs
+++ b/libraries/topazyard-wire/src/state.rs
@@ -150,7 +150,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct StorageRow {
     /// Who and where it is.
-    pub member: crate::message::cohort::Member,
+    pub member: crate::message::membership::Member,
     /// Whether it may host shards.
     pub stage: StorageStage,
 }
--- a/libraries/topazyard-wire/tests/frames.rs
+++ b/libraries/topazyard-wire/tests/frames.rs
@@ -1,7 +1,7 @@
 //! Frames and rows: whatever arrives is refused with a type, never with a panic.
 
 use topazyard_types::{FleetId, NodeId};
-use topazyard_wire::message::cohort::CohortMessage;
+use topazyard_wire::message::membership::MembershipMessage;
 use topazyard_wire::message::{FRAME_VERSION, Frame, FrameError, Message};
 
 const FLEET: FleetId = FleetId(7);
@@ -12,7 +12,7 @@
         fleet: FLEET,
         sender: NodeId(5),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
-        message: Message::Cohort(CohortMessage::Probe { nonce: 3, news: Vec::new() }),
+        message: Message::Membership(MembershipMessage::Probe { nonce: 3, news: Vec::new() }),
     }
 }
 
--- a/libraries/topazyard-wire/tests/power.rs
+++ b/libraries/topazyard-wire/tests/power.rs
@@ -441,10 +441,10 @@
 
     let backend = disk(blank, Mood { stalls_at: Some(4), ..Mood::default() });
     let (writer, told) = start(backend.clone()).expect("three syncs suffice to open");
-    let patience = std::time::Duration::from_millis(200);
+    let timeout = std::time::Duration::from_millis(200);
     let stalled = (1..10).find(|number| {
         assert!(write_one(&writer, *number));
-        told.recv_timeout(patience).is_err()
+        told.recv_timeout(timeout).is_err()
     });
     assert!(stalled.is_some(), "the disk never stalled");
     backend.0.send(Ask::Release).expect("a disk");
--- a/libraries/topazyard-wire/tests/waiting.rs
+++ b/libraries/topazyard-wire/tests/waiting.rs
@@ -20,7 +20,7 @@
 /// What a caller is answered.
 fn ask(address: std::net::SocketAddr) -> String {
     let mut connection = std::net::TcpStream::connect(address).expect("a listener");
-    let request = b"GET /vitals HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n";
+    let request = b"GET /health HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n";
     connection.write_all(request).expect("a request");
     let mut answer = String::new();
     connection.read_to_string(&mut answer).expect("an answer");
--- a/programs/topazyard-control/src/http.rs
+++ b/programs/topazyard-control/src/http.rs
@@ -28,8 +28,8 @@
     request: hyper::Request<hyper::body::Incoming>,
 ) -> hyper::Response<Body> {
     let (head, body) = request.into_parts();
-    if head.method == hyper::Method::GET && head.uri.path() == "/vitals" {
-        return returned(handle.call(crate::ControlCall::Vitals).await);
+    if head.method == hyper::Method::GET && head.uri.path() == "/health" {
+        return returned(handle.call(crate::ControlCall::Health).await);
     }
     let operate = match topazyard_wire::http::inward::read_body(body, MOST_BYTES).await {
         Ok(body) => understand(&head.method, head.uri.path(), &body),
--- a/programs/topazyard-control/src/machine/claim.rs
+++ b/programs/topazyard-control/src/machine/claim.rs
@@ -7,7 +7,7 @@
 use topazyard_types::{DurationMs, MonotonicMs, NodeId};
 use topazyard_wire::message::Message;
 use topazyard_wire::message::control::{CoreMessage, CoreNode, EpochRecord};
-use topazyard_wire::message::pair::{PairBody, PairMessage};
+use topazyard_wire::message::replica::{ReplicaBody, ReplicaMessage};
 use topazyard_wire::{Effect, Group, RowChange};
 
 /// The row that keeps which epoch this node asked for.
@@ -29,7 +29,7 @@
 }
 
 impl ControlMachine {
-    pub(super) fn claim_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn claim_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         if self.claim.is_some() {
             self.push_claim(now, out);
         } else if self.wants_claim(now) {
@@ -42,8 +42,8 @@
         let Some(record) = self.witness.record() else { return false };
         let Some(turn) = record.turn(self.me.id) else { return false };
         let is_primary = turn == 0;
-        let patience = DurationMs(
-            self.patience.primary.0 + self.patience.turn.0 * turn.saturating_sub(1) as u64,
+        let timeout = DurationMs(
+            self.timeouts.primary.0 + self.timeouts.turn.0 * turn.saturating_sub(1) as u64,
         );
         let is_full = self.disk.is_full();
         if is_full && !is_primary {
@@ -52,19 +52,20 @@
         }
         if self.claimed > record.epoch {
             // It stopped answering before it restarted, or yielded: ask again if nobody leads.
-            let led = self.pair.heard_primary();
-            return led.is_none_or(|at| now.since(at) >= patience)
+            let led = self.replica.heard_primary();
+            return led.is_none_or(|at| now.since(at) >= timeout)
                 && (is_primary || self.holds_all(record));
         }
-        let follows_nobody = self.pair.heard_primary().is_some_and(|at| now.since(at) >= patience);
+        let follows_nobody =
+            self.replica.heard_primary().is_some_and(|at| now.since(at) >= timeout);
         if is_primary {
-            let silent = self.pair.backup_silent_since();
+            let silent = self.replica.backup_silent_since();
             // It may have let a backup's claim copy here that came to nothing.
             return is_full
                 || follows_nobody
-                || silent.is_some_and(|since| now.since(since) >= self.patience.backup)
-                || self.pair.oldest_write(now) >= self.patience.write
-                || (self.pair.is_serving() && self.next_witnesses(record, &[], now).is_some())
+                || silent.is_some_and(|since| now.since(since) >= self.timeouts.backup)
+                || self.replica.oldest_write(now) >= self.timeouts.write
+                || (self.replica.is_serving() && self.next_witnesses(record, &[], now).is_some())
                 || record.backups.iter().any(|node| self.core.is_leaving(node.id))
                 || (record.backups.len() < self.backups()
                     && self.others_heard(now).count() >= self.backups());
@@ -78,7 +79,7 @@
     /// Whether this backup's copy holds all that was ever answered up to that record.
     pub(super) fn holds_all(&self, record: &EpochRecord) -> bool {
         // Nothing was answered in the first epoch before this copy was compared.
-        record.epoch == founding::FIRST || self.pair.copy().place().epoch >= record.epoch
+        record.epoch == founding::FIRST || self.replica.copy().place().epoch >= record.epoch
     }
 
     /// The other core nodes that are heard and whose disks take writes.
@@ -94,13 +95,13 @@
             self.say_leaving(now, out);
         }
         let mut silent = if base.primary.id == self.me.id {
-            self.pair.silent_backups(self.patience.backup, now)
+            self.replica.silent_backups(self.timeouts.backup, now)
         } else {
             vec![base.primary.id]
         };
         silent
             .extend(base.backups.iter().map(|node| node.id).filter(|id| self.core.is_leaving(*id)));
-        self.pair.stop_answering();
+        self.replica.stop_answering();
         self.claimed = base.epoch.next();
         let row = RowChange::put(CLAIMED_KEY, &self.claimed);
         self.claim = Some(Claim {
@@ -114,27 +115,27 @@
         self.write_own(Group::Witness, vec![row], vec![AfterWrite::BeginClaim], out);
     }
 
-    /// Whom to copy to: members of the epoch before and witnesses first, each in a domain of its
+    /// Whom to copy to: members of the epoch before and witnesses first, each in a zone of its
     /// own where that can be. Gives none where too few are heard.
     fn choose_learners(&self, claim: &Claim, now: MonotonicMs) -> Option<Vec<CoreNode>> {
-        let domain = |id: NodeId| {
-            let known = self.cohort.remembered().find(|known| known.news.member.id == id);
-            known.map(|known| known.news.member.domain.clone())
+        let zone = |id: NodeId| {
+            let known = self.membership.remembered().find(|known| known.news.member.id == id);
+            known.map(|known| known.news.member.zone.clone())
         };
-        let mut domains = vec![self.cohort.own_domain().clone()];
+        let mut zones = vec![self.membership.own_zone().clone()];
         let mut others: Vec<CoreNode> = self.others_heard(now).collect();
         let mut chosen = Vec::new();
         while chosen.len() < self.backups() {
             let rank = |node: &CoreNode| {
                 let failures = claim.failures.get(&node.id).copied().unwrap_or(0);
-                let together = domain(node.id).is_some_and(|domain| domains.contains(&domain));
+                let together = zone(node.id).is_some_and(|zone| zones.contains(&zone));
                 let (base, id) = (&claim.base, node.id);
                 (failures, together, !base.is_member(id), !base.is_witness(id), id)
             };
             let (at, next) =
                 others.iter().copied().enumerate().min_by_key(|(_, node)| rank(node))?;
             others.remove(at);
-            domains.extend(domain(next.id));
+            zones.extend(zone(next.id));
             chosen.push(next);
         }
         Some(chosen)
@@ -156,8 +157,8 @@
         };
         let terms = witnesses::Terms {
             wanted: 2 * self.backups() + 1,
-            silent_for: self.patience.witness,
-            lost_zones: usize::from(self.bounds.lost_domains),
+            silent_for: self.timeouts.witness,
+            lost_zones: usize::from(self.bounds.lost_zones),
         };
         let present = as_candidates(&base.witnesses);
         let witnesses = witnesses::next(present, &must, as_candidates(&spares), &terms);
@@ -168,14 +169,14 @@
     pub(super) fn candidate(&self, node: CoreNode, now: MonotonicMs) -> witnesses::Candidate {
         let is_me = node.id == self.me.id;
         let heard = self.core.heard.get(&node.id).map(|heard| heard.zone.clone());
-        let zone = if is_me { Some(self.cohort.own_domain().clone()) } else { heard };
+        let zone = if is_me { Some(self.membership.own_zone().clone()) } else { heard };
         let silence = if is_me { DurationMs(0) } else { self.core.silence(node.id, now) };
         witnesses::Candidate { node, zone, silence }
     }
 
     /// Everything this node held back is synced as stopped: copy the state to learners.
     pub(super) fn copy_to_learners(&mut self, now: MonotonicMs, out: &mut Out) {
-        let filled = self.pair.filled_learners();
+        let filled = self.replica.filled_learners();
         let Some(claim) = &mut self.claim else { return };
         for learner in claim.learners.iter().filter(|node| !filled.contains(&node.id)) {
             *claim.failures.entry(learner.id).or_default() += 1;
@@ -189,38 +190,38 @@
             claim.learners = learners.clone().unwrap_or_default();
         }
         match learners {
-            None if self.pair.is_primary() && self.pair.epoch() == epoch => {
+            None if self.replica.is_primary() && self.replica.epoch() == epoch => {
                 // Whoever it copied to is no longer heard, and may be asked by another member.
                 let nobody = topazyard_replication::Followers::default();
-                let outputs = self.pair.become_primary(epoch, nobody, now);
-                self.take_pair(outputs, now, out);
+                let outputs = self.replica.become_primary(epoch, nobody, now);
+                self.take_replica(outputs, now, out);
             }
             None => {}
             Some(none) if none.is_empty() => self.propose(now, out),
             Some(learners) => {
                 let followers = topazyard_replication::Followers { learners, ..Default::default() };
-                let outputs = self.pair.become_primary(epoch, followers, now);
-                self.take_pair(outputs, now, out);
+                let outputs = self.replica.become_primary(epoch, followers, now);
+                self.take_replica(outputs, now, out);
             }
         }
     }
 
     fn push_claim(&mut self, now: MonotonicMs, out: &mut Out) {
-        let patience = self.patience.clone();
+        let timeouts = self.timeouts.clone();
         let Some(claim) = &mut self.claim else { return };
         if let Some(proposal) = &mut claim.proposal {
-            if let Step::Say(message) = proposal.beat(now) {
+            if let Step::Say(message) = proposal.tick(now) {
                 self.say_to_witnesses(&message, out);
             }
             return;
         }
-        let led = self.pair.heard_primary();
-        if claim.learners.is_empty() && led.is_some_and(|at| now.since(at) < patience.primary) {
+        let led = self.replica.heard_primary();
+        if claim.learners.is_empty() && led.is_some_and(|at| now.since(at) < timeouts.primary) {
             // The primary is back, and there are too few to take over with.
             self.claim = None;
             return;
         }
-        let again = if claim.learners.is_empty() { LOOK_AGAIN } else { patience.learner };
+        let again = if claim.learners.is_empty() { LOOK_AGAIN } else { timeouts.learner };
         if claim.stopped && now.since(claim.since) >= again {
             self.copy_to_learners(now, out);
         }
@@ -276,14 +277,14 @@
     pub(super) fn follow_claim_if_due(
         &mut self,
         sender: NodeId,
-        message: &PairMessage,
+        message: &ReplicaMessage,
         now: MonotonicMs,
         out: &mut Out,
     ) {
         let Some(record) = self.witness.record() else { return };
         let Some(turn) = record.turn(sender) else { return };
         let claims = message.epoch == record.epoch.next()
-            && matches!(message.body, PairBody::Digests { .. });
+            && matches!(message.body, ReplicaBody::Digests { .. });
         if !claims || sender == self.me.id || self.disk.is_full() {
             return;
         }
@@ -298,8 +299,8 @@
         if self.keeps_source(record, sender, message.epoch, now) {
             return;
         }
-        let outputs = self.pair.become_follower(message.epoch, sender, now);
-        self.take_pair(outputs, now, out);
+        let outputs = self.replica.become_follower(message.epoch, sender, now);
+        self.take_replica(outputs, now, out);
     }
 
     /// Whether this node goes on being filled by another member than the one that asks now: one
@@ -312,12 +313,12 @@
         epoch: topazyard_types::Epoch,
         now: MonotonicMs,
     ) -> bool {
-        let Some(source) = self.pair.primary().filter(|source| *source != asks) else {
+        let Some(source) = self.replica.primary().filter(|source| *source != asks) else {
             return false;
         };
-        let heard = self.pair.heard_primary();
-        let is_filling = self.pair.epoch() == epoch
-            && heard.is_some_and(|at| now.since(at) < self.patience.learner)
+        let heard = self.replica.heard_primary();
+        let is_filling = self.replica.epoch() == epoch
+            && heard.is_some_and(|at| now.since(at) < self.timeouts.learner)
             && self.core.is_heard_by(source);
         let is_earlier = record.turn(asks) < record.turn(source) && self.core.is_heard_by(asks);
         is_filling && !is_earlier
--- a/programs/topazyard-control/src/machine/commands.rs
+++ b/programs/topazyard-control/src/machine/commands.rs
@@ -47,7 +47,7 @@
     }
 
     pub(super) fn newest_version(&self) -> SpecVersion {
-        let newest = self.pair.copy().with_prefix(SPECS).last();
+        let newest = self.replica.copy().with_prefix(SPECS).last();
         let row = newest.and_then(|(_, value)| topazyard_wire::rows::decode::<SpecRow>(value));
         row.map(|row| row.version).unwrap_or_default()
     }
@@ -58,7 +58,7 @@
             true => unclear(),
             false => ApiError::not_run(Code::NotFound).at("version"),
         };
-        self.pair.copy().get(&spec_key(version)).ok_or_else(missing)
+        self.replica.copy().get(&spec_key(version)).ok_or_else(missing)
     }
 
     /// Refuses a base below the newest version for good, as versions only rise. One above it is to
@@ -148,11 +148,11 @@
         let text = serde_json::to_string(&bundle).unwrap_or_default();
         let mut changes = vec![RowChange::put(IN_FORCE, &InForceRow { version, text })];
         let mut gone: std::collections::BTreeSet<String> =
-            self.pair.copy().with_prefix(ROUTES).map(|(key, _)| key.to_owned()).collect();
+            self.replica.copy().with_prefix(ROUTES).map(|(key, _)| key.to_owned()).collect();
         for route in &routes {
             let change = RowChange::put(route_key(&route.name), route);
             gone.remove(&change.key);
-            if self.pair.copy().rows().get(&change.key) != change.value.as_ref() {
+            if self.replica.copy().rows().get(&change.key) != change.value.as_ref() {
                 changes.push(change);
             }
         }
@@ -213,14 +213,14 @@
         let mut changes = Vec::new();
         let keep: std::collections::BTreeSet<String> =
             engines.iter().map(|engine| engine_key(&engine.name)).collect();
-        for (key, _) in self.pair.copy().with_prefix(ENGINES) {
+        for (key, _) in self.replica.copy().with_prefix(ENGINES) {
             if !keep.contains(key) {
                 changes.push(RowChange::gone(key));
             }
         }
         for engine in engines {
             let key = engine_key(&engine.name);
-            if self.pair.copy().get::<topazyard_spec::Engine>(&key).as_ref() != Some(engine) {
+            if self.replica.copy().get::<topazyard_spec::Engine>(&key).as_ref() != Some(engine) {
                 changes.push(RowChange::put(key, engine));
             }
         }
@@ -235,12 +235,12 @@
 
     fn storage(&self, id: NodeId) -> Result<StorageRow, ApiError> {
         let missing = || ApiError::not_run(Code::NotFound).at("node");
-        self.pair.copy().get(&storage_key(id)).ok_or_else(missing)
+        self.replica.copy().get(&storage_key(id)).ok_or_else(missing)
     }
 
     fn empty_storage(&self, id: NodeId, now: MonotonicMs) -> Judged {
         let row = self.storage(id)?;
-        let view = FleetView::read(self.pair.copy().rows());
+        let view = FleetView::read(self.replica.copy().rows());
         let standings = self.storage_standings(&view, self.serving_since.unwrap_or(now), now);
         if !crate::planner::has_room_without(&view, &standings, id, self.backups() + 1) {
             return Err(ApiError::not_run(Code::NoRoom).at("node"));
@@ -252,7 +252,7 @@
 
     /// Has the storage node of that name emptied and then retired by itself.
     fn retire_named(&self, name: &str, now: MonotonicMs) -> Judged {
-        let view = FleetView::read(self.pair.copy().rows());
+        let view = FleetView::read(self.replica.copy().rows());
         let missing = || ApiError::not_run(Code::NotFound).at("node");
         let id = self.named(&view, name, now).ok_or_else(missing)?;
         let row = self.storage(id)?;
@@ -294,7 +294,7 @@
 
     fn retire_storage(&self, id: NodeId) -> Judged {
         let row = self.storage(id)?;
-        let view = FleetView::read(self.pair.copy().rows());
+        let view = FleetView::read(self.replica.copy().rows());
         if crate::planner::hosted(&view, id) > 0 {
             return Err(ApiError::not_run(Code::HoldsCopies).at("node"));
         }
@@ -310,10 +310,10 @@
         pool: &topazyard_types::PoolName,
         live_percent: u8,
     ) -> Judged {
-        if epoch < self.pair.epoch() {
+        if epoch < self.replica.epoch() {
             return Err(ApiError::not_run(Code::StaleBase).at("epoch"));
         }
-        let in_force: Option<InForceRow> = self.pair.copy().get(IN_FORCE);
+        let in_force: Option<InForceRow> = self.replica.copy().get(IN_FORCE);
         let bundle =
             in_force.and_then(|row| serde_json::from_str::<topazyard_spec::Bundle>(&row.text).ok());
         let missing = || ApiError::not_run(Code::NotFound).at("pool");
--- a/programs/topazyard-control/src/machine/confirm.rs
+++ b/programs/topazyard-control/src/machine/confirm.rs
@@ -66,7 +66,7 @@
             ConfirmMessage::AskRecords { nonce } => {
                 if self.confirmable().is_some() {
                     self.confirming.take(from, nonce);
-                    self.confirm_beat(now, out);
+                    self.confirm_tick(now, out);
                 }
             }
             ConfirmMessage::AskEpoch { nonce, epoch } => {
@@ -92,7 +92,7 @@
     }
 
     /// Begins a round if questions wait and none is under way.
-    pub(super) fn confirm_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn confirm_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         let Some(record) = self.confirmable() else {
             self.confirming.waiting.clear();
             self.confirming.round = None;
@@ -159,7 +159,7 @@
             let records = ConfirmMessage::Records { nonce, epochs: epochs.clone() };
             out.push(Effect::Send { to, message: Message::Confirm(records) });
         }
-        self.confirm_beat(now, out);
+        self.confirm_tick(now, out);
     }
 
     /// The epoch of each shard's record in this node's copy.
--- a/programs/topazyard-control/src/machine/core.rs
+++ b/programs/topazyard-control/src/machine/core.rs
@@ -3,11 +3,11 @@
 use super::{AfterWrite, ControlMachine, Out, founding};
 use topazyard_types::{DurationMs, MonotonicMs, NodeId};
 use topazyard_wire::message::Message;
-use topazyard_wire::message::cohort::Duty;
 use topazyard_wire::message::control::{CoreMessage, CoreNode, EpochRecord};
+use topazyard_wire::message::membership::Duty;
 use topazyard_wire::{Effect, Group};
 
-const BEAT_EVERY: DurationMs = DurationMs(250);
+const HEARTBEAT_EVERY: DurationMs = DurationMs(250);
 /// Within which time a core node counts as heard.
 pub(super) const HEARD_WITHIN: DurationMs = DurationMs(1_000);
 /// After how long it is forgotten that a node said that it ends: by then its silence says so.
@@ -27,14 +27,14 @@
     /// Whether it hears this node.
     pub(super) hears_us: bool,
     /// Its zone.
-    pub(super) zone: topazyard_types::DomainName,
+    pub(super) zone: topazyard_types::ZoneName,
 }
 
 /// What is known of the other core nodes.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct CoreView {
     pub(crate) heard: std::collections::BTreeMap<NodeId, Heard>,
-    last_beat: MonotonicMs,
+    last_heartbeat: MonotonicMs,
     /// Nodes that said that they end, with when they last said so.
     leaving: std::collections::BTreeMap<NodeId, MonotonicMs>,
     /// Since when this process watches, so that silence is not counted from before.
@@ -101,9 +101,9 @@
 }
 
 impl ControlMachine {
-    pub(super) fn core_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn core_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         self.core.watching_since.get_or_insert(now);
-        if now.since(self.core.last_beat) < BEAT_EVERY {
+        if now.since(self.core.last_heartbeat) < HEARTBEAT_EVERY {
             return;
         }
         self.announce(now, out);
@@ -112,23 +112,23 @@
 
     /// Tells the other core nodes which record this node knows.
     fn announce(&mut self, now: MonotonicMs, out: &mut Out) {
-        self.core.last_beat = now;
+        self.core.last_heartbeat = now;
         let heard: Vec<CoreNode> = self.core.heard_lately(now).map(|heard| heard.node).collect();
         let record = self.witness.record().cloned();
         let mut to: std::collections::BTreeSet<std::net::SocketAddr> =
             self.seeds.iter().copied().collect();
         to.extend(heard.iter().map(|node| node.address));
-        to.extend(self.cohort.addresses(Duty::Control));
+        to.extend(self.membership.addresses(Duty::Control));
         to.extend(record.iter().flat_map(|r| r.witnesses.iter().map(|node| node.address)));
         to.remove(&self.me.address);
         for to in to {
-            let beat = CoreMessage::Beat {
+            let tick = CoreMessage::Heartbeat {
                 record: record.clone(),
                 heard: heard.clone(),
-                zone: self.cohort.own_domain().clone(),
+                zone: self.membership.own_zone().clone(),
                 takes_writes: !self.disk.is_full(),
             };
-            out.push(Effect::Send { to, message: Message::Core(beat) });
+            out.push(Effect::Send { to, message: Message::Core(tick) });
         }
     }
 
@@ -158,21 +158,21 @@
         let stopped = self.claimed > record.epoch;
         let outputs = if stopped {
             // It asked for a later epoch before it restarted: nothing more in this one.
-            self.pair.become_idle(record.epoch)
+            self.replica.become_idle(record.epoch)
         } else if record.primary.id == self.me.id {
             let followers = topazyard_replication::Followers {
                 answers: record.backups.len() >= self.backups(),
                 backups: record.backups,
                 learners: Vec::new(),
             };
-            self.pair.become_primary(record.epoch, followers, now)
+            self.replica.become_primary(record.epoch, followers, now)
         } else if record.is_member(self.me.id) {
-            self.pair.become_follower(record.epoch, record.primary.id, now)
+            self.replica.become_follower(record.epoch, record.primary.id, now)
         } else {
-            self.pair.become_idle(record.epoch)
+            self.replica.become_idle(record.epoch)
         };
-        self.take_pair(outputs, now, out);
-        if !self.pair.is_primary() {
+        self.take_replica(outputs, now, out);
+        if !self.replica.is_primary() {
             self.refuse_all_queued(now, out);
         }
     }
@@ -186,7 +186,7 @@
         out: &mut Out,
     ) {
         match message {
-            CoreMessage::Beat { record, heard, zone, takes_writes } => {
+            CoreMessage::Heartbeat { record, heard, zone, takes_writes } => {
                 let known = self.core.heard.get(&sender).map(|known| known.wrote);
                 let wrote = if takes_writes { now } else { known.unwrap_or(now) };
                 self.core.heard.retain(|id, other| *id == sender || other.node.address != from);
--- a/programs/topazyard-control/src/machine/feed.rs
+++ b/programs/topazyard-control/src/machine/feed.rs
@@ -1,4 +1,4 @@
-//! The feed: followers are answered once the pair has confirmed after they asked.
+//! The feed: followers are answered once the replica has confirmed after they asked.
 //!
 //! No answer is larger than [`PART_BYTES`]. A follower that lacks more gets a snapshot, part by part
 //! as it asks for them. The snapshot is encoded once and serves all followers until more was changed
@@ -39,11 +39,11 @@
         now: MonotonicMs,
         out: &mut Out,
     ) {
-        let FeedMessage::Ask { nonce, after, part, heard, vitals } = message else { return };
-        if self.pair.is_serving() {
+        let FeedMessage::Ask { nonce, after, part, heard, health } = message else { return };
+        if self.replica.is_serving() {
             // Who speaks but hears nothing counts as silent: it can do no duty.
             if heard.is_some_and(|age| age < DEAF_AFTER) {
-                self.seen.take(sender, vitals, now);
+                self.seen.take(sender, health, now);
             }
             self.submit(Vec::new(), Waiting::Follower { to: from, nonce, after, part });
             return;
@@ -76,7 +76,7 @@
         if let Some((place, matter)) = part.and_then(|part| self.next_part(after, part)) {
             return (place, matter);
         }
-        let place = self.pair.copy().place();
+        let place = self.replica.copy().place();
         if let Some(changes) = self.few_changes_after(after) {
             return (place, Matter::Changes(changes));
         }
@@ -104,7 +104,7 @@
 
     /// The changes after a place, if they are all remembered and fit in one answer.
     fn few_changes_after(&self, after: Place) -> Option<Vec<RowChange>> {
-        let mut changes = self.pair.copy().changes_after(after)?;
+        let mut changes = self.replica.copy().changes_after(after)?;
         changes.retain(|change| is_fed(&change.key));
         (weight_of_changes(&changes) <= PART_BYTES).then_some(changes)
     }
@@ -123,7 +123,7 @@
     }
 
     fn fed_rows(&self) -> Vec<Row> {
-        let rows = self.pair.copy().rows().iter().filter(|(key, _)| is_fed(key));
+        let rows = self.replica.copy().rows().iter().filter(|(key, _)| is_fed(key));
         rows.map(|(key, value)| (key.clone(), value.clone())).collect()
     }
 }
--- a/programs/topazyard-control/src/machine/founding.rs
+++ b/programs/topazyard-control/src/machine/founding.rs
@@ -57,7 +57,7 @@
 
     pub(super) fn founding_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         if let Some(proposal) = &mut self.founding {
-            if let Step::Say(message) = proposal.beat(now) {
+            if let Step::Say(message) = proposal.tick(now) {
                 self.ask_seeds(&message, out);
             }
             return;
@@ -122,6 +122,6 @@
             // Whoever is heard only after that is named a witness later.
             return DurationMs(self.bounds.contact.0 / 3);
         }
-        DurationMs(self.bounds.contact.0 + turn as u64 * self.patience.turn.0)
+        DurationMs(self.bounds.contact.0 + turn as u64 * self.timeouts.turn.0)
     }
 }
--- a/programs/topazyard-control/src/machine/vitals.rs
+++ b/programs/topazyard-control/src/machine/health.rs
@@ -5,9 +5,9 @@
 use topazyard_types::{DurationMs, MonotonicMs, NodeId};
 use topazyard_wire::RowChange;
 use topazyard_wire::disk::DiskState;
-use topazyard_wire::message::cohort::{Member, Standing};
 use topazyard_wire::message::control::{ShardRecord, ShardWish, Wish};
-use topazyard_wire::message::feed::Vitals;
+use topazyard_wire::message::feed::Health;
+use topazyard_wire::message::membership::{Member, Standing};
 use topazyard_wire::state::FleetView;
 
 /// After how long without a word a node is probed out of turn.
@@ -19,7 +19,7 @@
 
 #[derive(Debug, Clone)]
 pub(crate) struct SeenNode {
-    pub(crate) vitals: Vitals,
+    pub(crate) health: Health,
     pub(crate) at: MonotonicMs,
     slow_until: MonotonicMs,
 }
@@ -33,17 +33,17 @@
 impl Seen {
     /// How a storage node's disk fares, as it said last.
     pub(super) fn disk(&self, id: NodeId) -> Option<DiskState> {
-        match &self.nodes.get(&id)?.vitals {
-            Vitals::Storage { disk, .. } => Some(*disk),
-            Vitals::Edge { .. } => None,
+        match &self.nodes.get(&id)?.health {
+            Health::Storage { disk, .. } => Some(*disk),
+            Health::Edge { .. } => None,
         }
     }
 
-    pub(super) fn take(&mut self, sender: NodeId, vitals: Vitals, now: MonotonicMs) {
-        let slow = matches!(&vitals, Vitals::Storage { write_wait_ms, .. } if *write_wait_ms >= SLOW_WRITE_MS);
+    pub(super) fn take(&mut self, sender: NodeId, health: Health, now: MonotonicMs) {
+        let slow = matches!(&health, Health::Storage { write_wait_ms, .. } if *write_wait_ms >= SLOW_WRITE_MS);
         let before = self.nodes.get(&sender).map_or(MonotonicMs(0), |seen| seen.slow_until);
         let slow_until = if slow { now.plus(SLOW_FOR) } else { before };
-        self.nodes.insert(sender, SeenNode { vitals, at: now, slow_until });
+        self.nodes.insert(sender, SeenNode { health, at: now, slow_until });
         self.nodes.retain(|_, seen| now.since(seen.at) < DurationMs(60_000));
     }
 }
@@ -59,8 +59,8 @@
         let copies = u16::try_from(self.backups() + 1).unwrap_or(u16::MAX);
         let mut standings = Standings { copies, ..Default::default() };
         for (id, seen) in &self.seen.nodes {
-            if let Vitals::Storage { member, .. } = &seen.vitals
-                && now.since(seen.at) < self.patience.down
+            if let Health::Storage { member, .. } = &seen.health
+                && now.since(seen.at) < self.timeouts.down
             {
                 standings.heard.insert(*id, member.clone());
                 if now.since(seen.at) >= DOUBT_AFTER {
@@ -74,8 +74,8 @@
             // primary than the others, which were never down.
             let alone = self.last_alone.unwrap_or(serving_since);
             let silence = now.since(heard.max(serving_since).max(alone));
-            let doubted = self.cohort.standing(*id) != Some(Standing::Alive);
-            if silence >= self.patience.surely_down || (silence >= self.patience.down && doubted) {
+            let doubted = self.membership.standing(*id) != Some(Standing::Alive);
+            if silence >= self.timeouts.surely_down || (silence >= self.timeouts.down && doubted) {
                 standings.down.insert(*id);
             }
             if self.seen.nodes.get(id).is_some_and(|seen| now < seen.slow_until) {
@@ -85,7 +85,7 @@
                 standings.full.insert(*id);
             }
         }
-        standings.settled = now.since(serving_since) >= self.patience.settle;
+        standings.settled = now.since(serving_since) >= self.timeouts.settle;
         standings
     }
 
@@ -93,17 +93,17 @@
     /// confirmed soon and one which is wrong does no harm.
     pub(super) fn probe_the_silent(&mut self, now: MonotonicMs) {
         let silent = self.seen.nodes.iter().filter(|(_, seen)| {
-            matches!(seen.vitals, Vitals::Storage { .. }) && now.since(seen.at) >= DOUBT_AFTER
+            matches!(seen.health, Health::Storage { .. }) && now.since(seen.at) >= DOUBT_AFTER
         });
         for id in silent.map(|(id, _)| *id).collect::<Vec<_>>() {
-            self.cohort.probe_next(id);
+            self.membership.probe_next(id);
         }
     }
 
     /// Keeps a shard primary's wish until nothing else is under way.
     pub(super) fn take_wish(&mut self, sender: NodeId, wish: ShardWish) {
         let is_shard = topazyard_types::ShardId::all().any(|shard| shard == wish.shard);
-        if self.pair.is_serving() && is_shard {
+        if self.replica.is_serving() && is_shard {
             self.wishes.insert(wish.shard, (sender, wish));
         }
     }
@@ -111,14 +111,14 @@
     /// Fulfils the wishes that came, all in one batch: each is about a shard of its own, and a fleet that
     /// starts together has one for each.
     pub(super) fn fulfil_wishes(&mut self, now: MonotonicMs) {
-        if self.wishes.is_empty() || self.pair.has_changes_pending() {
+        if self.wishes.is_empty() || self.replica.has_changes_pending() {
             return;
         }
         let wishes = std::mem::take(&mut self.wishes);
-        if !self.pair.is_serving() {
+        if !self.replica.is_serving() {
             return;
         }
-        let view = FleetView::read(self.pair.copy().rows());
+        let view = FleetView::read(self.replica.copy().rows());
         let standings = self.storage_standings(&view, self.serving_since.unwrap_or(now), now);
         let mut changes = Vec::new();
         for (shard, (sender, wish)) in wishes {
@@ -139,9 +139,9 @@
 
     /// The member that a follower said it is.
     pub(super) fn storage_member(&self, id: NodeId) -> Option<&Member> {
-        match &self.seen.nodes.get(&id)?.vitals {
-            Vitals::Storage { member, .. } => Some(member),
-            Vitals::Edge { .. } => None,
+        match &self.seen.nodes.get(&id)?.health {
+            Health::Storage { member, .. } => Some(member),
+            Health::Edge { .. } => None,
         }
     }
 }
--- a/programs/topazyard-control/src/machine/leaving.rs
+++ b/programs/topazyard-control/src/machine/leaving.rs
@@ -35,7 +35,7 @@
         if is_due {
             leaving.said = now;
         }
-        if waited >= self.patience.leaving || !self.is_needed() || !self.can_be_replaced(now) {
+        if waited >= self.timeouts.leaving || !self.is_needed() || !self.can_be_replaced(now) {
             self.leaving = None;
             let value = OperateOutcome::Done(String::new());
             out.push(Effect::Return { call, value });
@@ -66,6 +66,6 @@
     /// next, the witnesses decide, so that a word that comes late does no harm.
     pub(super) fn hear_leaving(&mut self, sender: NodeId, now: MonotonicMs, out: &mut Out) {
         self.core.take_leaving(sender, now);
-        self.claim_beat(now, out);
+        self.claim_tick(now, out);
     }
 }
--- a/programs/topazyard-control/src/machine/listing.rs
+++ b/programs/topazyard-control/src/machine/listing.rs
@@ -24,8 +24,8 @@
         self.listing.every = Some(every);
     }
 
-    pub(super) fn listing_beat(&mut self, now: MonotonicMs, out: &mut Out) {
-        let Some(every) = self.listing.every.filter(|_| self.pair.is_serving()) else { return };
+    pub(super) fn listing_tick(&mut self, now: MonotonicMs, out: &mut Out) {
+        let Some(every) = self.listing.every.filter(|_| self.replica.is_serving()) else { return };
         let since = self.listing.begun.map(|begun| now.since(begun));
         let wait = if self.listing.under_way { every.max(LOST_AFTER) } else { every };
         if since.is_some_and(|since| since < wait) {
@@ -44,7 +44,7 @@
         out: &mut Out,
     ) {
         self.listing.under_way = false;
-        let Some(engines) = list.filter(|_| self.pair.is_serving()) else { return };
+        let Some(engines) = list.filter(|_| self.replica.is_serving()) else { return };
         if self.changes_engines(&engines) {
             let command = Operate::Command(Command::ListEngines(engines));
             self.take_operate(super::operate::Origin::Listing, command, now, out);
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -6,23 +6,23 @@
 mod core;
 mod feed;
 mod founding;
+mod health;
 mod leaving;
 mod listing;
 mod operate;
 mod orders;
-mod patience;
 mod queries;
+mod timeouts;
 mod tuning;
-mod vitals;
 
-use topazyard_cohort::Cohort;
-use topazyard_replication::{Copy, Pair, PairOutput, Ticket, Witness};
+use topazyard_membership::Membership;
+use topazyard_replication::{Copy, Replica, ReplicaOutput, Ticket, Witness};
 use topazyard_types::{MonotonicMs, NodeId, ShardId};
 use topazyard_wire::driver::DiskStart;
-use topazyard_wire::message::cohort::Duty;
 use topazyard_wire::message::control::{CoreMessage, CoreNode, EpochRecord, ShardWish};
+use topazyard_wire::message::membership::Duty;
 use topazyard_wire::message::operate::{Operate, OperateOutcome};
-use topazyard_wire::message::{Message, pair::PairMessage};
+use topazyard_wire::message::{Message, replica::ReplicaMessage};
 use topazyard_wire::{Effect, Group, Input, Machine, RowChange, WriteToken};
 
 /// What may be asked of a control node from within its process.
@@ -39,7 +39,7 @@
     /// The settings name other control nodes now.
     Seeds(Vec<std::net::SocketAddr>),
     /// How does this node itself fare?
-    Vitals,
+    Health,
 }
 
 /// What a control node begins outside.
@@ -61,20 +61,20 @@
     pub(crate) life: topazyard_types::Life,
     pub(crate) seeds: Vec<std::net::SocketAddr>,
     pub(crate) bounds: topazyard_spec::Bounds,
-    pub(crate) patience: patience::Patience,
-    pub(crate) cohort: Cohort,
+    pub(crate) timeouts: timeouts::Timeouts,
+    pub(crate) membership: Membership,
     pub(crate) witness: Witness,
-    pub(crate) pair: Pair,
+    pub(crate) replica: Replica,
     pub(crate) core: core::CoreView,
     pub(crate) claim: Option<claim::Claim>,
     /// The epoch this node asked for, after which it answers nothing in the one before.
     pub(crate) claimed: topazyard_types::Epoch,
     pub(crate) waiting: std::collections::BTreeMap<Ticket, Waiting>,
     pub(crate) last_ticket: Ticket,
-    pub(crate) operate: operate::OperateInbox,
+    pub(crate) operate: operate::OperateQueue,
     order_bounds: orders::OrderBounds,
     snapshots: feed::Snapshots,
-    pub(crate) seen: vitals::Seen,
+    pub(crate) seen: health::Seen,
     confirming: confirm::Confirming,
     /// The last wish for each shard, with who made it, until it can be looked at.
     wishes: std::collections::BTreeMap<ShardId, (NodeId, ShardWish)>,
@@ -135,12 +135,12 @@
         let mut machine = Self {
             me,
             life,
-            cohort: Cohort::new(start.member, ask, start.chance),
+            membership: Membership::new(start.member, ask, start.chance),
             seeds: start.seeds,
-            patience: patience::Patience::within(&start.bounds),
+            timeouts: timeouts::Timeouts::within(&start.bounds),
             bounds: start.bounds,
             witness: Witness::loaded(&witness_rows),
-            pair: Pair::new(Group::Control, true, copy, life),
+            replica: Replica::new(Group::Control, true, copy, life),
             core: core::CoreView::default(),
             claim: None,
             claimed: witness_rows
@@ -149,10 +149,10 @@
                 .unwrap_or_default(),
             waiting: std::collections::BTreeMap::new(),
             last_ticket: 0,
-            operate: operate::OperateInbox::new(life),
+            operate: operate::OperateQueue::new(life),
             order_bounds: orders::OrderBounds::within(&start.resources),
             snapshots: feed::Snapshots::new(),
-            seen: vitals::Seen::default(),
+            seen: health::Seen::default(),
             confirming: confirm::Confirming::new(life),
             wishes: std::collections::BTreeMap::new(),
             tuning: tuning::Tuning::default(),
@@ -176,17 +176,17 @@
 
     /// How many machines may be lost at once: as many backups confirm each commit.
     pub(crate) fn backups(&self) -> usize {
-        usize::from(self.bounds.lost_machines.max(self.bounds.lost_domains))
+        usize::from(self.bounds.lost_machines.max(self.bounds.lost_zones))
     }
 
     /// Whether this node serves as the primary.
     pub fn is_serving(&self) -> bool {
-        self.pair.is_serving()
+        self.replica.is_serving()
     }
 
     /// What this node holds of the control state.
     pub fn copy(&self) -> &Copy {
-        self.pair.copy()
+        self.replica.copy()
     }
 
     /// The newest record of the control state's holders that this node knows.
@@ -199,10 +199,10 @@
         self.last_ticket
     }
 
-    /// Submits changes to the pair on somebody's behalf.
+    /// Submits changes to the replica on somebody's behalf.
     pub(crate) fn submit(&mut self, changes: Vec<RowChange>, waiting: Waiting) {
         let ticket = self.next_ticket();
-        if self.pair.submit(ticket, changes) {
+        if self.replica.submit(ticket, changes) {
             self.waiting.insert(ticket, waiting);
         }
     }
@@ -223,36 +223,42 @@
         out.push(Effect::Write { token, changes });
     }
 
-    /// Deals with what the pair put out.
-    pub(crate) fn take_pair(&mut self, outputs: Vec<PairOutput>, now: MonotonicMs, out: &mut Out) {
+    /// Deals with what the replica put out.
+    pub(crate) fn take_replica(
+        &mut self,
+        outputs: Vec<ReplicaOutput>,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
         for output in outputs {
             match output {
-                PairOutput::Send(to, message) => {
-                    out.push(Effect::Send { to, message: Message::Pair(message) });
+                ReplicaOutput::Send(to, message) => {
+                    out.push(Effect::Send { to, message: Message::Replica(message) });
                 }
-                PairOutput::Write(token, changes) => out.push(Effect::Write { token, changes }),
-                PairOutput::Committed(tickets) => {
+                ReplicaOutput::Write(token, changes) => out.push(Effect::Write { token, changes }),
+                ReplicaOutput::Committed(tickets) => {
                     for ticket in tickets {
                         if let Some(waiting) = self.waiting.remove(&ticket) {
                             self.settle(waiting, now, out);
                         }
                     }
                 }
-                PairOutput::Lost(tickets) => {
+                ReplicaOutput::Lost(tickets) => {
                     for ticket in tickets {
                         if let Some(waiting) = self.waiting.remove(&ticket) {
                             self.lose(&waiting, now, out);
                         }
                     }
                 }
-                PairOutput::Serving => {
+                ReplicaOutput::Serving => {
                     if self.serving_since.is_none() {
                         self.serving_since = Some(now);
-                        let text = format!("control primary serves in epoch {}", self.pair.epoch());
+                        let text =
+                            format!("control primary serves in epoch {}", self.replica.epoch());
                         out.push(Effect::Note { grave: false, text });
                     }
                 }
-                PairOutput::LearnersReady => self.propose(now, out),
+                ReplicaOutput::LearnersReady => self.propose(now, out),
             }
         }
     }
@@ -294,14 +300,14 @@
         &self,
         shard: ShardId,
     ) -> Option<topazyard_wire::message::control::ShardRecord> {
-        self.pair.copy().get(&topazyard_wire::state::shard_key(shard))
+        self.replica.copy().get(&topazyard_wire::state::shard_key(shard))
     }
 
-    fn receive_pair(
+    fn receive_replica(
         &mut self,
         sender: NodeId,
         from: std::net::SocketAddr,
-        message: PairMessage,
+        message: ReplicaMessage,
         now: MonotonicMs,
         out: &mut Out,
     ) {
@@ -315,9 +321,9 @@
             return;
         }
         self.follow_claim_if_due(sender, &message, now, out);
-        let from = topazyard_replication::pair::From { id: sender, address: from };
-        let outputs = self.pair.receive(from, message, now);
-        self.take_pair(outputs, now, out);
+        let from = topazyard_replication::replica::From { id: sender, address: from };
+        let outputs = self.replica.receive(from, message, now);
+        self.take_replica(outputs, now, out);
     }
 
     /// Counts the writes that are handed to the disk.
@@ -337,17 +343,17 @@
     }
 
     /// How this node itself fares, whether or not it leads.
-    fn vitals(&self, now: MonotonicMs) -> OperateOutcome {
+    fn health(&self, now: MonotonicMs) -> OperateOutcome {
         let record = self.witness.record();
-        let vitals = serde_json::json!({
+        let health = serde_json::json!({
             "node": self.me.id,
             "epoch": record.map(|record| record.epoch),
             "primary": record.map(|record| record.primary.address),
-            "serving": self.pair.is_serving(),
+            "serving": self.replica.is_serving(),
             "disk": self.disk.state(now),
             "write_wait_ms": self.disk.oldest_write(now),
         });
-        OperateOutcome::Done(vitals.to_string())
+        OperateOutcome::Done(health.to_string())
     }
 
     /// Remembers where others are, so that stale seeds don't strand this node.
@@ -355,26 +361,26 @@
         if !self.disk.takes_more() {
             return;
         }
-        if let Some(row) = self.remembered.learn(self.cohort.addresses(Duty::Control)) {
+        if let Some(row) = self.remembered.learn(self.membership.addresses(Duty::Control)) {
             self.write_own(Group::Node, vec![row], Vec::new(), out);
         }
     }
 
-    fn beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    fn tick(&mut self, now: MonotonicMs, out: &mut Out) {
         self.note_disk(now, out);
-        let outgoing = self.cohort.beat(now);
-        out.extend(topazyard_cohort::effects(outgoing));
+        let outgoing = self.membership.tick(now);
+        out.extend(topazyard_membership::effects(outgoing));
         self.remember_addresses(out);
-        self.core_beat(now, out);
-        self.claim_beat(now, out);
+        self.core_tick(now, out);
+        self.claim_tick(now, out);
         self.leaving_tick(now, out);
-        self.confirm_beat(now, out);
-        let outputs = self.pair.beat(now);
-        self.take_pair(outputs, now, out);
-        self.operate_beat(now, out);
-        self.tuning_beat(now, out);
-        self.listing_beat(now, out);
-        if !self.pair.is_serving() {
+        self.confirm_tick(now, out);
+        let outputs = self.replica.tick(now);
+        self.take_replica(outputs, now, out);
+        self.operate_tick(now, out);
+        self.tuning_tick(now, out);
+        self.listing_tick(now, out);
+        if !self.replica.is_serving() {
             self.serving_since = None;
             self.snapshots.clear();
         }
@@ -388,10 +394,10 @@
     /// Lets the planner change placement, if nothing else is under way.
     fn plan(&mut self, now: MonotonicMs) {
         let Some(serving_since) = self.serving_since else { return };
-        if self.pair.has_changes_pending() {
+        if self.replica.has_changes_pending() {
             return;
         }
-        let view = topazyard_wire::state::FleetView::read(self.pair.copy().rows());
+        let view = topazyard_wire::state::FleetView::read(self.replica.copy().rows());
         let standings = self.storage_standings(&view, serving_since, now);
         let speaks =
             |id: &NodeId| standings.heard.contains_key(id) && !standings.silent.contains(id);
@@ -416,11 +422,11 @@
             self.disk.synced(*token);
         }
         match input {
-            Input::Beat => self.beat(now, &mut out),
+            Input::Tick => self.tick(now, &mut out),
             Input::Disk(state) => self.disk.take_state(state, now),
             Input::Written(token) if token.group == Group::Control => {
-                let outputs = self.pair.written(token.number);
-                self.take_pair(outputs, now, &mut out);
+                let outputs = self.replica.written(token.number);
+                self.take_replica(outputs, now, &mut out);
             }
             Input::Written(token) => {
                 for then in self.after_write.remove(&token.number).unwrap_or_default() {
@@ -442,20 +448,22 @@
             Input::Call { call, request: ControlCall::Leave } => {
                 self.begin_leaving(call, now, &mut out);
             }
-            Input::Call { call, request: ControlCall::Vitals } => {
-                out.push(Effect::Return { call, value: self.vitals(now) });
+            Input::Call { call, request: ControlCall::Health } => {
+                out.push(Effect::Return { call, value: self.health(now) });
             }
             Input::Call { request: ControlCall::Seeds(seeds), .. } => {
                 self.seeds.clone_from(&seeds);
-                self.cohort.take_seeds(seeds);
+                self.membership.take_seeds(seeds);
             }
             Input::Frame { sender, from, message } => match message {
-                Message::Cohort(message) => {
-                    let outgoing = self.cohort.receive(from, message, now);
-                    out.extend(topazyard_cohort::effects(outgoing));
+                Message::Membership(message) => {
+                    let outgoing = self.membership.receive(from, message, now);
+                    out.extend(topazyard_membership::effects(outgoing));
                 }
                 Message::Core(message) => self.receive_core(sender, from, message, now, &mut out),
-                Message::Pair(message) => self.receive_pair(sender, from, message, now, &mut out),
+                Message::Replica(message) => {
+                    self.receive_replica(sender, from, message, now, &mut out)
+                }
                 Message::Feed(message) => self.receive_feed(sender, from, message, now, &mut out),
                 Message::Wish(wish) => self.take_wish(sender, wish),
                 Message::Operate(message) => {
@@ -469,8 +477,8 @@
         }
         self.fulfil_wishes(now);
         self.run_commands(now, &mut out);
-        let outputs = self.pair.proceed(now);
-        self.take_pair(outputs, now, &mut out);
+        let outputs = self.replica.proceed(now);
+        self.take_replica(outputs, now, &mut out);
         self.watch_writes(&out, now);
         out
     }
--- a/programs/topazyard-control/src/machine/operate.rs
+++ b/programs/topazyard-control/src/machine/operate.rs
@@ -14,7 +14,7 @@
 use topazyard_wire::message::operate::{Command, Operate, OperateMessage, OperateOutcome};
 
 /// Commands that may wait.
-const INBOX: usize = 256;
+const QUEUE_LIMIT: usize = 256;
 /// How long a call that was passed on may take.
 const PASSED_ON_LIMIT: DurationMs = DurationMs(4_000);
 /// How long a command whose refusal holds for good may wait at the primary.
@@ -94,14 +94,14 @@
 
 /// Calls that wait.
 #[derive(Debug, Clone)]
-pub(crate) struct OperateInbox {
+pub(crate) struct OperateQueue {
     commands: std::collections::VecDeque<Queued>,
     offered: std::collections::BTreeMap<u64, Offered>,
     passed_on: std::collections::BTreeMap<u64, PassedOn>,
     last_id: u64,
 }
 
-impl OperateInbox {
+impl OperateQueue {
     pub(super) fn new(life: topazyard_types::Life) -> Self {
         Self {
             commands: std::collections::VecDeque::new(),
@@ -112,7 +112,7 @@
     }
 }
 
-impl OperateInbox {
+impl OperateQueue {
     fn waiting(&self) -> usize {
         self.commands.len() + self.offered.len()
     }
@@ -126,12 +126,12 @@
         now: MonotonicMs,
         out: &mut Out,
     ) {
-        if self.pair.is_serving() {
+        if self.replica.is_serving() {
             match request {
                 Operate::Query(query) => {
                     self.submit(Vec::new(), Waiting::Query(origin, query));
                 }
-                Operate::Command(command) if self.operate.waiting() < INBOX => {
+                Operate::Command(command) if self.operate.waiting() < QUEUE_LIMIT => {
                     self.queue(origin, command, now, out);
                 }
                 Operate::Command(_) => self.refuse(origin, Code::NoPrimary, now, out),
@@ -238,7 +238,7 @@
 
     /// Works on the next command, unless changes are under way on which it could depend.
     pub(super) fn run_commands(&mut self, now: MonotonicMs, out: &mut Out) {
-        if !self.pair.is_serving() || self.pair.has_changes_pending() {
+        if !self.replica.is_serving() || self.replica.has_changes_pending() {
             return;
         }
         let Some(Queued { origin, command, until }) = self.operate.commands.pop_front() else {
@@ -290,7 +290,7 @@
         }
     }
 
-    pub(super) fn operate_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn operate_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         // Whoever passed one of these on may have confirmed another copy: nothing is said of it.
         self.operate.offered.retain(|_, offered| now < offered.queued.until);
         let commands = std::mem::take(&mut self.operate.commands);
--- a/programs/topazyard-control/src/machine/orders.rs
+++ b/programs/topazyard-control/src/machine/orders.rs
@@ -83,7 +83,7 @@
     }
 
     fn remembered_digest(&self, version: SpecVersion) -> Option<Digest> {
-        let rows = self.pair.copy().rows();
+        let rows = self.replica.copy().rows();
         let mut up_to = rows.range(ORDERS.to_owned()..=orders_key(version));
         let row: OrdersRow = topazyard_wire::rows::decode(up_to.next_back()?.1)?;
         let order = row.orders.iter().find(|order| order.version == version);
@@ -91,7 +91,7 @@
     }
 
     fn forgotten_up_to(&self) -> SpecVersion {
-        let copy = self.pair.copy();
+        let copy = self.replica.copy();
         if copy.with_prefix(ORDERS).next().is_none() {
             // All that was taken so far was taken by a program that kept no digests.
             return self.newest_version();
@@ -101,7 +101,7 @@
 
     /// The changes that remember an order that is taken now, under the newest version.
     pub(super) fn remember_order(&self, version: SpecVersion, digest: Digest) -> Vec<RowChange> {
-        let last = self.pair.copy().with_prefix(ORDERS).last();
+        let last = self.replica.copy().with_prefix(ORDERS).last();
         let is_first = last.is_none();
         let last = last.and_then(|(key, value)| {
             let row: OrdersRow = topazyard_wire::rows::decode(value)?;
@@ -122,7 +122,7 @@
     fn forget_oldest(&self, written: &RowChange) -> Vec<RowChange> {
         let value = written.value.as_deref().unwrap_or_default();
         let others = || {
-            let rows = self.pair.copy().with_prefix(ORDERS);
+            let rows = self.replica.copy().with_prefix(ORDERS);
             rows.filter(|(key, _)| *key != written.key)
         };
         let mut bytes = weight(&written.key, value)
@@ -152,7 +152,7 @@
         let value = written.value.as_deref().unwrap_or_default();
         let kept = [written.key.clone(), spec_key(in_force)];
         let others = || {
-            let rows = self.pair.copy().with_prefix(SPECS);
+            let rows = self.replica.copy().with_prefix(SPECS);
             rows.filter(|(key, _)| *key != written.key)
         };
         let mut count = 1 + others().count();
@@ -178,7 +178,7 @@
 
     /// The version in force; 0 before the first.
     pub(super) fn version_in_force(&self) -> SpecVersion {
-        let row: Option<InForceRow> = self.pair.copy().get(IN_FORCE);
+        let row: Option<InForceRow> = self.replica.copy().get(IN_FORCE);
         row.map(|row| row.version).unwrap_or_default()
     }
 }
--- a/programs/topazyard-control/src/machine/queries.rs
+++ b/programs/topazyard-control/src/machine/queries.rs
@@ -3,7 +3,7 @@
 use super::ControlMachine;
 use topazyard_types::{MonotonicMs, SpecVersion};
 use topazyard_wire::api::{ApiError, Code};
-use topazyard_wire::message::feed::Vitals;
+use topazyard_wire::message::feed::Health;
 use topazyard_wire::message::operate::{OperateOutcome, Query};
 use topazyard_wire::state::{
     FleetView, IN_FORCE, InForceRow, SPECS, SpecRow, StorageStage, spec_key,
@@ -16,7 +16,7 @@
             Query::ReadSource => return self.read_source(),
             Query::ListSpecs => Some(self.list_specs()),
             Query::ListEngines => {
-                let view = FleetView::read(self.pair.copy().rows());
+                let view = FleetView::read(self.replica.copy().rows());
                 Some(serde_json::json!({ "engines": view.engines.values().collect::<Vec<_>>() }))
             }
             Query::ListStorage => Some(self.list_storage(now)),
@@ -32,7 +32,7 @@
 
     /// How far a retirement has come: `active` or `completed`.
     fn retirement(&self, name: &str, now: MonotonicMs) -> OperateOutcome {
-        let view = FleetView::read(self.pair.copy().rows());
+        let view = FleetView::read(self.replica.copy().rows());
         let row = self.named(&view, name, now).and_then(|id| view.storage.get(&id));
         match row.map(|row| row.stage) {
             None => OperateOutcome::Refused(ApiError::not_run(Code::NotFound).at("node")),
@@ -43,7 +43,7 @@
 
     /// The source of the spec in force, as it came.
     fn read_source(&self) -> OperateOutcome {
-        let copy = self.pair.copy();
+        let copy = self.replica.copy();
         let in_force = copy.get::<InForceRow>(IN_FORCE);
         let row = in_force.and_then(|row| copy.get::<SpecRow>(&spec_key(row.version)));
         let source = row.and_then(|row| String::from_utf8(row.source?.to_vec()).ok());
@@ -54,7 +54,7 @@
     }
 
     fn read_spec(&self, version: Option<SpecVersion>) -> Option<serde_json::Value> {
-        let copy = self.pair.copy();
+        let copy = self.replica.copy();
         let version = match version {
             Some(version) => version,
             None => copy.get::<InForceRow>(IN_FORCE)?.version,
@@ -76,7 +76,7 @@
     }
 
     fn list_specs(&self) -> serde_json::Value {
-        let copy = self.pair.copy();
+        let copy = self.replica.copy();
         let in_force: Option<InForceRow> = copy.get(IN_FORCE);
         let specs: Vec<_> = copy
             .with_prefix(SPECS)
@@ -87,21 +87,21 @@
     }
 
     fn list_storage(&self, now: MonotonicMs) -> serde_json::Value {
-        let view = FleetView::read(self.pair.copy().rows());
+        let view = FleetView::read(self.replica.copy().rows());
         let nodes: Vec<_> = view
             .storage
             .iter()
             .map(|(id, row)| {
                 let seen = self.seen.nodes.get(id);
-                let write_wait_ms = seen.and_then(|seen| match &seen.vitals {
-                    Vitals::Storage { write_wait_ms, .. } => Some(*write_wait_ms),
-                    Vitals::Edge { .. } => None,
+                let write_wait_ms = seen.and_then(|seen| match &seen.health {
+                    Health::Storage { write_wait_ms, .. } => Some(*write_wait_ms),
+                    Health::Edge { .. } => None,
                 });
                 serde_json::json!({
                     "node": id,
                     "name": row.member.name,
                     "address": row.member.address,
-                    "domain": row.member.domain,
+                    "zone": row.member.zone,
                     "stage": row.stage,
                     "shards": crate::planner::hosted(&view, *id),
                     "heard_ms_ago": seen.map(|seen| now.since(seen.at)),
@@ -134,9 +134,9 @@
     }
 
     fn fleet_state(&self, now: MonotonicMs) -> serde_json::Value {
-        let view = FleetView::read(self.pair.copy().rows());
+        let view = FleetView::read(self.replica.copy().rows());
         let members: Vec<_> = self
-            .cohort
+            .membership
             .remembered()
             .map(|known| {
                 serde_json::json!({
@@ -145,7 +145,7 @@
                     "address": known.news.member.address,
                     "http": known.news.member.http,
                     "duty": known.news.member.duty,
-                    "domain": known.news.member.domain,
+                    "zone": known.news.member.zone,
                     "standing": known.news.standing,
                     "incarnation": known.news.incarnation,
                 })
@@ -155,12 +155,12 @@
             .seen
             .nodes
             .iter()
-            .filter_map(|(id, seen)| match &seen.vitals {
-                Vitals::Edge { ready, waiting, refused } => Some(serde_json::json!({
+            .filter_map(|(id, seen)| match &seen.health {
+                Health::Edge { ready, waiting, refused } => Some(serde_json::json!({
                     "node": id, "ready": ready, "waiting": waiting, "refused": refused,
                     "heard_ms_ago": now.since(seen.at),
                 })),
-                Vitals::Storage { .. } => None,
+                Health::Storage { .. } => None,
             })
             .collect();
         let record = self.witness.record();
@@ -172,7 +172,7 @@
                 "full": self.core.full_nodes(),
                 "witnesses": record.witnesses.iter().map(|w| w.address).collect::<Vec<_>>(),
             })),
-            "place": self.pair.copy().place(),
+            "place": self.replica.copy().place(),
             "spec": view.spec.as_ref().map(|(version, _)| version),
             "members": members,
             "relays": relays,
--- a/programs/topazyard-control/src/machine/patience.rs
+++ b/programs/topazyard-control/src/machine/timeouts.rs
@@ -7,24 +7,24 @@
 
 /// How long each may be silent.
 #[derive(Debug, Clone)]
-pub(crate) struct Patience {
+pub(crate) struct Timeouts {
     /// After how long without a confirmation the primary asks for other backups. It is shorter
-    /// than the backup's patience, so that of two that don't hear each other the primary asks.
+    /// than the backup's timeout, so that of two that don't hear each other the primary asks.
     pub(crate) backup: DurationMs,
     /// After how long without a word the backup asks to take over.
     pub(crate) primary: DurationMs,
     /// How much longer each further backup waits, so that one is ahead of the others.
     pub(crate) turn: DurationMs,
-    /// After how long a write that is not synced makes a primary ask for another pair.
+    /// After how long a write that is not synced makes a primary ask for another replica.
     pub(crate) write: DurationMs,
     /// After how long a silent witness is exchanged for a spare core node: well before the next
     /// loss may come.
     pub(crate) witness: DurationMs,
     /// After how long without a learner in step another is tried.
     pub(crate) learner: DurationMs,
-    /// After how long without a word a storage node that the cohort doubts too counts as down.
+    /// After how long without a word a storage node that the membership doubts too counts as down.
     pub(crate) down: DurationMs,
-    /// After how long without a word it counts as down whatever the cohort says.
+    /// After how long without a word it counts as down whatever the membership says.
     pub(crate) surely_down: DurationMs,
     /// How long a node that is about to end waits until others stand in its place.
     pub(crate) leaving: DurationMs,
@@ -32,7 +32,7 @@
     pub(crate) settle: DurationMs,
 }
 
-impl Patience {
+impl Timeouts {
     pub(crate) fn within(bounds: &topazyard_spec::Bounds) -> Self {
         let contact = |percent: u64| DurationMs(bounds.contact.0 * percent / 100);
         Self {
