--- a/programs/topazyard-control/src/machine/tuning.rs
+++ b/programs/topazyard-control/src/machine/tuning.rs
@@ -5,7 +5,7 @@
 use crate::tuner::{Demand, EngineLoad};
 use topazyard_types::{DurationMs, Epoch, MonotonicMs, PoolName};
 use topazyard_wire::Effect;
-use topazyard_wire::message::feed::Vitals;
+use topazyard_wire::message::feed::Health;
 use topazyard_wire::message::operate::{Command, Operate, OperateOutcome, Query};
 use topazyard_wire::state::FleetView;
 
@@ -46,7 +46,7 @@
         first.is_some_and(|first| first.id == self.me.id)
     }
 
-    pub(super) fn tuning_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn tuning_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         if now.since(self.tuning.last) < EVERY || !self.tunes(now) {
             return;
         }
@@ -57,16 +57,16 @@
 
     /// What the primary knows of demand.
     pub(super) fn load(&self) -> Option<serde_json::Value> {
-        let view = FleetView::read(self.pair.copy().rows());
+        let view = FleetView::read(self.replica.copy().rows());
         let (_, bundle) = view.spec.as_ref()?;
         let mut demand = Demand::default();
         for seen in self.seen.nodes.values() {
-            match &seen.vitals {
-                Vitals::Edge { waiting, refused, .. } => {
+            match &seen.health {
+                Health::Edge { waiting, refused, .. } => {
                     demand.live_waiting += u64::from(*waiting);
                     demand.live_refused += u64::from(*refused);
                 }
-                Vitals::Storage { waiting, live_tokens, .. } => {
+                Health::Storage { waiting, live_tokens, .. } => {
                     demand.parcel_tokens += waiting.iter().map(|(_, cost)| cost).sum::<u64>();
                     demand.live_tokens = demand.live_tokens.max(live_tokens.unwrap_or(0));
                 }
@@ -85,7 +85,7 @@
             Some(PoolLoad { pool: pool.name.clone(), live_percent: weight.live_percent, demand })
         });
         let load = Load {
-            epoch: self.pair.epoch(),
+            epoch: self.replica.epoch(),
             pools: pools.collect(),
             engines: view.engines.values().cloned().collect(),
         };
--- a/programs/topazyard-control/src/planner.rs
+++ b/programs/topazyard-control/src/planner.rs
@@ -3,10 +3,10 @@
 //! A copy is only ever let go when as many others hold everything as the tolerated loss needs: a
 //! learner is filled first, then the record switches.
 
-use topazyard_types::{DomainName, DurationMs, Epoch, NodeId, ShardId};
+use topazyard_types::{DurationMs, Epoch, NodeId, ShardId, ZoneName};
 use topazyard_wire::RowChange;
-use topazyard_wire::message::cohort::Member;
 use topazyard_wire::message::control::{CoreNode, ShardRecord};
+use topazyard_wire::message::membership::Member;
 use topazyard_wire::state::{
     FleetView, StorageRow, StorageStage, WeightRow, shard_key, storage_key, weight_key,
 };
@@ -193,15 +193,15 @@
 }
 
 /// How ill a node is placed in a record, whether as backup or in place of one: unfit, then in the
-/// domain of another copy, then with a slow disk.
+/// zone of another copy, then with a slow disk.
 fn rank(
     view: &FleetView,
     standings: &Standings,
     others: &[CoreNode],
     node: &CoreNode,
 ) -> (bool, bool, bool) {
-    let own = domain(view, node.id);
-    let together = others.iter().any(|other| other.id != node.id && domain(view, other.id) == own);
+    let own = zone(view, node.id);
+    let together = others.iter().any(|other| other.id != node.id && zone(view, other.id) == own);
     (is_unfit(view, standings, node), together, standings.slow.contains(&node.id))
 }
 
@@ -304,16 +304,16 @@
     CoreNode { id: member.id, address: member.address }
 }
 
-fn domain(view: &FleetView, id: NodeId) -> Option<&DomainName> {
-    view.storage.get(&id).map(|row| &row.member.domain)
+fn zone(view: &FleetView, id: NodeId) -> Option<&ZoneName> {
+    view.storage.get(&id).map(|row| &row.member.zone)
 }
 
 /// Nodes that may be given a copy: those that speak before the silent, then those of other
-/// domains, then the least laden.
+/// zones, then the least laden.
 fn candidates(
     view: &FleetView,
     standings: &Standings,
-    apart_from: &[&DomainName],
+    apart_from: &[&ZoneName],
     not: &[NodeId],
 ) -> Vec<CoreNode> {
     let mut nodes: Vec<(bool, bool, bool, usize, NodeId, CoreNode)> = view
@@ -323,7 +323,7 @@
             row.stage == StorageStage::Active && standings.works(**id) && !not.contains(id)
         })
         .map(|(id, row)| {
-            let together = apart_from.contains(&&row.member.domain);
+            let together = apart_from.contains(&&row.member.zone);
             let (silent, slow) = (standings.silent.contains(id), standings.slow.contains(id));
             (silent, together, slow, hosted(view, *id), *id, node(&row.member))
         })
@@ -334,12 +334,9 @@
     nodes.into_iter().map(|(_, _, _, _, _, node)| node).collect()
 }
 
-/// Domains of nodes, as far as they are known.
-fn domains<'a>(
-    view: &'a FleetView,
-    nodes: impl Iterator<Item = &'a CoreNode>,
-) -> Vec<&'a DomainName> {
-    nodes.filter_map(|node| domain(view, node.id)).collect()
+/// Zones of nodes, as far as they are known.
+fn zones<'a>(view: &'a FleetView, nodes: impl Iterator<Item = &'a CoreNode>) -> Vec<&'a ZoneName> {
+    nodes.filter_map(|node| zone(view, node.id)).collect()
 }
 
 fn place_new(view: &FleetView, standings: &Standings) -> Option<ShardRecord> {
@@ -353,7 +350,7 @@
         learners: Vec::new(),
     };
     while !record.is_complete() {
-        let apart = domains(view, record.members());
+        let apart = zones(view, record.members());
         let not: Vec<NodeId> = record.members().map(|node| node.id).collect();
         let backup = *candidates(view, standings, &apart, &not).first()?;
         record.backups.push(backup);
@@ -370,10 +367,10 @@
 ) -> Option<CoreNode> {
     let taken = || record.members().chain(&record.learners);
     let not: Vec<NodeId> = taken().map(|node| node.id).chain(failed.iter().copied()).collect();
-    let apart = domains(view, taken());
+    let apart = zones(view, taken());
     let all = candidates(view, standings, &apart, &not);
     let kept = |node: &&CoreNode| record.fallbacks.iter().any(|kept| kept.id == node.id);
-    let is_apart = |node: &&CoreNode| domain(view, node.id).is_none_or(|own| !apart.contains(&own));
+    let is_apart = |node: &&CoreNode| zone(view, node.id).is_none_or(|own| !apart.contains(&own));
     let is_well = |node: &&CoreNode| {
         !standings.slow.contains(&node.id) && !standings.silent.contains(&node.id)
     };
@@ -463,7 +460,7 @@
         let epoch = record.epoch.next();
         return Some(ShardRecord { epoch, copies: standings.copies, ..record.clone() });
     }
-    // Only for a strictly better copy: in place of a backup that is unfit, stands in the domain of
+    // Only for a strictly better copy: in place of a backup that is unfit, stands in the zone of
     // another copy, or has a slow disk, in that order.
     let worst = worst_backup(view, standings, record)?;
     let others: Vec<CoreNode> =
@@ -540,7 +537,7 @@
             && let Some(backup) = record.backups.first()
         {
             // Its backup's place can't be eased by a move; hand the primary duty over first.
-            let apart = domains(view, record.backups.iter());
+            let apart = zones(view, record.backups.iter());
             let least = candidates(view, standings, &apart, &not);
             if least.first().is_some_and(|least| laden(*most) >= laden(least.id) + 2)
                 && view.shards.values().all(|other| !other.is_backup(*most))
@@ -550,9 +547,9 @@
         }
         if record.is_backup(*most) {
             let others: Vec<&CoreNode> = record.members().filter(|node| node.id != *most).collect();
-            let apart = domains(view, others.into_iter());
+            let apart = zones(view, others.into_iter());
             let least = candidates(view, standings, &apart, &not);
-            let is_apart = |id: NodeId| domain(view, id).is_none_or(|own| !apart.contains(&own));
+            let is_apart = |id: NodeId| zone(view, id).is_none_or(|own| !apart.contains(&own));
             let least = least
                 .first()
                 .filter(|least| laden(*most) >= laden(least.id) + 2)
--- a/programs/topazyard-control/src/run.rs
+++ b/programs/topazyard-control/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::outside::{Handle, Outside};
 use topazyard_wire::driver::{StartError, start_with_disk};
-use topazyard_wire::message::cohort::Duty;
+use topazyard_wire::message::membership::Duty;
 
 /// The longest that one reading of the list of engines may take.
 const LIST_LIMIT: std::time::Duration = std::time::Duration::from_millis(1_500);
--- a/programs/topazyard-control/src/witnesses.rs
+++ b/programs/topazyard-control/src/witnesses.rs
@@ -1,6 +1,6 @@
 //! The choice of witnesses: as many as decide through the tolerated loss, spread over zones.
 
-use topazyard_types::{DomainName, DurationMs, NodeId};
+use topazyard_types::{DurationMs, NodeId, ZoneName};
 use topazyard_wire::message::control::CoreNode;
 
 /// A control node that is or may become a witness.
@@ -9,7 +9,7 @@
     /// It.
     pub node: CoreNode,
     /// Its zone, where it is known.
-    pub zone: Option<DomainName>,
+    pub zone: Option<ZoneName>,
     /// For how long it has not been heard.
     pub silence: DurationMs,
 }
@@ -25,7 +25,7 @@
     pub lost_zones: usize,
 }
 
-fn in_zone(chosen: &[Candidate], zone: &Option<DomainName>) -> usize {
+fn in_zone(chosen: &[Candidate], zone: &Option<ZoneName>) -> usize {
     match zone {
         Some(_) => chosen.iter().filter(|candidate| candidate.zone == *zone).count(),
         None => 0,
@@ -56,7 +56,7 @@
 
 /// Whether a majority is left after the loss of the zones that hold most of them.
 pub fn outlive_zones(witnesses: &[Candidate], lost_zones: usize) -> bool {
-    let mut zones = std::collections::BTreeMap::<&DomainName, usize>::new();
+    let mut zones = std::collections::BTreeMap::<&ZoneName, usize>::new();
     for zone in witnesses.iter().filter_map(|witness| witness.zone.as_ref()) {
         *zones.entry(zone).or_default() += 1;
     }
--- a/programs/topazyard-control/tests/catching_up.rs
+++ b/programs/topazyard-control/tests/catching_up.rs
@@ -9,7 +9,7 @@
 use topazyard_replication::follower::Followed;
 use topazyard_types::{Life, MonotonicMs, NodeId, SpecVersion};
 use topazyard_wire::message::Message;
-use topazyard_wire::message::feed::{FeedMessage, Matter, Vitals};
+use topazyard_wire::message::feed::{FeedMessage, Health, Matter};
 use topazyard_wire::message::operate::{Command, Operate, OperateOutcome};
 use topazyard_wire::state::FleetView;
 
@@ -67,8 +67,8 @@
     /// Lets a follower ask once, and gives what it is answered.
     fn answer(&mut self, follower: &mut Follower) -> FeedMessage {
         self.now.0 += 1_000;
-        let vitals = || Vitals::Edge { ready: true, waiting: 0, refused: 0 };
-        let (_, ask) = follower.beat(self.now, vitals).expect("it asks");
+        let health = || Health::Edge { ready: true, waiting: 0, refused: 0 };
+        let (_, ask) = follower.tick(self.now, health).expect("it asks");
         let primary = self.fleet.primary().expect("a primary");
         let (sender, from) = (NodeId(500), ([127, 0, 0, 1], 500).into());
         let message = Message::Feed(ask);
--- a/programs/topazyard-control/tests/claims.rs
+++ b/programs/topazyard-control/tests/claims.rs
@@ -5,9 +5,9 @@
 use topazyard_types::{Epoch, MonotonicMs, NodeId, Sequence};
 use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::Message;
-use topazyard_wire::message::cohort::{Duty, Member};
 use topazyard_wire::message::control::{CoreMessage, CoreNode, EpochRecord};
-use topazyard_wire::message::pair::{Follows, PairBody, PairMessage};
+use topazyard_wire::message::membership::{Duty, Member};
+use topazyard_wire::message::replica::{Follows, ReplicaBody, ReplicaMessage};
 use topazyard_wire::{Effect, Group, Input, Machine as _, RowChange, WriteToken};
 
 const NOW: MonotonicMs = MonotonicMs(86_400_000);
@@ -41,7 +41,7 @@
             address: node(ME).address,
             http: None,
             duty: Duty::Control,
-            domain: "zone-3".into(),
+            zone: "zone-3".into(),
         };
         let start = DiskStart {
             resources: topazyard_spec::Resources::default(),
@@ -57,7 +57,7 @@
     }
 
     /// Takes a message and syncs what is written; gives what was said to control nodes' copies.
-    fn hear(&mut self, from: u64, message: Message) -> Vec<PairBody> {
+    fn hear(&mut self, from: u64, message: Message) -> Vec<ReplicaBody> {
         let (sender, from) = (NodeId(from), node(from).address);
         let mut effects = self.machine.step(Input::Frame { sender, from, message }, NOW);
         let mut said = Vec::new();
@@ -65,7 +65,9 @@
             let mut synced: Vec<WriteToken> = Vec::new();
             for effect in effects {
                 match effect {
-                    Effect::Send { message: Message::Pair(PairMessage { body, .. }), .. } => {
+                    Effect::Send {
+                        message: Message::Replica(ReplicaMessage { body, .. }), ..
+                    } => {
                         said.push(body);
                     }
                     Effect::Write { token, changes } => {
@@ -84,25 +86,25 @@
     }
 
     fn learn(&mut self, from: u64, record: EpochRecord) {
-        let beat = CoreMessage::Beat {
+        let tick = CoreMessage::Heartbeat {
             record: Some(record),
             heard: vec![node(ME)],
             zone: format!("zone-{from}").as_str().into(),
             takes_writes: true,
         };
-        self.hear(from, Message::Core(beat));
+        self.hear(from, Message::Core(tick));
     }
 
     fn compare(&mut self, from: u64, epoch: u64, of: Follows, round: u64, of_copy: &Copy) -> bool {
-        let body = PairBody::Digests {
+        let body = ReplicaBody::Digests {
             round,
             sequence: Sequence(0),
             digests: of_copy.digests().to_vec(),
             of,
         };
-        let message = PairMessage { group: Group::Control, epoch: Epoch(epoch), body };
-        let said = self.hear(from, Message::Pair(message));
-        said.iter().any(|body| matches!(body, PairBody::InStep { .. }))
+        let message = ReplicaMessage { group: Group::Control, epoch: Epoch(epoch), body };
+        let said = self.hear(from, Message::Replica(message));
+        said.iter().any(|body| matches!(body, ReplicaBody::InStep { .. }))
     }
 }
 
@@ -114,9 +116,9 @@
     let empty = Copy::default();
     assert!(third.compare(1, 2, Follows::AsLearner, 100, &empty), "as a learner it may");
     assert!(!third.compare(1, 2, Follows::AsBackup, 101, &empty), "the record is not known");
-    let append = PairBody::Append { round: 102, sequence: Sequence(0), changes: Vec::new() };
-    let message = PairMessage { group: Group::Control, epoch: Epoch(2), body: append };
-    assert_eq!(third.hear(1, Message::Pair(message)), [], "nor is anything appended");
+    let append = ReplicaBody::Append { round: 102, sequence: Sequence(0), changes: Vec::new() };
+    let message = ReplicaMessage { group: Group::Control, epoch: Epoch(2), body: append };
+    assert_eq!(third.hear(1, Message::Replica(message)), [], "nor is anything appended");
     third.learn(1, record(2, 1, 3));
     third.disk.clear();
     assert!(third.compare(1, 2, Follows::AsBackup, 103, &empty));
--- a/programs/topazyard-control/tests/confirming.rs
+++ b/programs/topazyard-control/tests/confirming.rs
@@ -2,7 +2,7 @@
 
 mod fleet;
 
-use fleet::{BEAT, Fleet, storage};
+use fleet::{Fleet, TICK, storage};
 use topazyard_types::{Epoch, ShardId};
 use topazyard_wire::message::Message;
 use topazyard_wire::message::confirm::ConfirmMessage;
@@ -38,7 +38,7 @@
 /// The records that a node confirms when it is asked now.
 fn confirmed_by(fleet: &mut Fleet, number: usize) -> Option<Vec<(ShardId, Epoch)>> {
     ask(fleet, number);
-    fleet.run(2 * BEAT.0);
+    fleet.run(2 * TICK.0);
     confirmed(fleet)
 }
 
@@ -59,7 +59,7 @@
     fleet.stop(THIRD, false);
     assert_eq!(confirmed_by(&mut fleet, BACKUP), None);
     fleet.start(THIRD);
-    fleet.run(2 * BEAT.0);
+    fleet.run(2 * TICK.0);
     assert!(confirmed_by(&mut fleet, BACKUP).is_some(), "two of three are a majority");
 }
 
--- a/programs/topazyard-control/tests/disks.rs
+++ b/programs/topazyard-control/tests/disks.rs
@@ -79,12 +79,12 @@
     known_members(fleet).expect("a primary that answers")
 }
 
-fn vitals(fleet: &mut Fleet, number: usize) -> serde_json::Value {
+fn health(fleet: &mut Fleet, number: usize) -> serde_json::Value {
     fleet.nodes[number].returned = None;
-    fleet.tell(number, ControlCall::Vitals);
+    fleet.tell(number, ControlCall::Health);
     match fleet.nodes[number].returned.take() {
         Some(OperateOutcome::Done(text)) => serde_json::from_str(&text).expect("json"),
-        other => panic!("no vitals: {other:?}"),
+        other => panic!("no health: {other:?}"),
     }
 }
 
@@ -92,13 +92,13 @@
 fn a_primary_without_room_hands_over_at_once_and_says_why() {
     let mut fleet = running(3);
     let old = fleet.primary().expect("a primary");
-    assert_eq!(vitals(&mut fleet, old)["disk"], "healthy");
+    assert_eq!(health(&mut fleet, old)["disk"], "healthy");
     fleet.fill(old, true);
     fleet.run(300);
     let new = fleet.primary().expect("another leads within 300 ms");
     assert_ne!(new, old);
     assert!(!members(&mut fleet).contains(&old), "what can't write holds no copy");
-    assert_eq!(vitals(&mut fleet, old)["disk"], "full");
+    assert_eq!(health(&mut fleet, old)["disk"], "full");
     let taken = fleet.command(new, spec(0, 1));
     assert!(matches!(taken, Some(OperateOutcome::Done(_))), "{taken:?}");
     // What needs no new byte goes on there: it passes a query on to who leads.
@@ -116,7 +116,7 @@
     fleet.command(new, spec(0, 1));
     fleet.make_room(old);
     fleet.run(1_000);
-    assert_eq!(vitals(&mut fleet, old)["disk"], "healthy");
+    assert_eq!(health(&mut fleet, old)["disk"], "healthy");
     // Its vote is needed now, and its disk for the copy.
     fleet.stop(new, false);
     fleet.run(4_000);
--- a/programs/topazyard-control/tests/fleet/mod.rs
+++ b/programs/topazyard-control/tests/fleet/mod.rs
@@ -7,12 +7,12 @@
 use topazyard_wire::disk::DiskState;
 use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::Message;
-use topazyard_wire::message::cohort::{Duty, Member};
-use topazyard_wire::message::feed::{FeedMessage, Vitals};
+use topazyard_wire::message::feed::{FeedMessage, Health};
+use topazyard_wire::message::membership::{Duty, Member};
 use topazyard_wire::message::operate::{Command, Operate, OperateOutcome, Query};
 use topazyard_wire::{Effect, Input, Machine as _, RowChange, WriteToken};
 
-pub const BEAT: DurationMs = DurationMs(25);
+pub const TICK: DurationMs = DurationMs(25);
 
 pub struct Node {
     pub machine: Option<ControlMachine>,
@@ -75,7 +75,7 @@
         address: at(100 + number as usize),
         http: None,
         duty: Duty::Storage,
-        domain: format!("domain-{number}").as_str().into(),
+        zone: format!("zone-{number}").as_str().into(),
     }
 }
 
@@ -127,7 +127,7 @@
             address: at(number),
             http: None,
             duty: Duty::Control,
-            domain: format!("domain-{number}").as_str().into(),
+            zone: format!("zone-{number}").as_str().into(),
         };
         let start = DiskStart {
             resources: self.resources.clone(),
@@ -257,9 +257,9 @@
     pub fn run(&mut self, for_ms: u64) {
         let until = self.now.plus(DurationMs(for_ms));
         while self.now < until {
-            self.now = self.now.plus(BEAT);
+            self.now = self.now.plus(TICK);
             for number in 0..self.nodes.len() {
-                let effects = self.step(number, Input::Beat);
+                let effects = self.step(number, Input::Tick);
                 self.happen(number, effects);
             }
             if self.now.0.is_multiple_of(200) {
@@ -270,7 +270,7 @@
 
     fn storage_asks(&mut self) {
         for member in self.storage.clone() {
-            let vitals = Vitals::Storage {
+            let health = Health::Storage {
                 member: member.clone(),
                 disk: match self.full_storage.contains(&member.id) {
                     true => DiskState::Full,
@@ -286,7 +286,7 @@
                     after: Default::default(),
                     part: None,
                     heard: Some(DurationMs(0)),
-                    vitals: vitals.clone(),
+                    health: health.clone(),
                 };
                 let (sender, from) = (member.id, member.address);
                 let message = Message::Feed(ask);
--- a/programs/topazyard-control/tests/operating.rs
+++ b/programs/topazyard-control/tests/operating.rs
@@ -167,7 +167,7 @@
         pool: "main".into(),
         models: Vec::new(),
         state,
-        domain: None,
+        zone: None,
         slots: 4,
     }
 }
--- a/programs/topazyard-control/tests/orders.rs
+++ b/programs/topazyard-control/tests/orders.rs
@@ -284,7 +284,7 @@
     let mut fleet = running();
     taken(fleet.command(0, order(0, 3, "a")));
     fleet.network = |message| match message {
-        Message::Pair(_) | Message::Operate(_) => Fate::Waits,
+        Message::Replica(_) | Message::Operate(_) => Fate::Waits,
         _ => Fate::Arrives,
     };
     let marks = ["b", "c", "d"];
@@ -373,7 +373,7 @@
         fleet.network = match is_committed {
             true => |message| if is_answer(message) { Fate::Waits } else { Fate::Arrives },
             false => |message| match message {
-                Message::Pair(_) => Fate::Waits,
+                Message::Replica(_) => Fate::Waits,
                 _ => Fate::Arrives,
             },
         };
--- a/programs/topazyard-control/tests/placement.rs
+++ b/programs/topazyard-control/tests/placement.rs
@@ -4,17 +4,17 @@
     Standings, dropped_backups, handed_over, plan, promoted_learners,
 };
 use topazyard_types::{NodeId, ShardId};
-use topazyard_wire::message::cohort::{Duty, Member};
+use topazyard_wire::message::membership::{Duty, Member};
 use topazyard_wire::state::FleetView;
 
-fn member(id: u64, domain: &str) -> Member {
+fn member(id: u64, zone: &str) -> Member {
     Member {
         id: NodeId(id),
         name: None,
         address: std::net::SocketAddr::from(([127, 0, 0, 1], id as u16)),
         http: None,
         duty: Duty::Storage,
-        domain: domain.into(),
+        zone: zone.into(),
     }
 }
 
@@ -74,14 +74,14 @@
 }
 
 #[test]
-fn each_shard_gets_two_copies_in_two_domains() {
+fn each_shard_gets_two_copies_in_two_zones() {
     let (members, view) = settled_fleet();
     assert_eq!(view.shards.len(), ShardId::all().count());
     for record in view.shards.values() {
-        let domain = |id| &members.iter().find(|member| member.id == id).expect("known").domain;
+        let zone = |id| &members.iter().find(|member| member.id == id).expect("known").zone;
         assert_eq!(record.backups.len(), 1);
         let backup = record.backups.first().expect("a backup");
-        assert_ne!(domain(record.primary.id), domain(backup.id));
+        assert_ne!(zone(record.primary.id), zone(backup.id));
     }
 }
 
@@ -171,10 +171,10 @@
     assert!(plan(&view, &standings).contains(&gone));
 }
 
-/// Ten nodes in five domains.
+/// Ten nodes in five zones.
 fn ten() -> Vec<Member> {
-    let domains = ["north", "east", "west", "south", "centre"];
-    (1..=10).map(|id| member(id, domains[id as usize % 5])).collect()
+    let zones = ["north", "east", "west", "south", "centre"];
+    (1..=10).map(|id| member(id, zones[id as usize % 5])).collect()
 }
 
 fn settled_with(members: &[Member], copies: u16) -> FleetView {
@@ -184,17 +184,17 @@
 }
 
 #[test]
-fn each_shard_gets_as_many_copies_as_asked_for_each_in_a_domain_of_its_own() {
+fn each_shard_gets_as_many_copies_as_asked_for_each_in_a_zone_of_its_own() {
     for copies in 1..=3 {
         let members = ten();
         let view = settled_with(&members, copies);
         assert_eq!(view.shards.len(), ShardId::all().count());
         for record in view.shards.values() {
-            let domain = |id| &members.iter().find(|member| member.id == id).expect("known").domain;
-            let domains: std::collections::BTreeSet<_> =
-                record.members().map(|node| domain(node.id)).collect();
+            let zone = |id| &members.iter().find(|member| member.id == id).expect("known").zone;
+            let zones: std::collections::BTreeSet<_> =
+                record.members().map(|node| zone(node.id)).collect();
             assert_eq!((record.copies, record.members().count()), (copies, usize::from(copies)));
-            assert_eq!(domains.len(), usize::from(copies));
+            assert_eq!(zones.len(), usize::from(copies));
         }
     }
 }
--- a/programs/topazyard-control/tests/shard_safety.rs
+++ b/programs/topazyard-control/tests/shard_safety.rs
@@ -8,8 +8,8 @@
 };
 use topazyard_types::{NodeId, ShardId};
 use topazyard_wire::RowChange;
-use topazyard_wire::message::cohort::{Duty, Member};
 use topazyard_wire::message::control::{CoreNode, ShardRecord};
+use topazyard_wire::message::membership::{Duty, Member};
 use topazyard_wire::state::{FleetView, StorageRow, StorageStage, shard_key, storage_key};
 
 fn member(id: u64, zone: u64) -> Member {
@@ -19,7 +19,7 @@
         address: std::net::SocketAddr::from(([127, 0, 0, 1], id as u16)),
         http: None,
         duty: Duty::Storage,
-        domain: format!("zone-{zone}").as_str().into(),
+        zone: format!("zone-{zone}").as_str().into(),
     }
 }
 
@@ -277,7 +277,7 @@
         fleet.mend();
         for record in fleet.view.shards.values() {
             let zones: BTreeSet<_> =
-                record.members().map(|node| fleet.members[&node.id].domain.clone()).collect();
+                record.members().map(|node| fleet.members[&node.id].zone.clone()).collect();
             assert_eq!(zones.len(), 2, "one zone holds every copy: {record:?}");
         }
     }
--- a/programs/topazyard-control/tests/wishes.rs
+++ b/programs/topazyard-control/tests/wishes.rs
@@ -2,18 +2,18 @@
 
 mod fleet;
 
-use fleet::{BEAT, Fleet, storage};
+use fleet::{Fleet, TICK, storage};
 use topazyard_types::{Epoch, Place, ShardId};
 use topazyard_wire::message::Message;
 use topazyard_wire::message::control::{ShardRecord, ShardWish, Wish};
-use topazyard_wire::message::feed::{FeedMessage, Matter, Vitals};
+use topazyard_wire::message::feed::{FeedMessage, Health, Matter};
 use topazyard_wire::state::FleetView;
 
 /// The shards' records, as the feed tells them.
 fn records(fleet: &mut Fleet) -> std::collections::BTreeMap<ShardId, ShardRecord> {
     fleet.told.clear();
     let member = storage(1);
-    let vitals = Vitals::Storage {
+    let health = Health::Storage {
         member: member.clone(),
         write_wait_ms: 0,
         waiting: Vec::new(),
@@ -21,10 +21,10 @@
         disk: topazyard_wire::disk::DiskState::Healthy,
     };
     let ask =
-        FeedMessage::Ask { nonce: 77, after: Place::default(), part: None, heard: None, vitals };
+        FeedMessage::Ask { nonce: 77, after: Place::default(), part: None, heard: None, health };
     let primary = fleet.primary().expect("one leads");
     fleet.hear(primary, &member, Message::Feed(ask));
-    fleet.run(2 * BEAT.0);
+    fleet.run(2 * TICK.0);
     let rows = fleet.told.iter().find_map(|message| match message {
         Message::Feed(FeedMessage::News { nonce: 77, matter: Matter::View(rows), .. }) => {
             Some(rows.iter().cloned().collect())
@@ -75,6 +75,6 @@
         };
         fleet.hear(primary, &member, Message::Wish(wish(epoch)));
     }
-    fleet.run(BEAT.0);
+    fleet.run(TICK.0);
     assert_eq!(records(&mut fleet), before);
 }
--- a/programs/topazyard-edge-agent/src/machine.rs
+++ b/programs/topazyard-edge-agent/src/machine.rs
@@ -2,22 +2,22 @@
 //! is, and the returns back. Freshness is counted by the relay from its own asking, so an agent
 //! that was frozen can't make old news look fresh.
 
-use topazyard_cohort::Cohort;
+use topazyard_membership::Membership;
 use topazyard_types::{DurationMs, MonotonicMs};
 use topazyard_wire::driver::disked::Remembered;
 use topazyard_wire::message::Message;
-use topazyard_wire::message::cohort::{Duty, Member};
-use topazyard_wire::message::feed::{FeedMessage, PartWanted, Vitals};
+use topazyard_wire::message::feed::{FeedMessage, Health, PartWanted};
+use topazyard_wire::message::membership::{Duty, Member};
 use topazyard_wire::{Effect, Group, Input, Machine, WriteToken};
 
 /// The same while it is not known who leads.
-const LOOKING_PATIENCE: DurationMs = DurationMs(125);
+const LOOKING_TIMEOUT: DurationMs = DurationMs(125);
 /// Control nodes asked at once while it is not known who leads.
 const ASKED_AT_ONCE: usize = 3;
 /// After how long another is asked where one knew of no primary.
 const TURNED_AWAY: DurationMs = DurationMs(50);
 /// After how long without a return another control node is asked.
-const PATIENCE: DurationMs = DurationMs(250);
+const TIMEOUT: DurationMs = DurationMs(250);
 /// After how long without an asking the relay counts as gone, and its agent leaves the fleet.
 const RELAY_SILENT: DurationMs = DurationMs(3_000);
 
@@ -53,13 +53,13 @@
     after: topazyard_types::Place,
     part: Option<PartWanted>,
     heard: Option<topazyard_types::DurationMs>,
-    vitals: Vitals,
+    health: Health,
     at: MonotonicMs,
 }
 
 /// One agent.
 pub struct AgentMachine {
-    cohort: Cohort,
+    membership: Membership,
     relay: std::net::SocketAddr,
     sources: Vec<std::net::SocketAddr>,
     next_source: usize,
@@ -79,10 +79,10 @@
     ///
     /// ```
     /// use topazyard_edge_agent::{AgentMachine, Start};
-    /// use topazyard_wire::message::cohort::{Duty, Member};
+    /// use topazyard_wire::message::membership::{Duty, Member};
     /// let at = |port| std::net::SocketAddr::from(([127, 0, 0, 1], port));
     /// let member = Member { id: topazyard_types::NodeId(1), name: None, address: at(1),
-    ///     http: Some(at(2)), duty: Duty::Edge, domain: "north".into() };
+    ///     http: Some(at(2)), duty: Duty::Edge, zone: "north".into() };
     /// let start = Start { member, seeds: vec![at(3), at(4), at(5)], remembered: None,
     ///     relay: at(6), chance: 1 };
     /// AgentMachine::new(start);
@@ -91,7 +91,7 @@
         let known = start.remembered.as_ref().map(|kept| kept.with_seeds(&start.seeds));
         let sources = known.unwrap_or(start.seeds);
         Self {
-            cohort: Cohort::new(start.member, sources.clone(), start.chance),
+            membership: Membership::new(start.member, sources.clone(), start.chance),
             relay: start.relay,
             sources,
             next_source: 0,
@@ -131,7 +131,7 @@
             after: passed.after,
             part: passed.part,
             heard: passed.heard,
-            vitals: passed.vitals.clone(),
+            health: passed.health.clone(),
         };
         for to in to {
             out.push(Effect::Send { to, message: Message::Feed(message.clone()) });
@@ -146,7 +146,7 @@
         out: &mut Out,
     ) {
         match message {
-            FeedMessage::Ask { nonce, after, part, heard, vitals } => {
+            FeedMessage::Ask { nonce, after, part, heard, health } => {
                 if from != self.relay {
                     return;
                 }
@@ -159,7 +159,7 @@
                     after,
                     part,
                     heard,
-                    vitals,
+                    health,
                     at: now,
                 });
                 if unanswered {
@@ -193,11 +193,11 @@
     fn take_seeds(&mut self, seeds: Vec<std::net::SocketAddr>) {
         let new = seeds.iter().filter(|seed| !self.sources.contains(seed)).copied();
         self.sources.extend(new.collect::<Vec<_>>());
-        self.cohort.take_seeds(seeds);
+        self.membership.take_seeds(seeds);
     }
 
-    fn beat(&mut self, now: MonotonicMs, out: &mut Out) {
-        for address in self.cohort.addresses(Duty::Control) {
+    fn tick(&mut self, now: MonotonicMs, out: &mut Out) {
+        for address in self.membership.addresses(Duty::Control) {
             if !self.sources.contains(&address) {
                 self.sources.push(address);
             }
@@ -205,23 +205,23 @@
         // One write at a time, so that nothing piles up behind a disk that is full or stalls.
         let is_synced = self.last_synced == self.last_write;
         let remembered = self.remembered.as_mut().filter(|_| is_synced);
-        let row = remembered.and_then(|kept| kept.learn(self.cohort.addresses(Duty::Control)));
+        let row = remembered.and_then(|kept| kept.learn(self.membership.addresses(Duty::Control)));
         if let Some(row) = row {
             self.last_write += 1;
             let token = WriteToken { group: Group::Node, number: self.last_write };
             out.push(Effect::Write { token, changes: vec![row] });
         }
         let again = self.turned_away.is_some_and(|at| now.since(at) >= TURNED_AWAY);
-        let patience = if self.leader.is_some() { PATIENCE } else { LOOKING_PATIENCE };
-        let late = self.passed.as_ref().is_some_and(|passed| now.since(passed.at) >= patience);
+        let timeout = if self.leader.is_some() { TIMEOUT } else { LOOKING_TIMEOUT };
+        let late = self.passed.as_ref().is_some_and(|passed| now.since(passed.at) >= timeout);
         if late || (again && self.passed.is_some()) {
             self.leader = None;
             self.pass_on(now, out);
         }
         // An agent answers for its relay: without one it doesn't return probes, nor sends any.
         if self.relay_is_heard(now) {
-            let outgoing = self.cohort.beat(now);
-            out.extend(topazyard_cohort::effects(outgoing));
+            let outgoing = self.membership.tick(now);
+            out.extend(topazyard_membership::effects(outgoing));
         }
     }
 
@@ -238,11 +238,11 @@
     fn step(&mut self, input: Input<AgentCall>, now: MonotonicMs) -> Out {
         let mut out = Vec::new();
         match input {
-            Input::Beat => self.beat(now, &mut out),
-            Input::Frame { from, message: Message::Cohort(message), .. } => {
+            Input::Tick => self.tick(now, &mut out),
+            Input::Frame { from, message: Message::Membership(message), .. } => {
                 if self.relay_is_heard(now) {
-                    let outgoing = self.cohort.receive(from, message, now);
-                    out.extend(topazyard_cohort::effects(outgoing));
+                    let outgoing = self.membership.receive(from, message, now);
+                    out.extend(topazyard_membership::effects(outgoing));
                 }
             }
             Input::Frame { from, message: Message::Feed(message), .. } => {
--- a/programs/topazyard-edge-agent/src/run.rs
+++ b/programs/topazyard-edge-agent/src/run.rs
@@ -4,7 +4,7 @@
 use topazyard_wire::disk::{DiskError, OpenFile};
 use topazyard_wire::driver::StartError;
 use topazyard_wire::driver::disked::Remembered;
-use topazyard_wire::message::cohort::{Duty, Member};
+use topazyard_wire::message::membership::{Duty, Member};
 
 /// Opens the data folder, if there is one. An agent only remembers addresses there: one whose disk
 /// is full does without.
@@ -39,7 +39,7 @@
             address: settings.address,
             http: settings.http,
             duty: Duty::Edge,
-            domain: settings.domain.clone(),
+            zone: settings.zone.clone(),
         },
         seeds: settings.seeds.clone(),
         remembered,
--- a/programs/topazyard-edge-agent/tests/looking.rs
+++ b/programs/topazyard-edge-agent/tests/looking.rs
@@ -3,8 +3,8 @@
 use topazyard_edge_agent::{AgentMachine, Start};
 use topazyard_types::{Epoch, MonotonicMs, NodeId, Place, Sequence};
 use topazyard_wire::message::Message;
-use topazyard_wire::message::cohort::{Duty, Member};
-use topazyard_wire::message::feed::{FeedMessage, Matter, PartWanted, Vitals};
+use topazyard_wire::message::feed::{FeedMessage, Health, Matter, PartWanted};
+use topazyard_wire::message::membership::{Duty, Member};
 use topazyard_wire::{Effect, Input, Machine as _};
 
 type Address = std::net::SocketAddr;
@@ -35,7 +35,7 @@
             address: at(1),
             http: None,
             duty: Duty::Edge,
-            domain: "north".into(),
+            zone: "north".into(),
         };
         let start = Start {
             member,
@@ -78,9 +78,9 @@
 
     /// Its relay asks for a part of a snapshot.
     fn relay_asks_for(&mut self, nonce: u64, part: Option<PartWanted>) {
-        let vitals = Vitals::Edge { ready: false, waiting: 0, refused: 0 };
+        let health = Health::Edge { ready: false, waiting: 0, refused: 0 };
         let after = Place::default();
-        self.hear(at(RELAY), FeedMessage::Ask { nonce, after, part, heard: None, vitals });
+        self.hear(at(RELAY), FeedMessage::Ask { nonce, after, part, heard: None, health });
     }
 
     fn news(&mut self, from: Address, nonce: u64, sequence: u64) {
@@ -92,9 +92,9 @@
         self.hear(from, FeedMessage::Elsewhere { nonce, epoch: Epoch(1), primary });
     }
 
-    fn beat(&mut self, ms: u64) {
+    fn tick(&mut self, ms: u64) {
         self.now.0 += ms;
-        self.step(Input::Beat);
+        self.step(Input::Tick);
     }
 
     /// Whom it asked since the last look, under the last nonce.
@@ -133,16 +133,16 @@
         let mut all = agent.take_asked().0;
         assert_eq!(all.len(), usize::from(seeds.min(3)));
         for _ in 0..3 {
-            agent.beat(124);
+            agent.tick(124);
             assert!(agent.asked.is_empty(), "they may answer yet");
-            agent.beat(1);
+            agent.tick(1);
             all.extend(agent.take_asked().0);
         }
         assert_eq!(all.len(), usize::from(seeds));
     }
 }
 
-// Else an agent waits its whole patience for nodes that have already said that they can't help.
+// Else an agent waits its whole timeout for nodes that have already said that they can't help.
 #[test]
 fn a_node_that_knows_of_no_primary_is_not_waited_for() {
     let mut agent = Agent::new(7);
@@ -152,9 +152,9 @@
         agent.turned_away(*node, nonce, None);
     }
     assert!(agent.asked.is_empty(), "not at once, lest it ask in a circle without pause");
-    agent.beat(49);
+    agent.tick(49);
     assert!(agent.asked.is_empty());
-    agent.beat(1);
+    agent.tick(1);
     let (next, nonce) = agent.take_asked();
     assert_eq!(next.len(), 3);
     assert!(next.is_disjoint(&first), "others are asked");
@@ -178,10 +178,10 @@
     // An answer to what was asked before, of whatever sense, changes nothing.
     agent.turned_away(first[2], nonce - 1, Some(at(12)));
     assert!(agent.asked.is_empty());
-    // The one that was named is gone: after the patience for a known leader three are asked again.
-    agent.beat(249);
+    // The one that was named is gone: after the timeout for a known leader three are asked again.
+    agent.tick(249);
     assert!(agent.asked.is_empty());
-    agent.beat(1);
+    agent.tick(1);
     assert_eq!(agent.take_asked().0.len(), 3);
 }
 
--- a/programs/topazyard-relay/src/front/mod.rs
+++ b/programs/topazyard-relay/src/front/mod.rs
@@ -1,4 +1,4 @@
-//! HTTP for visitors.
+//! HTTP for clients.
 
 pub mod connections;
 pub mod dialect;
@@ -17,7 +17,7 @@
 /// How the front reaches the machine.
 pub type Handle = topazyard_wire::driver::Handle<crate::RelayMachine>;
 
-/// Answers one visitor's request.
+/// Answers one client's request.
 pub async fn answer(
     handle: Handle,
     request: hyper::Request<hyper::body::Incoming>,
@@ -35,8 +35,8 @@
             Ok(crate::RelayReturn::Refused(error)) => Err(error),
             _ => Err(ApiError::not_run(Code::StaleFeed)),
         },
-        ("GET", ["vitals"]) => match handle.call(crate::RelayCall::Vitals).await {
-            Ok(crate::RelayReturn::Vitals(vitals)) => Ok(topazyard_wire::http::json(200, &vitals)),
+        ("GET", ["health"]) => match handle.call(crate::RelayCall::Health).await {
+            Ok(crate::RelayReturn::Health(health)) => Ok(topazyard_wire::http::json(200, &health)),
             _ => Err(ApiError::not_run(Code::StaleFeed)),
         },
         _ => Err(ApiError::not_run(Code::NoSuchPath).at(head.uri.path())),
--- a/programs/topazyard-relay/src/front/parcels.rs
+++ b/programs/topazyard-relay/src/front/parcels.rs
@@ -35,7 +35,7 @@
 /// Serves a call on parcels.
 ///
 /// # Errors
-/// The error that the visitor gets.
+/// The error that the client gets.
 pub async fn serve(
     handle: Handle,
     head: &hyper::http::request::Parts,
@@ -69,7 +69,7 @@
 
 fn after_of(query: Option<&str>) -> Result<u32, ApiError> {
     let Some(query) = query else { return Ok(0) };
-    let after = query.split('&').find_map(|pair| pair.strip_prefix("after="));
+    let after = query.split('&').find_map(|replica| replica.strip_prefix("after="));
     let malformed = |_| ApiError::not_run(Code::Malformed).at("after");
     after.map_or(Ok(0), |text| text.parse().map_err(malformed))
 }
--- a/programs/topazyard-relay/src/front/read.rs
+++ b/programs/topazyard-relay/src/front/read.rs
@@ -5,7 +5,7 @@
 
 /// The largest prompt taken, in bytes.
 pub const MOST_BYTES: usize = 4 * 1024 * 1024;
-/// How long a visitor waits that doesn't say.
+/// How long a client waits that doesn't say.
 const DEFAULT_WAIT: DurationMs = DurationMs(30_000);
 /// The longest wait that is believed.
 const LONGEST_WAIT_MS: u64 = 600_000;
@@ -17,7 +17,7 @@
     pub model: ModelName,
     /// Its estimated cost.
     pub cost: Tokens,
-    /// How long its visitor waits.
+    /// How long its client waits.
     pub wait: DurationMs,
     /// The shared prefix parts it is built from, in order.
     pub prefix: Vec<String>,
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -280,16 +280,16 @@
         chosen: &Chosen,
         sent_at: MonotonicMs,
     ) -> Result<hyper::Response<hyper::body::Incoming>, (SendError, Failure)> {
-        let patience = self.chart.patience(sent_at);
+        let timeout = self.chart.timeout(sent_at);
         let response = connection.send(request);
         tokio::pin!(response);
-        let doubt_after = span(DurationMs(chosen.doubt_after.0.min(patience.0)));
+        let doubt_after = span(DurationMs(chosen.doubt_after.0.min(timeout.0)));
         let early = tokio::time::timeout(doubt_after, &mut response).await;
         let outcome = match early {
             Ok(outcome) => Ok(outcome),
             Err(_) => {
                 self.ending.handle.tell(RelayCall::Doubt(chosen.target.engine.clone()));
-                let left = DurationMs(patience.0.saturating_sub(chosen.doubt_after.0));
+                let left = DurationMs(timeout.0.saturating_sub(chosen.doubt_after.0));
                 tokio::time::timeout(span(left), &mut response).await
             }
         };
--- a/programs/topazyard-relay/src/front/session.rs
+++ b/programs/topazyard-relay/src/front/session.rs
@@ -64,7 +64,7 @@
         chart: Chart::arrived(facts.repeatable, deadline),
         deadline,
         path: if stream { "/generate_stream" } else { "/generate" },
-        // A visitor of HTTP/1.0 could not tell a cut stream from a whole one: it gets it whole.
+        // A client of HTTP/1.0 could not tell a cut stream from a whole one: it gets it whole.
         stream: stream && head.version >= hyper::Version::HTTP_11,
         body,
     };
@@ -131,8 +131,8 @@
         }
         self.chart.dispatch();
         let sent_at = self.now();
-        let patience = span(self.chart.patience(sent_at));
-        let response = match tokio::time::timeout(patience, connection.send(request)).await {
+        let timeout = span(self.chart.timeout(sent_at));
+        let response = match tokio::time::timeout(timeout, connection.send(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(_)) => return Err(self.engine_failed(Failure::Broken)),
             Err(_) => return Err(self.engine_failed(Failure::TimedOut)),
@@ -172,7 +172,7 @@
         Ok(passed_on(&head, topazyard_wire::http::whole(body)))
     }
 
-    /// Relays a stream piece by piece. A cut breaks the visitor's connection.
+    /// Relays a stream piece by piece. A cut breaks the client's connection.
     fn relay(
         mut self,
         response: hyper::Response<hyper::body::Incoming>,
@@ -186,8 +186,8 @@
         passed_on(&head, http_body_util::StreamBody::new(frames).boxed_unsync())
     }
 
-    /// Takes pieces from the engine and hands them to the visitor's connection, until the stream
-    /// ends or breaks, or the visitor left or took nothing until its time was over.
+    /// Takes pieces from the engine and hands them to the client's connection, until the stream
+    /// ends or breaks, or the client left or took nothing until its time was over.
     async fn pump(
         mut self,
         mut body: hyper::body::Incoming,
@@ -221,7 +221,7 @@
     }
 }
 
-/// Pieces of a stream that wait for their visitor.
+/// Pieces of a stream that wait for their client.
 const PIECES: usize = 16;
 
 /// A piece of a stream.
--- a/programs/topazyard-relay/src/machine/admission.rs
+++ b/programs/topazyard-relay/src/machine/admission.rs
@@ -9,7 +9,7 @@
 
 /// The longest a prompt waits for room, however late its deadline.
 const LONGEST_WAIT: DurationMs = DurationMs(2_000);
-/// How often the first in the inbox asks again when nothing was let go here meanwhile.
+/// How often the first in the queue asks again when nothing was let go here meanwhile.
 const ASK_EVERY: DurationMs = DurationMs(40);
 /// How many askings may be on their way.
 const MOST_ASKINGS: usize = 64;
@@ -45,9 +45,9 @@
     best_service_ms: f64,
 }
 
-/// A pool's inbox.
+/// A pool's queue.
 #[derive(Debug, Default)]
-struct Inbox {
+struct Queue {
     order: std::collections::VecDeque<PromptId>,
     pace: Pace,
     /// Whether the first was refused, so that those behind it wait.
@@ -59,20 +59,20 @@
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
     entries: std::collections::BTreeMap<PromptId, Entry>,
-    inboxes: std::collections::BTreeMap<PoolName, Inbox>,
+    queuees: std::collections::BTreeMap<PoolName, Queue>,
     askings: std::collections::BTreeMap<HoldId, PromptId>,
 }
 
 impl Admission {
     pub(crate) fn waiting(&self) -> usize {
-        self.inboxes.values().map(|inbox| inbox.order.len()).sum()
+        self.queuees.values().map(|queue| queue.order.len()).sum()
     }
 
-    /// How many in an inbox go before one that is worth so much: those worth as much or more.
+    /// How many in an queue go before one that is worth so much: those worth as much or more.
     fn ahead_of(&self, pool: &PoolName, value: u32) -> usize {
-        let Some(inbox) = self.inboxes.get(pool) else { return 0 };
+        let Some(queue) = self.queuees.get(pool) else { return 0 };
         let is_less = |id: &PromptId| self.entries.get(id).is_none_or(|e| e.value < value);
-        inbox.order.iter().position(is_less).unwrap_or(inbox.order.len())
+        queue.order.iter().position(is_less).unwrap_or(queue.order.len())
     }
 
     pub(crate) fn holding(&self) -> usize {
@@ -118,8 +118,8 @@
             Ok((pool, value)) => {
                 let id = prompt.id;
                 let ahead = self.admission.ahead_of(&pool, value);
-                let inbox = self.admission.inboxes.entry(pool.clone()).or_default();
-                inbox.order.insert(ahead, id);
+                let queue = self.admission.queuees.entry(pool.clone()).or_default();
+                queue.order.insert(ahead, id);
                 let entry = Entry {
                     call,
                     prompt,
@@ -150,10 +150,10 @@
         let Some(lane) = bundle.lane_for(LaneKind::Live, &prompt.model) else {
             return Err(ApiError::not_run(Code::NoLane).at("Topazyard-Model"));
         };
-        let inbox = self.admission.inboxes.get(&lane.pool);
+        let queue = self.admission.queuees.get(&lane.pool);
         let ahead = self.admission.ahead_of(&lane.pool, lane.value);
-        let wait = inbox.map_or(DurationMs(0), |inbox| inbox.pace.wait_behind(ahead));
-        let best_ms = inbox.map_or(0.0, |inbox| inbox.pace.best_service_ms);
+        let wait = queue.map_or(DurationMs(0), |queue| queue.pace.wait_behind(ahead));
+        let best_ms = queue.map_or(0.0, |queue| queue.pace.best_service_ms);
         let left = prompt.deadline.since(now);
         if left.0 <= wait.0 + best_ms as u64 {
             return refused(Code::Deadline);
@@ -162,7 +162,7 @@
             return refused(Code::NoEngine);
         }
         if ahead > self.depth(&lane.pool) {
-            return refused(Code::InboxFull);
+            return refused(Code::QueueFull);
         }
         if wait >= LONGEST_WAIT {
             return refused(Code::Budget);
@@ -173,21 +173,21 @@
     fn depth(&self, pool: &PoolName) -> usize {
         let bundle = self.view.spec.as_ref().map(|(_, bundle)| bundle);
         let pool = bundle.and_then(|bundle| bundle.pool(pool));
-        pool.map_or(0, |pool| pool.inbox_depth as usize)
+        pool.map_or(0, |pool| pool.queue_depth as usize)
     }
 
-    /// Gives up on the last of an inbox that has become too long: it is worth least, and of those
+    /// Gives up on the last of an queue that has become too long: it is worth least, and of those
     /// it came last.
     fn displace_last(&mut self, pool: &PoolName, out: &mut Out) {
         let depth = self.depth(pool);
-        let Some(inbox) = self.admission.inboxes.get_mut(pool) else { return };
-        // One more than the inbox holds is the one that asks.
-        if inbox.order.len() <= depth + 1 {
+        let Some(queue) = self.admission.queuees.get_mut(pool) else { return };
+        // One more than the queue holds is the one that asks.
+        if queue.order.len() <= depth + 1 {
             return;
         }
-        if let Some(last) = inbox.order.pop_back() {
+        if let Some(last) = queue.order.pop_back() {
             self.forget_asking(last, out);
-            self.give_up(last, Code::InboxFull, out);
+            self.give_up(last, Code::QueueFull, out);
         }
     }
 
@@ -203,14 +203,14 @@
     /// Lets those at the front ask the counter. When it has refused the first, only the first
     /// asks again, so that nobody goes before it.
     fn ask_in_order(&mut self, pool: &PoolName, now: MonotonicMs, out: &mut Out) {
-        let Some(inbox) = self.admission.inboxes.get_mut(pool) else { return };
-        let most = match (inbox.full_since, inbox.last_ask) {
+        let Some(queue) = self.admission.queuees.get_mut(pool) else { return };
+        let most = match (queue.full_since, queue.last_ask) {
             (None, _) => MOST_ASKINGS,
             (Some(_), Some(last)) if now.since(last) < ASK_EVERY => return,
             (Some(_), _) => 1,
         };
-        let first: Vec<PromptId> = inbox.order.iter().take(most).copied().collect();
-        inbox.last_ask = Some(now);
+        let first: Vec<PromptId> = queue.order.iter().take(most).copied().collect();
+        queue.last_ask = Some(now);
         for id in first {
             let Some(entry) = self.admission.entries.get(&id) else { continue };
             if !matches!(entry.stage, Stage::Waiting) {
@@ -237,19 +237,19 @@
         let pool = entry.pool.clone();
         if !granted {
             entry.stage = Stage::Waiting;
-            if let Some(inbox) = self.admission.inboxes.get_mut(&pool) {
-                inbox.full_since.get_or_insert(now);
+            if let Some(queue) = self.admission.queuees.get_mut(&pool) {
+                queue.full_since.get_or_insert(now);
             }
             return;
         }
         let (model, prefix, cost) =
             (entry.prompt.model.clone(), entry.prompt.prefix.clone(), entry.prompt.cost);
         let target = self.choose_engine(&pool, &model, &prefix, None);
-        if let Some(inbox) = self.admission.inboxes.get_mut(&pool) {
-            inbox.order.retain(|other| *other != id);
-            inbox.full_since = None;
-            let others_wait = !inbox.order.is_empty();
-            inbox.pace.granted(now, others_wait);
+        if let Some(queue) = self.admission.queuees.get_mut(&pool) {
+            queue.order.retain(|other| *other != id);
+            queue.full_since = None;
+            let others_wait = !queue.order.is_empty();
+            queue.pace.granted(now, others_wait);
         }
         let Some(target) = target else {
             self.release_hold(hold, out);
@@ -355,13 +355,13 @@
         self.forget_asking(id, out);
         let Some(entry) = self.admission.entries.remove(&id) else { return };
         let pool = entry.pool;
-        if let Some(inbox) = self.admission.inboxes.get_mut(&pool) {
-            inbox.order.retain(|other| *other != id);
+        if let Some(queue) = self.admission.queuees.get_mut(&pool) {
+            queue.order.retain(|other| *other != id);
             if let EngineUse::Whole(took) = engine_use {
-                inbox.pace.served(took);
+                queue.pace.served(took);
             }
             // There is room again: the first may ask at once.
-            inbox.last_ask = None;
+            queue.last_ask = None;
         }
         if let Stage::Held(hold, engine) = entry.stage {
             self.release_hold(hold, out);
@@ -373,14 +373,14 @@
         self.ask_in_order(&pool, now, out);
     }
 
-    pub(super) fn admission_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn admission_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         self.give_up_late(now, out);
-        let pools: Vec<PoolName> = self.admission.inboxes.keys().cloned().collect();
+        let pools: Vec<PoolName> = self.admission.queuees.keys().cloned().collect();
         for pool in pools {
-            if let Some(inbox) = self.admission.inboxes.get_mut(&pool)
-                && inbox.order.is_empty()
+            if let Some(queue) = self.admission.queuees.get_mut(&pool)
+                && queue.order.is_empty()
             {
-                inbox.full_since = None;
+                queue.full_since = None;
             }
             self.ask_in_order(&pool, now, out);
         }
@@ -391,16 +391,16 @@
     fn give_up_late(&mut self, now: MonotonicMs, out: &mut Out) {
         let cut_off = self.cut_off(now);
         let mut late = Vec::new();
-        for inbox in self.admission.inboxes.values() {
-            let best_ms = inbox.pace.best_service_ms as u64;
-            for id in &inbox.order {
+        for queue in self.admission.queuees.values() {
+            let best_ms = queue.pace.best_service_ms as u64;
+            for id in &queue.order {
                 let Some(entry) = self.admission.entries.get(id) else { continue };
                 let code = if let Some(code) = cut_off {
                     Some(code)
                 } else if entry.prompt.deadline.since(now).0 <= best_ms {
                     Some(Code::Deadline)
                 } else if now.since(entry.since) >= LONGEST_WAIT {
-                    Some(if inbox.full_since.is_some() { Code::Budget } else { Code::NoCounter })
+                    Some(if queue.full_since.is_some() { Code::Budget } else { Code::NoCounter })
                 } else {
                     None
                 };
@@ -411,8 +411,8 @@
             let Some(entry) = self.admission.entries.get(&id) else { continue };
             let pool = entry.pool.clone();
             self.forget_asking(id, out);
-            if let Some(inbox) = self.admission.inboxes.get_mut(&pool) {
-                inbox.order.retain(|other| *other != id);
+            if let Some(queue) = self.admission.queuees.get_mut(&pool) {
+                queue.order.retain(|other| *other != id);
             }
             self.give_up(id, code, out);
         }
--- a/programs/topazyard-relay/src/machine/choice.rs
+++ b/programs/topazyard-relay/src/machine/choice.rs
@@ -231,7 +231,7 @@
     }
 
     /// Engines of routes that were left alone long enough are asked for a connection.
-    pub(super) fn reach_beat(&mut self, view: &FleetView, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn reach_tick(&mut self, view: &FleetView, now: MonotonicMs, out: &mut Out) {
         for engine in view.engines.values().filter(|e| e.state == EngineState::Ready) {
             let Some(known) = self.known.get_mut(&engine.name) else { continue };
             out.extend(known.learned.state_change(&engine.name));
--- a/programs/topazyard-relay/src/machine/counting.rs
+++ b/programs/topazyard-relay/src/machine/counting.rs
@@ -98,7 +98,7 @@
         }
     }
 
-    pub(super) fn counting_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn counting_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         let Some((_, epoch)) = self.leads(ShardId::COUNTER) else { return };
         let moved = epoch != self.counting.epoch;
         self.counting.epoch = epoch;
--- a/programs/topazyard-relay/src/machine/engine_failures.rs
+++ b/programs/topazyard-relay/src/machine/engine_failures.rs
@@ -50,7 +50,7 @@
         }
     }
 
-    pub(super) fn engine_failures_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn engine_failures_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         if self.engine_failures.by_failure.is_empty() {
             self.engine_failures.span_began = now;
         } else if now.since(self.engine_failures.span_began) >= SPAN {
--- a/programs/topazyard-relay/src/machine/engines.rs
+++ b/programs/topazyard-relay/src/machine/engines.rs
@@ -174,9 +174,9 @@
         bundle.map(|lane| lane.pool.clone()).collect()
     }
 
-    pub(super) fn engines_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn engines_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         self.engines.now = now;
-        self.engines.reach_beat(&self.view, now, out);
+        self.engines.reach_tick(&self.view, now, out);
         let lanes = self.pools_of_lanes();
         let looked_at = |e: &&Engine| e.state == EngineState::Ready && lanes.contains(&e.pool);
         for engine in self.view.engines.values().filter(looked_at) {
--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -94,7 +94,7 @@
 }
 
 impl RelayMachine {
-    pub(super) fn items_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn items_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         self.speak_of_runs(now, out);
         self.ask_for_waiting(now, out);
         self.lease_more(now, out);
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -1,4 +1,4 @@
-//! The relay's machine: what it knows of the fleet, its holds, its inbox, its engines and the
+//! The relay's machine: what it knows of the fleet, its holds, its queue, its engines and the
 //! parcel items it runs.
 
 mod admission;
@@ -19,7 +19,7 @@
 };
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::Message;
-use topazyard_wire::message::feed::{FeedMessage, Vitals};
+use topazyard_wire::message::feed::{FeedMessage, Health};
 use topazyard_wire::message::parcel::{Item, ParcelCall, ParcelReturn, Run, RunEnd};
 use topazyard_wire::state::FleetView;
 use topazyard_wire::{Effect, Input, Machine};
@@ -52,7 +52,7 @@
     pub model: ModelName,
     /// Its estimated cost.
     pub cost: Tokens,
-    /// Until when its visitor waits.
+    /// Until when its client waits.
     pub deadline: MonotonicMs,
     /// The shared prefix parts it is built from, in order.
     pub prefix: Vec<String>,
@@ -74,7 +74,7 @@
     Whole(DurationMs),
     /// The engine failed.
     Failed,
-    /// The relay or the visitor broke off, or the engine was never used.
+    /// The relay or the client broke off, or the engine was never used.
     BrokenOff,
     /// It took no connection.
     Unreachable,
@@ -126,7 +126,7 @@
     /// Is the relay ready?
     Ready,
     /// How does it fare?
-    Vitals,
+    Health,
 }
 
 /// What the relay's machine returns.
@@ -149,7 +149,7 @@
     /// Refused.
     Refused(ApiError),
     /// How the relay fares.
-    Vitals(Box<RelayVitals>),
+    Health(Box<RelayHealth>),
 }
 
 /// What the relay's machine begins outside.
@@ -174,7 +174,7 @@
 
 /// How the relay fares.
 #[derive(Debug, Clone, serde::Serialize)]
-pub struct RelayVitals {
+pub struct RelayHealth {
     /// Its id in this life.
     pub node: NodeId,
     /// Whether it is ready.
@@ -191,7 +191,7 @@
     pub holding: usize,
     /// Parcel items leased or running here.
     pub items: usize,
-    /// Visitors' calls on parcels under way.
+    /// Clients' calls on parcels under way.
     pub parcel_calls: usize,
     /// Engines that may be used.
     pub engines: usize,
@@ -201,7 +201,7 @@
     pub refused: std::collections::BTreeMap<String, u64>,
 }
 
-impl RelayVitals {
+impl RelayHealth {
     /// Whether anything is under way that a relay should finish before it ends.
     pub fn under_way(&self) -> bool {
         self.waiting + self.holding + self.items + self.parcel_calls > 0
@@ -315,13 +315,13 @@
 
     pub(crate) fn count_refusal(&mut self, code: Code) {
         *self.refused.entry(code).or_default() += 1;
-        if matches!(code, Code::Budget | Code::InboxFull | Code::Deadline) {
+        if matches!(code, Code::Budget | Code::QueueFull | Code::Deadline) {
             self.refused_for_room += 1;
         }
     }
 
-    fn vitals(&self, now: MonotonicMs) -> RelayVitals {
-        RelayVitals {
+    fn health(&self, now: MonotonicMs) -> RelayHealth {
+        RelayHealth {
             node: self.node,
             ready: self.unready(now).is_none(),
             spec: self.view.spec.as_ref().map(|(version, _)| *version),
@@ -330,7 +330,7 @@
             waiting: self.admission.waiting() + self.requests.waiting(),
             holding: self.admission.holding() + self.requests.holding(),
             items: self.items.len(),
-            parcel_calls: self.parcels.of_visitors(),
+            parcel_calls: self.parcels.of_clients(),
             engines: self.view.engines.values().filter(|e| self.engines.is_usable(e)).count(),
             allowed: self.allowed,
             refused: self
@@ -347,26 +347,26 @@
 
     /// Asks the feed, if it is time to.
     fn ask_feed(&mut self, now: MonotonicMs, out: &mut Out) {
-        let vitals = Vitals::Edge {
+        let health = Health::Edge {
             ready: self.unready(now).is_none(),
             waiting: (self.admission.waiting() + self.requests.wanting()) as u32,
             refused: self.refused_for_room,
         };
-        if let Some((to, message)) = self.follower.beat(now, || vitals) {
+        if let Some((to, message)) = self.follower.tick(now, || health) {
             self.refused_for_room = 0;
             out.push(Effect::Send { to, message: Message::Feed(message) });
         }
     }
 
-    fn beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    fn tick(&mut self, now: MonotonicMs, out: &mut Out) {
         self.ask_feed(now, out);
-        self.counting_beat(now, out);
-        self.admission_beat(now, out);
-        self.requests_beat(now, out);
-        self.engines_beat(now, out);
-        self.engine_failures_beat(now, out);
-        self.items_beat(now, out);
-        self.parcels_beat(now, out);
+        self.counting_tick(now, out);
+        self.admission_tick(now, out);
+        self.requests_tick(now, out);
+        self.engines_tick(now, out);
+        self.engine_failures_tick(now, out);
+        self.items_tick(now, out);
+        self.parcels_tick(now, out);
     }
 
     fn take_news(&mut self, from: std::net::SocketAddr, message: FeedMessage, out: &mut Out) {
@@ -446,7 +446,7 @@
                 None => RelayReturn::Noted,
                 Some(code) => RelayReturn::Refused(ApiError::not_run(code)),
             },
-            RelayCall::Vitals => RelayReturn::Vitals(Box::new(self.vitals(now))),
+            RelayCall::Health => RelayReturn::Health(Box::new(self.health(now))),
         };
         out.push(Effect::Return { call, value });
     }
@@ -478,7 +478,7 @@
     fn step(&mut self, input: Input<RelayCall>, now: MonotonicMs) -> Out {
         let mut out = Vec::new();
         match input {
-            Input::Beat => self.beat(now, &mut out),
+            Input::Tick => self.tick(now, &mut out),
             Input::Call { call, request } => self.take_call(call, request, now, &mut out),
             Input::Frame { from, message, .. } => match message {
                 // Only its own agent may tell it what is in force.
--- a/programs/topazyard-relay/src/machine/parcels.rs
+++ b/programs/topazyard-relay/src/machine/parcels.rs
@@ -22,16 +22,16 @@
 /// How old the last word of control may be when a parcel is handed to its shard. With the second
 /// that it may wait there it stays below the 2 s within which a spec is in force.
 const SUBMIT_FRESH_FOR: DurationMs = DurationMs(800);
-/// How long a visitor's call may take.
+/// How long a client's call may take.
 pub const VISITOR_LIMIT: DurationMs = DurationMs(5_000);
-/// Visitors' calls that may be under way.
+/// Clients' calls that may be under way.
 const MOST_CALLS: usize = 2_048;
 
 /// Who waits for a return.
 #[derive(Debug)]
 pub(super) enum Caller {
-    /// A visitor's call.
-    Visitor(CallId),
+    /// A client's call.
+    Client(CallId),
     /// This relay, which leases items of a shard since that moment.
     Leasing(MonotonicMs),
     /// This relay, for a run's start.
@@ -64,10 +64,10 @@
         Self { last: life.first_number(), ..Self::default() }
     }
 
-    /// Visitors' calls under way.
-    pub(super) fn of_visitors(&self) -> usize {
-        let of_visitor = |pending: &&Pending| matches!(pending.caller, Caller::Visitor(_));
-        self.pending.values().filter(of_visitor).count()
+    /// Clients' calls under way.
+    pub(super) fn of_clients(&self) -> usize {
+        let of_client = |pending: &&Pending| matches!(pending.caller, Caller::Client(_));
+        self.pending.values().filter(of_client).count()
     }
 }
 
@@ -107,7 +107,7 @@
 }
 
 impl RelayMachine {
-    /// Takes a visitor's call on a parcel.
+    /// Takes a client's call on a parcel.
     pub(super) fn call_parcel(
         &mut self,
         call: CallId,
@@ -130,7 +130,7 @@
         };
         match (refused, shard_of(&request)) {
             (None, Some(shard)) => {
-                self.send_parcel(Caller::Visitor(call), shard, request, limit, now, out);
+                self.send_parcel(Caller::Client(call), shard, request, limit, now, out);
             }
             (code, _) => {
                 let error = ApiError::not_run(code.unwrap_or(Code::NoShard));
@@ -288,12 +288,12 @@
         }
         let Some(pending) = self.parcels.pending.remove(&message.call) else { return };
         match (pending.caller, value) {
-            (Caller::Visitor(call), ParcelReturn::CeilingReached) => {
+            (Caller::Client(call), ParcelReturn::CeilingReached) => {
                 self.count_refusal(Code::ParcelCeiling);
                 let error = ApiError::not_run(Code::ParcelCeiling);
                 out.push(Effect::Return { call, value: RelayReturn::Refused(error) });
             }
-            (Caller::Visitor(call), value) => {
+            (Caller::Client(call), value) => {
                 out.push(Effect::Return { call, value: RelayReturn::Parcel(value) });
             }
             (Caller::Leasing(since), ParcelReturn::Leased(items)) => {
@@ -308,7 +308,7 @@
         }
     }
 
-    pub(super) fn parcels_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn parcels_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         let late: Vec<u64> = self
             .parcels
             .pending
@@ -319,7 +319,7 @@
         for id in late {
             let Some(pending) = self.parcels.pending.remove(&id) else { continue };
             match pending.caller {
-                Caller::Visitor(call) => {
+                Caller::Client(call) => {
                     let unknown = changes_state(&pending.call) && pending.maybe_done;
                     let error = if unknown {
                         ApiError::may_have_run(Code::OutcomeUnknown)
--- a/programs/topazyard-relay/src/machine/requests.rs
+++ b/programs/topazyard-relay/src/machine/requests.rs
@@ -263,15 +263,15 @@
             return Err(refused(Code::NoEngine));
         }
         let room = self.requests.rooms.get(&pool.name);
-        if room.is_some_and(|room| room.queue.len() >= pool.inbox_depth as usize) {
-            return Err(refused(Code::InboxFull));
+        if room.is_some_and(|room| room.queue.len() >= pool.queue_depth as usize) {
+            return Err(refused(Code::QueueFull));
         }
-        let patience = DurationMs((route.target_latency_ms / 4).max(SHORTEST_WAIT.0));
+        let timeout = DurationMs((route.target_latency_ms / 4).max(SHORTEST_WAIT.0));
         Ok(Judged {
             pool: pool.name.clone(),
             charge: arrival.cost.unwrap_or(UNSTATED_COST),
             priority: route.priority,
-            give_up_at: arrival.arrived.plus(patience).min(deadline),
+            give_up_at: arrival.arrived.plus(timeout).min(deadline),
             terms: Admitted {
                 repeatable: route.is_repeatable(),
                 stream: route.kind == RouteKind::Streaming,
@@ -468,7 +468,7 @@
         out.push(Effect::Return { call, value });
     }
 
-    pub(super) fn requests_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn requests_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         self.give_up_waiting(now, out);
         let pools: Vec<PoolName> = self.requests.rooms.keys().cloned().collect();
         for pool in pools {
--- a/programs/topazyard-relay/src/main.rs
+++ b/programs/topazyard-relay/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::Parser as _;
 
-/// Serves visitors at the edge
+/// Serves clients at the edge
 #[derive(clap::Parser)]
 #[command(version)]
 struct Flags {
--- a/programs/topazyard-relay/src/prompt/chart.rs
+++ b/programs/topazyard-relay/src/prompt/chart.rs
@@ -1,5 +1,5 @@
 //! The state chart of a prompt. It alone decides what a failure means: whether another engine may
-//! be tried, what the visitor is told, or that the return must break off.
+//! be tried, what the client is told, or that the return must break off.
 //!
 //! ```text
 //! Arrived -> Waiting -> Held -> Dispatched -> Relaying -> Whole
@@ -22,11 +22,11 @@
     Held,
     /// Its bytes may have reached the engine.
     Dispatched,
-    /// Part of the return may have reached the visitor.
+    /// Part of the return may have reached the client.
     Relaying,
     /// The whole return was relayed.
     Whole,
-    /// The return broke off, and the visitor's connection with it.
+    /// The return broke off, and the client's connection with it.
     Cut,
     /// It got an error for its final answer.
     Refused,
@@ -56,7 +56,7 @@
     Another,
     /// Give this as the final answer, at once.
     Answer(ApiError),
-    /// Break the visitor's connection.
+    /// Break the client's connection.
     Break,
 }
 
@@ -148,7 +148,7 @@
         self.state = to;
     }
 
-    /// It goes to the inbox.
+    /// It goes to the queue.
     pub fn wait(&mut self) {
         self.change(&[State::Arrived], State::Waiting);
     }
@@ -174,7 +174,7 @@
         self.change(&[State::Dispatched], State::Held);
     }
 
-    /// The head of the return is here and goes to the visitor.
+    /// The head of the return is here and goes to the client.
     pub fn relay(&mut self) {
         self.begun = true;
         self.change(&[State::Dispatched], State::Relaying);
@@ -199,7 +199,7 @@
 
     /// For how long the head of the return may be waited for. A prompt that may be repeated
     /// leaves time for another try.
-    pub fn patience(&self, now: MonotonicMs) -> DurationMs {
+    pub fn timeout(&self, now: MonotonicMs) -> DurationMs {
         let left = self.deadline.since(now);
         let last = !self.repeatable || self.tries >= self.most_tries;
         if last { left } else { DurationMs(left.0 / 2) }
--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -127,8 +127,8 @@
     let _ = drain.send(inward::Stage::Closing);
     while begun.elapsed() < grace {
         tokio::time::sleep(std::time::Duration::from_millis(DRAIN_LOOK_MS)).await;
-        match handle.call(RelayCall::Vitals).await {
-            Ok(RelayReturn::Vitals(v)) if v.under_way() => {}
+        match handle.call(RelayCall::Health).await {
+            Ok(RelayReturn::Health(v)) if v.under_way() => {}
             Ok(_) if begun.elapsed() < linger => {}
             _ => break,
         }
--- a/programs/topazyard-relay/tests/admission.rs
+++ b/programs/topazyard-relay/tests/admission.rs
@@ -42,9 +42,9 @@
             asked: Vec::new(),
             feed_nonce: 0,
         };
-        relay.beat(0);
+        relay.tick(0);
         relay.hear_feed();
-        relay.beat(25);
+        relay.tick(25);
         relay.hear_lease();
         relay
     }
@@ -65,9 +65,9 @@
         }
     }
 
-    fn beat(&mut self, ms: u64) {
+    fn tick(&mut self, ms: u64) {
         self.now.0 += ms;
-        self.step(Input::Beat);
+        self.step(Input::Tick);
     }
 
     fn hear_feed(&mut self) {
@@ -76,7 +76,7 @@
 
     /// Hears that the usual lane takes that model, and that the engine stands so.
     fn hear_news(&mut self, sequence: u64, model: &str, state: topazyard_spec::EngineState) {
-        let text = r#"{"pools":[{"name":"main","limit_tokens":1000,"inbox_depth":3}],"lanes":[
+        let text = r#"{"pools":[{"name":"main","limit_tokens":1000,"queue_depth":3}],"lanes":[
             {"name":"worth","kind":"live","models":["worth"],"pool":"main","value":9},
             {"name":"usual","kind":"live","models":["m"],"pool":"main"}]}"#;
         let text = text.replace("[\"m\"]", &format!("[{model:?}]"));
@@ -96,7 +96,7 @@
             pool: "main".into(),
             models: vec!["m".into(), "worth".into()],
             state,
-            domain: None,
+            zone: None,
             slots: 0,
         };
         let rows = [
@@ -197,7 +197,7 @@
         let mut relay = Relay::ready();
         relay.allow(1, 60_000);
         relay.settle(true);
-        relay.beat(300);
+        relay.tick(300);
         relay.hear_news(2, model, state);
         let call = relay.call(RelayCall::Dispatch(PromptId(1), "e1".into()));
         assert_eq!(relay.code(call), Some(code));
@@ -232,7 +232,7 @@
     let mut waited_ms = 0;
     while relay.returned(call).is_none() && waited_ms < 60_000 {
         relay.settle(false);
-        relay.beat(50);
+        relay.tick(50);
         relay.hear_feed();
         relay.hear_lease();
         waited_ms += 50;
@@ -250,10 +250,10 @@
 }
 
 #[test]
-fn an_inbox_that_is_full_refuses() {
+fn an_queue_that_is_full_refuses() {
     let mut relay = Relay::ready();
     let calls: Vec<CallId> = (1..=6).map(|id| relay.allow(id, 60_000)).collect();
-    assert_eq!(relay.code(calls[5]), Some(Code::InboxFull));
+    assert_eq!(relay.code(calls[5]), Some(Code::QueueFull));
 }
 
 #[test]
@@ -263,7 +263,7 @@
     relay.settle(false);
     let usual = relay.allow(2, 60_000);
     let worth = relay.allow_model(3, "worth", 60_000);
-    relay.beat(50);
+    relay.tick(50);
     relay.settle(true);
     assert!(matches!(relay.returned(worth), Some(RelayReturn::Held(_))));
     assert!(relay.returned(usual).is_none());
--- a/programs/topazyard-relay/tests/edge.rs
+++ b/programs/topazyard-relay/tests/edge.rs
@@ -1,5 +1,5 @@
 //! The relay's front and the engines' side, in one process over loopback: engines that break off,
-//! lie about length, hang or refuse, and visitors that leave, dawdle or never read.
+//! lie about length, hang or refuse, and clients that leave, dawdle or never read.
 //!
 //! Every prompt must end with the right final answer, with one release of its hold, and without a
 //! run that nobody waits for.
@@ -97,11 +97,11 @@
 
     /// Sends a prompt and reads until the relay closes.
     async fn ask(&self, request: &str) -> String {
-        let mut visitor = self.connect().await;
-        visitor.write_all(request.as_bytes()).await.expect("the relay takes it");
+        let mut client = self.connect().await;
+        client.write_all(request.as_bytes()).await.expect("the relay takes it");
         let mut got = Vec::new();
         // A connection that breaks ends the reading too.
-        let _ = visitor.read_to_end(&mut got).await;
+        let _ = client.read_to_end(&mut got).await;
         String::from_utf8(got).expect("text")
     }
 
@@ -248,7 +248,7 @@
         pool: "main".into(),
         models: vec!["m".into()],
         state: topazyard_spec::EngineState::Ready,
-        domain: None,
+        zone: None,
         slots: 0,
     };
     let shard = ShardRecord {
@@ -376,7 +376,7 @@
 }
 
 #[test]
-fn a_visitor_of_http_1_0_gets_a_stream_whole_or_an_error() {
+fn a_client_of_http_1_0_gets_a_stream_whole_or_an_error() {
     runtime().block_on(async {
         let edge = Edge::ready(Then::Close(STREAM)).await;
         gave_up(&edge.ask(&request("/generate_stream", "1.0", 5_000)).await, "502");
@@ -388,15 +388,15 @@
 }
 
 #[test]
-fn a_visitor_that_leaves_ends_its_run() {
+fn a_client_that_leaves_ends_its_run() {
     runtime().block_on(async {
         for (path, text) in [("/generate", ""), ("/generate_stream", STREAM)] {
             let mut edge = Edge::ready(Then::Hang(text)).await;
-            let mut visitor = edge.connect().await;
+            let mut client = edge.connect().await;
             let request = request(path, "1.1", 60_000);
-            visitor.write_all(request.as_bytes()).await.expect("the relay takes it");
+            client.write_all(request.as_bytes()).await.expect("the relay takes it");
             while !matches!(edge.next().await, Saw::Ran(_)) {}
-            drop(visitor);
+            drop(client);
             let mut saw = edge.until_released().await;
             while !saw.contains(&Saw::Left) {
                 saw.push(edge.next().await);
@@ -406,12 +406,12 @@
 }
 
 #[test]
-fn a_visitor_that_never_reads_keeps_nothing_beyond_its_time() {
+fn a_client_that_never_reads_keeps_nothing_beyond_its_time() {
     runtime().block_on(async {
         let mut edge = Edge::ready(Then::Flood(STREAM)).await;
-        let mut visitor = edge.connect().await;
+        let mut client = edge.connect().await;
         let request = request("/generate_stream", "1.1", 700);
-        visitor.write_all(request.as_bytes()).await.expect("the relay takes it");
+        client.write_all(request.as_bytes()).await.expect("the relay takes it");
         let mut saw = edge.until_released().await;
         while !saw.contains(&Saw::Left) {
             saw.push(edge.next().await);
@@ -420,7 +420,7 @@
 }
 
 #[test]
-fn a_visitor_that_sends_in_pieces_is_served_and_one_that_stops_runs_nothing() {
+fn a_client_that_sends_in_pieces_is_served_and_one_that_stops_runs_nothing() {
     runtime().block_on(async {
         let whole = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
         let mut edge = Edge::ready(Then::Close(whole)).await;
@@ -429,14 +429,14 @@
         let (first, second) = text.split_at(text.len() - 7);
         gone.write_all(first.as_bytes()).await.expect("the relay takes it");
         drop(gone);
-        let mut visitor = edge.connect().await;
+        let mut client = edge.connect().await;
         for byte in first.as_bytes().chunks(9) {
-            visitor.write_all(byte).await.expect("the relay takes it");
-            visitor.flush().await.expect("the relay takes it");
+            client.write_all(byte).await.expect("the relay takes it");
+            client.flush().await.expect("the relay takes it");
         }
-        visitor.write_all(second.as_bytes()).await.expect("the relay takes it");
+        client.write_all(second.as_bytes()).await.expect("the relay takes it");
         let mut got = String::new();
-        visitor.read_to_string(&mut got).await.expect("a whole answer");
+        client.read_to_string(&mut got).await.expect("a whole answer");
         assert!(got.ends_with("\r\n\r\nok"), "{got}");
         let saw = edge.until_released().await;
         assert_eq!(saw.iter().filter(|saw| matches!(saw, Saw::Ran(_))).count(), 1, "{saw:?}");
--- a/programs/topazyard-relay/tests/loopback/mod.rs
+++ b/programs/topazyard-relay/tests/loopback/mod.rs
@@ -500,7 +500,7 @@
             pool: "main".into(),
             models: Vec::new(),
             state: topazyard_spec::EngineState::Ready,
-            domain: None,
+            zone: None,
             slots: 0,
         };
         rows.push((engine_key(name), encode(&engine)));
--- a/programs/topazyard-relay/tests/reading.rs
+++ b/programs/topazyard-relay/tests/reading.rs
@@ -1,12 +1,12 @@
-//! Visitors' requests: whatever they hold, the field at fault is named.
+//! Clients' requests: whatever they hold, the field at fault is named.
 
 use topazyard_relay::front::{parcels::items_of, read::read};
 use topazyard_types::{DurationMs, Tokens};
 use topazyard_wire::api::Code;
 
-fn head(pairs: &[(&'static str, &str)]) -> hyper::HeaderMap {
+fn head(replicas: &[(&'static str, &str)]) -> hyper::HeaderMap {
     let mut head = hyper::HeaderMap::new();
-    for (name, value) in pairs {
+    for (name, value) in replicas {
         head.insert(*name, value.parse().expect("a header value"));
     }
     head
--- a/programs/topazyard-relay/tests/requests.rs
+++ b/programs/topazyard-relay/tests/requests.rs
@@ -13,7 +13,7 @@
 use topazyard_wire::message::Message;
 use topazyard_wire::message::control::{CoreNode, ShardRecord};
 use topazyard_wire::message::counter::{CounterBody, CounterMessage, HoldKind};
-use topazyard_wire::message::feed::{FeedMessage, Matter, Vitals};
+use topazyard_wire::message::feed::{FeedMessage, Health, Matter};
 use topazyard_wire::state::{IN_FORCE, InForceRow, engine_key, route_key, shard_key};
 use topazyard_wire::{Effect, Input, Machine as _, RowChange};
 
@@ -67,7 +67,7 @@
     grants: Option<bool>,
     asked: Vec<(HoldId, Tokens)>,
     released: Vec<HoldId>,
-    vitals: Vec<Vitals>,
+    health: Vec<Health>,
     reached_for: Vec<EngineName>,
     notes: Vec<String>,
     returned: std::collections::BTreeMap<CallId, RelayReturn>,
@@ -93,14 +93,14 @@
             grants: None,
             asked: Vec::new(),
             released: Vec::new(),
-            vitals: Vec::new(),
+            health: Vec::new(),
             reached_for: Vec::new(),
             notes: Vec::new(),
             returned: Default::default(),
         };
-        relay.beat(0);
+        relay.tick(0);
         relay.hear_feed();
-        relay.beat(25);
+        relay.tick(25);
         relay
     }
 
@@ -129,11 +129,11 @@
                     _ => {}
                 },
                 Effect::Send {
-                    message: Message::Feed(FeedMessage::Ask { nonce, vitals, .. }),
+                    message: Message::Feed(FeedMessage::Ask { nonce, health, .. }),
                     ..
                 } => {
                     self.feed_nonce = Some(nonce);
-                    self.vitals.push(vitals);
+                    self.health.push(health);
                 }
                 Effect::Return { call, value } => drop(self.returned.insert(call, value)),
                 Effect::Note { text, .. } => self.notes.push(text),
@@ -158,15 +158,15 @@
         self.hear_counter(CounterBody::Added { id, granted });
     }
 
-    fn beat(&mut self, ms: u64) {
+    fn tick(&mut self, ms: u64) {
         self.now.0 += ms;
-        self.step(Input::Beat);
+        self.step(Input::Tick);
     }
 
-    /// Lets time pass in beats of 25 ms while the feed goes on.
+    /// Lets time pass in ticks of 25 ms while the feed goes on.
     fn pass(&mut self, ms: u64) {
         for _ in 0..ms / 25 {
-            self.beat(25);
+            self.tick(25);
             self.hear_feed();
         }
     }
@@ -199,7 +199,7 @@
                 pool: if name.0 == "s1" { "side".into() } else { "main".into() },
                 models: Vec::new(),
                 state: *state,
-                domain: None,
+                zone: None,
                 slots: 0,
             };
             rows.push(RowChange::put(engine_key(name), &engine));
@@ -258,8 +258,8 @@
     }
 
     fn last_waiting(&self) -> u32 {
-        match self.vitals.last() {
-            Some(Vitals::Edge { waiting, .. }) => *waiting,
+        match self.health.last() {
+            Some(Health::Edge { waiting, .. }) => *waiting,
             other => panic!("{other:?}"),
         }
     }
@@ -343,7 +343,7 @@
                     answered = relay.asked.len();
                     answer(&mut relay, &mut granted, how % 3 != 0);
                 }
-                relay.beat(u64::from(*how));
+                relay.tick(u64::from(*how));
                 relay.hear_feed();
             }
         }
@@ -396,12 +396,12 @@
     let let_in = |relay: &Relay| {
         requests.iter().filter(|request| relay.admitted(**request).is_some()).count()
     };
-    relay.beat(19);
+    relay.tick(19);
     assert_eq!(let_in(&relay), 0, "it may answer yet");
-    relay.beat(1);
+    relay.tick(1);
     assert_eq!(let_in(&relay), (UNASKED / 300) as usize);
     for _ in 0..20 {
-        relay.beat(20);
+        relay.tick(20);
         relay.hear_feed();
         assert_eq!(let_in(&relay), (UNASKED / 300) as usize);
     }
@@ -418,7 +418,7 @@
     let request = relay.ask(2 * UNASKED);
     relay.pass(200);
     assert!(!relay.returned.contains_key(&request));
-    assert!(relay.vitals.len() >= 2, "it told how it fares meanwhile");
+    assert!(relay.health.len() >= 2, "it told how it fares meanwhile");
     assert_eq!(relay.last_waiting(), 0, "it merely waits for an answer");
     relay.settle(false);
     relay.pass(225);
@@ -508,12 +508,12 @@
     let request = relay.arrive("/brief/x", 1, 10_000, &[]);
     let mut waited_ms = 0;
     while relay.code(request).is_none() && waited_ms < 1_000 {
-        relay.beat(5);
+        relay.tick(5);
         waited_ms += 5;
     }
     assert_eq!(relay.code(request), Some(Code::Budget));
     assert!((50..=100).contains(&waited_ms), "{waited_ms}");
-    assert_eq!(relay.asked.len(), 3, "it is asked for again, but not at each beat");
+    assert_eq!(relay.asked.len(), 3, "it is asked for again, but not at each tick");
 }
 
 // Else requests go to an engine that is about to end, and are cut.
@@ -629,7 +629,7 @@
             relay.end(request, FIRST);
             relay.pass(200);
         }
-        assert!(engines.windows(2).all(|pair| pair[0] != pair[1]), "{engines:?}");
+        assert!(engines.windows(2).all(|replica| replica[0] != replica[1]), "{engines:?}");
         let all: std::collections::BTreeSet<&EngineName> = engines.iter().collect();
         assert_eq!(all.len(), 3, "{engines:?}");
     }
--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -61,9 +61,9 @@
             returned: Vec::new(),
             runs: Vec::new(),
         };
-        relay.beat(0);
+        relay.tick(0);
         relay.hear_feed(1, true);
-        relay.beat(25);
+        relay.tick(25);
         relay.hear_lease();
         relay
     }
@@ -93,9 +93,9 @@
         }
     }
 
-    fn beat(&mut self, ms: u64) {
+    fn tick(&mut self, ms: u64) {
         self.now.0 += ms;
-        self.step(Input::Beat);
+        self.step(Input::Tick);
     }
 
     fn hear(&mut self, port: u16, message: Message) {
@@ -127,7 +127,7 @@
             pool: "main".into(),
             models: vec!["m".into()],
             state: topazyard_spec::EngineState::Ready,
-            domain: None,
+            zone: None,
             slots: 64,
         };
         let version = topazyard_types::SpecVersion(sequence);
@@ -238,7 +238,7 @@
 #[test]
 fn a_leased_item_runs_with_its_hold_and_without_a_recorded_start() {
     let mut relay = Relay::ready();
-    relay.beat(25);
+    relay.tick(25);
     assert_eq!(relay.asked_lease().1, 6, "of 64 places a relay leases a part of a part");
     let run = relay.run_one();
     let started = relay.runs.first().expect("it runs");
@@ -257,7 +257,7 @@
 #[test]
 fn an_item_is_not_sent_later_than_an_ended_batch_allows() {
     let mut relay = Relay::ready();
-    relay.beat(25);
+    relay.tick(25);
     let asked = relay.now;
     let run = relay.run_one();
     relay.call(RelayCall::DispatchItem(run, EngineName("e1".to_owned())));
@@ -268,9 +268,9 @@
 #[test]
 fn an_item_whose_route_went_is_handed_back() {
     let mut relay = Relay::ready();
-    relay.beat(25);
+    relay.tick(25);
     let asked = relay.asked_lease();
-    relay.beat(500);
+    relay.tick(500);
     relay.hear_feed(2, false);
     assert_eq!(relay.asked_lease(), asked);
     relay.run_one();
@@ -281,9 +281,9 @@
 #[test]
 fn an_item_whose_route_goes_while_it_connects_is_not_sent() {
     let mut relay = Relay::ready();
-    relay.beat(25);
+    relay.tick(25);
     let run = relay.run_one();
-    relay.beat(500);
+    relay.tick(500);
     relay.hear_feed(2, false);
     relay.call(RelayCall::DispatchItem(run, EngineName("e1".to_owned())));
     assert_eq!(relay.last_code(), Some(Code::NoLane));
@@ -316,7 +316,7 @@
     relay.hear_shard(call, ParcelReturn::CeilingReached);
     assert_eq!(relay.last_code().map(Code::status), Some(429));
     relay.submit();
-    relay.beat(1_000);
+    relay.tick(1_000);
     assert_eq!(relay.last_code().map(Code::status), Some(504), "it may have been taken");
 }
 
--- a/programs/topazyard-shell/src/sql.rs
+++ b/programs/topazyard-shell/src/sql.rs
@@ -48,19 +48,19 @@
     use crate::ShellError;
 
     fn tables() -> Vec<(&'static str, Vec<serde_json::Value>)> {
-        let node = |domain: &str, shards: u64| serde_json::json!({"domain": domain, "shards": shards, "stage": "it's active"});
+        let node = |zone: &str, shards: u64| serde_json::json!({"zone": zone, "shards": shards, "stage": "it's active"});
         vec![("nodes", vec![node("north", 4), node("south", 3), node("north", 2)])]
     }
 
     #[test]
     fn rows_are_chosen_grouped_and_ordered() {
-        let query = "SELECT domain, SUM(shards) AS held FROM nodes GROUP BY domain ORDER BY domain";
+        let query = "SELECT zone, SUM(shards) AS held FROM nodes GROUP BY zone ORDER BY zone";
         let lines = select(query, &tables());
         assert_eq!(
             lines.ok(),
-            Some(vec!["domain  held".into(), "north   6".into(), "south   3".into()])
+            Some(vec!["zone  held".into(), "north   6".into(), "south   3".into()])
         );
-        let none = select("SELECT domain FROM nodes WHERE shards > 9", &tables());
+        let none = select("SELECT zone FROM nodes WHERE shards > 9", &tables());
         assert_eq!(none.ok(), Some(vec!["(no rows)".to_owned()]));
     }
 
--- a/programs/topazyard-storage/src/counter/mod.rs
+++ b/programs/topazyard-storage/src/counter/mod.rs
@@ -184,7 +184,7 @@
     }
 
     /// Frees what relays that are gone held, and what nobody renewed.
-    pub fn beat(&mut self, now: MonotonicMs) -> Vec<RowChange> {
+    pub fn tick(&mut self, now: MonotonicMs) -> Vec<RowChange> {
         let lapsed: Vec<NodeId> =
             self.leases.iter().filter(|(_, until)| now >= **until).map(|(id, _)| *id).collect();
         for relay in &lapsed {
--- a/programs/topazyard-storage/src/lib.rs
+++ b/programs/topazyard-storage/src/lib.rs
@@ -5,5 +5,5 @@
 pub mod parcels;
 pub mod run;
 
-pub use machine::{StorageCall, StorageMachine, StorageVitals};
+pub use machine::{StorageCall, StorageHealth, StorageMachine};
 pub use run::run;
--- a/programs/topazyard-storage/src/machine/aside.rs
+++ b/programs/topazyard-storage/src/machine/aside.rs
@@ -66,14 +66,14 @@
 
 /// Whether all that this node's copy has of a parcel surely stays.
 fn is_sure(hosted: &Hosted, record: &ShardRecord, me: NodeId, parcel: ParcelId) -> bool {
-    let pair = &hosted.pair;
+    let replica = &hosted.replica;
     let is_of_parcel = |key| crate::parcels::rows::is_of(key, parcel.number);
-    let touched = || pair.copy().last_changed().any(is_of_parcel);
+    let touched = || replica.copy().last_changed().any(is_of_parcel);
     let synced_by_all = || {
         let others_have = hosted.all_have_synced(other_backups(record, me));
-        record.is_complete() && pair.is_synced() && others_have
+        record.is_complete() && replica.is_synced() && others_have
     };
-    match (pair.doubt(), pair.is_primary()) {
+    match (replica.doubt(), replica.is_primary()) {
         (Doubt::Nothing, _) => true,
         // What all backups have synced their primary has too, and it outlives as many losses as the
         // record bears: a primary that restarts without it hands over.
@@ -113,7 +113,7 @@
             let Some(record) = self.view.shards.get(shard) else { continue };
             let is_named = record.members().any(|node| node.id == me);
             hosted.asides.retain(|aside| now.since(aside.since) < WAITS);
-            if !is_named || record.epoch != hosted.pair.epoch() {
+            if !is_named || record.epoch != hosted.replica.epoch() {
                 continue;
             }
             let epoch = record.epoch;
@@ -125,7 +125,7 @@
             });
             hosted.asides = waiting;
             for aside in now_sure {
-                if let Some(value) = aside.answer.answered_by(hosted.pair.copy()) {
+                if let Some(value) = aside.answer.answered_by(hosted.replica.copy()) {
                     super::serving::send(*shard, epoch, aside.caller, value, out);
                 }
             }
--- a/programs/topazyard-storage/src/machine/confirm.rs
+++ b/programs/topazyard-storage/src/machine/confirm.rs
@@ -8,8 +8,8 @@
 use topazyard_types::{DurationMs, Epoch, Life, MonotonicMs, NodeId, ShardId};
 use topazyard_wire::Effect;
 use topazyard_wire::message::Message;
-use topazyard_wire::message::cohort::Duty;
 use topazyard_wire::message::confirm::ConfirmMessage;
+use topazyard_wire::message::membership::Duty;
 
 /// How often it is asked while reads wait.
 const ASK_EVERY: DurationMs = DurationMs(50);
@@ -44,7 +44,7 @@
 
 impl StorageMachine {
     /// Asks the control backups and the other backups of shards as long as reads wait.
-    pub(super) fn confirm_beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn confirm_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         let is_due = self.confirming.last_asked.is_none_or(|at| now.since(at) >= ASK_EVERY);
         if !is_due || self.hosted.values().all(|hosted| hosted.asides.is_empty()) {
             return;
@@ -55,7 +55,7 @@
         let mut asides = self.hosted.values().flat_map(|hosted| &hosted.asides);
         if asides.any(|aside| is_left(aside.since)) {
             let nonce = self.confirming.ask(now);
-            for to in self.cohort.addresses(Duty::Control) {
+            for to in self.membership.addresses(Duty::Control) {
                 let ask = ConfirmMessage::AskRecords { nonce };
                 out.push(Effect::Send { to, message: Message::Confirm(ask) });
             }
@@ -67,12 +67,12 @@
         let me = self.member.id;
         for (shard, hosted) in &self.hosted {
             let Some(record) = self.view.shards.get(shard) else { continue };
-            let epoch = hosted.pair.epoch();
-            let follows = hosted.pair.was_in_step() && record.epoch == epoch;
+            let epoch = hosted.replica.epoch();
+            let follows = hosted.replica.was_in_step() && record.epoch == epoch;
             if hosted.asides.is_empty() || !follows || !record.is_backup(me) {
                 continue;
             }
-            let sequence = hosted.pair.copy().place().sequence;
+            let sequence = hosted.replica.copy().place().sequence;
             let ask = ConfirmMessage::AskSynced { shard: *shard, epoch, sequence };
             for other in record.backups.iter().filter(|node| node.id != me) {
                 let message = Message::Confirm(ask.clone());
@@ -97,7 +97,7 @@
             ConfirmMessage::AskSynced { shard, epoch, sequence } => {
                 let Some(hosted) = self.hosted.get(&shard) else { return };
                 if hosted.has_synced(epoch, sequence) {
-                    let sequence = hosted.pair.copy().place().sequence;
+                    let sequence = hosted.replica.copy().place().sequence;
                     let synced = ConfirmMessage::Synced { shard, epoch, sequence };
                     out.push(Effect::Send { to: from, message: Message::Confirm(synced) });
                 }
@@ -106,7 +106,7 @@
                 let record = self.view.shards.get(&shard);
                 let is_backup = record.is_some_and(|record| record.is_backup(sender));
                 let Some(hosted) = self.hosted.get_mut(&shard) else { return };
-                if hosted.pair.epoch() == epoch && is_backup {
+                if hosted.replica.epoch() == epoch && is_backup {
                     hosted.synced_by.insert(sender, sequence);
                     self.answer_asides(now, out);
                 }
--- a/programs/topazyard-storage/src/machine/counting.rs
+++ b/programs/topazyard-storage/src/machine/counting.rs
@@ -42,11 +42,11 @@
         };
         let serving = hosted.is_serving_in(message.epoch);
         let Work::Counter(counter) = &mut hosted.work else {
-            send(from, hosted.pair.epoch(), CounterBody::NotHere, out);
+            send(from, hosted.replica.epoch(), CounterBody::NotHere, out);
             return;
         };
         if !serving {
-            send(from, hosted.pair.epoch(), CounterBody::NotHere, out);
+            send(from, hosted.replica.epoch(), CounterBody::NotHere, out);
             return;
         }
         match message.body {
@@ -100,21 +100,21 @@
         let Some(hosted) = self.hosted.get_mut(&shard) else { return };
         let Work::Parcels(parcels) = &hosted.work else { return };
         let raising = &mut hosted.raising;
-        let first = raising.inbox.front();
+        let first = raising.queue.front();
         let asks = first.map(|s| s.items.iter().map(|item| item.cost).sum());
         let ceiling = first.map_or(Tokens(0), |s| s.ceiling);
         let due = match raising.asked {
             Some((_, since)) => now.since(since) >= RAISE_AGAIN,
             None => asks.is_some() || now.since(raising.last_report) >= REPORT_EVERY,
         };
-        if !due || !hosted.pair.is_serving() || self.disk.is_full() {
+        if !due || !hosted.replica.is_serving() || self.disk.is_full() {
             return;
         }
         raising.last_number += 1;
         raising.last_report = now;
         raising.asked = asks.map(|_| (raising.last_number, now));
         let (total, asked) = (parcels.waiting(), asks.unwrap_or(Tokens(0)));
-        let (shard_epoch, number) = (hosted.pair.epoch(), raising.last_number);
+        let (shard_epoch, number) = (hosted.replica.epoch(), raising.last_number);
         let life = self.life;
         let body = CounterBody::Waiting { shard, shard_epoch, life, number, total, asked, ceiling };
         send(to, epoch, body, out);
@@ -126,7 +126,7 @@
             return;
         }
         hosted.raising.asked = None;
-        if let Some(submission) = hosted.raising.inbox.pop_front() {
+        if let Some(submission) = hosted.raising.queue.pop_front() {
             self.settle_submission(shard, &submission, granted, out);
         }
     }
@@ -139,13 +139,13 @@
         out: &mut Out,
     ) {
         let Some(hosted) = self.hosted.get_mut(&shard) else { return };
-        let epoch = hosted.pair.epoch();
+        let epoch = hosted.replica.epoch();
         let is_late = |s: &super::hosted::Submission| {
             now.since(s.since) >= RAISE_LIMIT || now.since(s.heard) >= UNHEARD_LIMIT
         };
-        while hosted.raising.inbox.front().is_some_and(is_late) {
+        while hosted.raising.queue.front().is_some_and(is_late) {
             hosted.raising.asked = None;
-            if let Some(late) = hosted.raising.inbox.pop_front() {
+            if let Some(late) = hosted.raising.queue.pop_front() {
                 let answer = topazyard_wire::message::parcel::ParcelReturn::NotHere;
                 super::serving::send(shard, epoch, late.caller, answer, out);
             }
--- a/programs/topazyard-storage/src/machine/hosted.rs
+++ b/programs/topazyard-storage/src/machine/hosted.rs
@@ -2,7 +2,7 @@
 
 use crate::counter::Counter;
 use crate::parcels::Parcels;
-use topazyard_replication::{Doubt, Pair, Ticket};
+use topazyard_replication::{Doubt, Replica, Ticket};
 use topazyard_types::{Epoch, MonotonicMs, NodeId, ParcelId, Sequence, Tokens};
 use topazyard_wire::message::control::ShardWish;
 use topazyard_wire::message::counter::CounterBody;
@@ -25,7 +25,7 @@
 /// A shard's copy, and what its primary works with.
 #[derive(Debug)]
 pub(crate) struct Hosted {
-    pub(crate) pair: Pair,
+    pub(crate) replica: Replica,
     pub(crate) work: Work,
     pub(crate) waiting: std::collections::BTreeMap<Ticket, Waiting>,
     pub(crate) last_ticket: Ticket,
@@ -86,7 +86,7 @@
 /// Submissions that wait for room below the ceiling, one asked for at a time.
 #[derive(Debug, Default)]
 pub(crate) struct Raising {
-    pub(crate) inbox: std::collections::VecDeque<Submission>,
+    pub(crate) queue: std::collections::VecDeque<Submission>,
     /// The report that asks for the first one's room, and since when.
     pub(crate) asked: Option<(u64, MonotonicMs)>,
     pub(crate) last_number: u64,
@@ -105,9 +105,9 @@
 }
 
 impl Hosted {
-    pub(crate) fn new(pair: Pair) -> Self {
+    pub(crate) fn new(replica: Replica) -> Self {
         Self {
-            pair,
+            replica,
             work: Work::None,
             waiting: std::collections::BTreeMap::new(),
             last_ticket: 0,
@@ -137,7 +137,7 @@
     /// Submits changes on somebody's behalf.
     pub(crate) fn submit(&mut self, changes: Vec<topazyard_wire::RowChange>, waiting: Waiting) {
         self.last_ticket += 1;
-        if self.pair.submit(self.last_ticket, changes) {
+        if self.replica.submit(self.last_ticket, changes) {
             self.waiting.insert(self.last_ticket, waiting);
         }
     }
@@ -145,35 +145,37 @@
     /// Whether something here waits for the next word of control.
     pub(crate) fn waits_for_control(&self, now: MonotonicMs) -> bool {
         let late = |since| now.since(since) >= BACKUP_LATE;
-        let unsettled = self.pair.is_primary() && !self.pair.is_serving();
-        let unsettled = unsettled || self.pair.backup_silent_since().is_some_and(late);
+        let unsettled = self.replica.is_primary() && !self.replica.is_serving();
+        let unsettled = unsettled || self.replica.backup_silent_since().is_some_and(late);
         self.wish.is_some() || unsettled || !self.asides.is_empty()
     }
 
     /// When the asking was sent by which it was last confirmed that this copy's record stands.
     pub(crate) fn confirmed_at(&self, by_feed: Option<MonotonicMs>) -> Option<MonotonicMs> {
-        let by_quorum = self.record_confirmed.filter(|(epoch, _)| *epoch == self.pair.epoch());
+        let by_quorum = self.record_confirmed.filter(|(epoch, _)| *epoch == self.replica.epoch());
         by_feed.max(by_quorum.map(|(_, at)| at))
     }
 
     /// Whether all of these nodes said that they have synced what this follower holds.
     pub(crate) fn all_have_synced(&self, mut nodes: impl Iterator<Item = NodeId>) -> bool {
-        let held = self.pair.copy().place().sequence;
+        let held = self.replica.copy().place().sequence;
         nodes.all(|id| self.synced_by.get(&id).is_some_and(|synced| *synced >= held))
     }
 
     /// Whether this node follows in step in that epoch and has synced the copy up to there.
     pub(crate) fn has_synced(&self, epoch: Epoch, sequence: Sequence) -> bool {
-        let in_step = self.pair.epoch() == epoch && self.pair.was_in_step();
-        let is_whole = self.pair.doubt() != Doubt::All;
+        let in_step = self.replica.epoch() == epoch && self.replica.was_in_step();
+        let is_whole = self.replica.doubt() != Doubt::All;
         in_step
             && is_whole
-            && self.pair.is_synced()
-            && self.pair.copy().place().sequence >= sequence
+            && self.replica.is_synced()
+            && self.replica.copy().place().sequence >= sequence
     }
 
     /// Whether this primary may work in its epoch.
     pub(crate) fn is_serving_in(&self, epoch: Epoch) -> bool {
-        self.pair.epoch() == epoch && self.pair.is_serving() && !matches!(self.work, Work::None)
+        self.replica.epoch() == epoch
+            && self.replica.is_serving()
+            && !matches!(self.work, Work::None)
     }
 }
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -1,4 +1,4 @@
-//! The storage node's machine: the shards it hosts, each with its part in a pair.
+//! The storage node's machine: the shards it hosts, each with its part in a replica.
 
 mod aside;
 mod confirm;
@@ -8,31 +8,31 @@
 mod serving;
 
 use hosted::Hosted;
-use topazyard_cohort::Cohort;
+use topazyard_membership::Membership;
 use topazyard_replication::{Follower, follower::Followed};
 use topazyard_types::{Life, MonotonicMs, NodeId, ShardId};
 use topazyard_wire::disk::{DiskState, DiskWatch};
 use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::Message;
-use topazyard_wire::message::cohort::{Duty, Member};
 use topazyard_wire::message::control::{ShardWish, Wish};
-use topazyard_wire::message::feed::Vitals;
+use topazyard_wire::message::feed::Health;
+use topazyard_wire::message::membership::{Duty, Member};
 use topazyard_wire::state::FleetView;
 use topazyard_wire::{Effect, Group, Input, Machine, RowChange, WriteToken};
 
 /// How old control's last word may be when a shard stops for a record with its learner.
 const HEARD_WITHIN: topazyard_types::DurationMs = topazyard_types::DurationMs(400);
 /// How long a backup may owe its confirmation.
-const BACKUP_PATIENCE: topazyard_types::DurationMs = topazyard_types::DurationMs(500);
+const BACKUP_TIMEOUT: topazyard_types::DurationMs = topazyard_types::DurationMs(500);
 /// For how long after its start a node reckons with others that are only starting, in percent of the
 /// bound on contact.
 const STARTING_PERCENT: u64 = 100;
 /// How long it leaves a backup that may only be starting without a confirmation, likewise: as long as
 /// control waits before it counts a silent node as down.
-const STARTING_PATIENCE_PERCENT: u64 = 40;
+const STARTING_TIMEOUT_PERCENT: u64 = 40;
 
 /// The effects of a storage node.
-pub(crate) type Out = Vec<Effect<StorageVitals, topazyard_wire::machine::NoTask>>;
+pub(crate) type Out = Vec<Effect<StorageHealth, topazyard_wire::machine::NoTask>>;
 
 /// What may be asked of a storage node from within its process.
 #[derive(Debug)]
@@ -40,12 +40,12 @@
     /// The settings name other control nodes now.
     Seeds(Vec<std::net::SocketAddr>),
     /// How does it fare?
-    Vitals,
+    Health,
 }
 
 /// How a storage node fares.
 #[derive(Debug, Clone, serde::Serialize)]
-pub struct StorageVitals {
+pub struct StorageHealth {
     /// Its id.
     pub node: NodeId,
     /// Shards it serves as their primary.
@@ -64,7 +64,7 @@
 pub struct StorageMachine {
     pub(crate) member: Member,
     pub(crate) life: Life,
-    cohort: Cohort,
+    membership: Membership,
     follower: Follower,
     pub(crate) view: FleetView,
     pub(crate) hosted: std::collections::BTreeMap<ShardId, Hosted>,
@@ -106,7 +106,7 @@
         let life = Life(start.chance);
         Self {
             life,
-            cohort: Cohort::new(start.member.clone(), sources.clone(), start.chance),
+            membership: Membership::new(start.member.clone(), sources.clone(), start.chance),
             follower: Follower::new(sources, life),
             member: start.member,
             view: FleetView::default(),
@@ -128,12 +128,12 @@
 
     /// Whether this node serves a shard as its primary.
     pub fn is_serving(&self, shard: ShardId) -> bool {
-        self.hosted.get(&shard).is_some_and(|hosted| hosted.pair.is_serving())
+        self.hosted.get(&shard).is_some_and(|hosted| hosted.replica.is_serving())
     }
 
     /// This node's copy of a shard, if it has one.
     pub fn copy(&self, shard: ShardId) -> Option<&topazyard_replication::Copy> {
-        self.hosted.get(&shard).map(|hosted| hosted.pair.copy())
+        self.hosted.get(&shard).map(|hosted| hosted.replica.copy())
     }
 
     /// Holds on the budget, if this node leads the counter.
@@ -157,7 +157,7 @@
         // wait for a disk that may have stalled.
         let at_once = shard.is_counter().then_some(MonotonicMs(0));
         if let Some(hosted) = self.hosted.get_mut(&shard) {
-            hosted.pair.stop_answering();
+            hosted.replica.stop_answering();
             hosted.wish = Some((wish.clone(), at_once));
         }
         if shard.is_counter() {
@@ -184,8 +184,8 @@
         }
     }
 
-    fn vitals(&self, now: MonotonicMs) -> Vitals {
-        Vitals::Storage {
+    fn health(&self, now: MonotonicMs) -> Health {
+        Health::Storage {
             member: self.member.clone(),
             disk: self.disk.state(now),
             write_wait_ms: self.disk.oldest_write(now).0,
@@ -203,9 +203,9 @@
         }
     }
 
-    fn own_vitals(&self, now: MonotonicMs) -> StorageVitals {
-        let serving = self.hosted.iter().filter(|(_, hosted)| hosted.pair.is_serving());
-        StorageVitals {
+    fn own_health(&self, now: MonotonicMs) -> StorageHealth {
+        let serving = self.hosted.iter().filter(|(_, hosted)| hosted.replica.is_serving());
+        StorageHealth {
             node: self.member.id,
             serving: serving.map(|(shard, _)| *shard).collect(),
             hosting: self.hosted.keys().copied().collect(),
@@ -220,18 +220,18 @@
 
     /// Asks the feed, if it is time to.
     fn ask_feed(&mut self, now: MonotonicMs, out: &mut Out) {
-        let vitals = self.vitals(now);
-        if let Some((to, message)) = self.follower.beat(now, || vitals) {
+        let health = self.health(now);
+        if let Some((to, message)) = self.follower.tick(now, || health) {
             out.push(Effect::Send { to, message: Message::Feed(message) });
         }
     }
 
-    fn beat(&mut self, now: MonotonicMs, out: &mut Out) {
+    fn tick(&mut self, now: MonotonicMs, out: &mut Out) {
         self.note_disk(now, out);
-        let outgoing = self.cohort.beat(now);
-        out.extend(topazyard_cohort::effects(outgoing));
+        let outgoing = self.membership.tick(now);
+        out.extend(topazyard_membership::effects(outgoing));
         self.remember_addresses(out);
-        self.follower.learn_sources(self.cohort.addresses(Duty::Control));
+        self.follower.learn_sources(self.membership.addresses(Duty::Control));
         let behind = self.behind_since.is_some_and(|at| self.follower.confirmed_at() <= Some(at));
         let waits = self.hosted.values().any(|hosted| hosted.waits_for_control(now));
         self.follower.hurry(behind || waits || self.is_starting(now));
@@ -240,13 +240,13 @@
         for shard in &shards {
             let Some(hosted) = self.hosted.get_mut(shard) else { continue };
             let heard = self.follower.confirmed_at();
-            hosted.pair.hold_learner(heard.is_none_or(|at| now.since(at) >= HEARD_WITHIN));
-            let outputs = hosted.pair.beat(now);
-            self.take_pair(*shard, outputs, now, out);
+            hosted.replica.hold_learner(heard.is_none_or(|at| now.since(at) >= HEARD_WITHIN));
+            let outputs = hosted.replica.tick(now);
+            self.take_replica(*shard, outputs, now, out);
             self.wish_if_backup_silent(*shard, now, out);
         }
         self.send_wishes(now, out);
-        self.confirm_beat(now, out);
+        self.confirm_tick(now, out);
         if now.since(self.last_sweep) >= topazyard_types::DurationMs(100) {
             self.last_sweep = now;
             shards.iter().for_each(|shard| self.sweep(*shard, now, out));
@@ -273,28 +273,28 @@
         if !self.disk.takes_more() {
             return;
         }
-        if let Some(row) = self.remembered.learn(self.cohort.addresses(Duty::Control)) {
+        if let Some(row) = self.remembered.learn(self.membership.addresses(Duty::Control)) {
             self.write_own(row, None, out);
         }
     }
 
-    fn receive_pair(
+    fn receive_replica(
         &mut self,
         sender: NodeId,
         from: std::net::SocketAddr,
-        message: topazyard_wire::message::pair::PairMessage,
+        message: topazyard_wire::message::replica::ReplicaMessage,
         now: MonotonicMs,
         out: &mut Out,
     ) {
         let Group::Shard(shard) = message.group else { return };
         let hosted = self.hosted.get_mut(&shard);
-        if hosted.as_ref().is_none_or(|hosted| hosted.pair.epoch() < message.epoch) {
+        if hosted.as_ref().is_none_or(|hosted| hosted.replica.epoch() < message.epoch) {
             self.behind_since.get_or_insert(now);
         } else if let Some(hosted) = hosted {
             self.behind_since = None;
-            let from = topazyard_replication::pair::From { id: sender, address: from };
-            let outputs = hosted.pair.receive(from, message, now);
-            self.take_pair(shard, outputs, now, out);
+            let from = topazyard_replication::replica::From { id: sender, address: from };
+            let outputs = hosted.replica.receive(from, message, now);
+            self.take_replica(shard, outputs, now, out);
         }
     }
 
@@ -310,20 +310,20 @@
     }
 
     fn wish_if_backup_silent(&mut self, shard: ShardId, now: MonotonicMs, out: &mut Out) {
-        let patience = match self.is_starting(now) {
-            true => self.part_of_contact(STARTING_PATIENCE_PERCENT),
-            false => BACKUP_PATIENCE,
+        let timeout = match self.is_starting(now) {
+            true => self.part_of_contact(STARTING_TIMEOUT_PERCENT),
+            false => BACKUP_TIMEOUT,
         };
         let Some(hosted) = self.hosted.get(&shard) else { return };
-        let silent_since = hosted.pair.backup_silent_since();
+        let silent_since = hosted.replica.backup_silent_since();
         // Where control can't be heard either it may be this node that hears nobody.
         let heard = self.follower.confirmed_at();
         let alone = silent_since.is_some_and(|since| heard <= Some(since));
-        let silent = hosted.pair.silent_backups(patience, now);
+        let silent = hosted.replica.silent_backups(timeout, now);
         // With a full disk it can't sync that it stopped; control moves its duties away.
         let may_wish = hosted.wish.is_none() && !self.disk.is_full();
         if may_wish && !alone && !silent.is_empty() {
-            let epoch = hosted.pair.epoch();
+            let epoch = hosted.replica.epoch();
             let wish = Wish::DropBackups(silent);
             self.stop_and_wish(ShardWish { shard, epoch, wish }, out);
         }
@@ -332,7 +332,7 @@
 
 impl Machine for StorageMachine {
     type Call = StorageCall;
-    type Return = StorageVitals;
+    type Return = StorageHealth;
     type Task = topazyard_wire::machine::NoTask;
 
     fn step(&mut self, input: Input<StorageCall>, now: MonotonicMs) -> Out {
@@ -343,12 +343,12 @@
         self.started.get_or_insert(now);
         match input {
             Input::Disk(state) => self.disk.take_state(state, now),
-            Input::Beat => self.beat(now, &mut out),
+            Input::Tick => self.tick(now, &mut out),
             Input::Written(token) => match token.group {
                 Group::Shard(shard) => {
                     if let Some(hosted) = self.hosted.get_mut(&shard) {
-                        let outputs = hosted.pair.written(token.number);
-                        self.take_pair(shard, outputs, now, &mut out);
+                        let outputs = hosted.replica.written(token.number);
+                        self.take_replica(shard, outputs, now, &mut out);
                     }
                 }
                 _ => {
@@ -360,15 +360,15 @@
             },
             Input::Call { request: StorageCall::Seeds(seeds), .. } => {
                 self.follower.learn_sources(seeds.iter().copied());
-                self.cohort.take_seeds(seeds);
+                self.membership.take_seeds(seeds);
             }
-            Input::Call { call, request: StorageCall::Vitals } => {
-                out.push(Effect::Return { call, value: self.own_vitals(now) });
+            Input::Call { call, request: StorageCall::Health } => {
+                out.push(Effect::Return { call, value: self.own_health(now) });
             }
             Input::Frame { sender, from, message } => match message {
-                Message::Cohort(message) => {
-                    let outgoing = self.cohort.receive(from, message, now);
-                    out.extend(topazyard_cohort::effects(outgoing));
+                Message::Membership(message) => {
+                    let outgoing = self.membership.receive(from, message, now);
+                    out.extend(topazyard_membership::effects(outgoing));
                 }
                 Message::Feed(message) => {
                     if self.follower.receive(from, message) == Followed::Changed {
@@ -380,7 +380,9 @@
                     }
                     self.answer_asides(now, &mut out);
                 }
-                Message::Pair(message) => self.receive_pair(sender, from, message, now, &mut out),
+                Message::Replica(message) => {
+                    self.receive_replica(sender, from, message, now, &mut out)
+                }
                 Message::Counter(message) => {
                     self.receive_counter(sender, from, message, now, &mut out);
                 }
--- a/programs/topazyard-storage/src/machine/roles.rs
+++ b/programs/topazyard-storage/src/machine/roles.rs
@@ -2,7 +2,7 @@
 
 use super::hosted::{Hosted, Work};
 use super::{Out, StorageMachine};
-use topazyard_replication::{Copy, Followers, Pair, PairOutput};
+use topazyard_replication::{Copy, Followers, Replica, ReplicaOutput};
 use topazyard_types::{MonotonicMs, ShardId};
 use topazyard_wire::message::Message;
 use topazyard_wire::message::control::{CoreNode, ShardRecord, ShardWish, Wish};
@@ -14,8 +14,8 @@
         let records: Vec<(ShardId, ShardRecord)> =
             self.view.shards.iter().map(|(shard, record)| (*shard, record.clone())).collect();
         for (shard, record) in records {
-            let known = self.hosted.get(&shard).is_some_and(|h| h.pair.epoch() >= record.epoch);
-            let settled = known && self.hosted.get(&shard).is_some_and(|h| h.pair.has_role());
+            let known = self.hosted.get(&shard).is_some_and(|h| h.replica.epoch() >= record.epoch);
+            let settled = known && self.hosted.get(&shard).is_some_and(|h| h.replica.has_role());
             if !settled {
                 self.settle_role(shard, &record, now, out);
             }
@@ -43,7 +43,7 @@
         self.hosted.entry(shard).or_insert_with(|| {
             let mut copy = Copy::loaded(loaded);
             copy.remember_only_last();
-            Hosted::new(Pair::new(Group::Shard(shard), !shard.is_counter(), copy, life))
+            Hosted::new(Replica::new(Group::Shard(shard), !shard.is_counter(), copy, life))
         })
     }
 
@@ -78,12 +78,12 @@
         let hosted = self.host(shard);
         hosted.wish = None;
         hosted.synced_by.clear();
-        let has_restarted = !hosted.pair.has_role()
-            && hosted.pair.copy().place() != topazyard_types::Place::default();
+        let has_restarted = !hosted.replica.has_role()
+            && hosted.replica.copy().place() != topazyard_types::Place::default();
         let hands_over = has_restarted && record.primary.id == me && !record.backups.is_empty();
         let outputs = if hands_over {
             // It must not bring its backups in step with a copy that may lack what they have shown.
-            hosted.pair.become_idle(record.epoch)
+            hosted.replica.become_idle(record.epoch)
         } else if record.primary.id == me {
             // One that stopped in this epoch before it restarted serves no more in it: it fills
             // the learners, or wishes for some.
@@ -92,16 +92,16 @@
                 learners: record.learners.clone(),
                 answers: record.is_complete() && (!stopped || shard.is_counter()),
             };
-            hosted.pair.become_primary(record.epoch, followers, now)
+            hosted.replica.become_primary(record.epoch, followers, now)
         } else {
             hosted.work = Work::None;
             if record.is_backup(me) || record.learners.iter().any(|node| node.id == me) {
-                hosted.pair.become_follower(record.epoch, record.primary.id, now)
+                hosted.replica.become_follower(record.epoch, record.primary.id, now)
             } else {
-                hosted.pair.become_idle(record.epoch)
+                hosted.replica.become_idle(record.epoch)
             }
         };
-        self.take_pair(shard, outputs, now, out);
+        self.take_replica(shard, outputs, now, out);
         if hands_over {
             // A backup may have answered reads meanwhile from a batch that was lost here.
             let wish = ShardWish { shard, epoch: record.epoch, wish: Wish::HandOver };
@@ -123,12 +123,12 @@
         let mut keys: Vec<String> =
             loaded.map(|rows| rows.into_keys().collect()).unwrap_or_default();
         if let Some(hosted) = hosted {
-            keys = hosted.pair.copy().keys_on_disk();
+            keys = hosted.replica.copy().keys_on_disk();
         }
         if shard.is_counter() || keys.is_empty() {
             return;
         }
-        // No one waits for this write; its number is never one that a pair gave out.
+        // No one waits for this write; its number is never one that a replica gave out.
         let token = WriteToken { group: Group::Shard(shard), number: u64::MAX };
         let changes = keys.into_iter().map(RowChange::gone).collect();
         out.push(Effect::Write { token, changes });
@@ -143,25 +143,25 @@
         }
     }
 
-    pub(super) fn take_pair(
+    pub(super) fn take_replica(
         &mut self,
         shard: ShardId,
-        outputs: Vec<PairOutput>,
+        outputs: Vec<ReplicaOutput>,
         now: MonotonicMs,
         out: &mut Out,
     ) {
         for output in outputs {
             match output {
-                PairOutput::Send(to, message) => {
-                    out.push(Effect::Send { to, message: Message::Pair(message) });
+                ReplicaOutput::Send(to, message) => {
+                    out.push(Effect::Send { to, message: Message::Replica(message) });
                 }
-                PairOutput::Write(token, changes) => out.push(Effect::Write { token, changes }),
-                PairOutput::Committed(tickets) => {
+                ReplicaOutput::Write(token, changes) => out.push(Effect::Write { token, changes }),
+                ReplicaOutput::Committed(tickets) => {
                     for ticket in tickets {
                         self.settle(shard, ticket, out);
                     }
                 }
-                PairOutput::Lost(tickets) => {
+                ReplicaOutput::Lost(tickets) => {
                     // Whoever asked asks again; what came of it is in the copies or nowhere.
                     if let Some(hosted) = self.hosted.get_mut(&shard) {
                         tickets.iter().for_each(|ticket| drop(hosted.waiting.remove(ticket)));
@@ -169,13 +169,13 @@
                         hosted.raising = Default::default();
                     }
                 }
-                PairOutput::Serving => self.begin_work(shard, now, out),
-                PairOutput::LearnersReady => {
+                ReplicaOutput::Serving => self.begin_work(shard, now, out),
+                ReplicaOutput::LearnersReady => {
                     // One that wished for backups to go would have them counted again.
                     if let Some(hosted) = self.hosted.get(&shard)
                         && hosted.wish.is_none()
                     {
-                        let epoch = hosted.pair.epoch();
+                        let epoch = hosted.replica.epoch();
                         let wish = ShardWish { shard, epoch, wish: Wish::PromoteLearners };
                         self.stop_and_wish(wish, out);
                     }
@@ -188,14 +188,14 @@
     fn begin_work(&mut self, shard: ShardId, now: MonotonicMs, out: &mut Out) {
         let Some(hosted) = self.hosted.get_mut(&shard) else { return };
         if matches!(hosted.work, Work::None) {
-            let copy = hosted.pair.copy();
+            let copy = hosted.replica.copy();
             hosted.work = if shard.is_counter() {
                 Work::Counter(crate::counter::Counter::taken_over(copy, now))
             } else {
                 Work::Parcels(crate::parcels::Parcels::taken_over(shard, copy, self.life, now))
             };
         }
-        let text = format!("shard {shard} serves in epoch {}", hosted.pair.epoch());
+        let text = format!("shard {shard} serves in epoch {}", hosted.replica.epoch());
         out.push(Effect::Note { grave: false, text });
     }
 }
--- a/programs/topazyard-storage/src/machine/serving.rs
+++ b/programs/topazyard-storage/src/machine/serving.rs
@@ -29,7 +29,7 @@
             ParcelBody::Aside(call) => return self.take_aside(shard, caller, &call, now),
             ParcelBody::Return(_) => return,
         };
-        let epoch = self.hosted.get(&shard).map_or(message.epoch, |hosted| hosted.pair.epoch());
+        let epoch = self.hosted.get(&shard).map_or(message.epoch, |hosted| hosted.replica.epoch());
         let is_full = self.disk.is_full();
         let served = match self.hosted.get_mut(&shard) {
             Some(hosted) if hosted.is_serving_in(message.epoch) && !is_full => {
@@ -56,19 +56,19 @@
         let Work::Parcels(parcels) = &mut hosted.work else { return false };
         let (changes, answer) = match call {
             ParcelCall::Submit { parcel, items, ceiling } if !parcels.contains(parcel) => {
-                let inbox = &mut hosted.raising.inbox;
-                if inbox.len() >= SUBMISSIONS {
+                let queue = &mut hosted.raising.queue;
+                if queue.len() >= SUBMISSIONS {
                     return false;
                 }
                 // Sent again while it waits: the later call gets the return.
-                match inbox.iter_mut().find(|waiting| waiting.parcel == parcel) {
+                match queue.iter_mut().find(|waiting| waiting.parcel == parcel) {
                     Some(waiting) => {
                         (waiting.caller, waiting.ceiling, waiting.heard) = (caller, ceiling, now);
                     }
                     None => {
                         let (since, heard) = (now, now);
                         let new = Submission { caller, parcel, items, ceiling, since, heard };
-                        inbox.push_back(new);
+                        queue.push_back(new);
                     }
                 }
                 return true;
@@ -109,7 +109,7 @@
                 None => (Vec::new(), ParcelAnswer::Ready(ParcelReturn::Unknown)),
             },
             ParcelCall::Lease { most, models, routes } => {
-                let copy = hosted.pair.copy();
+                let copy = hosted.replica.copy();
                 let mut leased = parcels.batches.lease(relay, most, &routes, copy, now);
                 let left = most - leased.len() as u32;
                 leased.extend(parcels.lease(relay, left, &models, copy, now));
@@ -148,7 +148,7 @@
         let Work::Parcels(parcels) = &mut hosted.work else { return };
         let (parcel, caller) = (submission.parcel, submission.caller);
         if !granted && !parcels.contains(parcel) {
-            let epoch = hosted.pair.epoch();
+            let epoch = hosted.replica.epoch();
             send(shard, epoch, caller, ParcelReturn::CeilingReached, out);
             return;
         }
@@ -164,12 +164,12 @@
     pub(super) fn settle(&mut self, shard: ShardId, ticket: Ticket, out: &mut Out) {
         let Some(hosted) = self.hosted.get_mut(&shard) else { return };
         let Some(waiting) = hosted.waiting.remove(&ticket) else { return };
-        let epoch = hosted.pair.epoch();
+        let epoch = hosted.replica.epoch();
         match waiting {
             Waiting::Nobody => {}
             Waiting::Counter(to, body) => super::counting::send(to, epoch, body, out),
             Waiting::Parcel(caller, answer) => {
-                let value = answer.answered_by(hosted.pair.copy());
+                let value = answer.answered_by(hosted.replica.copy());
                 send(shard, epoch, caller, value.unwrap_or(ParcelReturn::Unknown), out);
             }
         }
@@ -182,17 +182,17 @@
         let Some(hosted) = self.hosted.get_mut(&shard) else { return };
         // Nothing piles up behind a write that finds no room; the counter needs none.
         let waits_for_room = self.disk.is_full() && !shard.is_counter();
-        if !hosted.pair.is_serving() || waits_for_room {
+        if !hosted.replica.is_serving() || waits_for_room {
             return;
         }
         let changes = match &mut hosted.work {
             Work::None => Vec::new(),
-            Work::Counter(counter) => counter.beat(now),
+            Work::Counter(counter) => counter.tick(now),
             Work::Parcels(parcels) => {
                 let limits = self.view.spec.as_ref().map(|(_, bundle)| &bundle.parcels);
                 let keep_s = limits.map(|limits| u64::from(limits.keep_finished_s));
-                let mut changes = parcels.beat(now);
-                changes.extend(parcels.batches.beat(now));
+                let mut changes = parcels.tick(now);
+                changes.extend(parcels.batches.tick(now));
                 changes.extend(parcels.batches.let_go(self.bounds.keep_batches, now));
                 if let Some(keep_s) = keep_s {
                     let keep = topazyard_types::DurationMs(keep_s * 1_000);
@@ -211,8 +211,8 @@
         let shards: Vec<ShardId> = self.hosted.keys().copied().collect();
         for shard in shards {
             if let Some(hosted) = self.hosted.get_mut(&shard) {
-                let outputs = hosted.pair.proceed(now);
-                self.take_pair(shard, outputs, now, out);
+                let outputs = hosted.replica.proceed(now);
+                self.take_replica(shard, outputs, now, out);
             }
         }
     }
--- a/programs/topazyard-storage/src/parcels/batches/changes.rs
+++ b/programs/topazyard-storage/src/parcels/batches/changes.rs
@@ -257,7 +257,7 @@
     }
 
     /// Takes back leases that ran out, and gives up what has waited too long.
-    pub fn beat(&mut self, now: MonotonicMs) -> Vec<RowChange> {
+    pub fn tick(&mut self, now: MonotonicMs) -> Vec<RowChange> {
         let lapsed: Vec<Run> =
             self.leases.iter().filter(|(_, l)| now >= l.until).map(|(run, _)| *run).collect();
         for run in lapsed {
--- a/programs/topazyard-storage/src/parcels/changes.rs
+++ b/programs/topazyard-storage/src/parcels/changes.rs
@@ -23,7 +23,7 @@
         for (item_number, item) in (0..).map(ItemNumber).zip(items) {
             changes.push(rows::item(number, item_number, item));
             changes.push(rows::state(number, item_number, &state));
-            self.inbox.push_back((number, item_number));
+            self.queue.push_back((number, item_number));
             self.waiting = self.waiting.plus(item.cost);
             kept.push(ItemFacts {
                 state,
@@ -79,7 +79,7 @@
             let end = unrun_end(may_have_run, ItemEnd::Ended);
             return self.give_return(run.parcel, run.item, end, now);
         }
-        self.inbox.push_front((run.parcel.number, run.item));
+        self.queue.push_front((run.parcel.number, run.item));
         vec![self.set_state(run.parcel, run.item, ItemState::Waiting { may_have_run })]
     }
 
@@ -95,7 +95,7 @@
         let mut leased = Vec::new();
         let mut passed_over = Vec::new();
         while leased.len() < most as usize {
-            let Some((number, item)) = self.inbox.pop_front() else { break };
+            let Some((number, item)) = self.queue.pop_front() else { break };
             let parcel = self.id(number);
             let Some(facts) = self.facts(parcel, item) else { continue };
             // An entry may be old: only what still waits is leased.
@@ -118,7 +118,7 @@
             leased.push(LeasedItem { run, item: whole, route: None, progress });
         }
         for entry in passed_over.into_iter().rev() {
-            self.inbox.push_front(entry);
+            self.queue.push_front(entry);
         }
         leased
     }
@@ -161,7 +161,7 @@
                 // A lease handed back.
                 if self.leases.get(&run).is_some_and(|lease| lease.relay == relay) {
                     self.leases.remove(&run);
-                    self.inbox.push_front((run.parcel.number, run.item));
+                    self.queue.push_front((run.parcel.number, run.item));
                 }
                 return Vec::new();
             }
@@ -264,12 +264,12 @@
     }
 
     /// Takes back leases that ran out, and settles runs that nobody speaks of any more.
-    pub fn beat(&mut self, now: MonotonicMs) -> Vec<RowChange> {
+    pub fn tick(&mut self, now: MonotonicMs) -> Vec<RowChange> {
         let lapsed: Vec<Run> =
             self.leases.iter().filter(|(_, l)| now >= l.until).map(|(run, _)| *run).collect();
         for run in lapsed {
             self.leases.remove(&run);
-            self.inbox.push_front((run.parcel.number, run.item));
+            self.queue.push_front((run.parcel.number, run.item));
         }
         let silent: Vec<Run> = self
             .heard
--- a/programs/topazyard-storage/src/parcels/mod.rs
+++ b/programs/topazyard-storage/src/parcels/mod.rs
@@ -76,7 +76,7 @@
     shard: ShardId,
     parcels: std::collections::BTreeMap<u64, Parcel>,
     /// Items that may be leased, oldest first.
-    inbox: std::collections::VecDeque<(u64, ItemNumber)>,
+    queue: std::collections::VecDeque<(u64, ItemNumber)>,
     leases: std::collections::BTreeMap<Run, Lease>,
     heard: std::collections::BTreeMap<Run, MonotonicMs>,
     waiting: Tokens,
@@ -98,7 +98,7 @@
         let mut parcels = Self {
             shard,
             parcels: std::collections::BTreeMap::new(),
-            inbox: std::collections::VecDeque::new(),
+            queue: std::collections::VecDeque::new(),
             leases: std::collections::BTreeMap::new(),
             heard: std::collections::BTreeMap::new(),
             waiting: Tokens(0),
@@ -116,7 +116,7 @@
                 };
                 let run = |lease| Run { parcel: ParcelId { shard, number }, item, lease };
                 match state {
-                    ItemState::Waiting { .. } => parcels.inbox.push_back((number, item)),
+                    ItemState::Waiting { .. } => parcels.queue.push_back((number, item)),
                     // A run that is still going will be heard of; one that isn't times out.
                     ItemState::Started { lease, .. } => {
                         parcels.heard.insert(run(lease), now);
--- a/programs/topazyard-storage/src/run.rs
+++ b/programs/topazyard-storage/src/run.rs
@@ -1,7 +1,7 @@
 //! The program as a whole: its machine, its links and its HTTP.
 
 use topazyard_wire::driver::{StartError, start_with_disk};
-use topazyard_wire::message::cohort::Duty;
+use topazyard_wire::message::membership::Duty;
 
 /// Runs the program on its settings until it ends.
 ///
@@ -13,11 +13,11 @@
         let (tasks, _no_tasks) = tokio::sync::mpsc::channel(1);
         let make = |_| (crate::StorageMachine::new(start), Vec::new());
         let handle = topazyard_wire::driver::spawn(make, place, Some(disk), tasks)?;
-        let vitals = handle.clone();
+        let health = handle.clone();
         if let Some(http) = settings.http {
             let listener = topazyard_wire::http::inward::bind(http).await?;
             tokio::spawn(topazyard_wire::http::inward::serve(listener, move |request| {
-                answer(vitals.clone(), request)
+                answer(health.clone(), request)
             }));
         }
         let follow = topazyard_wire::driver::follow_settings(settings, |told| {
@@ -32,18 +32,18 @@
     })
 }
 
-/// Says how this node fares, at `GET /vitals`.
+/// Says how this node fares, at `GET /health`.
 async fn answer(
     handle: topazyard_wire::driver::Handle<crate::StorageMachine>,
     request: hyper::Request<hyper::body::Incoming>,
 ) -> hyper::Response<topazyard_wire::http::Body> {
     use topazyard_wire::api::{ApiError, Code};
-    if request.uri().path() != "/vitals" {
+    if request.uri().path() != "/health" {
         let error = ApiError::not_run(Code::NoSuchPath).at(request.uri().path());
         return topazyard_wire::http::error(&error);
     }
-    match handle.call(crate::machine::StorageCall::Vitals).await {
-        Ok(vitals) => topazyard_wire::http::json(200, &vitals),
+    match handle.call(crate::machine::StorageCall::Health).await {
+        Ok(health) => topazyard_wire::http::json(200, &health),
         Err(_) => topazyard_wire::http::error(&ApiError::not_run(Code::NoShard)),
     }
 }
--- a/programs/topazyard-storage/tests/batches.rs
+++ b/programs/topazyard-storage/tests/batches.rs
@@ -102,8 +102,8 @@
         self.keep(changes);
     }
 
-    fn beat(&mut self, now_ms: u64) {
-        let changes = self.parcels.batches.beat(at(now_ms));
+    fn tick(&mut self, now_ms: u64) {
+        let changes = self.parcels.batches.tick(at(now_ms));
         self.keep(changes);
     }
 
@@ -200,7 +200,7 @@
     let mut shard = Shard::new();
     assert!(shard.submit(&batch("1", 1), 0));
     let old = shard.lease_one(A, 0);
-    shard.beat(LEASE.0);
+    shard.tick(LEASE.0);
     let new = shard.lease_one(B, LEASE.0);
     shard.finish(A, old, RunEnd::Failed, LEASE.0 + 1);
     assert!(shard.lease(A, 1, LEASE.0 + 1).is_empty(), "it runs at the other");
@@ -216,7 +216,7 @@
     assert!(shard.submit(&batch("1", 1), 0));
     let run = shard.lease_one(A, 0);
     shard.parcels.batches.running(A, &[run], at(LEASE.0 - 1));
-    shard.beat(LEASE.0);
+    shard.tick(LEASE.0);
     assert!(shard.lease(B, 1, LEASE.0).is_empty());
 }
 
@@ -252,13 +252,13 @@
 fn what_waited_too_long_is_given_up_and_never_sooner() {
     let mut shard = Shard::new();
     assert!(shard.submit(&batch("1", 2), 5));
-    shard.beat(40_004);
+    shard.tick(40_004);
     assert!(shard.results("1").is_empty());
     // A successor goes on from the age that was last written.
     shard.hand_over(7, 100);
-    shard.beat(40_099);
+    shard.tick(40_099);
     assert!(shard.results("1").is_empty());
-    shard.beat(40_100);
+    shard.tick(40_100);
     assert_eq!(shard.results("1").len(), 2);
     assert_eq!(shard.parcels.batches.waiting(), Tokens(0));
 }
@@ -276,7 +276,7 @@
     }
     assert!(shard.parcels.end_either(ParcelId::of_host(HOST, "2"), at(5)).is_none());
     shard.finish(A, runs[1], done("late"), 6);
-    shard.beat(50_000);
+    shard.tick(50_000);
     assert!(shard.lease(B, 9, 50_000).is_empty());
     assert_eq!(shard.results("1").len(), 1);
     assert_eq!(shard.parcels.batches.waiting(), Tokens(0));
--- a/programs/topazyard-storage/tests/confirming.rs
+++ b/programs/topazyard-storage/tests/confirming.rs
@@ -7,12 +7,12 @@
 };
 use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::Message;
-use topazyard_wire::message::cohort::{CohortMessage, Duty, Member, News, Standing};
 use topazyard_wire::message::confirm::ConfirmMessage;
 use topazyard_wire::message::control::{CoreNode, ShardRecord, Wish};
 use topazyard_wire::message::feed::{FeedMessage, Matter};
-use topazyard_wire::message::pair::{PairBody, PairMessage};
+use topazyard_wire::message::membership::{Duty, Member, MembershipMessage, News, Standing};
 use topazyard_wire::message::parcel::{ParcelBody, ParcelCall, ParcelMessage, ParcelReturn};
+use topazyard_wire::message::replica::{ReplicaBody, ReplicaMessage};
 use topazyard_wire::{Effect, Group, Input, Machine, RowChange};
 
 const SHARD: ShardId = ShardId(1);
@@ -22,7 +22,7 @@
 const OTHER_BACKUP: u64 = 3;
 const CONTROL: u64 = 8;
 const RELAY: u64 = 9;
-const BEAT: DurationMs = DurationMs(25);
+const TICK: DurationMs = DurationMs(25);
 
 fn address(id: u64) -> std::net::SocketAddr {
     ([127, 0, 0, 1], 1_000 + id as u16).into()
@@ -33,8 +33,8 @@
 }
 
 fn member(id: u64, duty: Duty) -> Member {
-    let domain = format!("domain-{id}").as_str().into();
-    Member { id: NodeId(id), name: None, address: address(id), http: None, duty, domain }
+    let zone = format!("zone-{id}").as_str().into();
+    Member { id: NodeId(id), name: None, address: address(id), http: None, duty, zone }
 }
 
 /// A record with the primary and so many backups.
@@ -91,9 +91,9 @@
     }
 
     fn run(&mut self, for_ms: u64) {
-        for _ in 0..for_ms / BEAT.0 {
-            self.now = self.now.plus(BEAT);
-            self.step(Input::Beat);
+        for _ in 0..for_ms / TICK.0 {
+            self.now = self.now.plus(TICK);
+            self.step(Input::Tick);
         }
     }
 
@@ -106,8 +106,8 @@
         let member = member(CONTROL, Duty::Control);
         let incarnation = topazyard_types::Incarnation(0);
         let news = vec![News { member, incarnation, standing: Standing::Alive }];
-        self.hear(CONTROL, Message::Cohort(CohortMessage::Roster { news }));
-        self.run(BEAT.0);
+        self.hear(CONTROL, Message::Membership(MembershipMessage::Roster { news }));
+        self.run(TICK.0);
         let ask = self.sent.iter().rev().find_map(|(_, message)| match message {
             Message::Feed(FeedMessage::Ask { nonce, .. }) => Some(*nonce),
             _ => None,
@@ -121,9 +121,9 @@
 
     /// Lets time pass with a control node that returns each asking of the feed.
     fn run_with_control(&mut self, for_ms: u64) {
-        for _ in 0..for_ms / BEAT.0 {
+        for _ in 0..for_ms / TICK.0 {
             self.sent.clear();
-            self.run(BEAT.0);
+            self.run(TICK.0);
             let asked = self.sent.iter().find_map(|(_, message)| match message {
                 Message::Feed(FeedMessage::Ask { nonce, after, .. }) => Some((*nonce, *after)),
                 _ => None,
@@ -135,20 +135,20 @@
         }
     }
 
-    fn hear_primary(&mut self, body: PairBody) {
-        let message = PairMessage { group: Group::Shard(SHARD), epoch: Epoch(1), body };
-        self.hear(PRIMARY, Message::Pair(message));
+    fn hear_primary(&mut self, body: ReplicaBody) {
+        let message = ReplicaMessage { group: Group::Shard(SHARD), epoch: Epoch(1), body };
+        self.hear(PRIMARY, Message::Replica(message));
     }
 
     /// Is brought in step with an empty primary, then takes a batch that no one confirmed yet.
     fn take_unconfirmed_parcel(&mut self) {
         let empty = topazyard_replication::Copy::default();
         let digests: Vec<Digest> = empty.digests().to_vec();
-        self.hear_primary(PairBody::Digests {
+        self.hear_primary(ReplicaBody::Digests {
             round: 1,
             sequence: Sequence(0),
             digests,
-            of: topazyard_wire::message::pair::Follows::AsBackup,
+            of: topazyard_wire::message::replica::Follows::AsBackup,
         });
         let mut parcels = topazyard_storage::parcels::Parcels::taken_over(
             SHARD,
@@ -157,7 +157,7 @@
             self.now,
         );
         let changes = parcels.submit(PARCEL, &[]);
-        self.hear_primary(PairBody::Append { round: 2, sequence: Sequence(1), changes });
+        self.hear_primary(ReplicaBody::Append { round: 2, sequence: Sequence(1), changes });
     }
 
     fn ask_aside(&mut self) {
@@ -293,7 +293,7 @@
         _ => false,
     });
     assert!(wishes, "its backup should lead");
-    let compares = storage.sent.iter().any(|(_, message)| matches!(message, Message::Pair(_)));
+    let compares = storage.sent.iter().any(|(_, message)| matches!(message, Message::Replica(_)));
     assert!(!compares, "its backup must keep what it holds");
 }
 
--- a/programs/topazyard-storage/tests/counter.rs
+++ b/programs/topazyard-storage/tests/counter.rs
@@ -58,8 +58,8 @@
     let mut counter = counter();
     counter.add(RELAY, &hold(1, 900, HoldKind::Live), NOW);
     let later = NOW.plus(LEASE);
-    assert_eq!(counter.beat(MonotonicMs(later.0 - 1)).len(), 0);
-    assert_eq!(counter.beat(later).len(), 1);
+    assert_eq!(counter.tick(MonotonicMs(later.0 - 1)).len(), 0);
+    assert_eq!(counter.tick(later).len(), 1);
     assert_eq!(counter.holds(), 0);
 }
 
@@ -140,10 +140,10 @@
     block.terms.expiry = DurationMs(12_000);
     assert!(is_added(&counter.add(RELAY, &block, NOW)));
     assert!(is_added(&counter.add(RELAY, &hold(2, 100, HoldKind::Live), NOW)));
-    assert_eq!(counter.beat(NOW.plus(LEASE)).len(), 1, "only the live hold lapses");
+    assert_eq!(counter.tick(NOW.plus(LEASE)).len(), 1, "only the live hold lapses");
     assert_eq!(counter.used(&"main".into(), None), Tokens(500));
-    assert_eq!(counter.beat(MonotonicMs(NOW.0 + 11_999)).len(), 0);
-    assert_eq!(counter.beat(MonotonicMs(NOW.0 + 12_000)).len(), 1);
+    assert_eq!(counter.tick(MonotonicMs(NOW.0 + 11_999)).len(), 0);
+    assert_eq!(counter.tick(MonotonicMs(NOW.0 + 12_000)).len(), 1);
     assert_eq!(counter.holds(), 0);
 }
 
@@ -156,8 +156,8 @@
     counter.add(RELAY, &block, NOW);
     let renewed = MonotonicMs(NOW.0 + 10_000);
     counter.renew(RELAY, HoldId(1), &[block], &[], renewed);
-    assert_eq!(counter.beat(MonotonicMs(renewed.0 + 11_999)).len(), 0);
-    assert_eq!(counter.beat(MonotonicMs(renewed.0 + 12_000)).len(), 1);
+    assert_eq!(counter.tick(MonotonicMs(renewed.0 + 11_999)).len(), 0);
+    assert_eq!(counter.tick(MonotonicMs(renewed.0 + 12_000)).len(), 1);
 }
 
 // Else a counter that knows of no hold yet grants twice what relays still have; or nothing is
--- a/programs/topazyard-storage/tests/disks.rs
+++ b/programs/topazyard-storage/tests/disks.rs
@@ -1,16 +1,16 @@
 //! A storage node whose disk is full takes no more work, says so, and goes on once there is room.
 
-use topazyard_storage::{StorageCall, StorageMachine, StorageVitals};
+use topazyard_storage::{StorageCall, StorageHealth, StorageMachine};
 use topazyard_types::{CallId, Digest, DurationMs, Epoch, MonotonicMs, NodeId, ParcelId, Place};
 use topazyard_types::{Sequence, ShardId};
 use topazyard_wire::disk::DiskState;
 use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::Message;
-use topazyard_wire::message::cohort::{Duty, Member};
 use topazyard_wire::message::control::{CoreNode, ShardRecord};
-use topazyard_wire::message::feed::{FeedMessage, Matter, Vitals};
-use topazyard_wire::message::pair::{PairBody, PairMessage};
+use topazyard_wire::message::feed::{FeedMessage, Health, Matter};
+use topazyard_wire::message::membership::{Duty, Member};
 use topazyard_wire::message::parcel::{ParcelBody, ParcelCall, ParcelMessage, ParcelReturn};
+use topazyard_wire::message::replica::{ReplicaBody, ReplicaMessage};
 use topazyard_wire::{Effect, Group, Input, Machine as _, WriteToken};
 
 const SHARD: ShardId = ShardId(1);
@@ -33,7 +33,7 @@
     sent: Vec<Message>,
     notes: Vec<String>,
     unsynced: Vec<WriteToken>,
-    vitals: Option<StorageVitals>,
+    health: Option<StorageHealth>,
 }
 
 impl Node {
@@ -44,7 +44,7 @@
             address: at(1),
             http: None,
             duty: Duty::Storage,
-            domain: "north".into(),
+            zone: "north".into(),
         };
         let start = DiskStart {
             member,
@@ -61,7 +61,7 @@
             sent: Vec::new(),
             notes: Vec::new(),
             unsynced: Vec::new(),
-            vitals: None,
+            health: None,
         }
     }
 
@@ -71,7 +71,7 @@
                 Effect::Send { message, .. } => self.sent.push(message),
                 Effect::Write { token, .. } => self.unsynced.push(token),
                 Effect::Note { text, .. } => self.notes.push(text),
-                Effect::Return { value, .. } => self.vitals = Some(value),
+                Effect::Return { value, .. } => self.health = Some(value),
                 Effect::Start(never) => match never {},
             }
         }
@@ -84,7 +84,7 @@
     fn run(&mut self, for_ms: u64) {
         for _ in 0..for_ms / 25 {
             self.now = self.now.plus(DurationMs(25));
-            self.step(Input::Beat);
+            self.step(Input::Tick);
         }
     }
 
@@ -112,21 +112,23 @@
     /// The backup confirms all that it was sent.
     fn confirm(&mut self) {
         for message in std::mem::take(&mut self.sent) {
-            let Message::Pair(PairMessage { body, .. }) = message else { continue };
+            let Message::Replica(ReplicaMessage { body, .. }) = message else { continue };
             let body = match body {
-                PairBody::Digests { round, sequence, .. } => PairBody::InStep { round, sequence },
-                PairBody::Append { round, .. } => PairBody::Appended { round },
+                ReplicaBody::Digests { round, sequence, .. } => {
+                    ReplicaBody::InStep { round, sequence }
+                }
+                ReplicaBody::Append { round, .. } => ReplicaBody::Appended { round },
                 _ => continue,
             };
-            let message = PairMessage { group: Group::Shard(SHARD), epoch: EPOCH, body };
-            self.hear(BACKUP, Message::Pair(message));
+            let message = ReplicaMessage { group: Group::Shard(SHARD), epoch: EPOCH, body };
+            self.hear(BACKUP, Message::Replica(message));
         }
     }
 
     /// What it asked control last.
-    fn asked(&self) -> Option<(u64, Vitals)> {
+    fn asked(&self) -> Option<(u64, Health)> {
         self.sent.iter().rev().find_map(|message| match message {
-            Message::Feed(FeedMessage::Ask { nonce, vitals, .. }) => Some((*nonce, vitals.clone())),
+            Message::Feed(FeedMessage::Ask { nonce, health, .. }) => Some((*nonce, health.clone())),
             _ => None,
         })
     }
@@ -173,10 +175,10 @@
     node.lead();
     node.step(Input::Disk(DiskState::Full));
     node.run(500);
-    let Some((_, Vitals::Storage { disk, .. })) = node.asked() else { panic!("no word") };
+    let Some((_, Health::Storage { disk, .. })) = node.asked() else { panic!("no word") };
     assert_eq!(disk, DiskState::Full);
-    node.step(Input::Call { call: CallId(1), request: StorageCall::Vitals });
-    assert_eq!(node.vitals.take().map(|vitals| vitals.disk), Some(DiskState::Full));
+    node.step(Input::Call { call: CallId(1), request: StorageCall::Health });
+    assert_eq!(node.health.take().map(|health| health.disk), Some(DiskState::Full));
     assert!(node.notes.iter().any(|note| note.contains("disk full")), "{:?}", node.notes);
     node.step(Input::Disk(DiskState::Healthy));
     node.run(50);
@@ -205,14 +207,14 @@
     // Its primary compares again and again, as it does while nobody answers.
     for round in 1..=5_000 {
         let digests = vec![Digest::default(); topazyard_replication::copy::RANGES];
-        let of = topazyard_wire::message::pair::Follows::AsBackup;
-        let body = PairBody::Digests { round, sequence: Sequence(0), digests, of };
-        let message = PairMessage { group: Group::Shard(SHARD), epoch: EPOCH, body };
-        node.hear(BACKUP, Message::Pair(message));
+        let of = topazyard_wire::message::replica::Follows::AsBackup;
+        let body = ReplicaBody::Digests { round, sequence: Sequence(0), digests, of };
+        let message = ReplicaMessage { group: Group::Shard(SHARD), epoch: EPOCH, body };
+        node.hear(BACKUP, Message::Replica(message));
     }
     assert!(node.unsynced.len() <= 200, "{} writes wait", node.unsynced.len());
     let confirms = |message: &Message| {
-        matches!(message, Message::Pair(PairMessage { body: PairBody::InStep { .. }, .. }))
+        matches!(message, Message::Replica(ReplicaMessage { body: ReplicaBody::InStep { .. }, .. }))
     };
     assert!(!node.sent.iter().any(confirms));
     for token in std::mem::take(&mut node.unsynced) {
--- a/programs/topazyard-storage/tests/parcels.rs
+++ b/programs/topazyard-storage/tests/parcels.rs
@@ -98,7 +98,7 @@
     let mut shard = Shard::with_items(1);
     let run = shard.lease(A, MonotonicMs(0));
     assert!(shard.start(A, run, MonotonicMs(5)));
-    let changes = shard.parcels.beat(MonotonicMs(20_000));
+    let changes = shard.parcels.tick(MonotonicMs(20_000));
     shard.keep(changes);
     // Its relay comes back and tells the end: too late to change what was listed.
     let before = returns(&shard.copy, shard.parcel, 0);
@@ -194,7 +194,7 @@
         let run = shard.lease(A, MonotonicMs(0));
         assert!(shard.start(A, run, MonotonicMs(1)));
     }
-    let changes = shard.parcels.beat(MonotonicMs(20_000));
+    let changes = shard.parcels.tick(MonotonicMs(20_000));
     shard.keep(changes);
     // A successor knows it too.
     let copy = Copy::loaded(shard.copy.rows().clone());
--- a/stand-ins/src/bin/stand-in-visitors.rs
+++ b/stand-ins/src/bin/stand-in-clients.rs
@@ -1,10 +1,10 @@
-//! Stand-in visitors: prompts, streams and parcels at a steady rate, each return checked.
+//! Stand-in clients: prompts, streams and parcels at a steady rate, each return checked.
 
 use clap::Parser as _;
 use http_body_util::BodyExt as _;
 use stand_ins::tally::Tally;
 
-/// Stand-in visitors
+/// Stand-in clients
 #[derive(clap::Parser, Clone)]
 struct Flags {
     /// HTTP addresses of relays
@@ -19,7 +19,7 @@
     /// Every n-th prompt is a stream; 0 for none
     #[arg(long, default_value_t = 5)]
     stream_every: u64,
-    /// How long each visitor waits
+    /// How long each client waits
     #[arg(long, default_value_t = 5_000)]
     wait_ms: u64,
     /// New tokens of each prompt
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for what topazyard meets from outside: engines, the platform and visitors.
+//! Stand-ins for what topazyard meets from outside: engines, the platform and clients.
 
 pub mod prompt;
 pub mod tally;
--- a/stand-ins/src/tally.rs
+++ b/stand-ins/src/tally.rs
@@ -1,6 +1,6 @@
-//! What visitors saw, added up.
+//! What clients saw, added up.
 
-/// Outcomes of a run of visitors.
+/// Outcomes of a run of clients.
 #[derive(Debug, Default, Clone, serde::Serialize)]
 pub struct Tally {
     /// Prompts sent.
