Break four circles between files, and part what a primary knows from what it does

Header names and refusals of the platform, the names of declarations, the end of a process and what the first record follows each stand in a small module that others use; they were reached back into before. A primary's knowledge of its backups and learners, and the splitting of ranges into parts, have left lead.rs (563 lines, now 443).

--- a/libraries/topazyard-replication/src/replica/lead.rs
+++ b/libraries/topazyard-replication/src/replica/lead.rs
@@ -1,5 +1,7 @@
 //! The primary's side: batches, the comparisons that bring backups in step, and the learners.
 
+use super::parts::{bytes_of, split_into_parts};
+use super::progress::{Backup, BackupState, Batch, Comparison, Learner, Learning, is_due};
 use super::{Doubt, Followers, From, Replica, ReplicaOutput, Role, Ticket};
 use topazyard_types::{DurationMs, MonotonicMs, NodeId, Sequence};
 use topazyard_wire::RowChange;
@@ -8,16 +10,6 @@
 
 /// After how long an append is sent again.
 const APPEND_AGAIN: DurationMs = DurationMs(100);
-/// After how long a comparison that nobody answered is begun again: the other node may not have
-/// heard of the epoch yet.
-const COMPARE_AGAIN: DurationMs = DurationMs(40);
-/// After how long one whose ranges are being fetched is begun again, besides the time that the
-/// ranges sent need on their way.
-const FETCH_AGAIN: DurationMs = DurationMs(300);
-/// How much of a range goes over a link in a millisecond, at the least: 10 MB a second.
-const BYTES_PER_MS: u64 = 10_000;
-/// How much of a range goes into one frame.
-const PART_BYTES: u64 = 1024 * 1024;
 /// How long an idle primary leaves its backups without a word.
 const KEEP_ALIVE: DurationMs = DurationMs(200);
 /// How long new batches are held back for a learner's last comparison.
@@ -34,118 +26,6 @@
     Stopped,
 }
 
-/// A comparison that is under way.
-#[derive(Debug, Clone)]
-struct Comparison {
-    round: u64,
-    begun: MonotonicMs,
-    /// How many bytes of ranges the other node asked for, if it did.
-    fetches: Option<u64>,
-}
-
-impl Comparison {
-    fn is_due_again(&self, now: MonotonicMs) -> bool {
-        let timeout = match self.fetches {
-            Some(bytes) => DurationMs(FETCH_AGAIN.0 + bytes / BYTES_PER_MS),
-            None => COMPARE_AGAIN,
-        };
-        now.since(self.begun) >= timeout
-    }
-}
-
-fn bytes_of(rows: &[(String, bytes::Bytes)]) -> u64 {
-    rows.iter().map(|(key, value)| (key.len() + value.len()) as u64).sum()
-}
-
-/// Splits the rows of a range so that no part outgrows a frame by far: a row alone may be as large
-/// as the largest configuration, which fits. An empty range is one empty part.
-fn split_into_parts(rows: Vec<(String, bytes::Bytes)>) -> Vec<Vec<(String, bytes::Bytes)>> {
-    let mut parts = vec![Vec::new()];
-    let mut bytes = 0;
-    for row in rows {
-        let size = bytes_of(std::slice::from_ref(&row));
-        if bytes > 0 && bytes + size > PART_BYTES {
-            parts.push(Vec::new());
-            bytes = 0;
-        }
-        bytes += size;
-        if let Some(part) = parts.last_mut() {
-            part.push(row);
-        }
-    }
-    parts
-}
-
-/// Whether a comparison is to be begun, or begun again.
-fn is_due(comparison: &Option<Comparison>, now: MonotonicMs) -> bool {
-    comparison.as_ref().is_none_or(|comparison| comparison.is_due_again(now))
-}
-
-/// A backup, as its primary knows it.
-#[derive(Debug, Clone)]
-struct Backup {
-    node: CoreNode,
-    state: BackupState,
-    /// The last round that it confirmed in this epoch.
-    confirmed: Option<u64>,
-}
-
-/// Whether a backup follows batch by batch.
-#[derive(Debug, Clone)]
-enum BackupState {
-    /// Its copy is being compared, since then.
-    Comparing(Option<Comparison>, MonotonicMs),
-    /// It takes each batch.
-    InStep,
-}
-
-impl Backup {
-    fn is_in_step(&self) -> bool {
-        matches!(self.state, BackupState::InStep)
-    }
-
-    /// Since when it owes a confirmation, if it does.
-    fn owes_since(&self, under_way: Option<&Batch>) -> Option<MonotonicMs> {
-        match &self.state {
-            BackupState::Comparing(_, since) => Some(*since),
-            BackupState::InStep => {
-                let owed = under_way.filter(|batch| self.confirmed != Some(batch.round));
-                owed.map(|batch| batch.begun)
-            }
-        }
-    }
-}
-
-/// A node that is being given a copy.
-#[derive(Debug, Clone)]
-struct Learner {
-    node: CoreNode,
-    learning: Learning,
-}
-
-/// How far a learner is.
-#[derive(Debug, Clone)]
-enum Learning {
-    /// It fetches while the primary goes on.
-    Fetching(Option<Comparison>),
-    /// New batches are held back since then, for the last comparison.
-    LastRound(Option<Comparison>, MonotonicMs),
-    /// It holds everything, and new batches are held back since then.
-    Ready(MonotonicMs),
-}
-
-/// A batch that is being synced on every copy.
-#[derive(Debug, Clone)]
-struct Batch {
-    round: u64,
-    sequence: Sequence,
-    changes: Vec<RowChange>,
-    tickets: Vec<Ticket>,
-    write: Option<u64>,
-    begun: MonotonicMs,
-    sent: MonotonicMs,
-}
-
 /// What a primary keeps.
 #[derive(Debug, Clone)]
 pub struct Lead {
--- a/libraries/topazyard-replication/src/replica/mod.rs
+++ b/libraries/topazyard-replication/src/replica/mod.rs
@@ -7,6 +7,8 @@
 
 mod follow;
 mod lead;
+mod parts;
+mod progress;
 
 use topazyard_types::{Epoch, Life, MonotonicMs, NodeId};
 use topazyard_wire::message::control::CoreNode;
--- /dev/null
+++ b/libraries/topazyard-replication/src/replica/parts.rs
@@ -0,0 +1,30 @@
+//! Ranges that are sent in parts, so that none outgrows a frame.
+
+/// How much of a range goes into one frame.
+const PART_BYTES: u64 = 1024 * 1024;
+
+/// How large rows are.
+pub(super) fn bytes_of(rows: &[(String, bytes::Bytes)]) -> u64 {
+    rows.iter().map(|(key, value)| (key.len() + value.len()) as u64).sum()
+}
+
+/// Splits the rows of a range so that no part outgrows a frame by far: a row alone may be as large
+/// as the largest configuration, which fits. An empty range is one empty part.
+pub(super) fn split_into_parts(
+    rows: Vec<(String, bytes::Bytes)>,
+) -> Vec<Vec<(String, bytes::Bytes)>> {
+    let mut parts = vec![Vec::new()];
+    let mut bytes = 0;
+    for row in rows {
+        let size = bytes_of(std::slice::from_ref(&row));
+        if bytes > 0 && bytes + size > PART_BYTES {
+            parts.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        if let Some(part) = parts.last_mut() {
+            part.push(row);
+        }
+    }
+    parts
+}
--- a/libraries/topazyard-spec/src/bundle.rs
+++ b/libraries/topazyard-spec/src/bundle.rs
@@ -36,7 +36,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Pool {
     /// Its name, which engines name too.
-    #[garde(custom(short_name))]
+    #[garde(custom(crate::names::short_name))]
     pub name: PoolName,
     /// Most tokens in flight at once.
     #[garde(custom(within_tokens))]
@@ -78,16 +78,16 @@
 #[serde(deny_unknown_fields)]
 pub struct Lane {
     /// Its name.
-    #[garde(custom(short_name))]
+    #[garde(custom(crate::names::short_name))]
     pub name: LaneName,
     /// Which kind of work it takes.
     #[garde(skip)]
     pub kind: LaneKind,
     /// The models it takes.
-    #[garde(length(min = 1, max = 256), inner(custom(short_name)))]
+    #[garde(length(min = 1, max = 256), inner(custom(crate::names::short_name)))]
     pub models: Vec<ModelName>,
     /// The pool its work may go to.
-    #[garde(custom(short_name))]
+    #[garde(custom(crate::names::short_name))]
     pub pool: PoolName,
     /// What a request is worth against others that wait.
     #[garde(range(min = 1, max = 1000))]
@@ -174,15 +174,6 @@
     1
 }
 
-pub(crate) fn short_name<N: std::fmt::Display>(name: &N, _: &()) -> garde::Result {
-    let length = name.to_string().len();
-    if (1..=128).contains(&length) {
-        Ok(())
-    } else {
-        Err(garde::Error::new("a name has 1 to 128 bytes"))
-    }
-}
-
 fn within_tokens(tokens: &Tokens, _: &()) -> garde::Result {
     if (1..=1_000_000_000).contains(&tokens.0) {
         Ok(())
--- a/libraries/topazyard-spec/src/lib.rs
+++ b/libraries/topazyard-spec/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod bundle;
 pub mod engines;
 pub mod faults;
+mod names;
 pub mod routes;
 pub mod settings;
 
--- a/libraries/topazyard-spec/src/routes.rs
+++ b/libraries/topazyard-spec/src/routes.rs
@@ -21,7 +21,7 @@
 #[serde(deny_unknown_fields)]
 pub struct PoolShare {
     /// The pool.
-    #[garde(custom(crate::bundle::short_name))]
+    #[garde(custom(crate::names::short_name))]
     pub pool: PoolName,
     /// Its weight against the route's other pools.
     #[garde(range(max = 1_000_000))]
@@ -48,7 +48,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// Its name.
-    #[garde(custom(crate::bundle::short_name))]
+    #[garde(custom(crate::names::short_name))]
     pub name: RouteName,
     /// The host that requests name.
     #[garde(length(min = 1, max = 255))]
--- a/libraries/topazyard-wire/src/driver/actor.rs
+++ b/libraries/topazyard-wire/src/driver/actor.rs
@@ -88,7 +88,7 @@
                     .as_ref()
                     .map(|disk| disk.write(crate::disk::DiskWrite { token, changes }));
                 if !matches!(taken, Some(Ok(()))) {
-                    super::spawn::give_up("a write could not be handed to the disk");
+                    super::give_up::give_up("a write could not be handed to the disk");
                 }
             }
             Effect::Return { call, value } => {
@@ -99,7 +99,7 @@
             }
             Effect::Start(task) => {
                 if self.tasks.try_send(task).is_err() {
-                    super::spawn::give_up("a task could not be handed on");
+                    super::give_up::give_up("a task could not be handed on");
                 }
             }
             Effect::Note { grave: true, text } => spdlog::error!("{text}"),
--- a/libraries/topazyard-wire/src/driver/mod.rs
+++ b/libraries/topazyard-wire/src/driver/mod.rs
@@ -3,6 +3,7 @@
 pub mod actor;
 pub mod clock;
 pub mod disked;
+mod give_up;
 pub mod identity;
 pub mod signals;
 pub mod spawn;
--- a/libraries/topazyard-wire/src/driver/spawn.rs
+++ b/libraries/topazyard-wire/src/driver/spawn.rs
@@ -60,17 +60,6 @@
 /// Signals that may wait for the machine.
 const QUEUE_LIMIT: usize = 8_192;
 const TICK_MS: u64 = 25;
-/// The exit code of a process that could not go on.
-const GAVE_UP: i32 = 70;
-
-/// Ends the process: what can't go on rightly must not go on at all.
-pub(crate) fn give_up(reason: &str) -> ! {
-    spdlog::error!("giving up: {reason}");
-    // The log's owner thread writes the ring; leave it a moment.
-    std::thread::sleep(std::time::Duration::from_millis(100));
-    std::process::exit(GAVE_UP)
-}
-
 /// Runs a process's traffic on several threads until it ends.
 ///
 /// # Errors
@@ -124,7 +113,7 @@
                 last_call: topazyard_types::CallId(0),
             };
             run(driver, first, disk, listener, &sender).await;
-            give_up("the machine's actor ended");
+            super::give_up::give_up("the machine's actor ended");
         });
     });
     let actor = receiver.recv().map_err(|_| StartError::Runtime(std::io::ErrorKind::Other))?;
@@ -159,7 +148,7 @@
                 crate::disk::DiskEvent::Written(token) => super::actor::Signal::Written(token),
                 crate::disk::DiskEvent::State(state) => super::actor::Signal::Disk(state),
                 crate::disk::DiskEvent::Failed(error) => {
-                    give_up(&format!("a write failed: {error}"))
+                    super::give_up::give_up(&format!("a write failed: {error}"))
                 }
             };
             if written.tell(signal).await.is_err() {
@@ -185,7 +174,7 @@
                 let _ = frames.tell(super::actor::Signal::Frame(frame)).try_send();
             }));
         }
-        Err(error) => give_up(&format!("the listener failed: {error}")),
+        Err(error) => super::give_up::give_up(&format!("the listener failed: {error}")),
     }
     actor.wait_for_shutdown().await;
 }
--- a/programs/topazyard-control/src/machine/claim.rs
+++ b/programs/topazyard-control/src/machine/claim.rs
@@ -1,7 +1,7 @@
 //! Asking for the next epoch: stop answering, copy everything to as many learners as there must be
 //! backups, then let the witnesses decide. Only a primary or backup of the old epoch does so.
 
-use super::{AfterWrite, ControlMachine, Out, founding};
+use super::{AfterWrite, ControlMachine, Out, genesis};
 use crate::witnesses;
 use topazyard_replication::{Proposal, epoch::Step};
 use topazyard_types::{DurationMs, MonotonicMs, NodeId};
@@ -79,7 +79,7 @@
     /// Whether this backup's copy holds all that was ever answered up to that record.
     pub(super) fn holds_all(&self, record: &EpochRecord) -> bool {
         // Nothing was answered in the first epoch before this copy was compared.
-        record.epoch == founding::FIRST || self.replica.copy().place().epoch >= record.epoch
+        record.epoch == genesis::FIRST || self.replica.copy().place().epoch >= record.epoch
     }
 
     /// The other core nodes that are heard and whose disks take writes.
@@ -264,7 +264,7 @@
     ) {
         let proposal = self.claim.as_mut().and_then(|claim| claim.proposal.as_mut());
         let Some(proposal) = proposal.or(self.founding.as_mut()) else { return };
-        let Some(witness) = founding::voter(proposal.base(), witness, from) else { return };
+        let Some(witness) = genesis::voter(proposal.base(), witness, from) else { return };
         match proposal.receive(witness, message, now) {
             Step::Wait => {}
             Step::Say(message) if self.claim.is_some() => self.say_to_witnesses(&message, out),
--- a/programs/topazyard-control/src/machine/core.rs
+++ b/programs/topazyard-control/src/machine/core.rs
@@ -1,6 +1,6 @@
 //! Heartbeats between core nodes, by which records spread.
 
-use super::{AfterWrite, ControlMachine, Out, founding};
+use super::{AfterWrite, ControlMachine, Out, genesis};
 use topazyard_types::{DurationMs, MonotonicMs, NodeId};
 use topazyard_wire::message::Message;
 use topazyard_wire::message::control::{CoreMessage, CoreNode, EpochRecord};
@@ -222,7 +222,7 @@
 
     /// Learns the record that a proposal follows. What the first record follows is none.
     fn learn_base(&mut self, base: &EpochRecord, now: MonotonicMs, out: &mut Out) {
-        if base.epoch != founding::GENESIS {
+        if base.epoch != genesis::GENESIS {
             self.learn_record(base, now, out);
         }
     }
@@ -238,7 +238,7 @@
     ) {
         let record = self.witness.record().or(self.witness.genesis());
         let (id, address) = (self.me.id, self.me.address);
-        if record.and_then(|record| founding::voter(record, id, address)).is_none() {
+        if record.and_then(|record| genesis::voter(record, id, address)).is_none() {
             return;
         }
         // A vote counts once it is synced: who votes anew in the meantime is asked again.
--- a/programs/topazyard-control/src/machine/founding.rs
+++ b/programs/topazyard-control/src/machine/founding.rs
@@ -5,51 +5,19 @@
 //! of the others aren't known beforehand; it votes only if its disk has been its own since the fleet
 //! was new, so that a seed that lost its disk, and with it its vote, has no second one.
 
-use super::{ControlMachine, Out};
+use super::{ControlMachine, Out, genesis};
 use crate::witnesses;
 use topazyard_replication::{Proposal, epoch::Step};
-use topazyard_types::{DurationMs, Epoch, MonotonicMs, NodeId};
+use topazyard_types::{DurationMs, MonotonicMs};
 use topazyard_wire::message::Message;
-use topazyard_wire::message::control::{CoreMessage, CoreNode, EpochRecord};
+use topazyard_wire::message::control::{CoreMessage, EpochRecord};
 use topazyard_wire::{Effect, Group};
 
-/// The epoch before the first: its record names the seeds as those who decide the first.
-pub(super) const GENESIS: Epoch = Epoch(0);
-/// The first epoch of a fleet.
-pub(super) const FIRST: Epoch = Epoch(1);
-
-/// The voter that a seed is while its id is not known.
-fn seed_voter(address: std::net::SocketAddr) -> CoreNode {
-    let digest = topazyard_types::Digest::of(&[address.to_string().as_bytes()]);
-    CoreNode { id: NodeId((digest.0 >> 64) as u64), address }
-}
-
-/// The record that the first one follows, the same at all nodes whose settings name these seeds.
-pub(super) fn genesis(seeds: &[std::net::SocketAddr]) -> Option<EpochRecord> {
-    let seeds: std::collections::BTreeSet<std::net::SocketAddr> = seeds.iter().copied().collect();
-    let witnesses: Vec<CoreNode> = seeds.into_iter().map(seed_voter).collect();
-    let primary = *witnesses.first()?;
-    Some(EpochRecord { epoch: GENESIS, primary, backups: Vec::new(), witnesses })
-}
-
-/// By which id a witness of that record is known that speaks from there.
-pub(super) fn voter(
-    record: &EpochRecord,
-    id: NodeId,
-    address: std::net::SocketAddr,
-) -> Option<NodeId> {
-    if record.epoch != GENESIS {
-        return record.is_witness(id).then_some(id);
-    }
-    let of_address = record.witnesses.iter().find(|seed| seed.address == address);
-    of_address.map(|seed| seed.id)
-}
-
 impl ControlMachine {
     /// Keeps durably that this node may vote on the first record, if its disk is empty and its
     /// settings say that the fleet is new.
     pub(super) fn keep_right_to_found(&mut self, is_new: bool, out: &mut Out) {
-        let Some(genesis) = genesis(&self.seeds).filter(|_| is_new) else { return };
+        let Some(genesis) = genesis::genesis(&self.seeds).filter(|_| is_new) else { return };
         if let Some(row) = self.witness.may_found(genesis) {
             self.write_own(Group::Witness, vec![row], Vec::new(), out);
         }
@@ -109,7 +77,7 @@
         let witnesses = witnesses::spread(vec![me], candidates.collect(), wanted);
         // With fewer copies than the tolerated loss needs nothing could be acknowledged.
         let backups = witnesses.get(1..=self.backups())?.to_vec();
-        Some(EpochRecord { epoch: FIRST, primary: self.me, backups, witnesses })
+        Some(EpochRecord { epoch: genesis::FIRST, primary: self.me, backups, witnesses })
     }
 
     /// How long this node listens before it asks for the first record. The first seed asks as soon as
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -6,6 +6,7 @@
 mod core;
 mod feed;
 mod founding;
+mod genesis;
 mod health;
 mod leaving;
 mod listing;
--- a/programs/topazyard-relay/src/machine/parcels.rs
+++ b/programs/topazyard-relay/src/machine/parcels.rs
@@ -23,7 +23,7 @@
 /// that it may wait there it stays below the 2 s within which a spec is in force.
 const SUBMIT_FRESH_FOR: DurationMs = DurationMs(800);
 /// How long a client's call may take.
-pub const VISITOR_LIMIT: DurationMs = DurationMs(5_000);
+pub const CLIENT_LIMIT: DurationMs = DurationMs(5_000);
 /// Clients' calls that may be under way.
 const MOST_CALLS: usize = 2_048;
 
@@ -151,7 +151,7 @@
         match self.check_items(&items) {
             Ok(ceiling) => {
                 let request = ParcelCall::Submit { parcel, items, ceiling };
-                self.call_parcel(call, request, VISITOR_LIMIT, now, out);
+                self.call_parcel(call, request, CLIENT_LIMIT, now, out);
             }
             Err(error) => {
                 self.count_refusal(error.code);
