--- a/fleet-simulator/tests/model.rs
+++ b/fleet-simulator/tests/model.rs
@@ -9,7 +9,9 @@
 /// Steps of a walk.
 const STEPS: usize = 1_500;
 /// Seeds tried until a planted fault shows.
-const PLANT_SEEDS: std::ops::RangeInclusive<u64> = 1..=4_000;
+const PLANT_SEEDS: std::ops::RangeInclusive<u64> = 1..=400;
+/// Seeds tried for forgotten votes, which other guards nearly always make harmless.
+const RARE_PLANT_SEEDS: std::ops::RangeInclusive<u64> = 1..=4_000;
 
 fn cross_nothing(settings: Settings, seeds: std::ops::RangeInclusive<u64>) {
     for seed in seeds {
@@ -19,10 +21,14 @@
 }
 
 fn goes_red(plant: Plant, invariant: Invariant) {
+    goes_red_within(PLANT_SEEDS, plant, invariant);
+}
+
+fn goes_red_within(mut seeds: std::ops::RangeInclusive<u64>, plant: Plant, invariant: Invariant) {
     let clean = Settings::of(3);
     let planted = Settings { plant: Some(plant), watched: Some(invariant), ..clean };
     let shows = |seed: &u64| walk(planted, *seed, STEPS).violation.is_some();
-    let seed = PLANT_SEEDS.into_iter().find(shows);
+    let seed = seeds.find(shows);
     let seed = seed.unwrap_or_else(|| panic!("{plant:?} was not seen as {invariant:?}"));
     let violation = walk(clean, seed, STEPS).violation;
     assert_eq!(violation, None, "seed {seed} crosses an invariant without any plant");
@@ -48,7 +54,7 @@
 
 #[test]
 fn walks_of_two_four_and_five_nodes_cross_nothing() {
-    cross_nothing(Settings::of(2), 1..=30);
+    cross_nothing(Settings::of(2), 1..=60);
     cross_nothing(Settings::of(4), 1..=60);
     cross_nothing(Settings::of(5), 1..=100);
 }
@@ -79,12 +85,12 @@
 
 #[test]
 fn a_witness_that_forgets_its_vote_is_seen() {
-    goes_red(Plant::ForgetVotes, Invariant::OneRecord);
+    goes_red_within(RARE_PLANT_SEEDS, Plant::ForgetVotes, Invariant::OneRecord);
 }
 
 #[test]
 fn two_primaries_of_an_epoch_are_seen() {
-    goes_red(Plant::ForgetVotesAndForgeSteps, Invariant::OnePrimary);
+    goes_red_within(RARE_PLANT_SEEDS, Plant::ForgetVotesAndForgeSteps, Invariant::OnePrimary);
 }
 
 #[test]
