--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -69,7 +69,8 @@
         // What is idle is closed in order; what came in that moment is answered to its end.
         let _ = drain.send(inward::Stage::Ending);
         let left = grace.saturating_sub(begun.elapsed());
-        let _ = tokio::time::timeout(left, served).await;
+        let in_order = tokio::time::timeout(left, served).await.is_ok();
+        note_end(&handle, begun, in_order).await;
         Ok(())
     })
 }
@@ -92,6 +93,24 @@
     }
 }
 
+/// Tells how the drain ended, and what is given up with the process.
+async fn note_end(handle: &Handle, begun: std::time::Instant, in_order: bool) {
+    let after_ms = begun.elapsed().as_millis();
+    if in_order {
+        return spdlog::info!("ended in order {after_ms} ms after SIGTERM");
+    }
+    if let Ok(crate::RelayReturn::Health(health)) = handle.call(crate::RelayCall::Health).await {
+        spdlog::error!("out of time {after_ms} ms after SIGTERM, given up: {}", under_way(&health));
+    }
+}
+
+fn under_way(health: &crate::machine::RelayHealth) -> String {
+    format!(
+        "{} requests waiting, {} held, {} items, {} batch calls",
+        health.waiting, health.holding, health.items, health.parcel_calls
+    )
+}
+
 async fn sweep() {
     let mut every = tokio::time::interval(std::time::Duration::from_millis(SWEEP_MS));
     loop {
@@ -124,6 +143,9 @@
     if handle.call(RelayCall::Drain).await.is_err() {
         return begun;
     }
+    if let Ok(RelayReturn::Health(health)) = handle.call(RelayCall::Health).await {
+        spdlog::info!("SIGTERM, draining with {}", under_way(&health));
+    }
     let _ = drain.send(inward::Stage::Closing);
     while begun.elapsed() < grace {
         tokio::time::sleep(std::time::Duration::from_millis(DRAIN_LOOK_MS)).await;
