--- a/programs/topazyard-relay/tests/loopback/mod.rs
+++ b/programs/topazyard-relay/tests/loopback/mod.rs
@@ -23,8 +23,9 @@
 
 type Address = std::net::SocketAddr;
 
-const FLEET: FleetId = FleetId(4);
-const HOST: &str = "a.example";
+/// The fleet that a program on the users' platform is of.
+const FLEET: FleetId = FleetId(1);
+pub const HOST: &str = "a.example";
 
 /// One runtime for all tests, as in those of the own interface. One thread, as each thread keeps
 /// its own connections to engines.
@@ -411,6 +412,26 @@
     }
 }
 
+/// A stand-in agent, counter and shard for a relay that is a process of its own: gives the relay's
+/// inner port, and the agent's address on the port behind it.
+pub async fn stand_in_core(engines: Vec<(EngineName, Address)>) -> (u16, Address) {
+    let (first_port, listener) = (0..20)
+        .find_map(|_| {
+            let first_port = free_address().port();
+            let agent = (std::net::Ipv4Addr::LOCALHOST, first_port.checked_add(1)?);
+            Some((first_port, std::net::TcpListener::bind(agent).ok()?))
+        })
+        .expect("two free ports");
+    listener.set_nonblocking(true).expect("a listener");
+    let agent = listener.local_addr().expect("its address");
+    let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+    let (_, handed_in) = tokio::sync::mpsc::unbounded_channel();
+    let (tell_end, _) = tokio::sync::mpsc::unbounded_channel();
+    let shard = Shard { handed_in, tell_end, leases: 0 };
+    tokio::spawn(be_core(listener, agent, engines, shard));
+    (first_port, agent)
+}
+
 /// The agent beside the relay, the counter's primary, which grants all, and a shard's.
 async fn be_core(
     listener: tokio::net::TcpListener,
