Take a request at a relay's end only if there is time left to finish it

Cause: after SIGTERM a relay took requests on routes for as long as anything was under way, and dropped what it had once seven eighths of its grace were over. Idle connections stayed open until then, so that a request on a rested one kept the drain going and came with too little time.

Now a state machine (drain.rs) says it: while clients are still sent here all is taken; after that idle connections are closed, and a request is taken only if its deadline comes before the moment up to which the relay serves. At that moment what has no response gets its final answer, and a sixteenth of the grace is left to send it.

Relaying a stream and telling a request's end are modules of their own now; the second stood twice.

--- a/fleet-simulator/src/faults/mod.rs
+++ b/fleet-simulator/src/faults/mod.rs
@@ -3,7 +3,9 @@
 use crate::history::{FaultSeen, Struck};
 use crate::people::Doing;
 use crate::world::{Caller, EngineMood, Event, Kind, NodeIndex, Plant, REPLACED, World};
-use topazyard_types::ShardId;
+use topazyard_relay::RelayCall;
+use topazyard_relay::drain::DrainTimes;
+use topazyard_types::{DurationMs, ShardId};
 use topazyard_wire::message::operate::{Command, Operate};
 
 /// Whom a fault strikes.
@@ -307,7 +309,9 @@
                 if self.plant == Some(Plant::HastyDrain) {
                     self.strike(struck, false);
                 } else if let Some(relay) = struck {
-                    self.call_relay(relay, topazyard_relay::RelayCall::Drain, Caller::Nobody);
+                    let grace = topazyard_spec::Bounds::default().grace;
+                    let times = DrainTimes::within(grace, DurationMs(0));
+                    self.call_relay(relay, RelayCall::Drain(times), Caller::Nobody);
                 }
             }
             Fault::Empty(_) => {
--- a/libraries/topazyard-wire/src/http/inward.rs
+++ b/libraries/topazyard-wire/src/http/inward.rs
@@ -28,8 +28,12 @@
     Serving,
     /// It serves, and keeps no connection after a response on it.
     Closing,
-    /// It closes each connection as soon as nothing is under way on it.
+    /// It also closes connections on which nothing is under way. New ones are served once each.
+    ClosingIdle,
+    /// It takes no more connections, and closes each as soon as nothing is under way on it.
     Ending,
+    /// There is no time left: what has no response yet gets its final answer now.
+    Overdue,
 }
 
 /// Tells servers how far they are on their way to their end.
@@ -59,7 +63,7 @@
         let Ok(permit) = room.clone().acquire_owned().await else { return };
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            true = async { ends.wait_for(|stage| *stage == Stage::Ending).await.is_ok() } => break,
+            () = reached(&mut ends, Stage::Ending) => break,
         };
         let Ok((stream, _)) = accepted else { continue };
         let _ = stream.set_nodelay(true);
@@ -99,20 +103,28 @@
         .header_read_timeout(std::time::Duration::from_millis(HEADERS_MS))
         .serve_connection(hyper_util::rt::TokioIo::new(stream), service);
     tokio::pin!(served);
+    // One that was opened when idle ones are closed already is about to bring its request.
+    let closed_at = match *drain.borrow() {
+        Stage::Serving | Stage::Closing => Stage::ClosingIdle,
+        Stage::ClosingIdle | Stage::Ending | Stage::Overdue => Stage::Ending,
+    };
     // A cut return ends here as an error, by which the caller's connection breaks.
     tokio::select! {
         ended = &mut served => return drop(ended),
-        told = async { drain.wait_for(|stage| *stage == Stage::Ending).await.is_ok() } => {
-            if !told {
-                // Nobody is left who could tell.
-                return drop(served.await);
-            }
-        }
+        () = reached(&mut drain, closed_at) => {}
     }
     served.as_mut().graceful_shutdown();
     drop(served.await);
 }
 
+/// Waits until a server has come so far on its way to its end; for ever if nobody is left who could
+/// tell.
+pub async fn reached(drain: &mut Drain, stage: Stage) {
+    if drain.wait_for(|now| *now >= stage).await.is_err() {
+        std::future::pending().await
+    }
+}
+
 /// Reads a body whole, up to a limit.
 ///
 /// # Errors
--- /dev/null
+++ b/programs/topazyard-relay/src/drain.rs
@@ -0,0 +1,104 @@
+//! How a relay ends in order after SIGTERM: a state machine without input or output.
+//!
+//! A relay that ends goes through the stages of its listeners. First clients are told to leave, while
+//! some are still sent here. Then idle connections are closed, and a request is taken only if its
+//! deadline comes before the moment up to which the relay serves: whatever is taken has the time that
+//! it may need. Once nothing is under way, or at that moment, nothing is taken any more, and what is
+//! still without a response gets its final answer at once. A part of the grace is left to send it.
+
+use topazyard_types::{DurationMs, MonotonicMs};
+use topazyard_wire::http::inward::Stage;
+
+/// A relay serves for so many sixteenths of its grace.
+const SERVES_SIXTEENTHS: u64 = 14;
+/// It has ended by itself after so many sixteenths, before it is killed.
+const ENDS_SIXTEENTHS: u64 = 15;
+
+/// The times of a drain, counted from SIGTERM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DrainTimes {
+    /// For how long clients may still be sent here.
+    pub still_sent: DurationMs,
+    /// For how long the relay serves.
+    pub serves: DurationMs,
+    /// When the process ends, whatever is under way.
+    pub ends: DurationMs,
+}
+
+impl DrainTimes {
+    /// The times of a relay that is killed after `grace`, and to which clients may still be sent for
+    /// `still_sent`.
+    ///
+    /// ```
+    /// use topazyard_relay::drain::DrainTimes;
+    /// use topazyard_types::DurationMs;
+    /// let times = DrainTimes::within(DurationMs(8_000), DurationMs(2_500));
+    /// assert_eq!((times.still_sent.0, times.serves.0, times.ends.0), (2_500, 7_000, 7_500));
+    /// // With little time it doesn't wait for half of it.
+    /// assert_eq!(DrainTimes::within(DurationMs(1_600), DurationMs(2_500)).still_sent.0, 700);
+    /// ```
+    pub fn within(grace: DurationMs, still_sent: DurationMs) -> Self {
+        let sixteenths = |count: u64| DurationMs(grace.0 * count / 16);
+        let serves = sixteenths(SERVES_SIXTEENTHS);
+        Self {
+            still_sent: DurationMs(still_sent.0.min(serves.0 / 2)),
+            serves,
+            ends: sixteenths(ENDS_SIXTEENTHS),
+        }
+    }
+}
+
+/// When a relay that drains does what.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Draining {
+    begun: MonotonicMs,
+    times: DrainTimes,
+}
+
+impl Draining {
+    /// A drain that begins now.
+    pub fn begin(times: DrainTimes, now: MonotonicMs) -> Self {
+        Self { begun: now, times }
+    }
+
+    /// Up to when the relay serves.
+    pub fn serves_until(&self) -> MonotonicMs {
+        self.begun.plus(self.times.serves)
+    }
+
+    /// When the process ends, whatever is under way.
+    pub fn ends_at(&self) -> MonotonicMs {
+        self.begun.plus(self.times.ends)
+    }
+
+    /// Whether a request with this deadline may be taken: while clients are still sent here each is,
+    /// later only one that is surely over before the relay is.
+    pub fn may_take(&self, deadline: MonotonicMs, now: MonotonicMs) -> bool {
+        now < self.begun.plus(self.times.still_sent) || deadline <= self.serves_until()
+    }
+
+    /// The stage to be in, where so much is under way.
+    ///
+    /// ```
+    /// use topazyard_relay::drain::{DrainTimes, Draining};
+    /// use topazyard_types::{DurationMs, MonotonicMs};
+    /// use topazyard_wire::http::inward::Stage;
+    /// let times = DrainTimes::within(DurationMs(8_000), DurationMs(2_500));
+    /// let draining = Draining::begin(times, MonotonicMs(100));
+    /// assert_eq!(draining.stage(true, MonotonicMs(2_599)), Stage::Closing);
+    /// assert_eq!(draining.stage(true, MonotonicMs(2_600)), Stage::ClosingIdle);
+    /// assert_eq!(draining.stage(false, MonotonicMs(2_600)), Stage::Ending);
+    /// assert_eq!(draining.stage(true, MonotonicMs(7_100)), Stage::Overdue);
+    /// ```
+    pub fn stage(&self, is_under_way: bool, now: MonotonicMs) -> Stage {
+        if now < self.begun.plus(self.times.still_sent) {
+            Stage::Closing
+        } else if now >= self.serves_until() {
+            Stage::Overdue
+        } else if is_under_way {
+            Stage::ClosingIdle
+        } else {
+            Stage::Ending
+        }
+    }
+}
--- a/programs/topazyard-relay/src/front/mod.rs
+++ b/programs/topazyard-relay/src/front/mod.rs
@@ -2,12 +2,14 @@
 
 pub mod connections;
 pub mod dialect;
+mod ending;
 pub mod engine;
 pub mod events;
 pub mod items;
 pub mod parcels;
 pub mod read;
 pub mod routed;
+mod routed_stream;
 pub mod session;
 pub mod tasks;
 
@@ -17,8 +19,24 @@
 /// How the front reaches the machine.
 pub type Handle = topazyard_wire::driver::Handle<crate::RelayMachine>;
 
-/// Answers one client's request.
+/// Answers one client's request. When the relay's time to serve is over, one without a response gets
+/// its final answer at once.
 pub async fn answer(
+    handle: Handle,
+    mut drain: topazyard_wire::http::inward::Drain,
+    request: hyper::Request<hyper::body::Incoming>,
+) -> hyper::Response<Body> {
+    use topazyard_wire::http::inward;
+    tokio::select! {
+        biased;
+        response = respond(handle, request) => response,
+        () = inward::reached(&mut drain, inward::Stage::Overdue) => {
+            topazyard_wire::http::error(&ApiError::may_have_run(Code::OutcomeUnknown))
+        }
+    }
+}
+
+async fn respond(
     handle: Handle,
     request: hyper::Request<hyper::body::Incoming>,
 ) -> hyper::Response<Body> {
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -2,17 +2,18 @@
 
 use super::connections::{self, Kept, SendError};
 use super::dialect::{Addressed, Dialect, RequestFacts, Verdict};
+use super::ending::Ending;
 use super::engine::span;
-use super::events::Events;
+use super::routed_stream::Stream;
 use super::{Handle, passed_on};
 use crate::machine::requests::{Admitted, Arrival, Chosen};
-use crate::machine::{EngineUse, PromptId, RelayCall, RelayReturn};
+use crate::machine::{EngineUse, RelayCall, RelayReturn};
 use crate::prompt::{Chart, Failure, Next};
 use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
 use topazyard_types::{DurationMs, MonotonicMs};
 use topazyard_wire::api::{ApiError, Code};
-use topazyard_wire::http::{Body, BodyError};
+use topazyard_wire::http::{Body, inward};
 
 /// How long a client waits that doesn't say it.
 const DEFAULT_WAIT: DurationMs = DurationMs(30_000);
@@ -26,26 +27,13 @@
 /// The outer adapter's names.
 pub type Names = std::sync::Arc<dyn Dialect>;
 
-/// Tells the machine that a request ended, whichever way this value goes out of use.
-struct Ending {
-    handle: Handle,
-    id: PromptId,
-    engine_use: EngineUse,
-}
-
-impl Drop for Ending {
-    fn drop(&mut self) {
-        self.handle.tell(RelayCall::RequestEnded(self.id, self.engine_use));
-    }
-}
-
 /// A request on its way.
-struct Session {
-    ending: Ending,
+pub(super) struct Session {
+    pub(super) ending: Ending,
     names: Names,
     facts: RequestFacts,
-    chart: Chart,
-    terms: Admitted,
+    pub(super) chart: Chart,
+    pub(super) terms: Admitted,
     /// Whether the response is passed on piece by piece.
     stream: bool,
     method: hyper::Method,
@@ -53,26 +41,36 @@
     headers: hyper::HeaderMap,
     body: bytes::Bytes,
     /// The last event that the client has.
-    last_event: Option<u64>,
+    pub(super) last_event: Option<u64>,
 }
 
 /// An engine's response whose head is here.
-struct Begun {
-    connection: Kept,
-    head: hyper::http::response::Parts,
-    body: hyper::body::Incoming,
+pub(super) struct Begun {
+    pub(super) connection: Kept,
+    pub(super) head: hyper::http::response::Parts,
+    pub(super) body: hyper::body::Incoming,
     /// How long its first word took.
-    first: DurationMs,
+    pub(super) first: DurationMs,
+}
+
+/// What a client gets.
+enum Response {
+    /// An engine's whole response.
+    Whole(hyper::Response<Body>),
+    /// A stream that has begun.
+    Stream(Box<Begun>),
 }
 
-/// Answers one request of a client of the routes.
+/// Answers one request of a client of the routes. When the relay's time to serve is over, a request
+/// without a response gets its final answer at once.
 pub async fn answer(
     handle: Handle,
     names: Names,
+    mut drain: inward::Drain,
     request: hyper::Request<hyper::body::Incoming>,
 ) -> hyper::Response<Body> {
     let (head, body) = request.into_parts();
-    match serve(handle, &names, head, body).await {
+    match serve(handle, &names, &mut drain, head, body).await {
         Ok(response) => response,
         Err(error) => names.refuse(&error),
     }
@@ -81,60 +79,101 @@
 async fn serve(
     handle: Handle,
     names: &Names,
+    drain: &mut inward::Drain,
     head: hyper::http::request::Parts,
     body: hyper::body::Incoming,
 ) -> Result<hyper::Response<Body>, ApiError> {
-    let arrived = handle.clock().now();
     let path = head.uri.path();
     if names.is_ready_path(path) {
         return ready(&handle).await;
     }
     if names.is_batch_path(path) {
-        let body = topazyard_wire::http::inward::read_body(body, MOST_BODY).await?;
-        return Ok(names.batch_call(&handle, None, &head, body).await);
+        let called = batch_call(&handle, names, &head, body);
+        let outcome = before_overdue(drain, called).await;
+        return outcome.unwrap_or_else(|| Err(ApiError::may_have_run(Code::OutcomeUnknown)));
+    }
+    let admitted = before_overdue(drain, admit(handle, names, head, body)).await;
+    match admitted.unwrap_or_else(|| Err(ApiError::not_run(Code::Draining)))? {
+        Admission::Live(session) => session.serve(drain).await,
+        Admission::Batch(submission) => {
+            let outcome = before_overdue(drain, submission.hand_in(names)).await;
+            outcome.ok_or_else(|| ApiError::may_have_run(Code::OutcomeUnknown))
+        }
+    }
+}
+
+/// What work gives, if it does so before the relay's time to serve is over.
+async fn before_overdue<T>(drain: &mut inward::Drain, work: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        outcome = work => Some(outcome),
+        () = inward::reached(drain, inward::Stage::Overdue) => None,
+    }
+}
+
+async fn batch_call(
+    handle: &Handle,
+    names: &Names,
+    head: &hyper::http::request::Parts,
+    body: hyper::body::Incoming,
+) -> Result<hyper::Response<Body>, ApiError> {
+    let body = inward::read_body(body, MOST_BODY).await?;
+    Ok(names.batch_call(handle, None, head, body).await)
+}
+
+/// A request that was let in.
+enum Admission {
+    /// It goes to an engine at once.
+    Live(Box<Session>),
+    /// It hands a batch in.
+    Batch(Box<Submission>),
+}
+
+/// A batch as a client hands it in.
+struct Submission {
+    ending: Ending,
+    route: topazyard_types::RouteName,
+    head: hyper::http::request::Parts,
+    body: bytes::Bytes,
+}
+
+impl Submission {
+    async fn hand_in(self, names: &Names) -> hyper::Response<Body> {
+        names.batch_call(&self.ending.handle, Some(self.route), &self.head, self.body).await
     }
+}
+
+/// Reads a request and asks the machine to let it in.
+async fn admit(
+    handle: Handle,
+    names: &Names,
+    head: hyper::http::request::Parts,
+    body: hyper::body::Incoming,
+) -> Result<Admission, ApiError> {
+    let arrived = handle.clock().now();
     let facts = names.read(&head)?;
-    let body = topazyard_wire::http::inward::read_body(body, MOST_BODY).await?;
-    let id = PromptId::next();
+    let body = inward::read_body(body, MOST_BODY).await?;
+    let ending = Ending::of_new(handle, RelayCall::RequestEnded);
     let arrival = Arrival {
-        id,
+        id: ending.id,
         host: host_of(&head).to_owned(),
-        path: path.to_owned(),
+        path: head.uri.path().to_owned(),
         cost: facts.cost,
         arrived,
         wait: facts.wait.unwrap_or(DEFAULT_WAIT),
         prefix: facts.prefix.clone(),
     };
-    let ending = Ending { handle, id, engine_use: EngineUse::BrokenOff };
-    let terms = match ending.handle.call(RelayCall::Arrive(arrival)).await {
-        Ok(RelayReturn::Admitted(terms)) => *terms,
+    match ending.handle.call(RelayCall::Arrive(arrival)).await {
+        Ok(RelayReturn::Admitted(terms)) => {
+            let session = Session::new(ending, names.clone(), facts, *terms, head, body);
+            Ok(Admission::Live(Box::new(session)))
+        }
         Ok(RelayReturn::OnBatchRoute(route)) => {
-            return Ok(names.batch_call(&ending.handle, Some(route), &head, body).await);
+            Ok(Admission::Batch(Box::new(Submission { ending, route, head, body })))
         }
-        Ok(RelayReturn::Refused(error)) => return Err(error),
-        _ => return Err(ApiError::not_run(Code::StaleFeed)),
-    };
-    let mut chart =
-        Chart::on_route(terms.repeatable, terms.resumable, terms.most_tries, terms.deadline);
-    chart.wait();
-    chart.hold();
-    let last_event = facts.last_event;
-    // A client of HTTP/1.0 could not tell a cut stream from a whole one: it gets it whole.
-    let stream = terms.stream && head.version >= hyper::Version::HTTP_11;
-    let session = Session {
-        ending,
-        names: names.clone(),
-        facts,
-        chart,
-        terms,
-        stream,
-        method: head.method,
-        uri: head.uri,
-        headers: of_both_sides(head.headers),
-        body,
-        last_event,
-    };
-    session.run().await
+        Ok(RelayReturn::Refused(error)) => Err(error),
+        _ => Err(ApiError::not_run(Code::StaleFeed)),
+    }
 }
 
 async fn ready(handle: &Handle) -> Result<hyper::Response<Body>, ApiError> {
@@ -168,24 +207,70 @@
         self.ending.handle.clock().now()
     }
 
-    async fn run(mut self) -> Result<hyper::Response<Body>, ApiError> {
-        let begun = loop {
-            match self.try_engine().await {
-                Ok(begun) => break begun,
-                Err(Next::Answer(error)) => return Err(error),
+    fn new(
+        ending: Ending,
+        names: Names,
+        facts: RequestFacts,
+        terms: Admitted,
+        head: hyper::http::request::Parts,
+        body: bytes::Bytes,
+    ) -> Self {
+        let mut chart =
+            Chart::on_route(terms.repeatable, terms.resumable, terms.most_tries, terms.deadline);
+        chart.wait();
+        chart.hold();
+        Self {
+            ending,
+            names,
+            last_event: facts.last_event,
+            facts,
+            chart,
+            // A client of HTTP/1.0 could not tell a cut stream from a whole one: it gets it whole.
+            stream: terms.stream && head.version >= hyper::Version::HTTP_11,
+            terms,
+            method: head.method,
+            uri: head.uri,
+            headers: of_both_sides(head.headers),
+            body,
+        }
+    }
+
+    async fn serve(
+        mut self: Box<Self>,
+        drain: &mut inward::Drain,
+    ) -> Result<hyper::Response<Body>, ApiError> {
+        match before_overdue(drain, self.respond()).await {
+            Some(Ok(Response::Whole(response))) => Ok(response),
+            Some(Ok(Response::Stream(begun))) => Ok(self.relay(*begun)),
+            Some(Err(error)) => Err(error),
+            None => Err(self.refuse(ApiError::not_run(Code::Draining))),
+        }
+    }
+
+    /// Tries engines until one gives a whole response or the head of a stream.
+    async fn respond(&mut self) -> Result<Response, ApiError> {
+        loop {
+            let failed = match self.try_engine().await {
+                Ok(begun) if self.stream && begun.head.status.is_success() => {
+                    return Ok(Response::Stream(Box::new(begun)));
+                }
+                Ok(begun) => match self.relay_whole(begun).await {
+                    Ok(response) => return Ok(Response::Whole(response)),
+                    Err(failed) => failed,
+                },
+                Err(failed) => failed,
+            };
+            match failed {
+                Next::Answer(error) => return Err(error),
                 // Before the head of a response nothing was relayed that would have to be broken.
-                Err(Next::Break) => return Err(ApiError::may_have_run(Code::EngineFailed)),
-                Err(Next::Another) => self.ask_for_another().await?,
+                Next::Break => return Err(ApiError::may_have_run(Code::EngineFailed)),
+                Next::Another => self.ask_for_another().await?,
             }
-        };
-        if self.stream && begun.head.status.is_success() {
-            return Ok(self.relay(begun));
         }
-        self.relay_whole(begun).await
     }
 
     /// Asks the machine for another engine, saying how the last one's use ended.
-    async fn ask_for_another(&mut self) -> Result<(), ApiError> {
+    pub(super) async fn ask_for_another(&mut self) -> Result<(), ApiError> {
         let call = RelayCall::Retry(self.ending.id, self.ending.engine_use);
         self.ending.engine_use = EngineUse::BrokenOff;
         match self.ending.handle.call(call).await {
@@ -203,7 +288,7 @@
         if self.chart.is_begun() { error } else { self.chart.refuse(error) }
     }
 
-    fn failed(&mut self, failure: Failure, engine_use: EngineUse) -> Next {
+    pub(super) fn failed(&mut self, failure: Failure, engine_use: EngineUse) -> Next {
         self.ending.engine_use = engine_use;
         if engine_use == EngineUse::Failed {
             self.tell_failure(failure);
@@ -221,7 +306,7 @@
     }
 
     /// Connects, looks a last time whether it may be sent, sends, and judges the response's head.
-    async fn try_engine(&mut self) -> Result<Begun, Next> {
+    pub(super) async fn try_engine(&mut self) -> Result<Begun, Next> {
         let chosen = self.terms.chosen.clone();
         let mut connection = match connections::take(&chosen.target) {
             Some(kept) => kept,
@@ -315,165 +400,35 @@
     }
 
     /// Holds a response back until it is whole, so that a cut one is an error and nothing else.
-    async fn relay_whole(mut self, begun: Begun) -> Result<hyper::Response<Body>, ApiError> {
+    async fn relay_whole(&mut self, begun: Begun) -> Result<hyper::Response<Body>, Next> {
         let Begun { connection, head, body, first } = begun;
         let limit = span(self.terms.deadline.since(self.now()));
         let collect = http_body_util::Limited::new(body, MOST_HELD_BACK).collect();
-        let failure = match tokio::time::timeout(limit, collect).await {
-            Ok(Ok(body)) => {
-                self.chart.relay();
-                self.chart.complete();
-                self.ending.engine_use = if head.status.is_success() {
-                    EngineUse::Whole(first)
-                } else {
-                    self.tell_failure(Failure::Failed);
-                    EngineUse::Failed
-                };
-                connections::keep(connection, &head.headers);
-                return Ok(passed_on(&head, topazyard_wire::http::whole(body.to_bytes())));
-            }
-            Ok(Err(_)) => Failure::Broken,
-            Err(_) => Failure::TimedOut,
+        let body = match tokio::time::timeout(limit, collect).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => return Err(self.failed(Failure::Broken, EngineUse::Failed)),
+            Err(_) => return Err(self.failed(Failure::TimedOut, EngineUse::Failed)),
         };
-        match self.failed(failure, EngineUse::Failed) {
-            Next::Answer(error) => Err(error),
-            Next::Break => Err(ApiError::may_have_run(Code::EngineFailed)),
-            Next::Another => {
-                self.ask_for_another().await?;
-                Box::pin(self.run()).await
-            }
-        }
+        self.chart.relay();
+        self.chart.complete();
+        self.ending.engine_use = if head.status.is_success() {
+            EngineUse::Whole(first)
+        } else {
+            self.tell_failure(Failure::Failed);
+            EngineUse::Failed
+        };
+        connections::keep(connection, &head.headers);
+        Ok(passed_on(&head, topazyard_wire::http::whole(body)))
     }
 
     /// Relays a stream event by event. One that can be resumed goes on from another engine when
     /// its engine breaks off; any other breaks its client's connection.
-    fn relay(mut self, begun: Begun) -> hyper::Response<Body> {
+    fn relay(mut self: Box<Self>, begun: Begun) -> hyper::Response<Body> {
         self.chart.relay();
         let mut head = begun.head.clone();
         // Its length is known only where it ends with the first engine.
         head.headers.remove(hyper::header::CONTENT_LENGTH);
-        let last_event = self.last_event;
-        let stream = Stream {
-            resumable: self.terms.resumable,
-            first: begun.first,
-            session: self,
-            events: Events::after(last_event),
-            begun: Some(begun),
-        };
-        let frames = futures_util::stream::unfold(Some(stream), Stream::next);
-        passed_on(&head, http_body_util::StreamBody::new(frames).boxed_unsync())
-    }
-}
-
-/// A stream that is being relayed.
-struct Stream {
-    session: Session,
-    begun: Option<Begun>,
-    events: Events,
-    first: DurationMs,
-    resumable: bool,
-}
-
-type Piece = Result<hyper::body::Frame<bytes::Bytes>, BodyError>;
-
-/// What came next of a stream.
-enum Step {
-    /// Bytes for the client.
-    Bytes(bytes::Bytes),
-    /// Nothing for the client yet.
-    Nothing,
-    /// The whole stream is relayed.
-    End,
-    /// It breaks off.
-    Cut,
-}
-
-impl Stream {
-    /// The next piece; a stream that stops without its end is an error.
-    async fn next(stream: Option<Self>) -> Option<(Piece, Option<Self>)> {
-        let mut stream = stream?;
-        loop {
-            match stream.step().await {
-                Step::Bytes(bytes) => {
-                    return Some((Ok(hyper::body::Frame::data(bytes)), Some(stream)));
-                }
-                Step::Nothing => {}
-                Step::End => return None,
-                Step::Cut => {
-                    super::let_flush().await;
-                    return Some((Err(BodyError), None));
-                }
-            }
-        }
-    }
-
-    async fn step(&mut self) -> Step {
-        let Some(begun) = &mut self.begun else {
-            return self.go_on_elsewhere().await;
-        };
-        let left = self.session.terms.deadline.since(self.session.ending.handle.clock().now());
-        let failure = match tokio::time::timeout(span(left), begun.body.frame()).await {
-            Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(bytes) => match self.take(bytes) {
-                    Ok(step) => return step,
-                    Err(failure) => failure,
-                },
-                // Trailers say nothing that a client needs.
-                Err(_) => return Step::Nothing,
-            },
-            Ok(None) if !self.events.is_within() => return self.end(),
-            Ok(None) | Ok(Some(Err(_))) => Failure::Broken,
-            Err(_) => Failure::TimedOut,
-        };
-        self.begun = None;
-        match self.session.failed(failure, EngineUse::Failed) {
-            Next::Another => match self.session.ask_for_another().await {
-                Ok(()) => Step::Nothing,
-                Err(_) => Step::Cut,
-            },
-            Next::Answer(_) | Next::Break => Step::Cut,
-        }
-    }
-
-    /// Takes bytes of the engine: whole events where the stream may have to be gone on with.
-    fn take(&mut self, bytes: bytes::Bytes) -> Result<Step, Failure> {
-        if !self.resumable {
-            return Ok(Step::Bytes(bytes));
-        }
-        let whole = self.events.take(&bytes).map_err(|_| Failure::Broken)?;
-        let Some(whole) = whole else { return Ok(Step::Nothing) };
-        if !whole.in_order {
-            return Err(Failure::Broken);
-        }
-        self.session.last_event = self.events.last_id();
-        Ok(Step::Bytes(whole.bytes))
-    }
-
-    fn end(&mut self) -> Step {
-        self.session.chart.complete();
-        self.session.ending.engine_use = EngineUse::Whole(self.first);
-        if let Some(begun) = self.begun.take() {
-            connections::keep(begun.connection, &begun.head.headers);
-        }
-        Step::End
-    }
-
-    /// Takes the stream up at another engine, after the last event that the client has.
-    async fn go_on_elsewhere(&mut self) -> Step {
-        self.events = Events::after(self.session.last_event);
-        match self.session.try_engine().await {
-            Ok(begun) if begun.head.status.is_success() => {
-                self.session.chart.relay();
-                self.first = begun.first;
-                self.begun = Some(begun);
-                Step::Nothing
-            }
-            Ok(_) | Err(Next::Answer(_) | Next::Break) => Step::Cut,
-            Err(Next::Another) => match self.session.ask_for_another().await {
-                Ok(()) => Step::Nothing,
-                Err(_) => Step::Cut,
-            },
-        }
+        passed_on(&head, Stream::of(self, begun).into_body())
     }
 }
 
--- a/programs/topazyard-relay/src/front/session.rs
+++ b/programs/topazyard-relay/src/front/session.rs
@@ -1,8 +1,9 @@
 //! One prompt, from its arrival to its end, led by its state chart.
 
+use super::ending::Ending;
 use super::engine::span;
 use super::{Handle, passed_on, read};
-use crate::machine::{EngineUse, Prompt, PromptId, RelayCall, RelayReturn, Target};
+use crate::machine::{EngineUse, Prompt, RelayCall, RelayReturn, Target};
 use crate::prompt::{Chart, Failure, Next};
 use http_body_util::BodyExt as _;
 use topazyard_types::MonotonicMs;
@@ -12,19 +13,6 @@
 /// The largest return that is held back until it is whole.
 const MOST_HELD_BACK: usize = 8 * 1024 * 1024;
 
-/// Tells the machine that a prompt ended, whichever way this value goes out of use.
-struct Ending {
-    handle: Handle,
-    id: PromptId,
-    engine_use: EngineUse,
-}
-
-impl Drop for Ending {
-    fn drop(&mut self) {
-        self.handle.tell(RelayCall::Ended(self.id, self.engine_use));
-    }
-}
-
 /// A prompt on its way.
 struct Session {
     ending: Ending,
@@ -58,9 +46,10 @@
     let body = topazyard_wire::http::inward::read_body(body, read::MOST_BYTES).await?;
     let facts = read::read(&head.headers, &body)?;
     let deadline = arrived.plus(facts.wait);
-    let id = PromptId::next();
+    let ending = Ending::of_new(handle, RelayCall::Ended);
+    let id = ending.id;
     let mut session = Session {
-        ending: Ending { handle, id, engine_use: EngineUse::BrokenOff },
+        ending,
         chart: Chart::arrived(facts.repeatable, deadline),
         deadline,
         path: if stream { "/generate_stream" } else { "/generate" },
--- a/programs/topazyard-relay/src/lib.rs
+++ b/programs/topazyard-relay/src/lib.rs
@@ -1,6 +1,7 @@
 //! The edge: HTTP for clients, admission, prefix affinity, streaming, and parcel items run under
 //! leases.
 
+pub mod drain;
 pub mod front;
 pub mod machine;
 pub mod prompt;
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -121,8 +121,8 @@
     RoutedEnded(Run, RunEnd, EngineUse),
     /// What a look at an engine's health gave.
     Looked(EngineName, bool),
-    /// Take nothing new from now on, and finish what is under way.
-    Drain,
+    /// Take from now on only what is over in time, and finish what is under way.
+    Drain(crate::drain::DrainTimes),
     /// Is the relay ready?
     Ready,
     /// How does it fare?
@@ -144,6 +144,8 @@
     GoUntil(MonotonicMs),
     /// What came of a call on parcels.
     Parcel(ParcelReturn),
+    /// It drains, at these times.
+    Drains(crate::drain::Draining),
     /// Nothing to say.
     Noted,
     /// Refused.
@@ -242,8 +244,8 @@
     refused: std::collections::BTreeMap<Code, u64>,
     refused_for_room: u32,
     engine_failures: engine_failures::EngineFailures,
-    /// Whether it takes nothing new.
-    drains: bool,
+    /// How it ends, once it was asked to.
+    pub(crate) draining: Option<crate::drain::Draining>,
 }
 
 impl RelayMachine {
@@ -271,7 +273,7 @@
             refused: std::collections::BTreeMap::new(),
             refused_for_room: 0,
             engine_failures: engine_failures::EngineFailures::default(),
-            drains: false,
+            draining: None,
         }
     }
 
@@ -302,7 +304,7 @@
 
     /// Why the relay takes nothing new now, if it doesn't.
     pub(crate) fn unready(&self, now: MonotonicMs) -> Option<Code> {
-        if self.drains {
+        if self.draining.is_some() {
             Some(Code::Draining)
         } else if let Some(code) = self.cut_off_from_all(now) {
             Some(code)
@@ -438,9 +440,9 @@
                 self.engines.looked(engine, is_well, now);
                 RelayReturn::Noted
             }
-            RelayCall::Drain => {
-                self.drains = true;
-                RelayReturn::Noted
+            RelayCall::Drain(times) => {
+                let begun = crate::drain::Draining::begin(times, now);
+                RelayReturn::Drains(*self.draining.get_or_insert(begun))
             }
             RelayCall::Ready => match self.unready(now) {
                 None => RelayReturn::Noted,
--- a/programs/topazyard-relay/src/machine/parcels.rs
+++ b/programs/topazyard-relay/src/machine/parcels.rs
@@ -119,7 +119,7 @@
         // A read reaches no engine and is confirmed by the shard itself, so that it may go on
         // while control changes hands, and until this process ends.
         let changes = !is_read(&request);
-        let refused = if changes && self.drains {
+        let refused = if changes && self.draining.is_some() {
             Some(Code::Draining)
         } else if changes && now >= self.fresh_until() {
             Some(Code::StaleFeed)
--- a/programs/topazyard-relay/src/machine/requests.rs
+++ b/programs/topazyard-relay/src/machine/requests.rs
@@ -256,6 +256,9 @@
         let Some(pool) = pool else { return Err(refused(Code::NoEngine)) };
         let wait = DurationMs(arrival.wait.0.min(route.timeout_ms));
         let deadline = arrival.arrived.plus(wait);
+        if self.draining.is_some_and(|draining| !draining.may_take(deadline, now)) {
+            return Err(refused(Code::Draining));
+        }
         if deadline.since(now).0 <= self.engines.best_first_ms(&pool.name) {
             return Err(refused(Code::Deadline));
         }
--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -1,6 +1,8 @@
 //! The program as a whole: its machine, its links and its HTTP.
 
+use crate::drain::DrainTimes;
 use crate::front::{Handle, connections, routed};
+use crate::{RelayCall, RelayReturn};
 use topazyard_wire::driver::StartError;
 use topazyard_wire::http::inward;
 
@@ -19,7 +21,7 @@
         /// The names.
         names: routed::Names,
         /// For how long clients may still be sent here after the relay said that it isn't ready.
-        still_sent: std::time::Duration,
+        still_sent: topazyard_types::DurationMs,
     },
 }
 
@@ -51,26 +53,20 @@
         tokio::spawn(crate::front::tasks::run(handle.clone(), begun, names));
         tokio::spawn(sweep());
         let (drain, drains) = tokio::sync::watch::channel(inward::Stage::Serving);
-        let linger = match &front {
-            Front::Own => std::time::Duration::ZERO,
+        let still_sent = match &front {
+            Front::Own => topazyard_types::DurationMs(0),
             Front::Routes { still_sent, .. } => *still_sent,
         };
         if let Some(ready) = ready {
             tokio::spawn(serve(ready, handle.clone(), front.clone(), drains.clone()));
         }
-        let mut served = std::pin::pin!(serve(listener, handle.clone(), front, drains));
-        let grace = grace(&settings);
-        let ending = drained(&handle, &drain, linger, grace);
-        let begun = tokio::select! {
+        let served = serve(listener, handle.clone(), front, drains);
+        let times = DrainTimes::within(settings.bounds.grace, still_sent);
+        tokio::select! {
             biased;
-            begun = ending => begun,
-            () = &mut served => return Ok(()),
-        };
-        // What is idle is closed in order; what came in that moment is answered to its end.
-        let _ = drain.send(inward::Stage::Ending);
-        let left = grace.saturating_sub(begun.elapsed());
-        let in_order = tokio::time::timeout(left, served).await.is_ok();
-        note_end(&handle, begun, in_order).await;
+            () = served => spdlog::info!("ended in order"),
+            () = drained(&handle, &drain, times) => note_given_up(&handle).await,
+        }
         Ok(())
     })
 }
@@ -83,34 +79,19 @@
 ) {
     match front {
         Front::Own => {
-            let answer = move |request| crate::front::answer(handle.clone(), request);
+            let told = drains.clone();
+            let answer = move |request| crate::front::answer(handle.clone(), told.clone(), request);
             inward::serve_draining(listener, answer, drains).await;
         }
         Front::Routes { names, .. } => {
-            let answer = move |request| routed::answer(handle.clone(), names.clone(), request);
+            let told = drains.clone();
+            let answer =
+                move |request| routed::answer(handle.clone(), names.clone(), told.clone(), request);
             inward::serve_draining(listener, answer, drains).await;
         }
     }
 }
 
-/// Tells how the drain ended, and what is given up with the process.
-async fn note_end(handle: &Handle, begun: std::time::Instant, in_order: bool) {
-    let after_ms = begun.elapsed().as_millis();
-    if in_order {
-        return spdlog::info!("ended in order {after_ms} ms after SIGTERM");
-    }
-    if let Ok(crate::RelayReturn::Health(health)) = handle.call(crate::RelayCall::Health).await {
-        spdlog::error!("out of time {after_ms} ms after SIGTERM, given up: {}", under_way(&health));
-    }
-}
-
-fn under_way(health: &crate::machine::RelayHealth) -> String {
-    format!(
-        "{} requests waiting, {} held, {} items, {} batch calls",
-        health.waiting, health.holding, health.items, health.parcel_calls
-    )
-}
-
 async fn sweep() {
     let mut every = tokio::time::interval(std::time::Duration::from_millis(SWEEP_MS));
     loop {
@@ -119,41 +100,39 @@
     }
 }
 
-/// How long a relay that drains waits for what is under way: most of what it may take to end.
-fn grace(settings: &topazyard_spec::NodeSettings) -> std::time::Duration {
-    std::time::Duration::from_millis(settings.bounds.grace.0 / 8 * 7)
-}
-
-/// Waits for SIGTERM, then until nothing is under way any more and nobody is sent here. Gives the
-/// moment of the signal.
+/// Waits for SIGTERM, then leads the listeners through the stages of a drain. It returns when the
+/// process must end, whatever is under way.
 async fn drained(
     handle: &Handle,
     drain: &tokio::sync::watch::Sender<inward::Stage>,
-    linger: std::time::Duration,
-    grace: std::time::Duration,
-) -> std::time::Instant {
-    use crate::{RelayCall, RelayReturn};
-    let kind = tokio::signal::unix::SignalKind::terminate();
-    match tokio::signal::unix::signal(kind) {
-        Ok(mut asked) => drop(asked.recv().await),
-        // Without the signal the process ends at once, as any other would.
-        Err(_) => return std::future::pending().await,
-    }
-    let begun = std::time::Instant::now();
-    if handle.call(RelayCall::Drain).await.is_err() {
-        return begun;
+    times: DrainTimes,
+) {
+    topazyard_wire::driver::terminated().await;
+    let clock = handle.clock();
+    let Ok(RelayReturn::Drains(draining)) = handle.call(RelayCall::Drain(times)).await else {
+        return;
+    };
+    while clock.now() < draining.ends_at() {
+        let Ok(RelayReturn::Health(health)) = handle.call(RelayCall::Health).await else { return };
+        let stage = draining.stage(health.under_way(), clock.now());
+        if *drain.borrow() < stage {
+            spdlog::info!("drain stage {stage:?} with {}", under_way(&health));
+            drain.send_replace(stage);
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(DRAIN_LOOK_MS)).await;
     }
+}
+
+/// Tells what is given up with the process.
+async fn note_given_up(handle: &Handle) {
     if let Ok(RelayReturn::Health(health)) = handle.call(RelayCall::Health).await {
-        spdlog::info!("SIGTERM, draining with {}", under_way(&health));
-    }
-    let _ = drain.send(inward::Stage::Closing);
-    while begun.elapsed() < grace {
-        tokio::time::sleep(std::time::Duration::from_millis(DRAIN_LOOK_MS)).await;
-        match handle.call(RelayCall::Health).await {
-            Ok(RelayReturn::Health(v)) if v.under_way() => {}
-            Ok(_) if begun.elapsed() < linger => {}
-            _ => break,
-        }
+        spdlog::error!("out of time, given up: {}", under_way(&health));
     }
-    begun
+}
+
+fn under_way(health: &crate::machine::RelayHealth) -> String {
+    format!(
+        "{} requests waiting, {} held, {} items, {} batch calls",
+        health.waiting, health.holding, health.items, health.parcel_calls
+    )
 }
--- a/programs/topazyard-relay/tests/admission.rs
+++ b/programs/topazyard-relay/tests/admission.rs
@@ -1,9 +1,11 @@
 //! Admission as the relay's machine does it, with the others' words put in by hand.
 
+use topazyard_relay::drain::DrainTimes;
 use topazyard_relay::machine::{EngineUse, Prompt, PromptId};
 use topazyard_relay::{RelayCall, RelayMachine, RelayReturn, RelayTask, Start};
 use topazyard_types::{
-    CallId, EngineName, Epoch, HoldId, MonotonicMs, NodeId, Place, Sequence, ShardId, Tokens,
+    CallId, DurationMs, EngineName, Epoch, HoldId, MonotonicMs, NodeId, Place, Sequence, ShardId,
+    Tokens,
 };
 use topazyard_wire::api::Code;
 use topazyard_wire::message::Message;
@@ -282,7 +284,7 @@
     let mut relay = Relay::ready();
     relay.allow(1, 60_000);
     relay.settle(true);
-    relay.call(RelayCall::Drain);
+    relay.call(RelayCall::Drain(DrainTimes::within(DurationMs(8_000), DurationMs(0))));
     let call = relay.allow(2, 60_000);
     assert_eq!(relay.code(call), Some(Code::Draining));
     let call = relay.call(RelayCall::Dispatch(PromptId(1), "e1".into()));
--- a/programs/topazyard-relay/tests/edge.rs
+++ b/programs/topazyard-relay/tests/edge.rs
@@ -79,8 +79,10 @@
         let http = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let relay = http.local_addr().expect("its address");
         let asked = handle.clone();
+        let serving = topazyard_wire::http::inward::Stage::Serving;
+        let (_, told) = tokio::sync::watch::channel(serving);
         tokio::spawn(topazyard_wire::http::inward::serve(http, move |request| {
-            topazyard_relay::front::answer(handle.clone(), request)
+            topazyard_relay::front::answer(handle.clone(), told.clone(), request)
         }));
         while !matches!(
             asked.call(topazyard_relay::RelayCall::Ready).await,
--- a/programs/topazyard-relay/tests/loopback/mod.rs
+++ b/programs/topazyard-relay/tests/loopback/mod.rs
@@ -3,30 +3,18 @@
 //!
 //! Engines share one script: whichever is asked next does what comes next in it.
 
+mod core;
+
+use self::core::{FLEET, HOST, Shard, be_core};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use topazyard_relay::front::routed::Names;
-use topazyard_types::{
-    EngineName, Epoch, FleetId, ItemNumber, NodeId, ParcelId, Place, Sequence, ShardId,
-    SpecVersion, Tokens,
-};
+use topazyard_types::{EngineName, NodeId};
 use topazyard_wire::api::{ApiError, Ran};
 use topazyard_wire::http::inward;
-use topazyard_wire::message::control::{CoreNode, ShardRecord};
-use topazyard_wire::message::counter::{CounterBody, CounterMessage};
-use topazyard_wire::message::feed::{FeedMessage, Matter};
-use topazyard_wire::message::parcel::{
-    Directions, Item, LeasedItem, ParcelBody, ParcelCall, ParcelMessage, ParcelReturn, Progress,
-    Run, RunEnd,
-};
-use topazyard_wire::message::{FRAME_VERSION, Frame, Message};
-use topazyard_wire::state::{IN_FORCE, InForceRow, engine_key, route_key, shard_key};
+use topazyard_wire::message::parcel::RunEnd;
 
 type Address = std::net::SocketAddr;
 
-/// The fleet that a program on the users' platform is of.
-const FLEET: FleetId = FleetId(1);
-pub const HOST: &str = "a.example";
-
 /// One runtime for all tests, as in those of the own interface. One thread, as each thread keeps
 /// its own connections to engines.
 pub fn runtime() -> &'static tokio::runtime::Runtime {
@@ -167,10 +155,12 @@
         let http = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let relay = http.local_addr().expect("its address");
         let asked = handle.clone();
+        let (stage, drain) = tokio::sync::watch::channel(inward::Stage::Serving);
+        let told = drain.clone();
         let answer = move |request| {
-            topazyard_relay::front::routed::answer(handle.clone(), names.clone(), request)
+            let (handle, names, told) = (handle.clone(), names.clone(), told.clone());
+            topazyard_relay::front::routed::answer(handle, names, told, request)
         };
-        let (stage, drain) = tokio::sync::watch::channel(inward::Stage::Serving);
         tokio::spawn(inward::serve_draining(http, answer, drain));
         while !matches!(
             asked.call(topazyard_relay::RelayCall::Ready).await,
@@ -366,165 +356,3 @@
     let length = value(&text[..end], "content-length").and_then(|length| length.parse().ok());
     Some((end, length.unwrap_or(0)))
 }
-
-/// The batch that all items are of.
-fn parcel() -> ParcelId {
-    ParcelId::of_host(HOST, "1")
-}
-
-/// The primary of the shard with that batch: it leases what was handed in, and tells how it ended.
-struct Shard {
-    handed_in: tokio::sync::mpsc::UnboundedReceiver<String>,
-    tell_end: tokio::sync::mpsc::UnboundedSender<RunEnd>,
-    leases: u64,
-}
-
-impl Shard {
-    fn answer(&mut self, call: ParcelCall) -> ParcelReturn {
-        match call {
-            ParcelCall::Lease { .. } => {
-                let handed_in = std::iter::from_fn(|| self.handed_in.try_recv().ok());
-                let ids: Vec<String> = handed_in.collect();
-                ParcelReturn::Leased(ids.into_iter().map(|id| self.lease(id)).collect())
-            }
-            ParcelCall::Finish(_, end) => {
-                let _ = self.tell_end.send(end);
-                ParcelReturn::Noted
-            }
-            _ => ParcelReturn::Noted,
-        }
-    }
-
-    fn lease(&mut self, id: String) -> LeasedItem {
-        self.leases += 1;
-        let directions =
-            Directions { id, path: "/batch/1".to_owned(), headers: Vec::new(), prefix: Vec::new() };
-        let item = Item {
-            model: "".into(),
-            body: bytes::Bytes::from_static(b"item"),
-            repeatable: true,
-            cost: Tokens(1),
-            directions: Some(directions),
-        };
-        let run = Run { parcel: parcel(), item: ItemNumber(0), lease: self.leases };
-        let route = Some(("batch".into(), HOST.to_owned()));
-        LeasedItem { run, item, route, progress: Progress::default() }
-    }
-}
-
-/// A stand-in agent, counter and shard for a relay that is a process of its own: gives the relay's
-/// inner port, and the agent's address on the port behind it.
-pub async fn stand_in_core(engines: Vec<(EngineName, Address)>) -> (u16, Address) {
-    let (first_port, listener) = (0..20)
-        .find_map(|_| {
-            let first_port = free_address().port();
-            let agent = (std::net::Ipv4Addr::LOCALHOST, first_port.checked_add(1)?);
-            Some((first_port, std::net::TcpListener::bind(agent).ok()?))
-        })
-        .expect("two free ports");
-    listener.set_nonblocking(true).expect("a listener");
-    let agent = listener.local_addr().expect("its address");
-    let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
-    let (_, handed_in) = tokio::sync::mpsc::unbounded_channel();
-    let (tell_end, _) = tokio::sync::mpsc::unbounded_channel();
-    let shard = Shard { handed_in, tell_end, leases: 0 };
-    tokio::spawn(be_core(listener, agent, engines, shard));
-    (first_port, agent)
-}
-
-/// The agent beside the relay, the counter's primary, which grants all, and a shard's.
-async fn be_core(
-    listener: tokio::net::TcpListener,
-    address: Address,
-    engines: Vec<(EngineName, Address)>,
-    mut shard: Shard,
-) {
-    let (sender, mut frames) = tokio::sync::mpsc::unbounded_channel();
-    tokio::spawn(topazyard_wire::link::inward::listen(listener, FLEET, move |frame| {
-        let _ = sender.send(frame);
-    }));
-    let mut links = topazyard_wire::link::Links::default();
-    while let Some(frame) = frames.recv().await {
-        let Frame { address: to, message, .. } = frame;
-        let message = match message {
-            Message::Feed(FeedMessage::Ask { nonce, .. }) => {
-                let place = Place { epoch: Epoch(1), sequence: Sequence(1) };
-                let matter = Matter::View(rows(address, &engines));
-                Message::Feed(FeedMessage::News { nonce, place, matter })
-            }
-            Message::Counter(CounterMessage { epoch, body }) => {
-                let body = match body {
-                    CounterBody::Add(hold) => CounterBody::Added { id: hold.id, granted: true },
-                    CounterBody::Renew { number, .. } => CounterBody::Renewed { number },
-                    _ => continue,
-                };
-                Message::Counter(CounterMessage { epoch, body })
-            }
-            Message::Parcel(ParcelMessage {
-                body: ParcelBody::Call(call), call: number, ..
-            }) => {
-                let body = ParcelBody::Return(shard.answer(call));
-                let shard = parcel().shard;
-                Message::Parcel(ParcelMessage { shard, epoch: Epoch(1), call: number, body })
-            }
-            _ => continue,
-        };
-        let frame =
-            Frame { version: FRAME_VERSION, fleet: FLEET, sender: NodeId(1), address, message };
-        links.send(to, frame.encode());
-    }
-}
-
-fn rows(core: Address, engines: &[(EngineName, Address)]) -> Vec<(String, bytes::Bytes)> {
-    use topazyard_wire::rows::encode;
-    let text = r#"{"pools":[{"name":"main","limit_tokens":100000}]}"#.to_owned();
-    let in_force = InForceRow { version: SpecVersion(1), text };
-    let shard = ShardRecord {
-        epoch: Epoch(1),
-        primary: CoreNode { id: NodeId(1), address: core },
-        copies: 2,
-        backups: Vec::new(),
-        fallbacks: Vec::new(),
-        learners: Vec::new(),
-    };
-    let mut rows = vec![
-        (IN_FORCE.to_owned(), encode(&in_force)),
-        (shard_key(ShardId::COUNTER), encode(&shard)),
-        (shard_key(parcel().shard), encode(&shard)),
-    ];
-    for (name, kind, most) in [
-        ("safe", "safe", 3),
-        ("unsafe", "unsafe", 3),
-        ("stream", "streaming", 3),
-        ("resumable", "streaming", 2),
-    ] {
-        let text = format!(
-            r#"{{"name":"{name}","host":"{HOST}","path_prefix":"/{name}/","kind":"{kind}",
-            "timeout_ms":10000,"target_latency_ms":4000,"max_attempts":{most},
-            "resumable":{},"pools":[{{"pool":"main","weight":1}}]}}"#,
-            name == "resumable"
-        );
-        let route: topazyard_spec::Route = serde_json::from_str(&text).expect("a route");
-        rows.push((route_key(&route.name), encode(&route)));
-    }
-    let batch = format!(
-        r#"{{"name":"batch","host":"{HOST}","path_prefix":"/batch/","kind":"batch",
-        "timeout_ms":10000,"max_attempts":2,"pools":[{{"pool":"main","weight":1}}],
-        "batch":{{"ceiling_tokens":700,"run_target_ms":8000,"retention_ms":40000}}}}"#
-    );
-    let batch: topazyard_spec::Route = serde_json::from_str(&batch).expect("a route");
-    rows.push((route_key(&batch.name), encode(&batch)));
-    for (name, address) in engines {
-        let engine = topazyard_spec::Engine {
-            name: name.clone(),
-            address: *address,
-            pool: "main".into(),
-            models: Vec::new(),
-            state: topazyard_spec::EngineState::Ready,
-            zone: None,
-            slots: 0,
-        };
-        rows.push((engine_key(name), encode(&engine)));
-    }
-    rows
-}
--- a/programs/topazyard-relay/tests/requests.rs
+++ b/programs/topazyard-relay/tests/requests.rs
@@ -1,5 +1,6 @@
 //! Requests on routes as the relay's machine lets them in, with the others' words put in by hand.
 
+use topazyard_relay::drain::DrainTimes;
 use topazyard_relay::machine::requests::{Admitted, Arrival, PromptPart};
 use topazyard_relay::machine::{EngineUse, PromptId};
 use topazyard_relay::prompt::Failure;
@@ -516,6 +517,22 @@
     assert_eq!(relay.asked.len(), 3, "it is asked for again, but not at each tick");
 }
 
+// Else a request is taken without the time to finish it, and is dropped with the process.
+#[test]
+fn a_relay_that_drains_takes_a_late_request_only_if_it_is_over_in_time() {
+    let mut relay = Relay::granted();
+    let times = DrainTimes::within(DurationMs(8_000), DurationMs(2_500));
+    relay.call(RelayCall::Drain(times));
+    let early = relay.arrive("/x", 1, 10_000, &[]);
+    assert!(relay.admitted(early).is_some(), "clients are still sent here");
+    relay.tick(2_500);
+    relay.hear_feed();
+    let over_in_time = relay.arrive("/x", 1, 4_500, &[]);
+    assert!(relay.admitted(over_in_time).is_some());
+    let too_long = relay.arrive("/x", 1, 4_501, &[]);
+    assert_eq!(relay.code(too_long), Some(Code::Draining));
+}
+
 // Else requests go to an engine that is about to end, and are cut.
 #[test]
 fn an_engine_that_leaves_is_never_chosen() {
