Let the model search by default, and refuse a search of nothing

Without options it printed nothing and ended with 0 after 4 ms. With both numbers 0 it ends with 2 and says why.

--- a/fleet-simulator/src/model_command.rs
+++ b/fleet-simulator/src/model_command.rs
@@ -15,15 +15,15 @@
     /// How many of them may lose their disks at once; by default one, or two of five nodes
     #[arg(long)]
     losses: Option<u16>,
-    /// Steps of each run of the exhaustive search; 0 for none
-    #[arg(long, default_value_t = 0)]
-    depth: usize,
+    /// Steps of each run of the exhaustive search; 0 for none [default: 8 without --walks, else 0]
+    #[arg(long)]
+    depth: Option<usize>,
     /// Deviations in each of its runs, each of another kind
     #[arg(long, default_value_t = 2)]
     deviations: usize,
-    /// Random walks
-    #[arg(long, default_value_t = 0)]
-    walks: u64,
+    /// Random walks [default: 100 without --depth, else 0]
+    #[arg(long)]
+    walks: Option<u64>,
     /// Steps of each walk
     #[arg(long, default_value_t = 2_000)]
     steps: usize,
@@ -38,13 +38,34 @@
     threads: usize,
 }
 
+/// How deep is searched where nothing is said.
+const DEFAULT_DEPTH: usize = 8;
+/// How many walks are made where nothing is said.
+const DEFAULT_WALKS: u64 = 100;
+
+impl ModelFlags {
+    fn depth(&self) -> usize {
+        let unsaid = if self.walks.is_none() { DEFAULT_DEPTH } else { 0 };
+        self.depth.unwrap_or(unsaid)
+    }
+
+    fn walks(&self) -> u64 {
+        let unsaid = if self.depth.is_none() { DEFAULT_WALKS } else { 0 };
+        self.walks.unwrap_or(unsaid)
+    }
+}
+
 /// Searches as the flags say.
 pub fn run(flags: &ModelFlags) -> ExitCode {
+    if flags.depth() == 0 && flags.walks() == 0 {
+        eprintln!("nothing to search: --depth and --walks are both 0");
+        return ExitCode::from(2);
+    }
     let mut settings = Settings::of(flags.nodes);
     settings.losses = flags.losses.unwrap_or(settings.losses);
     settings.ticks_at_once = !flags.ticks_under_way;
-    let searched = if flags.depth > 0 { run_search(flags, settings) } else { None };
-    let walked = if flags.walks > 0 { run_walks(flags, settings) } else { None };
+    let searched = if flags.depth() > 0 { run_search(flags, settings) } else { None };
+    let walked = if flags.walks() > 0 { run_walks(flags, settings) } else { None };
     match searched.or(walked) {
         Some(crossed) => {
             tell_short(settings, &crossed.0, &crossed.1);
@@ -65,7 +86,7 @@
 /// Searches; gives the shortest run that crossed an invariant.
 fn run_search(flags: &ModelFlags, settings: Settings) -> Option<(Vec<Action>, Violation)> {
     let begun = std::time::Instant::now();
-    let bounds = Bounds { depth: flags.depth, deviations: flags.deviations };
+    let bounds = Bounds { depth: flags.depth(), deviations: flags.deviations };
     let found = search(settings, bounds, flags.threads);
     println!(
         "search of {} nodes, {} losses, depth {}, {} deviations: {} states, {} steps, newest \
@@ -94,7 +115,7 @@
         for share in 0..threads {
             let sender = sender.clone();
             scope.spawn(move || {
-                for seed in flags.seed..flags.seed + flags.walks {
+                for seed in flags.seed..flags.seed + flags.walks() {
                     if (seed - flags.seed) % threads == share
                         && sender.send(walk(settings, seed, flags.steps)).is_err()
                     {
