--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -9,7 +9,7 @@
 /// How often idle connections to engines are looked through.
 const SWEEP_MS: u64 = 500;
 /// How often a draining relay looks whether it has finished.
-const DRAIN_LOOK_MS: u64 = 100;
+const DRAIN_LOOK: std::time::Duration = std::time::Duration::from_millis(100);
 
 /// How a relay serves its clients.
 #[derive(Clone)]
@@ -113,13 +113,21 @@
         return;
     };
     while clock.now() < draining.ends_at() {
-        let Ok(RelayReturn::Health(health)) = handle.call(RelayCall::Health).await else { return };
-        let stage = draining.stage(health.under_way(), clock.now());
+        // A machine that is behind may have anything under way, and must not put the end off.
+        let looked = tokio::time::timeout(DRAIN_LOOK, handle.call(RelayCall::Health)).await;
+        let health = match &looked {
+            Ok(Ok(RelayReturn::Health(health))) => Some(health),
+            Ok(_) => return,
+            Err(_) => None,
+        };
+        let is_under_way = health.is_none_or(|health| health.under_way());
+        let stage = draining.stage(is_under_way, clock.now());
         if *drain.borrow() < stage {
-            spdlog::info!("drain stage {stage:?} with {}", under_way(&health));
+            let counts = health.map_or_else(String::new, |health| under_way(health));
+            spdlog::info!("drain stage {stage:?} {counts}");
             drain.send_replace(stage);
         }
-        tokio::time::sleep(std::time::Duration::from_millis(DRAIN_LOOK_MS)).await;
+        tokio::time::sleep(DRAIN_LOOK).await;
     }
 }
 
