Show that agents and control processes end with work that they have taken

- An agent ends at SIGTERM at once.
The relay beside it gets the signal at the same moment and drains for up to seven eighths of the grace, so it serves without a feed: an old configuration, old engines and old shards.
`AgentCall::Leave` is new and returns at once, which is what the process does now.
- A control process stops as soon as it is replaced (or can't be) and drops what its HTTP server has read.
`run_until` is new, so that a test can say when the process is to end.

--- a/programs/topazyard-control/src/run.rs
+++ b/programs/topazyard-control/src/run.rs
@@ -14,6 +14,19 @@
 pub fn run<O: Outside>(
     settings: topazyard_spec::NodeSettings,
     outside: O,
+) -> Result<(), StartError> {
+    run_until(settings, outside, topazyard_wire::driver::terminated())
+}
+
+/// Runs the program on its settings until `terminated` says that the process is to end, and then
+/// ends in order.
+///
+/// # Errors
+/// A setting that is missing, an address that is taken, or a disk that can't be used.
+pub fn run_until<O: Outside>(
+    settings: topazyard_spec::NodeSettings,
+    outside: O,
+    terminated: impl Future<Output = ()>,
 ) -> Result<(), StartError> {
     let http = settings.need_http()?;
     topazyard_wire::driver::run_process(async move {
@@ -40,7 +53,7 @@
         });
         tokio::select! {
             biased;
-            () = topazyard_wire::driver::terminated() => leave(&leaving).await,
+            () = terminated => leave(&leaving).await,
             () = follow => {}
             () = served => {}
         }
--- a/programs/topazyard-edge-agent/src/machine.rs
+++ b/programs/topazyard-edge-agent/src/machine.rs
@@ -28,6 +28,8 @@
 pub enum AgentCall {
     /// The settings name other control nodes now.
     Seeds(Vec<std::net::SocketAddr>),
+    /// The process is about to end: returned once it may.
+    Leave,
 }
 
 /// From what an agent starts.
@@ -249,6 +251,9 @@
                 self.receive_feed(from, message, now, &mut out);
             }
             Input::Call { request: AgentCall::Seeds(seeds), .. } => self.take_seeds(seeds),
+            Input::Call { request: AgentCall::Leave, call } => {
+                out.push(Effect::Return { call, value: () });
+            }
             Input::Written(token) => self.last_synced = token.number,
             Input::Frame { .. } | Input::Disk(_) => {}
         }
--- a/programs/topazyard-edge-agent/src/run.rs
+++ b/programs/topazyard-edge-agent/src/run.rs
@@ -57,7 +57,9 @@
         });
         tokio::select! {
             biased;
-            () = topazyard_wire::driver::terminated() => {}
+            () = topazyard_wire::driver::terminated() => {
+                let _ = handle.call(crate::AgentCall::Leave).await;
+            }
             () = follow => {}
         }
         Ok(())
