Keep an agent until the relay beside it has ended

Cause: an agent ended as soon as SIGTERM came. Its relay gets the signal at the same moment and drains for up to seven eighths of the grace. In that time it had no feed: it served by the configuration, the engines and the shard records of the moment of the signal (routes for `config_apply` + `config_stretch` - 200 ms, then it refused with 503), and the end of an item's run went to a shard's former primary.

Now the agent serves until its relay has not asked for 750 ms (a relay asks every 200 ms, every 450 ms without an answer), at most fifteen sixteenths of the grace. An agent whose relay is gone ends at once.

Ruled out: letting the relay ask control itself while it drains, which would be a second way to follow.

--- a/programs/topazyard-edge-agent/src/machine.rs
+++ b/programs/topazyard-edge-agent/src/machine.rs
@@ -3,7 +3,7 @@
 //! that was frozen can't make old news look fresh.
 
 use topazyard_membership::Membership;
-use topazyard_types::{DurationMs, MonotonicMs};
+use topazyard_types::{CallId, DurationMs, MonotonicMs};
 use topazyard_wire::driver::disked::Remembered;
 use topazyard_wire::message::Message;
 use topazyard_wire::message::feed::{FeedMessage, Health, PartWanted};
@@ -18,6 +18,9 @@
 const TURNED_AWAY: DurationMs = DurationMs(50);
 /// After how long without a return another control node is asked.
 const TIMEOUT: DurationMs = DurationMs(250);
+/// After how long without an asking an agent that is to end counts its relay as ended: a relay asks
+/// every 200 ms, and after 450 ms where no answer came.
+const RELAY_ENDED: DurationMs = DurationMs(750);
 /// After how long without an asking the relay counts as gone, and its agent leaves the fleet.
 const RELAY_SILENT: DurationMs = DurationMs(3_000);
 
@@ -28,7 +31,7 @@
 pub enum AgentCall {
     /// The settings name other control nodes now.
     Seeds(Vec<std::net::SocketAddr>),
-    /// The process is about to end: returned once it may.
+    /// The process is about to end: returned once its relay has ended.
     Leave,
 }
 
@@ -74,6 +77,8 @@
     last_synced: u64,
     remembered: Option<Remembered>,
     relay_heard: Option<MonotonicMs>,
+    /// The process's wish to end, until its relay has ended.
+    leaving: Option<CallId>,
 }
 
 impl AgentMachine {
@@ -105,6 +110,7 @@
             last_synced: 0,
             remembered: start.remembered,
             relay_heard: None,
+            leaving: None,
         }
     }
 
@@ -220,6 +226,7 @@
             self.leader = None;
             self.pass_on(now, out);
         }
+        self.leave_after_relay(now, out);
         // An agent answers for its relay: without one it doesn't return probes, nor sends any.
         if self.relay_is_heard(now) {
             let outgoing = self.membership.tick(now);
@@ -228,7 +235,21 @@
     }
 
     fn relay_is_heard(&self, now: MonotonicMs) -> bool {
-        self.relay_heard.is_some_and(|heard| now.since(heard) < RELAY_SILENT)
+        self.relay_is_heard_within(RELAY_SILENT, now)
+    }
+
+    fn relay_is_heard_within(&self, limit: DurationMs, now: MonotonicMs) -> bool {
+        self.relay_heard.is_some_and(|heard| now.since(heard) < limit)
+    }
+
+    /// Lets the process end once its relay has: a relay that drains needs the feed until then.
+    fn leave_after_relay(&mut self, now: MonotonicMs, out: &mut Out) {
+        if self.relay_is_heard_within(RELAY_ENDED, now) {
+            return;
+        }
+        if let Some(call) = self.leaving.take() {
+            out.push(Effect::Return { call, value: () });
+        }
     }
 }
 
@@ -252,7 +273,8 @@
             }
             Input::Call { request: AgentCall::Seeds(seeds), .. } => self.take_seeds(seeds),
             Input::Call { request: AgentCall::Leave, call } => {
-                out.push(Effect::Return { call, value: () });
+                self.leaving = Some(call);
+                self.leave_after_relay(now, &mut out);
             }
             Input::Written(token) => self.last_synced = token.number,
             Input::Frame { .. } | Input::Disk(_) => {}
--- a/programs/topazyard-edge-agent/src/run.rs
+++ b/programs/topazyard-edge-agent/src/run.rs
@@ -52,16 +52,32 @@
         let (tasks, _no_tasks) = tokio::sync::mpsc::channel(1);
         let make = |_| (crate::AgentMachine::new(start), Vec::new());
         let handle = topazyard_wire::driver::spawn(make, place, disk, tasks)?;
+        let leave_limit = leave_limit(&settings.bounds);
         let follow = topazyard_wire::driver::follow_settings(settings, |told| {
             handle.tell(crate::AgentCall::Seeds(told.seeds));
         });
         tokio::select! {
             biased;
             () = topazyard_wire::driver::terminated() => {
-                let _ = handle.call(crate::AgentCall::Leave).await;
+                leave(&handle, leave_limit).await;
             }
             () = follow => {}
         }
         Ok(())
     })
 }
+
+/// The longest that an agent waits for its relay to end: the process ends by itself within the grace.
+fn leave_limit(bounds: &topazyard_spec::Bounds) -> std::time::Duration {
+    std::time::Duration::from_millis(bounds.grace.0 / 16 * 15)
+}
+
+/// Serves the relay, which is told to end at the same moment, until that has ended.
+async fn leave(
+    handle: &topazyard_wire::driver::Handle<crate::AgentMachine>,
+    limit: std::time::Duration,
+) {
+    if tokio::time::timeout(limit, handle.call(crate::AgentCall::Leave)).await.is_err() {
+        spdlog::warn!("the relay has not ended within {limit:?}");
+    }
+}
