Answer what a control process has read before it ends

An operator's call that it had read, or passed on to the primary, lost its connection without an answer.

Now the process says `Connection: close` from the signal on, and takes calls until it is replaced, as it still passes them on. Then it closes the listener and idle connections and waits for the calls under way, at most seven eighths of the grace in all. The log says how long each part took, and whether a call was cut.

--- a/libraries/topazyard-wire/src/http/mod.rs
+++ b/libraries/topazyard-wire/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod inward;
 pub mod outward;
+pub mod server;
 
 /// A body of either side.
 pub type Body = http_body_util::combinators::UnsyncBoxBody<bytes::Bytes, BodyError>;
--- a/programs/topazyard-control/src/run.rs
+++ b/programs/topazyard-control/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::outside::{Handle, Outside};
 use topazyard_wire::driver::{StartError, start_with_disk};
+use topazyard_wire::http::server::Server;
 use topazyard_wire::message::membership::Duty;
 
 /// The longest that one reading of the list of engines may take.
@@ -45,17 +46,15 @@
         tokio::spawn(work(outside, handle.clone(), begun));
         let leaving = handle.clone();
         let told = handle.clone();
+        let grace = std::time::Duration::from_millis(settings.bounds.grace.0 / 8 * 7);
         let follow = topazyard_wire::driver::follow_settings(settings, move |now| {
             told.tell(crate::ControlCall::Seeds(now.seeds));
         });
-        let served = topazyard_wire::http::inward::serve(listener, move |request| {
-            O::answer(handle.clone(), request)
-        });
+        let server = Server::start(listener, move |request| O::answer(handle.clone(), request));
         tokio::select! {
             biased;
-            () = terminated => leave(&leaving).await,
+            () = terminated => end(server, &leaving, grace).await,
             () = follow => {}
-            () = served => {}
         }
         Ok(())
     })
@@ -66,9 +65,30 @@
 /// The longest that a process that ends waits to be replaced, whatever the machine says.
 const LEAVE_LIMIT: std::time::Duration = std::time::Duration::from_millis(2_500);
 
-/// Lets the others stand in this node's place before the process ends.
-async fn leave(handle: &Handle) {
-    let said = tokio::time::timeout(LEAVE_LIMIT, handle.call(crate::ControlCall::Leave)).await;
+/// Ends in order: has this node replaced, then answers the calls that were read.
+///
+/// Calls are taken until the node is replaced, for a node that leaves still passes them on. What it has
+/// read by then waits for an answer, which its machine gives within a time of its own. A call that is
+/// not answered within the grace is cut by the end of the process.
+async fn end(server: Server, handle: &Handle, grace: std::time::Duration) {
+    let begun = std::time::Instant::now();
+    spdlog::info!("told to end: this node has itself replaced");
+    server.close_after_responses();
+    leave(handle, grace).await;
+    let replaced = begun.elapsed();
+    let is_answered = server.end(grace.saturating_sub(replaced)).await;
+    let ended = begun.elapsed();
+    if is_answered {
+        spdlog::info!("ends in order after {ended:?}, {replaced:?} of them to be replaced");
+    } else {
+        spdlog::warn!("ends after {ended:?} with calls that were read and not answered");
+    }
+}
+
+/// Lets the others stand in this node's place.
+async fn leave(handle: &Handle, grace: std::time::Duration) {
+    let limit = LEAVE_LIMIT.min(grace / 2);
+    let said = tokio::time::timeout(limit, handle.call(crate::ControlCall::Leave)).await;
     if said.is_ok() {
         tokio::time::sleep(LAST_WORD).await;
     }
