--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -328,6 +328,53 @@
     assert_eq!(relay.last_code(), Some(Code::NoLane));
 }
 
+impl Relay {
+    fn drain(&mut self) {
+        self.call(RelayCall::Drain);
+    }
+
+    fn lease_without_room(&mut self) -> Run {
+        let run = Run { parcel: parcel(), item: ItemNumber(0), lease: 5 };
+        let (call, _) = self.asked_lease();
+        let route = Some(("r".into(), HOST.to_owned()));
+        let leased = LeasedItem { run, item: item(), route, progress: Progress::default() };
+        self.hear_shard(call, ParcelReturn::Leased(vec![leased]));
+        run
+    }
+}
+
+// Else an item waits for the end of its lease, or is begun by a relay that ends.
+#[test]
+fn an_item_that_waits_for_room_is_handed_back_as_the_relay_drains() {
+    let mut relay = Relay::ready();
+    relay.tick(25);
+    relay.lease_without_room();
+    assert_eq!((relay.holds.len(), relay.finished()), (1, None));
+    relay.drain();
+    assert_eq!(relay.finished(), Some(&RunEnd::NotRun));
+    assert_eq!(relay.released, relay.holds);
+}
+
+#[test]
+fn items_leased_to_a_relay_that_drains_are_handed_back() {
+    let mut relay = Relay::ready();
+    relay.tick(25);
+    relay.drain();
+    relay.lease_without_room();
+    assert_eq!(relay.finished(), Some(&RunEnd::NotRun));
+    assert!(relay.runs.is_empty() && relay.released == relay.holds);
+}
+
+#[test]
+fn an_item_that_still_connects_is_not_sent_by_a_relay_that_drains() {
+    let mut relay = Relay::ready();
+    relay.tick(25);
+    let run = relay.run_one();
+    relay.drain();
+    relay.call(RelayCall::DispatchItem(run, EngineName("e1".to_owned())));
+    assert_eq!(relay.last_code(), Some(Code::Draining));
+}
+
 fn events(pieces: &[&str], so_far: Progress) -> Result<Option<String>, OutOfOrder> {
     let mut events = Events::after(so_far);
     for piece in pieces {
