Hand back items of batches that a draining relay has not begun

Cause: a drain looked at new leases only. Items that were leased and waited for room, or whose lease was on its way, were begun after SIGTERM, and runs that still connected were sent: work without the time to finish it being left, and a drain as long as its runs. What did not start waited for its lease to expire (2.5 s).

Now a draining relay tells the shard at once that such items did not run, also those that come with a late lease, and the last check before a run is sent refuses it. A recorded start (items of the own interface) is settled first and then told as not run.

--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -160,6 +160,12 @@
             false => LEASE_EVERY,
         };
         self.items.next_lease.insert(shard, (now.plus(gap), gap));
+        if self.drains {
+            for LeasedItem { run, .. } in leased {
+                self.finish_run(run, RunEnd::NotRun, now, out);
+            }
+            return;
+        }
         for LeasedItem { run, item, route, progress } in leased {
             if let Some((route, host)) = route {
                 let start_until = asked.plus(self.start_within());
@@ -202,6 +208,18 @@
         }
     }
 
+    /// Hands back what has not started: this relay takes nothing new, and others wait for its leases.
+    /// An item whose start is being recorded is handed back once that is settled.
+    pub(super) fn hand_back_waiting(&mut self, now: MonotonicMs, out: &mut Out) {
+        let waits = |entry: &Entry| matches!(entry.stage, Stage::Leased(_) | Stage::Asking(_));
+        let waiting = self.items.entries.iter().filter(|(_, entry)| waits(entry));
+        let waiting: Vec<Run> = waiting.map(|(run, _)| *run).collect();
+        for run in waiting {
+            self.let_item_go(run, out);
+            self.finish_run(run, RunEnd::NotRun, now, out);
+        }
+    }
+
     fn ask_for_waiting(&mut self, now: MonotonicMs, out: &mut Out) {
         let mut again = Vec::new();
         let mut hand_back = Vec::new();
@@ -264,11 +282,11 @@
     pub(super) fn start_settled(&mut self, run: Run, may: bool, now: MonotonicMs, out: &mut Out) {
         let Some(entry) = self.items.entries.get(&run) else { return };
         let Stage::Starting(hold, asked) = entry.stage else { return };
-        let in_time = now.since(asked) < START_WITHIN;
+        let may = may && now.since(asked) < START_WITHIN && !self.drains;
         let (pool, model) = (entry.pool.clone(), entry.item.model.clone());
         let (body, cost) = (entry.item.body.clone(), entry.item.cost);
         let target = self.choose_engine(&pool, &model, &[], None);
-        match target.filter(|_| may && in_time) {
+        match target.filter(|_| may) {
             Some(target) => {
                 self.engines.begin(&target.engine, cost, &[]);
                 let until = asked.plus(START_WITHIN);
@@ -298,6 +316,9 @@
         if chosen != engine {
             return refused(Code::NoEngine);
         }
+        if self.drains {
+            return refused(Code::Draining);
+        }
         if let Some(routed) = &entry.routed {
             return match self.routed_go_until(engine, &entry.pool, &routed.route, now) {
                 Err(code) => refused(code),
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -439,7 +439,7 @@
                 RelayReturn::Noted
             }
             RelayCall::Drain => {
-                self.drains = true;
+                self.drain(now, out);
                 RelayReturn::Noted
             }
             RelayCall::Ready => match self.unready(now) {
@@ -451,6 +451,12 @@
         out.push(Effect::Return { call, value });
     }
 
+    /// Takes nothing new from now on.
+    fn drain(&mut self, now: MonotonicMs, out: &mut Out) {
+        self.drains = true;
+        self.hand_back_waiting(now, out);
+    }
+
     /// Passes a shard's record on to its holders, where one of them spoke under a lower epoch: it
     /// may be cut off from control while this relay isn't.
     pub(crate) fn tell_record(&self, shard: ShardId, told: topazyard_types::Epoch, out: &mut Out) {
