Show that a relay ends with batch calls and ends of runs still open

- After the last run the relay counts as finished before the shard has noted its result.
- A read of a batch that comes late in a drain waits up to its client's limit, which may lie behind the end of the process.
So does a batch that was handed in before the signal.

--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -328,11 +328,34 @@
     assert_eq!(relay.last_code(), Some(Code::NoLane));
 }
 
+/// The relay's bounds: how long it may take to end.
+fn grace() -> u64 {
+    topazyard_spec::Bounds::default().grace.0
+}
+
 impl Relay {
     fn drain(&mut self) {
         self.call(RelayCall::Drain);
     }
 
+    fn is_under_way(&mut self) -> bool {
+        self.call(RelayCall::Health);
+        match self.last_return() {
+            RelayReturn::Health(health) => health.under_way(),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Lets time go by while the agent still brings news, tick by tick.
+    fn pass(&mut self, ms: u64) {
+        for sequence in 0..ms / 200 {
+            self.hear_feed(10 + self.now.0 + sequence, true);
+            for _ in 0..8 {
+                self.tick(25);
+            }
+        }
+    }
+
     fn lease_without_room(&mut self) -> Run {
         let run = Run { parcel: parcel(), item: ItemNumber(0), lease: 5 };
         let (call, _) = self.asked_lease();
@@ -375,6 +398,53 @@
     assert_eq!(relay.last_code(), Some(Code::Draining));
 }
 
+// Else the result of a run that ended just before its relay is lost with it, and the item runs again.
+#[test]
+fn a_relay_ends_only_after_the_end_of_a_run_was_noted() {
+    let mut relay = Relay::ready();
+    relay.tick(25);
+    let run = relay.run_one();
+    relay.drain();
+    assert!(relay.is_under_way());
+    let done = RunEnd::Done { text: "x".to_owned() };
+    relay.call(RelayCall::RoutedEnded(run, done.clone(), EngineUse::Whole(DurationMs(9))));
+    assert!(relay.is_under_way(), "the shard may not have heard of it");
+    let told = relay.calls.iter().rev().find_map(|(call, body)| match body {
+        ParcelCall::Finish(_, end) if *end == done => Some(*call),
+        _ => None,
+    });
+    relay.hear_shard(told.expect("it is told"), ParcelReturn::Noted);
+    assert!(!relay.is_under_way());
+}
+
+// Else a read that comes late in a drain, or a call that came before it, is cut by the process's end.
+#[test]
+fn a_batch_call_is_answered_before_a_draining_relay_ends() {
+    for late in [0, grace() / 2, grace() * 3 / 4, grace() * 13 / 16] {
+        let mut relay = Relay::ready();
+        let read = ParcelCall::Results { parcel: parcel(), after: 0 };
+        relay.drain();
+        relay.pass(late / 200 * 200);
+        relay.returned.clear();
+        // The limit is a client's that waits longer than the process lives.
+        relay.call(RelayCall::Parcel(read, DurationMs(grace())));
+        let left = (grace() * 27 / 32).saturating_sub(late);
+        relay.pass(left);
+        assert_eq!(relay.last_code().map(Code::status), Some(503), "{late} ms after the signal");
+    }
+}
+
+#[test]
+fn a_batch_that_was_sent_before_the_signal_is_answered_before_the_relay_ends() {
+    let mut relay = Relay::ready();
+    let (items, limit) = (vec![item()], DurationMs(grace()));
+    relay.call(RelayCall::SubmitBatch(parcel(), "r".into(), items, limit));
+    relay.drain();
+    relay.returned.clear();
+    relay.pass(grace() * 27 / 32);
+    assert_eq!(relay.last_code().map(Code::status), Some(504), "it may have been taken");
+}
+
 fn events(pieces: &[&str], so_far: Progress) -> Result<Option<String>, OutOfOrder> {
     let mut events = Events::after(so_far);
     for piece in pieces {
