End a draining relay's batch calls in time, and let it end after runs were noted

Causes: - `under_way` counted calls of clients and items, not the ends of runs that are still being told. A relay ended up to 100 ms after its last run, even if the shard was moving and had not noted the result: the item waited for its lease to expire and ran again. - A call on a batch waited up to its client's limit (5 s at most), also where the process had less time left. It was cut with the process, without an answer.

Now ends to tell count as under way (`ends_to_tell` in the relay's health), and clients' calls on batches end within thirteen sixteenths of the grace, counted from the signal: with 503 if nothing was changed, with 504 if a batch may have been taken.

--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -193,6 +193,8 @@
     pub items: usize,
     /// Clients' calls on parcels under way.
     pub parcel_calls: usize,
+    /// Ends of items' runs that their shards have not noted yet.
+    pub ends_to_tell: usize,
     /// Engines that may be used.
     pub engines: usize,
     /// Prompts let in since the start.
@@ -204,7 +206,8 @@
 impl RelayHealth {
     /// Whether anything is under way that a relay should finish before it ends.
     pub fn under_way(&self) -> bool {
-        self.waiting + self.holding + self.items + self.parcel_calls > 0
+        let of_items = self.items + self.ends_to_tell;
+        self.waiting + self.holding + self.parcel_calls + of_items > 0
     }
 }
 
@@ -331,6 +334,7 @@
             holding: self.admission.holding() + self.requests.holding(),
             items: self.items.len(),
             parcel_calls: self.parcels.of_clients(),
+            ends_to_tell: self.parcels.ends_to_tell(),
             engines: self.view.engines.values().filter(|e| self.engines.is_usable(e)).count(),
             allowed: self.allowed,
             refused: self
@@ -454,6 +458,7 @@
     /// Takes nothing new from now on.
     fn drain(&mut self, now: MonotonicMs, out: &mut Out) {
         self.drains = true;
+        self.drain_calls(now);
         self.hand_back_waiting(now, out);
     }
 
--- a/programs/topazyard-relay/src/machine/parcels.rs
+++ b/programs/topazyard-relay/src/machine/parcels.rs
@@ -26,6 +26,9 @@
 pub const CLIENT_LIMIT: DurationMs = DurationMs(5_000);
 /// Clients' calls that may be under way.
 const MOST_CALLS: usize = 2_048;
+/// Of the time that a process may take to end, the part in sixteenths within which a draining relay
+/// answers calls on batches. What is left is for the answer's own way.
+const DRAIN_SIXTEENTHS: u64 = 13;
 
 /// Who waits for a return.
 #[derive(Debug)]
@@ -57,6 +60,8 @@
 pub(crate) struct ParcelCalls {
     pending: std::collections::BTreeMap<u64, Pending>,
     last: u64,
+    /// Until when a draining relay answers its clients' calls.
+    drains_until: Option<MonotonicMs>,
 }
 
 impl ParcelCalls {
@@ -69,6 +74,12 @@
         let of_client = |pending: &&Pending| matches!(pending.caller, Caller::Client(_));
         self.pending.values().filter(of_client).count()
     }
+
+    /// Ends of runs that their shards have not noted.
+    pub(super) fn ends_to_tell(&self) -> usize {
+        let is_end = |pending: &&Pending| matches!(pending.caller, Caller::Finishing);
+        self.pending.values().filter(is_end).count()
+    }
 }
 
 fn shard_of(call: &ParcelCall) -> Option<ShardId> {
@@ -106,7 +117,23 @@
     )
 }
 
+impl Pending {
+    /// Has a client's call end by then.
+    fn end_by(&mut self, drains_until: MonotonicMs) {
+        if matches!(self.caller, Caller::Client(_)) {
+            self.until = self.until.min(drains_until);
+        }
+    }
+}
+
 impl RelayMachine {
+    /// From now on calls of clients are answered within what is left of the process's time.
+    pub(super) fn drain_calls(&mut self, now: MonotonicMs) {
+        let limit = DurationMs(self.bounds.grace.0 / 16 * DRAIN_SIXTEENTHS);
+        let until = *self.parcels.drains_until.get_or_insert(now.plus(limit));
+        self.parcels.pending.values_mut().for_each(|pending| pending.end_by(until));
+    }
+
     /// Takes a client's call on a parcel.
     pub(super) fn call_parcel(
         &mut self,
@@ -226,8 +253,11 @@
         let id = self.parcels.last;
         let until = now.plus(limit);
         let aside_at = now.plus(ASK_ASIDE);
-        let pending =
+        let mut pending =
             Pending { caller, shard, call, until, send_at: now, aside_at, maybe_done: false };
+        if let Some(drains_until) = self.parcels.drains_until {
+            pending.end_by(drains_until);
+        }
         self.parcels.pending.insert(id, pending);
         self.send_pending(id, now, out);
     }
