--- a/programs/topazyard-relay/tests/loopback/mod.rs
+++ b/programs/topazyard-relay/tests/loopback/mod.rs
@@ -6,7 +6,7 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use topazyard_relay::front::routed::Names;
 use topazyard_types::{
-    EngineName, Epoch, FleetId, ItemNumber, NodeId, ParcelId, Place, Sequence, ShardId,
+    DurationMs, EngineName, Epoch, FleetId, ItemNumber, NodeId, ParcelId, Place, Sequence, ShardId,
     SpecVersion, Tokens,
 };
 use topazyard_wire::api::{ApiError, Ran};
@@ -26,6 +26,9 @@
 const FLEET: FleetId = FleetId(4);
 const HOST: &str = "a.example";
 
+/// How long a relay here may take to end.
+pub const GRACE: DurationMs = DurationMs(1_600);
+
 /// One runtime for all tests, as in those of the own interface. One thread, as each thread keeps
 /// its own connections to engines.
 pub fn runtime() -> &'static tokio::runtime::Runtime {
@@ -45,7 +48,7 @@
 fn spawn_relay(
     agent: Address,
 ) -> (topazyard_relay::front::Handle, tokio::sync::mpsc::Receiver<topazyard_relay::RelayTask>) {
-    let bounds = topazyard_spec::Bounds::default;
+    let bounds = || topazyard_spec::Bounds { grace: GRACE, ..Default::default() };
     let spawned = (0..10).find_map(|_| {
         // Between the look and the use another may take it.
         let address = free_address();
@@ -118,6 +121,7 @@
 /// A relay with its engines.
 pub struct Edge {
     adapter: Adapter,
+    handle: topazyard_relay::front::Handle,
     relay: Address,
     saw: tokio::sync::mpsc::UnboundedReceiver<Seen>,
     stage: tokio::sync::watch::Sender<inward::Stage>,
@@ -177,7 +181,7 @@
         ) {
             tokio::task::yield_now().await;
         }
-        Self { adapter, relay, saw, stage, items, ended }
+        Self { adapter, handle: asked, relay, saw, stage, items, ended }
     }
 
     /// Sends a request and reads until the relay closes.
@@ -209,10 +213,25 @@
 
     /// Hands in an item under that id, and waits for the end of its run.
     pub async fn run_item(&mut self, id: &str) -> RunEnd {
+        self.hand_in(id);
+        self.run_ended().await
+    }
+
+    /// Hands in an item under that id.
+    pub fn hand_in(&self, id: &str) {
         self.items.send(id.to_owned()).expect("the shard outlives the relay");
+    }
+
+    /// The end of a run as its shard is told.
+    pub async fn run_ended(&mut self) -> RunEnd {
         self.ended.recv().await.expect("the shard outlives the relay")
     }
 
+    /// The relay was told to end.
+    pub async fn drain(&self) {
+        self.handle.call(topazyard_relay::RelayCall::Drain).await.expect("it runs");
+    }
+
     /// The relay is about to end: it takes nothing new and answers what it has read.
     pub fn end(&self) {
         self.stage.send(inward::Stage::Ending).expect("it serves");
--- a/programs/topazyard-relay/tests/routed.rs
+++ b/programs/topazyard-relay/tests/routed.rs
@@ -11,7 +11,7 @@
 use topazyard_types::{DurationMs, EngineName, RouteName, Tokens};
 use topazyard_wire::api::{ApiError, Ran};
 use topazyard_wire::http::Body;
-use topazyard_wire::message::parcel::RunEnd;
+use topazyard_wire::message::parcel::{Progress, RunEnd};
 
 /// Names of the tests' own: `x-id`, `x-to`, `x-after`, `x-turned-away`.
 struct Plain;
@@ -544,3 +544,21 @@
         }
     });
 }
+
+// Else an item that its relay takes along waits for its lease to expire and runs from its beginning.
+#[test]
+fn a_run_that_outlasts_a_draining_relay_is_handed_back_with_what_it_has() {
+    runtime().block_on(async {
+        let mut edge = ready(1, [Then::Hang(stream(1..=2))]).await;
+        edge.hand_in("a");
+        edge.runs().await;
+        let told = tokio::time::Instant::now();
+        edge.drain().await;
+        let limit = std::time::Duration::from_millis(loopback::GRACE.0 * 7 / 8);
+        let end = tokio::time::timeout(limit, edge.run_ended()).await.expect("within the grace");
+        let so_far = Progress { last_event: Some(2), text: "word 1\nword 2".to_owned() };
+        assert_eq!(end, RunEnd::Broken(so_far));
+        // It had most of the time to end by itself.
+        assert!(told.elapsed() * 2 > limit, "{:?}", told.elapsed());
+    });
+}
