Hand runs of routed items on before a draining relay ends

Cause: a run that outlasted the drain was cut with the process. Its shard waited for the lease to expire (2.5 s) and had the item run from what an earlier run had brought.

Another relay goes on after the last event. Items of the own interface are left alone: they can't be taken up midway, and their end would be unknown either way.

Ruled out: breaking runs off at the signal, which would read most prompts again for nothing.

Before: a_run_that_outlasts_a_draining_relay_is_handed_back_with_what_it_has fails; after: it passes (`cargo test -p topazyard-relay`).

--- a/fleet-simulator/src/world/nodes/steps.rs
+++ b/fleet-simulator/src/world/nodes/steps.rs
@@ -224,7 +224,7 @@
         match task {
             RelayTask::RunItem { run, target, body } => self.begin_item(index, run, target, body),
             // Nobody here hands in routed items.
-            RelayTask::RunRouted(_) => {}
+            RelayTask::RunRouted(_) | RelayTask::BreakOffRuns => {}
             // Lanes alone are simulated: no engine is ever reached for a route.
             RelayTask::Look(target) | RelayTask::Reach(target) => {
                 let is_well = self.engine_takes_looks(&target.engine);
--- a/programs/topazyard-relay/src/front/items.rs
+++ b/programs/topazyard-relay/src/front/items.rs
@@ -48,11 +48,23 @@
     Some(request)
 }
 
+/// Tells that runs are to be broken off, once it is true.
+pub(super) type BreaksOff = tokio::sync::watch::Receiver<bool>;
+
+/// Waits until runs are to be broken off.
+async fn broken_off(breaks_off: &mut BreaksOff) {
+    if breaks_off.wait_for(|breaks_off| *breaks_off).await.is_err() {
+        // Nobody is left who could tell.
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Runs an item and tells how that ended, and what it says of the engine.
 pub(super) async fn run_routed(
     handle: &Handle,
     run: &RoutedRun,
     names: &dyn Dialect,
+    mut breaks_off: BreaksOff,
 ) -> (RunEnd, EngineUse) {
     // An item that no request can carry will never run.
     let Ok(request_id) = HeaderValue::from_str(&run.directions.id) else {
@@ -69,7 +81,10 @@
         _ => return (RunEnd::NotRun, EngineUse::Unsent),
     }
     let sent_at = handle.clock().now();
-    let sent = tokio::time::timeout(span(run.silence), connection.send(request)).await;
+    let sent = tokio::select! {
+        sent = tokio::time::timeout(span(run.silence), connection.send(request)) => sent,
+        () = broken_off(&mut breaks_off) => return (RunEnd::Unknown, EngineUse::BrokenOff),
+    };
     let response = match sent {
         Ok(Ok(response)) => response,
         Ok(Err(SendError::Unsent)) => return (RunEnd::NotRun, EngineUse::Unsent),
@@ -89,7 +104,13 @@
             let mut events = Events::after(run.progress.clone());
             let reading = read_events(body, &mut events, run.silence);
             let limit = span(crate::machine::items::RUN_LIMIT);
-            let whole = tokio::time::timeout(limit, reading).await == Ok(true);
+            let whole = tokio::select! {
+                read = tokio::time::timeout(limit, reading) => Some(read == Ok(true)),
+                () = broken_off(&mut breaks_off) => None,
+            };
+            let Some(whole) = whole else {
+                return (RunEnd::Broken(events.so_far()), EngineUse::BrokenOff);
+            };
             if !(whole && is_delimited) {
                 return (RunEnd::Broken(events.so_far()), failed(handle, run, Failure::Broken));
             }
--- a/programs/topazyard-relay/src/front/tasks.rs
+++ b/programs/topazyard-relay/src/front/tasks.rs
@@ -15,6 +15,7 @@
     mut tasks: tokio::sync::mpsc::Receiver<RelayTask>,
     names: Option<super::routed::Names>,
 ) {
+    let (break_off, breaks_off) = tokio::sync::watch::channel(false);
     while let Some(task) = tasks.recv().await {
         let handle = handle.clone();
         match task {
@@ -26,14 +27,18 @@
             }
             RelayTask::RunRouted(run) => {
                 let names = names.clone();
+                let breaks_off = breaks_off.clone();
                 tokio::spawn(async move {
                     let (end, engine_use) = match &names {
-                        Some(names) => super::items::run_routed(&handle, &run, &**names).await,
+                        Some(names) => {
+                            super::items::run_routed(&handle, &run, &**names, breaks_off).await
+                        }
                         None => (RunEnd::NotRun, EngineUse::Unsent),
                     };
                     handle.tell(RelayCall::RoutedEnded(run.run, end, engine_use));
                 });
             }
+            RelayTask::BreakOffRuns => drop(break_off.send_replace(true)),
             RelayTask::Reach(target) => {
                 tokio::spawn(async move {
                     let reached = super::connections::reach(&target).await;
--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -38,6 +38,9 @@
 const START_WITHIN: DurationMs = DurationMs(2_000);
 /// How often shards hear which runs go on.
 const SPEAK_EVERY: DurationMs = DurationMs(500);
+/// Of the time that a process may take to end, the part in sixteenths that a draining relay leaves to
+/// runs of routed items. Within the rest it tells how far they came.
+const DRAIN_SIXTEENTHS: u64 = 12;
 /// How long the end of a run is told again until it is noted.
 const FINISH_LIMIT: DurationMs = DurationMs(60_000);
 
@@ -81,6 +84,8 @@
     next_lease: std::collections::BTreeMap<ShardId, (MonotonicMs, DurationMs)>,
     no_room_until: MonotonicMs,
     last_spoken: MonotonicMs,
+    /// When a draining relay breaks off the runs that are left.
+    break_off_at: Option<MonotonicMs>,
 }
 
 impl Items {
@@ -98,6 +103,26 @@
         self.speak_of_runs(now, out);
         self.ask_for_waiting(now, out);
         self.lease_more(now, out);
+        self.break_off_late_runs(now, out);
+    }
+
+    /// Takes no more items, and hands back what has not started.
+    pub(super) fn drain_items(&mut self, now: MonotonicMs, out: &mut Out) {
+        let limit = DurationMs(self.bounds.grace.0 / 16 * DRAIN_SIXTEENTHS);
+        self.items.break_off_at.get_or_insert(now.plus(limit));
+        self.hand_back_waiting(now, out);
+    }
+
+    /// Breaks off routed items that would outlast a draining relay: another goes on with them from
+    /// the last event that came. An item of a parcel can't be taken up so, and keeps its time.
+    fn break_off_late_runs(&mut self, now: MonotonicMs, out: &mut Out) {
+        let is_routed = |entry: &Entry| entry.routed.is_some();
+        if self.items.break_off_at.is_some_and(|at| now >= at)
+            && self.items.entries.values().any(is_routed)
+        {
+            out.push(Effect::Start(RelayTask::BreakOffRuns));
+            self.items.break_off_at = None;
+        }
     }
 
     fn speak_of_runs(&mut self, now: MonotonicMs, out: &mut Out) {
@@ -210,7 +235,7 @@
 
     /// Hands back what has not started: this relay takes nothing new, and others wait for its leases.
     /// An item whose start is being recorded is handed back once that is settled.
-    pub(super) fn hand_back_waiting(&mut self, now: MonotonicMs, out: &mut Out) {
+    fn hand_back_waiting(&mut self, now: MonotonicMs, out: &mut Out) {
         let waits = |entry: &Entry| matches!(entry.stage, Stage::Leased(_) | Stage::Asking(_));
         let waiting = self.items.entries.iter().filter(|(_, entry)| waits(entry));
         let waiting: Vec<Run> = waiting.map(|(run, _)| *run).collect();
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -166,6 +166,8 @@
     },
     /// Run a routed item and report its end.
     RunRouted(Box<routed_items::RoutedRun>),
+    /// Break off the runs of routed items, and report how far each came.
+    BreakOffRuns,
     /// Look at an engine's health and report it.
     Look(Target),
     /// Make a connection to an engine, keep it, and report it.
@@ -459,7 +461,7 @@
     fn drain(&mut self, now: MonotonicMs, out: &mut Out) {
         self.drains = true;
         self.drain_calls(now);
-        self.hand_back_waiting(now, out);
+        self.drain_items(now, out);
     }
 
     /// Passes a shard's record on to its holders, where one of them spoke under a lower epoch: it
