Merge the drain of a relay's requests

The times at which a draining relay breaks off runs of items and answers calls on batches stand beside the other times of a drain now (drain.rs), in place of constants of their own.

--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -38,9 +38,6 @@
 const START_WITHIN: DurationMs = DurationMs(2_000);
 /// How often shards hear which runs go on.
 const SPEAK_EVERY: DurationMs = DurationMs(500);
-/// Of the time that a process may take to end, the part in sixteenths that a draining relay leaves to
-/// runs of routed items. Within the rest it tells how far they came.
-const DRAIN_SIXTEENTHS: u64 = 12;
 /// How long the end of a run is told again until it is noted.
 const FINISH_LIMIT: DurationMs = DurationMs(60_000);
 
@@ -107,9 +104,13 @@
     }
 
     /// Takes no more items, and hands back what has not started.
-    pub(super) fn drain_items(&mut self, now: MonotonicMs, out: &mut Out) {
-        let limit = DurationMs(self.bounds.grace.0 / 16 * DRAIN_SIXTEENTHS);
-        self.items.break_off_at.get_or_insert(now.plus(limit));
+    pub(super) fn drain_items(
+        &mut self,
+        break_off_at: MonotonicMs,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        self.items.break_off_at = Some(break_off_at);
         self.hand_back_waiting(now, out);
     }
 
@@ -185,7 +186,7 @@
             false => LEASE_EVERY,
         };
         self.items.next_lease.insert(shard, (now.plus(gap), gap));
-        if self.drains {
+        if self.draining.is_some() {
             for LeasedItem { run, .. } in leased {
                 self.finish_run(run, RunEnd::NotRun, now, out);
             }
@@ -307,7 +308,7 @@
     pub(super) fn start_settled(&mut self, run: Run, may: bool, now: MonotonicMs, out: &mut Out) {
         let Some(entry) = self.items.entries.get(&run) else { return };
         let Stage::Starting(hold, asked) = entry.stage else { return };
-        let may = may && now.since(asked) < START_WITHIN && !self.drains;
+        let may = may && now.since(asked) < START_WITHIN && !self.draining.is_some();
         let (pool, model) = (entry.pool.clone(), entry.item.model.clone());
         let (body, cost) = (entry.item.body.clone(), entry.item.cost);
         let target = self.choose_engine(&pool, &model, &[], None);
@@ -341,7 +342,7 @@
         if chosen != engine {
             return refused(Code::NoEngine);
         }
-        if self.drains {
+        if self.draining.is_some() {
             return refused(Code::Draining);
         }
         if let Some(routed) = &entry.routed {
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -121,8 +121,8 @@
     RoutedEnded(Run, RunEnd, EngineUse),
     /// What a look at an engine's health gave.
     Looked(EngineName, bool),
-    /// Take nothing new from now on, and finish what is under way.
-    Drain,
+    /// Take from now on only what is over in time, and finish what is under way.
+    Drain(crate::drain::DrainTimes),
     /// Is the relay ready?
     Ready,
     /// How does it fare?
@@ -144,6 +144,8 @@
     GoUntil(MonotonicMs),
     /// What came of a call on parcels.
     Parcel(ParcelReturn),
+    /// It drains, at these times.
+    Drains(crate::drain::Draining),
     /// Nothing to say.
     Noted,
     /// Refused.
@@ -247,8 +249,8 @@
     refused: std::collections::BTreeMap<Code, u64>,
     refused_for_room: u32,
     engine_failures: engine_failures::EngineFailures,
-    /// Whether it takes nothing new.
-    drains: bool,
+    /// How it ends, once it was asked to.
+    pub(crate) draining: Option<crate::drain::Draining>,
 }
 
 impl RelayMachine {
@@ -276,7 +278,7 @@
             refused: std::collections::BTreeMap::new(),
             refused_for_room: 0,
             engine_failures: engine_failures::EngineFailures::default(),
-            drains: false,
+            draining: None,
         }
     }
 
@@ -307,7 +309,7 @@
 
     /// Why the relay takes nothing new now, if it doesn't.
     pub(crate) fn unready(&self, now: MonotonicMs) -> Option<Code> {
-        if self.drains {
+        if self.draining.is_some() {
             Some(Code::Draining)
         } else if let Some(code) = self.cut_off_from_all(now) {
             Some(code)
@@ -444,10 +446,7 @@
                 self.engines.looked(engine, is_well, now);
                 RelayReturn::Noted
             }
-            RelayCall::Drain => {
-                self.drain(now, out);
-                RelayReturn::Noted
-            }
+            RelayCall::Drain(times) => RelayReturn::Drains(self.drain(times, now, out)),
             RelayCall::Ready => match self.unready(now) {
                 None => RelayReturn::Noted,
                 Some(code) => RelayReturn::Refused(ApiError::not_run(code)),
@@ -457,11 +456,18 @@
         out.push(Effect::Return { call, value });
     }
 
-    /// Takes nothing new from now on.
-    fn drain(&mut self, now: MonotonicMs, out: &mut Out) {
-        self.drains = true;
-        self.drain_calls(now);
-        self.drain_items(now, out);
+    /// Takes from now on only what is over in time. A drain that was begun goes on as it is.
+    fn drain(
+        &mut self,
+        times: crate::drain::DrainTimes,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) -> crate::drain::Draining {
+        let begun = crate::drain::Draining::begin(times, now);
+        let draining = *self.draining.get_or_insert(begun);
+        self.parcels.end_calls_by(draining.answers_calls_until());
+        self.drain_items(draining.breaks_off_runs_at(), now, out);
+        draining
     }
 
     /// Passes a shard's record on to its holders, where one of them spoke under a lower epoch: it
--- a/programs/topazyard-relay/src/machine/parcels.rs
+++ b/programs/topazyard-relay/src/machine/parcels.rs
@@ -26,9 +26,6 @@
 pub const CLIENT_LIMIT: DurationMs = DurationMs(5_000);
 /// Clients' calls that may be under way.
 const MOST_CALLS: usize = 2_048;
-/// Of the time that a process may take to end, the part in sixteenths within which a draining relay
-/// answers calls on batches. What is left is for the answer's own way.
-const DRAIN_SIXTEENTHS: u64 = 13;
 
 /// Who waits for a return.
 #[derive(Debug)]
@@ -60,8 +57,6 @@
 pub(crate) struct ParcelCalls {
     pending: std::collections::BTreeMap<u64, Pending>,
     last: u64,
-    /// Until when a draining relay answers its clients' calls.
-    drains_until: Option<MonotonicMs>,
 }
 
 impl ParcelCalls {
@@ -75,6 +70,11 @@
         self.pending.values().filter(of_client).count()
     }
 
+    /// Answers clients' calls under way by then.
+    pub(super) fn end_calls_by(&mut self, until: MonotonicMs) {
+        self.pending.values_mut().for_each(|pending| pending.end_by(until));
+    }
+
     /// Ends of runs that their shards have not noted.
     pub(super) fn ends_to_tell(&self) -> usize {
         let is_end = |pending: &&Pending| matches!(pending.caller, Caller::Finishing);
@@ -119,21 +119,14 @@
 
 impl Pending {
     /// Has a client's call end by then.
-    fn end_by(&mut self, drains_until: MonotonicMs) {
+    fn end_by(&mut self, until: MonotonicMs) {
         if matches!(self.caller, Caller::Client(_)) {
-            self.until = self.until.min(drains_until);
+            self.until = self.until.min(until);
         }
     }
 }
 
 impl RelayMachine {
-    /// From now on calls of clients are answered within what is left of the process's time.
-    pub(super) fn drain_calls(&mut self, now: MonotonicMs) {
-        let limit = DurationMs(self.bounds.grace.0 / 16 * DRAIN_SIXTEENTHS);
-        let until = *self.parcels.drains_until.get_or_insert(now.plus(limit));
-        self.parcels.pending.values_mut().for_each(|pending| pending.end_by(until));
-    }
-
     /// Takes a client's call on a parcel.
     pub(super) fn call_parcel(
         &mut self,
@@ -146,7 +139,7 @@
         // A read reaches no engine and is confirmed by the shard itself, so that it may go on
         // while control changes hands, and until this process ends.
         let changes = !is_read(&request);
-        let refused = if changes && self.drains {
+        let refused = if changes && self.draining.is_some() {
             Some(Code::Draining)
         } else if changes && now >= self.fresh_until() {
             Some(Code::StaleFeed)
@@ -255,8 +248,8 @@
         let aside_at = now.plus(ASK_ASIDE);
         let mut pending =
             Pending { caller, shard, call, until, send_at: now, aside_at, maybe_done: false };
-        if let Some(drains_until) = self.parcels.drains_until {
-            pending.end_by(drains_until);
+        if let Some(draining) = &self.draining {
+            pending.end_by(draining.answers_calls_until());
         }
         self.parcels.pending.insert(id, pending);
         self.send_pending(id, now, out);
--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -1,6 +1,7 @@
 //! Batches of routed items as the relay's machine hands them in and runs them, with the others'
 //! words put in by hand.
 
+use topazyard_relay::drain::DrainTimes;
 use topazyard_relay::front::items::{Events, OutOfOrder};
 use topazyard_relay::machine::EngineUse;
 use topazyard_relay::machine::routed_items::RoutedRun;
@@ -335,7 +336,8 @@
 
 impl Relay {
     fn drain(&mut self) {
-        self.call(RelayCall::Drain);
+        let grace = topazyard_spec::Bounds::default().grace;
+        self.call(RelayCall::Drain(DrainTimes::within(grace, DurationMs(0))));
     }
 
     fn is_under_way(&mut self) -> bool {
