--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -43,6 +43,8 @@
     calls: Vec<(u64, ParcelCall)>,
     returned: Vec<(CallId, RelayReturn)>,
     runs: Vec<RoutedRun>,
+    /// The primary of the shard with the batch, as the feed says.
+    shard: u16,
 }
 
 impl Relay {
@@ -61,6 +63,7 @@
             calls: Vec::new(),
             returned: Vec::new(),
             runs: Vec::new(),
+            shard: SHARD,
         };
         relay.tick(0);
         relay.hear_feed(1, true);
@@ -82,7 +85,7 @@
                     self.feed_nonce = nonce;
                 }
                 Effect::Send { to, message: Message::Parcel(message) } => {
-                    assert_eq!(to, at(SHARD));
+                    assert_eq!(to, at(self.shard));
                     if let ParcelBody::Call(call) = message.body {
                         self.calls.push((message.call, call));
                     }
@@ -135,7 +138,7 @@
         let mut rows = vec![
             RowChange::put(IN_FORCE, &InForceRow { version, text: text.to_owned() }),
             RowChange::put(shard_key(ShardId::COUNTER), &record(COUNTER)),
-            RowChange::put(shard_key(parcel().shard), &record(SHARD)),
+            RowChange::put(shard_key(parcel().shard), &record(self.shard)),
             RowChange::put(engine_key(&engine.name), &engine),
         ];
         if with_route {
@@ -321,6 +324,42 @@
     assert_eq!(relay.last_code().map(Code::status), Some(504), "it may have been taken");
 }
 
+// Else a batch that its shard's primary left unanswered as it ended is answered by nobody.
+#[test]
+fn a_batch_whose_shard_moves_is_handed_in_at_its_new_primary() {
+    let mut relay = Relay::ready();
+    relay.submit();
+    let first = relay.calls.last().expect("it is sent").clone();
+    relay.tick(200);
+    relay.shard = SHARD + 1;
+    relay.hear_feed(2, true);
+    relay.tick(400);
+    let again = relay.calls.last().expect("it is sent again").clone();
+    assert_eq!(again, first, "the same call, to the new primary");
+    let standing = ParcelStanding {
+        parcel: parcel(),
+        items: 1,
+        returned: 0,
+        waiting: 1,
+        running: 0,
+        ended: false,
+    };
+    relay.hear_shard(again.0, ParcelReturn::Accepted(standing));
+    assert!(matches!(relay.last_return(), RelayReturn::Parcel(ParcelReturn::Accepted(_))));
+}
+
+#[test]
+fn a_batch_whose_route_goes_before_it_was_sent_is_surely_not_taken() {
+    let mut relay = Relay::ready();
+    // Its shard is not heard of lately enough: it waits here.
+    relay.tick(1_000);
+    relay.submit();
+    assert!(!relay.calls.iter().any(|(_, call)| matches!(call, ParcelCall::SubmitBatch(_))));
+    relay.hear_feed(2, false);
+    relay.tick(1_000);
+    assert_eq!(relay.last_code().map(Code::status), Some(503));
+}
+
 #[test]
 fn a_batch_is_handed_in_only_on_a_route_that_is_there() {
     let mut relay = Relay::ready();
