--- a/programs/topazyard-control/tests/leaving.rs
+++ b/programs/topazyard-control/tests/leaving.rs
@@ -5,7 +5,7 @@
 use fleet::Fleet;
 use topazyard_control::ControlCall;
 use topazyard_types::SpecVersion;
-use topazyard_wire::message::operate::{Command, OperateOutcome, Query};
+use topazyard_wire::message::operate::{Command, Operate, OperateOutcome, Query};
 
 fn configuration(base: u64, version: u64) -> Command {
     let route = serde_json::json!({ "name": "r", "host": "a.example", "path_prefix": "/r/",
@@ -71,3 +71,40 @@
         fleet.run(3_000);
     }
 }
+
+/// The least that time goes on by here.
+const TICK_MS: u64 = fleet::TICK.0;
+
+/// What callers at a node were returned while so much time passed.
+fn returned(fleet: &mut Fleet, number: usize, for_ms: u64) -> Vec<OperateOutcome> {
+    let mut all = Vec::new();
+    for _ in 0..for_ms / TICK_MS {
+        all.extend(fleet.nodes[number].returned.take());
+        fleet.run(TICK_MS);
+    }
+    all.extend(fleet.nodes[number].returned.take());
+    all
+}
+
+/// Else an order that was read by a primary, or passed on to it, is answered by nobody: an operator
+/// waits for 900 ms at most.
+#[test]
+fn an_order_that_a_leaving_primary_has_taken_is_answered_in_time() {
+    let order = || ControlCall::Operate(Operate::Command(configuration(3, 4)));
+    for before_ms in [0, 25, 50, 75, 100, 200] {
+        for passes_on in [false, true] {
+            let mut fleet = with_a_successor();
+            let primary = fleet.primary().expect("one leads");
+            let asked = if passes_on { (primary + 1) % 3 } else { primary };
+            fleet.nodes.iter_mut().for_each(|node| node.returned = None);
+            // The order may come before the signal or after it.
+            fleet.tell(primary, ControlCall::Leave);
+            let mut got = returned(&mut fleet, asked, before_ms);
+            fleet.tell(asked, order());
+            got.extend(returned(&mut fleet, asked, 800));
+            let of_order =
+                got.iter().filter(|outcome| **outcome != OperateOutcome::Done(String::new()));
+            assert_eq!(of_order.count(), 1, "{before_ms} ms, passed on {passes_on}: {got:?}");
+        }
+    }
+}
