--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -43,8 +43,9 @@
     calls: Vec<(u64, ParcelCall)>,
     returned: Vec<(CallId, RelayReturn)>,
     runs: Vec<RoutedRun>,
-    /// The primary of the shard with the batch, as the feed says.
+    /// The primary of the shard with the batch and its epoch, as the feed says.
     shard: u16,
+    epoch: Epoch,
 }
 
 impl Relay {
@@ -64,6 +65,7 @@
             returned: Vec::new(),
             runs: Vec::new(),
             shard: SHARD,
+            epoch: Epoch(1),
         };
         relay.tick(0);
         relay.hear_feed(1, true);
@@ -118,7 +120,7 @@
         let route: topazyard_spec::Route = serde_json::from_str(&route).expect("a route");
         let node = |port| CoreNode { id: NodeId(u64::from(port)), address: at(port) };
         let record = |port| ShardRecord {
-            epoch: Epoch(1),
+            epoch: self.epoch,
             primary: node(port),
             copies: 2,
             backups: Vec::new(),
@@ -160,11 +162,22 @@
     }
 
     fn hear_shard(&mut self, call: u64, value: ParcelReturn) {
+        self.hear_shard_of(self.epoch, call, value);
+    }
+
+    fn hear_shard_of(&mut self, epoch: Epoch, call: u64, value: ParcelReturn) {
         let body = ParcelBody::Return(value);
-        let message = ParcelMessage { shard: parcel().shard, epoch: Epoch(1), call, body };
+        let message = ParcelMessage { shard: parcel().shard, epoch, call, body };
         self.hear(SHARD, Message::Parcel(message));
     }
 
+    /// The shard with the batch has another primary.
+    fn move_shard(&mut self) {
+        self.tick(200);
+        (self.shard, self.epoch) = (SHARD + 1, Epoch(2));
+        self.hear_feed(2, true);
+    }
+
     fn call(&mut self, request: RelayCall) {
         self.last_call += 1;
         self.step(Input::Call { call: CallId(self.last_call), request });
@@ -330,9 +343,7 @@
     let mut relay = Relay::ready();
     relay.submit();
     let first = relay.calls.last().expect("it is sent").clone();
-    relay.tick(200);
-    relay.shard = SHARD + 1;
-    relay.hear_feed(2, true);
+    relay.move_shard();
     relay.tick(400);
     let again = relay.calls.last().expect("it is sent again").clone();
     assert_eq!(again, first, "the same call, to the new primary");
@@ -348,6 +359,21 @@
     assert!(matches!(relay.last_return(), RelayReturn::Parcel(ParcelReturn::Accepted(_))));
 }
 
+// Else a client is promised that nothing runs of a batch that the new primary takes.
+#[test]
+fn a_former_primarys_refusal_says_nothing_of_a_batch_that_was_sent_to_its_successor() {
+    let mut relay = Relay::ready();
+    relay.submit();
+    let call = relay.calls.last().expect("it is sent").0;
+    relay.move_shard();
+    relay.tick(400);
+    let answered = relay.returned.len();
+    relay.hear_shard_of(Epoch(1), call, ParcelReturn::CeilingReached);
+    assert_eq!(relay.returned.len(), answered, "its successor may take it");
+    relay.hear_shard_of(Epoch(2), call, ParcelReturn::CeilingReached);
+    assert_eq!(relay.last_code().map(Code::status), Some(429));
+}
+
 #[test]
 fn a_batch_whose_route_goes_before_it_was_sent_is_surely_not_taken() {
     let mut relay = Relay::ready();
