Take a refusal of a batch only from the primary that it was sent to last

Cause: the relay took any primary's refusal for the call's end. After a shard moved, a refusal of the former primary that came late was told to the client as 429, while the new primary could take the batch that the relay had sent it meanwhile.

Now a refusal under a lower epoch than that of the last sending is passed over; the call waits for the present primary or its limit (504). An acceptance counts from anyone, as it is committed on all copies, which the next primary has.

--- a/programs/topazyard-relay/src/machine/parcels.rs
+++ b/programs/topazyard-relay/src/machine/parcels.rs
@@ -4,7 +4,7 @@
 use super::{FRESH_FOR, Out, RelayMachine, RelayReturn};
 use topazyard_spec::LaneKind;
 use topazyard_types::{
-    CallId, DurationMs, Life, MonotonicMs, ParcelId, RouteName, ShardId, Tokens,
+    CallId, DurationMs, Epoch, Life, MonotonicMs, ParcelId, RouteName, ShardId, Tokens,
 };
 use topazyard_wire::Effect;
 use topazyard_wire::api::{ApiError, Code};
@@ -48,8 +48,8 @@
     until: MonotonicMs,
     send_at: MonotonicMs,
     aside_at: MonotonicMs,
-    /// Whether it was sent to one that may have acted on it without saying so.
-    maybe_done: bool,
+    /// The epoch of the primary that it was sent to last, which may have acted on it without saying so.
+    sent_in: Option<Epoch>,
 }
 
 /// Calls under way.
@@ -118,6 +118,11 @@
 }
 
 impl Pending {
+    /// Whether a refusal of that epoch's primary holds for good: a later one may take the call yet.
+    fn is_refused_by(&self, epoch: Epoch) -> bool {
+        self.sent_in.is_none_or(|sent_in| epoch >= sent_in)
+    }
+
     /// Has a client's call end by then.
     fn end_by(&mut self, until: MonotonicMs) {
         if matches!(self.caller, Caller::Client(_)) {
@@ -247,7 +252,7 @@
         let until = now.plus(limit);
         let aside_at = now.plus(ASK_ASIDE);
         let mut pending =
-            Pending { caller, shard, call, until, send_at: now, aside_at, maybe_done: false };
+            Pending { caller, shard, call, until, send_at: now, aside_at, sent_in: None };
         if let Some(draining) = &self.draining {
             pending.end_by(draining.answers_calls_until());
         }
@@ -282,7 +287,7 @@
         out.push(Effect::Send { to, message: Message::Parcel(message) });
         if let Some(pending) = self.parcels.pending.get_mut(&id) {
             pending.send_at = now.plus(SEND_AGAIN);
-            pending.maybe_done = true;
+            pending.sent_in = Some(epoch);
         }
     }
 
@@ -309,6 +314,12 @@
             }
             return;
         }
+        if value == ParcelReturn::CeilingReached
+            && let Some(pending) = self.parcels.pending.get(&message.call)
+            && !pending.is_refused_by(message.epoch)
+        {
+            return;
+        }
         let Some(pending) = self.parcels.pending.remove(&message.call) else { return };
         match (pending.caller, value) {
             (Caller::Client(call), ParcelReturn::CeilingReached) => {
@@ -343,7 +354,7 @@
             let Some(pending) = self.parcels.pending.remove(&id) else { continue };
             match pending.caller {
                 Caller::Client(call) => {
-                    let unknown = changes_state(&pending.call) && pending.maybe_done;
+                    let unknown = changes_state(&pending.call) && pending.sent_in.is_some();
                     let error = if unknown {
                         ApiError::may_have_run(Code::OutcomeUnknown)
                     } else {
