--- a/programs/topazyard-control/tests/ending.rs
+++ b/programs/topazyard-control/tests/ending.rs
@@ -28,7 +28,7 @@
         let (let_go, wait) = tokio::sync::oneshot::channel();
         READS.get().expect("it is set").send(let_go).expect("the test waits for it");
         let _ = wait.await;
-        json_text(200, format!("{}", request.uri().path()))
+        json_text(200, request.uri().path().to_owned())
     }
 
     fn list_every(&self) -> Option<topazyard_types::DurationMs> {
--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -308,7 +308,7 @@
     pub(super) fn start_settled(&mut self, run: Run, may: bool, now: MonotonicMs, out: &mut Out) {
         let Some(entry) = self.items.entries.get(&run) else { return };
         let Stage::Starting(hold, asked) = entry.stage else { return };
-        let may = may && now.since(asked) < START_WITHIN && !self.draining.is_some();
+        let may = may && now.since(asked) < START_WITHIN && self.draining.is_none();
         let (pool, model) = (entry.pool.clone(), entry.item.model.clone());
         let (body, cost) = (entry.item.body.clone(), entry.item.cost);
         let target = self.choose_engine(&pool, &model, &[], None);
