--- a/programs/topazyard-relay/src/drain.rs
+++ b/programs/topazyard-relay/src/drain.rs
@@ -9,6 +9,10 @@
 use topazyard_types::{DurationMs, MonotonicMs};
 use topazyard_wire::http::inward::Stage;
 
+/// So long runs of routed items may go on. After it another relay is to go on with them.
+const RUNS_SIXTEENTHS: u64 = 12;
+/// Within so long calls on batches are answered, and what is left is for the answer's own way.
+const CALLS_SIXTEENTHS: u64 = 13;
 /// A relay serves for so many sixteenths of its grace.
 const SERVES_SIXTEENTHS: u64 = 14;
 /// It has ended by itself after so many sixteenths, before it is killed.
@@ -19,6 +23,10 @@
 pub struct DrainTimes {
     /// For how long clients may still be sent here.
     pub still_sent: DurationMs,
+    /// For how long runs of routed items go on.
+    pub runs: DurationMs,
+    /// Within how long calls on batches are answered.
+    pub calls: DurationMs,
     /// For how long the relay serves.
     pub serves: DurationMs,
     /// When the process ends, whatever is under way.
@@ -42,6 +50,8 @@
         let serves = sixteenths(SERVES_SIXTEENTHS);
         Self {
             still_sent: DurationMs(still_sent.0.min(serves.0 / 2)),
+            runs: sixteenths(RUNS_SIXTEENTHS),
+            calls: sixteenths(CALLS_SIXTEENTHS),
             serves,
             ends: sixteenths(ENDS_SIXTEENTHS),
         }
@@ -61,6 +71,17 @@
         Self { begun: now, times }
     }
 
+    /// When runs of routed items that are left are broken off, so that their shards hear in time how
+    /// far they came.
+    pub fn breaks_off_runs_at(&self) -> MonotonicMs {
+        self.begun.plus(self.times.runs)
+    }
+
+    /// Until when calls on batches are answered.
+    pub fn answers_calls_until(&self) -> MonotonicMs {
+        self.begun.plus(self.times.calls)
+    }
+
     /// Up to when the relay serves.
     pub fn serves_until(&self) -> MonotonicMs {
         self.begun.plus(self.times.serves)
--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -81,6 +81,8 @@
     next_lease: std::collections::BTreeMap<ShardId, (MonotonicMs, DurationMs)>,
     no_room_until: MonotonicMs,
     last_spoken: MonotonicMs,
+    /// When a draining relay breaks off the runs that are left.
+    break_off_at: Option<MonotonicMs>,
 }
 
 impl Items {
@@ -98,6 +100,30 @@
         self.speak_of_runs(now, out);
         self.ask_for_waiting(now, out);
         self.lease_more(now, out);
+        self.break_off_late_runs(now, out);
+    }
+
+    /// Takes no more items, and hands back what has not started.
+    pub(super) fn drain_items(
+        &mut self,
+        break_off_at: MonotonicMs,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
+        self.items.break_off_at = Some(break_off_at);
+        self.hand_back_waiting(now, out);
+    }
+
+    /// Breaks off routed items that would outlast a draining relay: another goes on with them from
+    /// the last event that came. An item of a parcel can't be taken up so, and keeps its time.
+    fn break_off_late_runs(&mut self, now: MonotonicMs, out: &mut Out) {
+        let is_routed = |entry: &Entry| entry.routed.is_some();
+        if self.items.break_off_at.is_some_and(|at| now >= at)
+            && self.items.entries.values().any(is_routed)
+        {
+            out.push(Effect::Start(RelayTask::BreakOffRuns));
+            self.items.break_off_at = None;
+        }
     }
 
     fn speak_of_runs(&mut self, now: MonotonicMs, out: &mut Out) {
@@ -160,6 +186,12 @@
             false => LEASE_EVERY,
         };
         self.items.next_lease.insert(shard, (now.plus(gap), gap));
+        if self.draining.is_some() {
+            for LeasedItem { run, .. } in leased {
+                self.finish_run(run, RunEnd::NotRun, now, out);
+            }
+            return;
+        }
         for LeasedItem { run, item, route, progress } in leased {
             if let Some((route, host)) = route {
                 let start_until = asked.plus(self.start_within());
@@ -202,6 +234,18 @@
         }
     }
 
+    /// Hands back what has not started: this relay takes nothing new, and others wait for its leases.
+    /// An item whose start is being recorded is handed back once that is settled.
+    fn hand_back_waiting(&mut self, now: MonotonicMs, out: &mut Out) {
+        let waits = |entry: &Entry| matches!(entry.stage, Stage::Leased(_) | Stage::Asking(_));
+        let waiting = self.items.entries.iter().filter(|(_, entry)| waits(entry));
+        let waiting: Vec<Run> = waiting.map(|(run, _)| *run).collect();
+        for run in waiting {
+            self.let_item_go(run, out);
+            self.finish_run(run, RunEnd::NotRun, now, out);
+        }
+    }
+
     fn ask_for_waiting(&mut self, now: MonotonicMs, out: &mut Out) {
         let mut again = Vec::new();
         let mut hand_back = Vec::new();
@@ -264,11 +308,11 @@
     pub(super) fn start_settled(&mut self, run: Run, may: bool, now: MonotonicMs, out: &mut Out) {
         let Some(entry) = self.items.entries.get(&run) else { return };
         let Stage::Starting(hold, asked) = entry.stage else { return };
-        let in_time = now.since(asked) < START_WITHIN;
+        let may = may && now.since(asked) < START_WITHIN && self.draining.is_none();
         let (pool, model) = (entry.pool.clone(), entry.item.model.clone());
         let (body, cost) = (entry.item.body.clone(), entry.item.cost);
         let target = self.choose_engine(&pool, &model, &[], None);
-        match target.filter(|_| may && in_time) {
+        match target.filter(|_| may) {
             Some(target) => {
                 self.engines.begin(&target.engine, cost, &[]);
                 let until = asked.plus(START_WITHIN);
@@ -298,6 +342,9 @@
         if chosen != engine {
             return refused(Code::NoEngine);
         }
+        if self.draining.is_some() {
+            return refused(Code::Draining);
+        }
         if let Some(routed) = &entry.routed {
             return match self.routed_go_until(engine, &entry.pool, &routed.route, now) {
                 Err(code) => refused(code),
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -168,6 +168,8 @@
     },
     /// Run a routed item and report its end.
     RunRouted(Box<routed_items::RoutedRun>),
+    /// Break off the runs of routed items, and report how far each came.
+    BreakOffRuns,
     /// Look at an engine's health and report it.
     Look(Target),
     /// Make a connection to an engine, keep it, and report it.
@@ -195,6 +197,8 @@
     pub items: usize,
     /// Clients' calls on parcels under way.
     pub parcel_calls: usize,
+    /// Ends of items' runs that their shards have not noted yet.
+    pub ends_to_tell: usize,
     /// Engines that may be used.
     pub engines: usize,
     /// Prompts let in since the start.
@@ -206,7 +210,8 @@
 impl RelayHealth {
     /// Whether anything is under way that a relay should finish before it ends.
     pub fn under_way(&self) -> bool {
-        self.waiting + self.holding + self.items + self.parcel_calls > 0
+        let of_items = self.items + self.ends_to_tell;
+        self.waiting + self.holding + self.parcel_calls + of_items > 0
     }
 }
 
@@ -333,6 +338,7 @@
             holding: self.admission.holding() + self.requests.holding(),
             items: self.items.len(),
             parcel_calls: self.parcels.of_clients(),
+            ends_to_tell: self.parcels.ends_to_tell(),
             engines: self.view.engines.values().filter(|e| self.engines.is_usable(e)).count(),
             allowed: self.allowed,
             refused: self
@@ -440,10 +446,7 @@
                 self.engines.looked(engine, is_well, now);
                 RelayReturn::Noted
             }
-            RelayCall::Drain(times) => {
-                let begun = crate::drain::Draining::begin(times, now);
-                RelayReturn::Drains(*self.draining.get_or_insert(begun))
-            }
+            RelayCall::Drain(times) => RelayReturn::Drains(self.drain(times, now, out)),
             RelayCall::Ready => match self.unready(now) {
                 None => RelayReturn::Noted,
                 Some(code) => RelayReturn::Refused(ApiError::not_run(code)),
@@ -453,6 +456,20 @@
         out.push(Effect::Return { call, value });
     }
 
+    /// Takes from now on only what is over in time. A drain that was begun goes on as it is.
+    fn drain(
+        &mut self,
+        times: crate::drain::DrainTimes,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) -> crate::drain::Draining {
+        let begun = crate::drain::Draining::begin(times, now);
+        let draining = *self.draining.get_or_insert(begun);
+        self.parcels.end_calls_by(draining.answers_calls_until());
+        self.drain_items(draining.breaks_off_runs_at(), now, out);
+        draining
+    }
+
     /// Passes a shard's record on to its holders, where one of them spoke under a lower epoch: it
     /// may be cut off from control while this relay isn't.
     pub(crate) fn tell_record(&self, shard: ShardId, told: topazyard_types::Epoch, out: &mut Out) {
--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -1,6 +1,7 @@
 //! Batches of routed items as the relay's machine hands them in and runs them, with the others'
 //! words put in by hand.
 
+use topazyard_relay::drain::DrainTimes;
 use topazyard_relay::front::items::{Events, OutOfOrder};
 use topazyard_relay::machine::EngineUse;
 use topazyard_relay::machine::routed_items::RoutedRun;
@@ -42,6 +43,9 @@
     calls: Vec<(u64, ParcelCall)>,
     returned: Vec<(CallId, RelayReturn)>,
     runs: Vec<RoutedRun>,
+    /// The primary of the shard with the batch and its epoch, as the feed says.
+    shard: u16,
+    epoch: Epoch,
 }
 
 impl Relay {
@@ -60,6 +64,8 @@
             calls: Vec::new(),
             returned: Vec::new(),
             runs: Vec::new(),
+            shard: SHARD,
+            epoch: Epoch(1),
         };
         relay.tick(0);
         relay.hear_feed(1, true);
@@ -81,7 +87,7 @@
                     self.feed_nonce = nonce;
                 }
                 Effect::Send { to, message: Message::Parcel(message) } => {
-                    assert_eq!(to, at(SHARD));
+                    assert_eq!(to, at(self.shard));
                     if let ParcelBody::Call(call) = message.body {
                         self.calls.push((message.call, call));
                     }
@@ -114,7 +120,7 @@
         let route: topazyard_spec::Route = serde_json::from_str(&route).expect("a route");
         let node = |port| CoreNode { id: NodeId(u64::from(port)), address: at(port) };
         let record = |port| ShardRecord {
-            epoch: Epoch(1),
+            epoch: self.epoch,
             primary: node(port),
             copies: 2,
             backups: Vec::new(),
@@ -134,7 +140,7 @@
         let mut rows = vec![
             RowChange::put(IN_FORCE, &InForceRow { version, text: text.to_owned() }),
             RowChange::put(shard_key(ShardId::COUNTER), &record(COUNTER)),
-            RowChange::put(shard_key(parcel().shard), &record(SHARD)),
+            RowChange::put(shard_key(parcel().shard), &record(self.shard)),
             RowChange::put(engine_key(&engine.name), &engine),
         ];
         if with_route {
@@ -156,11 +162,22 @@
     }
 
     fn hear_shard(&mut self, call: u64, value: ParcelReturn) {
+        self.hear_shard_of(self.epoch, call, value);
+    }
+
+    fn hear_shard_of(&mut self, epoch: Epoch, call: u64, value: ParcelReturn) {
         let body = ParcelBody::Return(value);
-        let message = ParcelMessage { shard: parcel().shard, epoch: Epoch(1), call, body };
+        let message = ParcelMessage { shard: parcel().shard, epoch, call, body };
         self.hear(SHARD, Message::Parcel(message));
     }
 
+    /// The shard with the batch has another primary.
+    fn move_shard(&mut self) {
+        self.tick(200);
+        (self.shard, self.epoch) = (SHARD + 1, Epoch(2));
+        self.hear_feed(2, true);
+    }
+
     fn call(&mut self, request: RelayCall) {
         self.last_call += 1;
         self.step(Input::Call { call: CallId(self.last_call), request });
@@ -320,6 +337,55 @@
     assert_eq!(relay.last_code().map(Code::status), Some(504), "it may have been taken");
 }
 
+// Else a batch that its shard's primary left unanswered as it ended is answered by nobody.
+#[test]
+fn a_batch_whose_shard_moves_is_handed_in_at_its_new_primary() {
+    let mut relay = Relay::ready();
+    relay.submit();
+    let first = relay.calls.last().expect("it is sent").clone();
+    relay.move_shard();
+    relay.tick(400);
+    let again = relay.calls.last().expect("it is sent again").clone();
+    assert_eq!(again, first, "the same call, to the new primary");
+    let standing = ParcelStanding {
+        parcel: parcel(),
+        items: 1,
+        returned: 0,
+        waiting: 1,
+        running: 0,
+        ended: false,
+    };
+    relay.hear_shard(again.0, ParcelReturn::Accepted(standing));
+    assert!(matches!(relay.last_return(), RelayReturn::Parcel(ParcelReturn::Accepted(_))));
+}
+
+// Else a client is promised that nothing runs of a batch that the new primary takes.
+#[test]
+fn a_former_primarys_refusal_says_nothing_of_a_batch_that_was_sent_to_its_successor() {
+    let mut relay = Relay::ready();
+    relay.submit();
+    let call = relay.calls.last().expect("it is sent").0;
+    relay.move_shard();
+    relay.tick(400);
+    let answered = relay.returned.len();
+    relay.hear_shard_of(Epoch(1), call, ParcelReturn::CeilingReached);
+    assert_eq!(relay.returned.len(), answered, "its successor may take it");
+    relay.hear_shard_of(Epoch(2), call, ParcelReturn::CeilingReached);
+    assert_eq!(relay.last_code().map(Code::status), Some(429));
+}
+
+#[test]
+fn a_batch_whose_route_goes_before_it_was_sent_is_surely_not_taken() {
+    let mut relay = Relay::ready();
+    // Its shard is not heard of lately enough: it waits here.
+    relay.tick(1_000);
+    relay.submit();
+    assert!(!relay.calls.iter().any(|(_, call)| matches!(call, ParcelCall::SubmitBatch(_))));
+    relay.hear_feed(2, false);
+    relay.tick(1_000);
+    assert_eq!(relay.last_code().map(Code::status), Some(503));
+}
+
 #[test]
 fn a_batch_is_handed_in_only_on_a_route_that_is_there() {
     let mut relay = Relay::ready();
@@ -328,6 +394,124 @@
     assert_eq!(relay.last_code(), Some(Code::NoLane));
 }
 
+/// The relay's bounds: how long it may take to end.
+fn grace() -> u64 {
+    topazyard_spec::Bounds::default().grace.0
+}
+
+impl Relay {
+    fn drain(&mut self) {
+        let grace = topazyard_spec::Bounds::default().grace;
+        self.call(RelayCall::Drain(DrainTimes::within(grace, DurationMs(0))));
+    }
+
+    fn is_under_way(&mut self) -> bool {
+        self.call(RelayCall::Health);
+        match self.last_return() {
+            RelayReturn::Health(health) => health.under_way(),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Lets time go by while the agent still brings news, tick by tick.
+    fn pass(&mut self, ms: u64) {
+        for sequence in 0..ms / 200 {
+            self.hear_feed(10 + self.now.0 + sequence, true);
+            for _ in 0..8 {
+                self.tick(25);
+            }
+        }
+    }
+
+    fn lease_without_room(&mut self) -> Run {
+        let run = Run { parcel: parcel(), item: ItemNumber(0), lease: 5 };
+        let (call, _) = self.asked_lease();
+        let route = Some(("r".into(), HOST.to_owned()));
+        let leased = LeasedItem { run, item: item(), route, progress: Progress::default() };
+        self.hear_shard(call, ParcelReturn::Leased(vec![leased]));
+        run
+    }
+}
+
+// Else an item waits for the end of its lease, or is begun by a relay that ends.
+#[test]
+fn an_item_that_waits_for_room_is_handed_back_as_the_relay_drains() {
+    let mut relay = Relay::ready();
+    relay.tick(25);
+    relay.lease_without_room();
+    assert_eq!((relay.holds.len(), relay.finished()), (1, None));
+    relay.drain();
+    assert_eq!(relay.finished(), Some(&RunEnd::NotRun));
+    assert_eq!(relay.released, relay.holds);
+}
+
+#[test]
+fn items_leased_to_a_relay_that_drains_are_handed_back() {
+    let mut relay = Relay::ready();
+    relay.tick(25);
+    relay.drain();
+    relay.lease_without_room();
+    assert_eq!(relay.finished(), Some(&RunEnd::NotRun));
+    assert!(relay.runs.is_empty() && relay.released == relay.holds);
+}
+
+#[test]
+fn an_item_that_still_connects_is_not_sent_by_a_relay_that_drains() {
+    let mut relay = Relay::ready();
+    relay.tick(25);
+    let run = relay.run_one();
+    relay.drain();
+    relay.call(RelayCall::DispatchItem(run, EngineName("e1".to_owned())));
+    assert_eq!(relay.last_code(), Some(Code::Draining));
+}
+
+// Else the result of a run that ended just before its relay is lost with it, and the item runs again.
+#[test]
+fn a_relay_ends_only_after_the_end_of_a_run_was_noted() {
+    let mut relay = Relay::ready();
+    relay.tick(25);
+    let run = relay.run_one();
+    relay.drain();
+    assert!(relay.is_under_way());
+    let done = RunEnd::Done { text: "x".to_owned() };
+    relay.call(RelayCall::RoutedEnded(run, done.clone(), EngineUse::Whole(DurationMs(9))));
+    assert!(relay.is_under_way(), "the shard may not have heard of it");
+    let told = relay.calls.iter().rev().find_map(|(call, body)| match body {
+        ParcelCall::Finish(_, end) if *end == done => Some(*call),
+        _ => None,
+    });
+    relay.hear_shard(told.expect("it is told"), ParcelReturn::Noted);
+    assert!(!relay.is_under_way());
+}
+
+// Else a read that comes late in a drain, or a call that came before it, is cut by the process's end.
+#[test]
+fn a_batch_call_is_answered_before_a_draining_relay_ends() {
+    for late in [0, grace() / 2, grace() * 3 / 4, grace() * 13 / 16] {
+        let mut relay = Relay::ready();
+        let read = ParcelCall::Results { parcel: parcel(), after: 0 };
+        relay.drain();
+        relay.pass(late / 200 * 200);
+        relay.returned.clear();
+        // The limit is a client's that waits longer than the process lives.
+        relay.call(RelayCall::Parcel(read, DurationMs(grace())));
+        let left = (grace() * 27 / 32).saturating_sub(late);
+        relay.pass(left);
+        assert_eq!(relay.last_code().map(Code::status), Some(503), "{late} ms after the signal");
+    }
+}
+
+#[test]
+fn a_batch_that_was_sent_before_the_signal_is_answered_before_the_relay_ends() {
+    let mut relay = Relay::ready();
+    let (items, limit) = (vec![item()], DurationMs(grace()));
+    relay.call(RelayCall::SubmitBatch(parcel(), "r".into(), items, limit));
+    relay.drain();
+    relay.returned.clear();
+    relay.pass(grace() * 27 / 32);
+    assert_eq!(relay.last_code().map(Code::status), Some(504), "it may have been taken");
+}
+
 fn events(pieces: &[&str], so_far: Progress) -> Result<Option<String>, OutOfOrder> {
     let mut events = Events::after(so_far);
     for piece in pieces {
