Count violated invariants by name, and let tests see them

Cause: nothing in a running process said that a rule of the protocols was broken, so an incident had to be told from its symptoms alone.

`topazyard_wire::invariants` lists what the code checks while it runs: an epoch has one record (witness), a place of the feed has one state (follower), a request follows its chart (relay), and an acknowledged configuration stays (control). A violation is counted by an atomic and logged once a second at most; the product goes on. Harnesses of control's and the relay's tests let it panic; the simulator reports it as a crossed line of its own run. The chart's debug assertion stays beside its check.

Not listed: what could only be checked by the condition that guards it already, such as a commit without all confirmations.

--- a/fleet-simulator/src/check/mod.rs
+++ b/fleet-simulator/src/check/mod.rs
@@ -3,6 +3,7 @@
 
 mod configurations;
 mod engines;
+pub mod invariants;
 mod parcels;
 mod prompts;
 mod service;
@@ -53,6 +54,8 @@
     Drained,
     /// Something is still held when nothing runs.
     LeakedHold,
+    /// A process saw one of the invariants violated that it checks while it runs.
+    Invariant,
 }
 
 /// A line that was crossed.
--- a/fleet-simulator/src/run.rs
+++ b/fleet-simulator/src/run.rs
@@ -107,6 +107,7 @@
     plant: Option<Plant>,
     habits: Habits,
 ) -> Report {
+    let violated_before = topazyard_wire::invariants::counts_of_thread();
     let mut world = build(deployment, seed);
     world.plant = plant;
     world.people.habits = Habits { is_open: false, ..habits };
@@ -150,7 +151,8 @@
         lost_machines: deployment.lost_machines,
         drained: scenario == Scenario::Drains,
     };
-    let (violations, figures) = crate::check::check(&world.history, &bounds);
+    let (mut violations, figures) = crate::check::check(&world.history, &bounds);
+    violations.extend(crate::check::invariants::violated_since(&violated_before));
     let told = format!("{:?}", world.history);
     Report {
         violations,
--- /dev/null
+++ b/fleet-simulator/tests/invariants.rs
@@ -0,0 +1,18 @@
+//! A run reports the invariants that its processes saw violated, and no other run's.
+
+use fleet_simulator::check::Line;
+use fleet_simulator::check::invariants::violated_since;
+use topazyard_wire::invariants::{Invariant, counts_of_thread, violated};
+
+#[test]
+fn a_run_reports_its_own_violations_alone() {
+    let before = counts_of_thread();
+    let other_run = std::thread::spawn(|| violated(Invariant::FeedPlaceHasOneState, "planted"));
+    other_run.join().unwrap();
+    assert!(violated_since(&before).is_empty());
+    violated(Invariant::EpochHasOneRecord, "planted");
+    let seen = violated_since(&before);
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].line, Line::Invariant);
+    assert!(seen[0].text.contains(&Invariant::EpochHasOneRecord.to_string()));
+}
--- a/libraries/topazyard-replication/src/epoch/witness.rs
+++ b/libraries/topazyard-replication/src/epoch/witness.rs
@@ -1,6 +1,7 @@
 //! The witness: what it promised and accepted for the epoch after the one it knows.
 
 use topazyard_wire::RowChange;
+use topazyard_wire::invariants::{self, Invariant};
 use topazyard_wire::message::control::{Ballot, CoreMessage, EpochRecord};
 
 const RECORD_KEY: &str = "record";
@@ -64,7 +65,11 @@
 
     /// Learns a decided record; gives the rows to write if it is newer.
     pub fn learn(&mut self, record: &EpochRecord) -> Option<Vec<RowChange>> {
-        if self.record.as_ref().is_some_and(|known| known.epoch >= record.epoch) {
+        if let Some(known) = self.record.as_ref().filter(|known| known.epoch >= record.epoch) {
+            let is_same = known.epoch > record.epoch || known == record;
+            invariants::check(is_same, Invariant::EpochHasOneRecord, || {
+                format!("epoch={} known={known:?} learned={record:?}", record.epoch)
+            });
             return None;
         }
         self.record = Some(record.clone());
--- a/libraries/topazyard-replication/src/follower.rs
+++ b/libraries/topazyard-replication/src/follower.rs
@@ -5,6 +5,7 @@
 
 use topazyard_types::{DurationMs, Life, MonotonicMs};
 use topazyard_wire::RowChange;
+use topazyard_wire::invariants::{self, Invariant};
 use topazyard_wire::message::feed::{FeedMessage, Health, Matter, SnapshotPart};
 
 /// How often a follower asks.
@@ -267,10 +268,15 @@
     }
 
     fn apply(&mut self, place: topazyard_types::Place, changes: Vec<RowChange>) -> Followed {
-        if changes.is_empty() && place == self.copy.place() {
+        let is_repeated = place == self.copy.place();
+        if changes.is_empty() && is_repeated {
             return Followed::Nothing;
         }
+        // Of two askings that were both returned the later brings what is here already.
+        let before = is_repeated.then(|| self.copy.digests().to_vec());
         self.copy.apply(place.epoch, place.sequence, changes);
+        let is_same = before.is_none_or(|digests| digests == self.copy.digests());
+        invariants::check(is_same, Invariant::FeedPlaceHasOneState, || format!("place={place}"));
         Followed::Changed
     }
 }
--- a/libraries/topazyard-wire/src/driver/clock.rs
+++ b/libraries/topazyard-wire/src/driver/clock.rs
@@ -7,7 +7,8 @@
     origin_ms: u64,
 }
 
-fn since_boot_ms() -> u64 {
+/// How long the machine has run, in ms, with the time in which it was frozen.
+pub(crate) fn since_boot_ms() -> u64 {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
 }
--- a/libraries/topazyard-wire/src/message/operate.rs
+++ b/libraries/topazyard-wire/src/message/operate.rs
@@ -127,6 +127,17 @@
             | Self::RetireStorage(_) => true,
         }
     }
+
+    /// Whether it puts a configuration in force.
+    ///
+    /// ```
+    /// use topazyard_wire::message::operate::Command;
+    /// assert!(Command::RollOut { version: Default::default() }.is_configuration());
+    /// assert!(!Command::RetireNamed("storage-1".into()).is_configuration());
+    /// ```
+    pub fn is_configuration(&self) -> bool {
+        matches!(self, Self::TakeSpec { .. } | Self::RollOut { .. })
+    }
 }
 
 /// What reads state.
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -2,6 +2,7 @@
 
 mod claim;
 mod commands;
+pub mod configurations;
 mod confirm;
 mod core;
 mod feed;
@@ -74,6 +75,7 @@
     pub(crate) last_ticket: Ticket,
     pub(crate) operate: operate::OperateQueue,
     order_bounds: orders::OrderBounds,
+    configurations: configurations::Configurations,
     snapshots: feed::Snapshots,
     pub(crate) seen: health::Seen,
     confirming: confirm::Confirming,
@@ -114,7 +116,12 @@
         part: Option<topazyard_wire::message::feed::PartWanted>,
     },
     /// A command whose outcome is known once it is committed.
-    Command(operate::Origin, OperateOutcome),
+    Command {
+        origin: operate::Origin,
+        outcome: OperateOutcome,
+        /// Whether it puts a configuration in force.
+        is_configuration: bool,
+    },
     /// A query, answered from the committed state.
     Query(operate::Origin, topazyard_wire::message::operate::Query),
     /// The planner; nobody waits.
@@ -152,6 +159,7 @@
             last_ticket: 0,
             operate: operate::OperateQueue::new(life),
             order_bounds: orders::OrderBounds::within(&start.resources),
+            configurations: configurations::Configurations::default(),
             snapshots: feed::Snapshots::new(),
             seen: health::Seen::default(),
             confirming: confirm::Confirming::new(life),
@@ -252,6 +260,7 @@
                     }
                 }
                 ReplicaOutput::Serving => {
+                    self.configurations.check(self.version_in_force());
                     if self.serving_since.is_none() {
                         self.serving_since = Some(now);
                         let text =
@@ -270,7 +279,12 @@
             Waiting::Follower { to, nonce, after, part } => {
                 self.send_news(to, nonce, after, part, out);
             }
-            Waiting::Command(origin, outcome) => self.answer(origin, outcome, now, out),
+            Waiting::Command { origin, outcome, is_configuration } => {
+                if is_configuration {
+                    self.configurations.answered(&outcome, self.version_in_force());
+                }
+                self.answer(origin, outcome, now, out);
+            }
             Waiting::Query(origin, query) => {
                 let outcome = self.query(&query, now);
                 self.answer(origin, outcome, now, out);
@@ -283,7 +297,7 @@
     fn lose(&mut self, waiting: &Waiting, now: MonotonicMs, out: &mut Out) {
         use topazyard_wire::api::{ApiError, Code};
         match waiting {
-            Waiting::Command(origin, _) => {
+            Waiting::Command { origin, .. } => {
                 let unknown = ApiError::may_have_run(Code::OutcomeUnknown);
                 self.answer(*origin, OperateOutcome::Refused(unknown), now, out);
             }
--- a/programs/topazyard-control/src/machine/operate.rs
+++ b/programs/topazyard-control/src/machine/operate.rs
@@ -256,7 +256,8 @@
                 (Vec::new(), OperateOutcome::Refused(error))
             }
         };
-        self.submit(changes, Waiting::Command(origin, outcome));
+        let is_configuration = command.is_configuration();
+        self.submit(changes, Waiting::Command { origin, outcome, is_configuration });
     }
 
     pub(super) fn answer(
--- a/programs/topazyard-control/tests/fleet/mod.rs
+++ b/programs/topazyard-control/tests/fleet/mod.rs
@@ -82,6 +82,7 @@
 impl Fleet {
     /// A fleet of so many control nodes, of which the first `seeds` are in the settings.
     pub fn new(size: usize, seeds: usize) -> Self {
+        topazyard_wire::invariants::panic_on_violation(true);
         let mut fleet = Self {
             nodes: Vec::new(),
             seeds: (0..seeds).map(at).collect(),
--- a/programs/topazyard-relay/src/prompt/chart.rs
+++ b/programs/topazyard-relay/src/prompt/chart.rs
@@ -10,6 +10,7 @@
 
 use topazyard_types::{DurationMs, MonotonicMs};
 use topazyard_wire::api::{ApiError, Code};
+use topazyard_wire::invariants::{self, Invariant};
 
 /// Where a prompt is on its way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -144,7 +145,11 @@
     }
 
     fn change(&mut self, from: &[State], to: State) {
-        debug_assert!(from.contains(&self.state), "{:?} -> {to:?}", self.state);
+        let is_allowed = from.contains(&self.state);
+        invariants::check(is_allowed, Invariant::RequestFollowsItsChart, || {
+            format!("from={:?} to={to:?}", self.state)
+        });
+        debug_assert!(is_allowed, "{:?} -> {to:?}", self.state);
         self.state = to;
     }
 
--- a/programs/topazyard-relay/tests/loopback/mod.rs
+++ b/programs/topazyard-relay/tests/loopback/mod.rs
@@ -29,6 +29,7 @@
 /// One runtime for all tests, as in those of the own interface. One thread, as each thread keeps
 /// its own connections to engines.
 pub fn runtime() -> &'static tokio::runtime::Runtime {
+    topazyard_wire::invariants::panic_on_violation(true);
     static RUNTIME: std::sync::OnceLock<tokio::runtime::Runtime> = std::sync::OnceLock::new();
     RUNTIME.get_or_init(|| {
         let mut builder = tokio::runtime::Builder::new_multi_thread();
