Serve each role's own figures at a metrics address; log how a process ends

Each fetch asks the machine by its health query, which is extended; nothing is kept for it but a few counters. An address that is taken is logged and keeps nobody from service. Control, storage and the agent log SIGTERM, what is under way, to whom it was handed over and what is given up; the ring is written out at an end in order.

--- a/fleet-measure/src/hollow.rs
+++ b/fleet-measure/src/hollow.rs
@@ -206,7 +206,7 @@
         match &mut self.nodes[index].body {
             Body::Agent(machine) => match told {
                 Told::Ready => Vec::new(),
-                told => sends::<AgentMachine>(machine.step(input(told), now), |()| {}),
+                told => sends::<AgentMachine>(machine.step(input(told), now), |_| {}),
             },
             Body::Relay(machine) => {
                 let input = match told {
--- a/fleet-measure/src/scale/fleet.rs
+++ b/fleet-measure/src/scale/fleet.rs
@@ -276,7 +276,7 @@
         let out = match &mut node.body {
             Body::Control(m) => step(m.as_mut(), told.input(), now, |value| outcomes.push(value)),
             Body::Storage(m) => step(m.as_mut(), told.input(), now, |_| {}),
-            Body::Agent(m) => step(m.as_mut(), told.input(), now, |()| {}),
+            Body::Agent(m) => step(m.as_mut(), told.input(), now, |_| {}),
             Body::Relay(m) => step(m.as_mut(), told.input(), now, |_| {}),
             Body::Client(kept) => {
                 if let Told::Frame(_, _, message) = told {
--- a/libraries/topazyard-spec/src/settings/check.rs
+++ b/libraries/topazyard-spec/src/settings/check.rs
@@ -15,6 +15,8 @@
     pub http: Option<std::net::SocketAddr>,
     /// Where readiness is asked, if not at `http`.
     pub ready: Option<std::net::SocketAddr>,
+    /// Where the process serves its own metrics, if anywhere.
+    pub metrics: Option<std::net::SocketAddr>,
     /// The failure zone.
     pub zone: ZoneName,
     /// Control processes to begin with: three, or fewer where the fleet has fewer.
@@ -149,6 +151,7 @@
             fleet,
             address: address("address", &own)?,
             http: settings.http.map(|text| address("http", &text)).transpose()?,
+            metrics: settings.metrics.map(|text| address("metrics", &text)).transpose()?,
             zone: ZoneName(zone),
             seeds,
             data: settings.data,
--- a/libraries/topazyard-spec/src/settings/raw.rs
+++ b/libraries/topazyard-spec/src/settings/raw.rs
@@ -17,6 +17,9 @@
     /// IP:PORT where this process serves HTTP
     #[arg(long)]
     pub http: Option<String>,
+    /// IP:PORT where this process serves its own metrics, at /metrics
+    #[arg(long)]
+    pub metrics: Option<String>,
     /// The failure zone this process stands in
     #[arg(long)]
     pub zone: Option<String>,
@@ -48,6 +51,7 @@
             fleet: self.fleet.or(file.fleet),
             address: self.address.or(file.address),
             http: self.http.or(file.http),
+            metrics: self.metrics.or(file.metrics),
             zone: self.zone.or(file.zone),
             seeds: self.seeds.or(file.seeds),
             data: self.data.or(file.data),
--- a/libraries/topazyard-wire/src/driver/spawn.rs
+++ b/libraries/topazyard-wire/src/driver/spawn.rs
@@ -73,10 +73,13 @@
     };
     let runtime =
         builder.enable_all().build().map_err(|error| StartError::Runtime(error.kind()))?;
-    runtime.block_on(async move {
+    crate::metrics::started_at();
+    let outcome = runtime.block_on(async move {
         super::signals::outlive_hangups();
         work.await
-    })
+    });
+    crate::log::finish();
+    outcome
 }
 
 /// Starts a machine with its links, disk and ticks on a thread of its own. `make` gives the
--- a/libraries/topazyard-wire/src/log/ring.rs
+++ b/libraries/topazyard-wire/src/log/ring.rs
@@ -18,9 +18,39 @@
     text: String,
 }
 
+/// What the thread that keeps the ring is told.
+enum Told {
+    /// A line of the log.
+    Line(Line),
+    /// Write the ring out now, and say when that is done.
+    WriteOut(std::sync::mpsc::SyncSender<()>),
+}
+
+type Sender = std::sync::mpsc::SyncSender<Told>;
+
+/// Leads to the ring of this process.
+static RING: std::sync::OnceLock<Sender> = std::sync::OnceLock::new();
+
+/// How long a process that ends waits until its ring is written.
+const WRITE_LIMIT: std::time::Duration = std::time::Duration::from_millis(100);
+
+/// Has the ring written out as a grave line would, when a process ends in order: nobody could read
+/// it later. Where each line went to standard output there is nothing left to write.
+pub fn finish() {
+    if TO_OUTPUT.load(std::sync::atomic::Ordering::Relaxed) {
+        return;
+    }
+    let Some(ring) = RING.get() else { return };
+    let (done, written) = std::sync::mpsc::sync_channel(1);
+    if ring.try_send(Told::WriteOut(done)).is_ok() {
+        // A disk that takes longer holds no end up.
+        let _ = written.recv_timeout(WRITE_LIMIT);
+    }
+}
+
 struct RingSink {
     prop: spdlog::sink::SinkProp,
-    sender: std::sync::mpsc::SyncSender<Line>,
+    sender: Sender,
 }
 
 impl spdlog::sink::GetSinkProp for RingSink {
@@ -44,7 +74,7 @@
             println!("{}", line.text);
         }
         // A full queue drops the line: logging never holds work up.
-        let _ = self.sender.try_send(line);
+        let _ = self.sender.try_send(Told::Line(line));
         Ok(())
     }
 
@@ -60,6 +90,8 @@
 /// The logger could not be built.
 pub fn start(folder: Option<std::path::PathBuf>) -> Result<(), spdlog::Error> {
     let (sender, receiver) = std::sync::mpsc::sync_channel(QUEUE_LIMIT);
+    // Only the first log of a process is written at its end; there is one.
+    let _ = RING.set(sender.clone());
     let sink = RingSink { prop: spdlog::sink::SinkProp::default(), sender };
     let logger = spdlog::Logger::builder()
         .sink(std::sync::Arc::new(sink))
@@ -70,9 +102,17 @@
     Ok(())
 }
 
-fn keep(receiver: &std::sync::mpsc::Receiver<Line>, folder: Option<&std::path::Path>) {
+fn keep(receiver: &std::sync::mpsc::Receiver<Told>, folder: Option<&std::path::Path>) {
     let mut ring = std::collections::VecDeque::with_capacity(LINES);
-    while let Ok(line) = receiver.recv() {
+    while let Ok(told) = receiver.recv() {
+        let line = match told {
+            Told::Line(line) => line,
+            Told::WriteOut(done) => {
+                write_out(&ring, folder);
+                let _ = done.send(());
+                continue;
+            }
+        };
         let grave = line.grave;
         if ring.len() == LINES {
             ring.pop_front();
--- a/libraries/topazyard-wire/src/metrics.rs
+++ b/libraries/topazyard-wire/src/metrics.rs
@@ -175,21 +175,20 @@
 }
 
 /// Serves metrics at an address, if there is one, until the process ends. `fetch` asks the role's
-/// machine for its figures.
-///
-/// # Errors
-/// The address can't be listened on.
+/// machine for its figures. An address that is taken is logged and keeps nobody from service.
 pub async fn serve<F, R>(
     address: Option<std::net::SocketAddr>,
     fetch: impl Fn() -> R + Clone + Send + Sync + 'static,
-) -> Result<(), crate::driver::StartError>
-where
+) where
     F: Figures,
     R: Future<Output = Option<F>> + Send + 'static,
 {
     started_at();
-    let Some(address) = address else { return Ok(()) };
-    let listener = crate::http::inward::bind(address).await?;
+    let Some(address) = address else { return };
+    let listener = match crate::http::inward::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => return spdlog::error!("no metrics are served: {error}"),
+    };
     let answer = move |request: hyper::Request<hyper::body::Incoming>| {
         let fetch = fetch.clone();
         async move {
@@ -203,7 +202,6 @@
         }
     };
     tokio::spawn(crate::http::inward::serve(listener, answer));
-    Ok(())
 }
 
 fn response(figures: Option<impl Figures>) -> hyper::Response<crate::http::Body> {
--- a/programs/topazyard-control/src/lib.rs
+++ b/programs/topazyard-control/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod engine_load;
 pub mod http;
 pub mod machine;
+pub mod metrics;
 pub mod outside;
 pub mod planner;
 pub mod run;
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -44,6 +44,29 @@
     Health,
 }
 
+/// How a control node itself fares, whether or not it leads.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ControlHealth {
+    /// Its id.
+    pub node: NodeId,
+    /// The newest epoch that it knows.
+    pub epoch: Option<topazyard_types::Epoch>,
+    /// The primary of that epoch.
+    pub primary: Option<std::net::SocketAddr>,
+    /// Whether this node serves as the primary.
+    pub serving: bool,
+    /// How its disk fares.
+    pub disk: topazyard_wire::disk::DiskState,
+    /// How long the oldest write not yet synced has taken.
+    pub write_wait_ms: topazyard_types::DurationMs,
+    /// Configurations acknowledged here as primary since the start, repeats among them.
+    pub configurations_acknowledged: u64,
+    /// Configurations refused here as primary since the start.
+    pub configurations_refused: u64,
+    /// Orders that wait here or were passed on.
+    pub orders_waiting: usize,
+}
+
 /// What a control node begins outside.
 #[derive(Debug)]
 pub enum ControlTask {
@@ -360,15 +383,18 @@
     /// How this node itself fares, whether or not it leads.
     fn health(&self, now: MonotonicMs) -> OperateOutcome {
         let record = self.witness.record();
-        let health = serde_json::json!({
-            "node": self.me.id,
-            "epoch": record.map(|record| record.epoch),
-            "primary": record.map(|record| record.primary.address),
-            "serving": self.replica.is_serving(),
-            "disk": self.disk.state(now),
-            "write_wait_ms": self.disk.oldest_write(now),
-        });
-        OperateOutcome::Done(health.to_string())
+        let health = ControlHealth {
+            node: self.me.id,
+            epoch: record.map(|record| record.epoch),
+            primary: record.map(|record| record.primary.address),
+            serving: self.replica.is_serving(),
+            disk: self.disk.state(now),
+            write_wait_ms: self.disk.oldest_write(now),
+            configurations_acknowledged: self.configurations.acknowledged,
+            configurations_refused: self.configurations.refused,
+            orders_waiting: self.operate.waiting(),
+        };
+        OperateOutcome::Done(serde_json::json!(health).to_string())
     }
 
     /// Remembers where others are, so that stale seeds don't strand this node.
--- a/programs/topazyard-control/src/machine/operate.rs
+++ b/programs/topazyard-control/src/machine/operate.rs
@@ -113,9 +113,14 @@
 }
 
 impl OperateQueue {
-    fn waiting(&self) -> usize {
+    fn queued(&self) -> usize {
         self.commands.len() + self.offered.len()
     }
+
+    /// Calls that wait here, or for the node that they were passed on to.
+    pub(super) fn waiting(&self) -> usize {
+        self.queued() + self.passed_on.len()
+    }
 }
 
 impl ControlMachine {
@@ -131,7 +136,7 @@
                 Operate::Query(query) => {
                     self.submit(Vec::new(), Waiting::Query(origin, query));
                 }
-                Operate::Command(command) if self.operate.waiting() < QUEUE_LIMIT => {
+                Operate::Command(command) if self.operate.queued() < QUEUE_LIMIT => {
                     self.queue(origin, command, now, out);
                 }
                 Operate::Command(_) => self.refuse(origin, Code::NoPrimary, now, out),
--- a/programs/topazyard-control/src/run.rs
+++ b/programs/topazyard-control/src/run.rs
@@ -30,6 +30,7 @@
         };
         let handle = topazyard_wire::driver::spawn(make, place, Some(disk), tasks)?;
         tokio::spawn(work(outside, handle.clone(), begun));
+        crate::metrics::serve(settings.metrics, &handle).await;
         let leaving = handle.clone();
         let told = handle.clone();
         let follow = topazyard_wire::driver::follow_settings(settings, move |now| {
@@ -50,15 +51,38 @@
 
 /// For how long a process that ends lets its last word go out.
 const LAST_WORD: std::time::Duration = std::time::Duration::from_millis(50);
+/// How long a process that ends waits to hear how its machine stands.
+const HEALTH_LIMIT: std::time::Duration = std::time::Duration::from_millis(50);
 /// The longest that a process that ends waits to be replaced, whatever the machine says.
 const LEAVE_LIMIT: std::time::Duration = std::time::Duration::from_millis(2_500);
 
 /// Lets the others stand in this node's place before the process ends.
 async fn leave(handle: &Handle) {
+    let began = std::time::Instant::now();
+    log_health("SIGTERM", handle).await;
     let said = tokio::time::timeout(LEAVE_LIMIT, handle.call(crate::ControlCall::Leave)).await;
     if said.is_ok() {
         tokio::time::sleep(LAST_WORD).await;
+    } else {
+        spdlog::warn!("gave up waiting to be replaced after {} ms", LEAVE_LIMIT.as_millis());
     }
+    log_health(&format!("ends {} ms after SIGTERM", began.elapsed().as_millis()), handle).await;
+}
+
+/// Logs how the node stands at one moment of its end. Orders that still wait at the last one are
+/// given up: their callers are told nothing.
+async fn log_health(moment: &str, handle: &Handle) {
+    let health = crate::metrics::health(handle);
+    let Ok(Some(health)) = tokio::time::timeout(HEALTH_LIMIT, health).await else {
+        return spdlog::warn!("{moment}: the machine did not say how it stands");
+    };
+    let epoch = health.epoch.map_or(0, |epoch| epoch.0);
+    let primary = health.primary.map_or("none".to_owned(), |primary| primary.to_string());
+    spdlog::info!(
+        "{moment}: serving={} epoch={epoch} primary={primary} orders_waiting={}",
+        health.serving,
+        health.orders_waiting,
+    );
 }
 
 /// Does what the machine begins outside: lists one after the other, loads beside them.
--- a/programs/topazyard-edge-agent/src/machine.rs
+++ b/programs/topazyard-edge-agent/src/machine.rs
@@ -21,13 +21,28 @@
 /// After how long without an asking the relay counts as gone, and its agent leaves the fleet.
 const RELAY_SILENT: DurationMs = DurationMs(3_000);
 
-type Out = Vec<Effect<(), topazyard_wire::machine::NoTask>>;
+type Out = Vec<Effect<AgentHealth, topazyard_wire::machine::NoTask>>;
 
 /// What may be asked of an agent from within its process.
 #[derive(Debug)]
 pub enum AgentCall {
     /// The settings name other control nodes now.
     Seeds(Vec<std::net::SocketAddr>),
+    /// How does it fare?
+    Health,
+}
+
+/// How an agent fares.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentHealth {
+    /// How long ago its relay last asked.
+    pub relay_heard_ago: Option<DurationMs>,
+    /// For how long the asking passed on last has waited for its answer.
+    pub unanswered_for: Option<DurationMs>,
+    /// Whether it knows the control primary.
+    pub knows_primary: bool,
+    /// Control nodes that it knows.
+    pub control_nodes: usize,
 }
 
 /// From what an agent starts.
@@ -225,6 +240,15 @@
         }
     }
 
+    fn health(&self, now: MonotonicMs) -> AgentHealth {
+        AgentHealth {
+            relay_heard_ago: self.relay_heard.map(|heard| now.since(heard)),
+            unanswered_for: self.passed.as_ref().map(|passed| now.since(passed.at)),
+            knows_primary: self.leader.is_some(),
+            control_nodes: self.sources.len(),
+        }
+    }
+
     fn relay_is_heard(&self, now: MonotonicMs) -> bool {
         self.relay_heard.is_some_and(|heard| now.since(heard) < RELAY_SILENT)
     }
@@ -232,7 +256,7 @@
 
 impl Machine for AgentMachine {
     type Call = AgentCall;
-    type Return = ();
+    type Return = AgentHealth;
     type Task = topazyard_wire::machine::NoTask;
 
     fn step(&mut self, input: Input<AgentCall>, now: MonotonicMs) -> Out {
@@ -249,6 +273,9 @@
                 self.receive_feed(from, message, now, &mut out);
             }
             Input::Call { request: AgentCall::Seeds(seeds), .. } => self.take_seeds(seeds),
+            Input::Call { call, request: AgentCall::Health } => {
+                out.push(Effect::Return { call, value: self.health(now) });
+            }
             Input::Written(token) => self.last_synced = token.number,
             Input::Frame { .. } | Input::Disk(_) => {}
         }
--- a/programs/topazyard-edge-agent/src/run.rs
+++ b/programs/topazyard-edge-agent/src/run.rs
@@ -52,14 +52,37 @@
         let (tasks, _no_tasks) = tokio::sync::mpsc::channel(1);
         let make = |_| (crate::AgentMachine::new(start), Vec::new());
         let handle = topazyard_wire::driver::spawn(make, place, disk, tasks)?;
+        crate::metrics::serve(settings.metrics, &handle).await;
+        let ending = handle.clone();
         let follow = topazyard_wire::driver::follow_settings(settings, |told| {
             handle.tell(crate::AgentCall::Seeds(told.seeds));
         });
         tokio::select! {
             biased;
-            () = topazyard_wire::driver::terminated() => {}
+            () = topazyard_wire::driver::terminated() => log_end(&ending).await,
             () = follow => {}
         }
         Ok(())
     })
 }
+
+/// How long a process that ends waits to hear how its machine stands.
+const HEALTH_LIMIT: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// Logs what is under way when the process ends. An asking that waits for its answer is given up:
+/// the relay asks again, and its news is as old as its last answer until another agent answers.
+async fn log_end(handle: &topazyard_wire::driver::Handle<crate::AgentMachine>) {
+    let health = handle.call(crate::AgentCall::Health);
+    let Ok(Ok(health)) = tokio::time::timeout(HEALTH_LIMIT, health).await else {
+        return spdlog::warn!("SIGTERM: the machine did not say how it stands; ends at once");
+    };
+    let ago = |duration: Option<topazyard_types::DurationMs>| {
+        duration.map_or("never".to_owned(), |duration| format!("{} ms", duration.0))
+    };
+    spdlog::info!(
+        "SIGTERM: ends at once; relay_heard_ago={} asking_given_up={} knows_primary={}",
+        ago(health.relay_heard_ago),
+        health.unanswered_for.is_some(),
+        health.knows_primary,
+    );
+}
--- a/programs/topazyard-relay/src/front/mod.rs
+++ b/programs/topazyard-relay/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod connections;
 pub mod dialect;
+pub mod ended;
 pub mod engine;
 pub mod events;
 pub mod items;
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -163,6 +163,13 @@
     kept
 }
 
+/// Counts how it ended.
+impl Drop for Session {
+    fn drop(&mut self) {
+        super::ended::count(self.chart.state());
+    }
+}
+
 impl Session {
     fn now(&self) -> MonotonicMs {
         self.ending.handle.clock().now()
--- a/programs/topazyard-relay/src/front/session.rs
+++ b/programs/topazyard-relay/src/front/session.rs
@@ -86,6 +86,13 @@
     }
 }
 
+/// Counts how it ended.
+impl Drop for Session {
+    fn drop(&mut self) {
+        super::ended::count(self.chart.state());
+    }
+}
+
 impl Session {
     fn now(&self) -> MonotonicMs {
         self.ending.handle.clock().now()
--- a/programs/topazyard-relay/src/lib.rs
+++ b/programs/topazyard-relay/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod front;
 pub mod machine;
+pub mod metrics;
 pub mod prompt;
 pub mod run;
 
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -193,6 +193,8 @@
     pub items: usize,
     /// Clients' calls on parcels under way.
     pub parcel_calls: usize,
+    /// How long it has taken nothing new, if it drains.
+    pub drained_for_ms: Option<DurationMs>,
     /// Engines that may be used.
     pub engines: usize,
     /// Prompts let in since the start.
@@ -244,6 +246,8 @@
     engine_failures: engine_failures::EngineFailures,
     /// Whether it takes nothing new.
     drains: bool,
+    /// Since when.
+    drain_began: Option<MonotonicMs>,
 }
 
 impl RelayMachine {
@@ -272,6 +276,7 @@
             refused_for_room: 0,
             engine_failures: engine_failures::EngineFailures::default(),
             drains: false,
+            drain_began: None,
         }
     }
 
@@ -331,6 +336,7 @@
             holding: self.admission.holding() + self.requests.holding(),
             items: self.items.len(),
             parcel_calls: self.parcels.of_clients(),
+            drained_for_ms: self.drain_began.map(|at| now.since(at)),
             engines: self.view.engines.values().filter(|e| self.engines.is_usable(e)).count(),
             allowed: self.allowed,
             refused: self
@@ -440,6 +446,7 @@
             }
             RelayCall::Drain => {
                 self.drains = true;
+                self.drain_began.get_or_insert(now);
                 RelayReturn::Noted
             }
             RelayCall::Ready => match self.unready(now) {
--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -51,6 +51,7 @@
         tokio::spawn(crate::front::tasks::run(handle.clone(), begun, names));
         tokio::spawn(sweep());
         let (drain, drains) = tokio::sync::watch::channel(inward::Stage::Serving);
+        crate::metrics::serve(settings.metrics, &handle, &drains).await;
         let linger = match &front {
             Front::Own => std::time::Duration::ZERO,
             Front::Routes { still_sent, .. } => *still_sent,
--- a/programs/topazyard-storage/src/lib.rs
+++ b/programs/topazyard-storage/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod counter;
 pub mod machine;
+pub mod metrics;
 pub mod parcels;
 pub mod run;
 
--- a/programs/topazyard-storage/src/machine/hosted.rs
+++ b/programs/topazyard-storage/src/machine/hosted.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Calls that wait for a commit.
+    pub(crate) fn calls_waiting(&self) -> usize {
+        self.waiting.values().filter(|waiting| !matches!(waiting, Waiting::Nobody)).count()
+    }
+
     pub(crate) fn counter(&self) -> Option<&Counter> {
         match &self.work {
             Work::Counter(counter) => Some(counter),
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -10,7 +10,7 @@
 use hosted::Hosted;
 use topazyard_membership::Membership;
 use topazyard_replication::{Follower, follower::Followed};
-use topazyard_types::{Life, MonotonicMs, NodeId, ShardId};
+use topazyard_types::{Epoch, Life, MonotonicMs, NodeId, ShardId};
 use topazyard_wire::disk::{DiskState, DiskWatch};
 use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::Message;
@@ -58,6 +58,18 @@
     pub write_wait_ms: u64,
     /// Holds on the budget, if it leads the counter.
     pub holds: Option<usize>,
+    /// The epoch of each shard of which it hosts a copy.
+    pub epochs: std::collections::BTreeMap<ShardId, Epoch>,
+    /// Shards in which it answers nothing more until their record changes.
+    pub stopped: usize,
+    /// Batches of routed items acknowledged since the start, repeats among them.
+    pub batches_acknowledged: u64,
+    /// Batches of routed items that the shards it serves keep.
+    pub batches_kept: usize,
+    /// Items without a result in these batches.
+    pub items_open: usize,
+    /// Calls that wait for a commit.
+    pub calls_waiting: usize,
 }
 
 /// One storage node.
@@ -84,6 +96,7 @@
     /// What the batches of a shard may weigh, in bytes.
     pub(crate) room_bytes: u64,
     pub(crate) disk: DiskWatch,
+    pub(crate) batches_acknowledged: u64,
 }
 
 /// What the batches of a shard may weigh. Each byte lies in memory once as a row and for a moment
@@ -122,6 +135,7 @@
             remembered,
             room_bytes: room_bytes(&start.resources),
             disk: DiskWatch::default(),
+            batches_acknowledged: 0,
             bounds: start.bounds,
         }
     }
@@ -204,10 +218,11 @@
     }
 
     fn own_health(&self, now: MonotonicMs) -> StorageHealth {
-        let serving = self.hosted.iter().filter(|(_, hosted)| hosted.replica.is_serving());
+        let serving = || self.hosted.iter().filter(|(_, hosted)| hosted.replica.is_serving());
+        let batches = || serving().filter_map(|(_, hosted)| Some(&hosted.parcels()?.batches));
         StorageHealth {
             node: self.member.id,
-            serving: serving.map(|(shard, _)| *shard).collect(),
+            serving: serving().map(|(shard, _)| *shard).collect(),
             hosting: self.hosted.keys().copied().collect(),
             disk: self.disk.state(now),
             write_wait_ms: self.disk.oldest_write(now).0,
@@ -215,6 +230,16 @@
                 .hosted
                 .values()
                 .find_map(|hosted| hosted.counter().map(crate::counter::Counter::holds)),
+            epochs: self
+                .hosted
+                .iter()
+                .map(|(shard, hosted)| (*shard, hosted.replica.epoch()))
+                .collect(),
+            stopped: self.hosted.values().filter(|hosted| hosted.wish.is_some()).count(),
+            batches_acknowledged: self.batches_acknowledged,
+            batches_kept: batches().map(crate::parcels::batches::Batches::count).sum(),
+            items_open: batches().map(crate::parcels::batches::Batches::open_items).sum(),
+            calls_waiting: self.hosted.values().map(Hosted::calls_waiting).sum(),
         }
     }
 
--- a/programs/topazyard-storage/src/machine/serving.rs
+++ b/programs/topazyard-storage/src/machine/serving.rs
@@ -170,6 +170,9 @@
             Waiting::Counter(to, body) => super::counting::send(to, epoch, body, out),
             Waiting::Parcel(caller, answer) => {
                 let value = answer.answered_by(hosted.replica.copy());
+                if matches!(value, Some(ParcelReturn::Accepted(_))) {
+                    self.batches_acknowledged += 1;
+                }
                 send(shard, epoch, caller, value.unwrap_or(ParcelReturn::Unknown), out);
             }
         }
--- a/programs/topazyard-storage/src/parcels/batches/mod.rs
+++ b/programs/topazyard-storage/src/parcels/batches/mod.rs
@@ -145,6 +145,16 @@
         self.waiting.get(route).copied().unwrap_or_default()
     }
 
+    /// How many batches are kept, finished ones among them.
+    pub fn count(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Items without a result.
+    pub fn open_items(&self) -> usize {
+        self.held.values().map(|held| held.open.len()).sum()
+    }
+
     /// Whether the batch is known.
     pub fn contains(&self, parcel: ParcelId) -> bool {
         parcel.shard == self.shard && self.held.contains_key(&parcel.number)
--- a/programs/topazyard-storage/src/run.rs
+++ b/programs/topazyard-storage/src/run.rs
@@ -13,6 +13,7 @@
         let (tasks, _no_tasks) = tokio::sync::mpsc::channel(1);
         let make = |_| (crate::StorageMachine::new(start), Vec::new());
         let handle = topazyard_wire::driver::spawn(make, place, Some(disk), tasks)?;
+        crate::metrics::serve(settings.metrics, &handle).await;
         let health = handle.clone();
         if let Some(http) = settings.http {
             let listener = topazyard_wire::http::inward::bind(http).await?;
@@ -20,18 +21,41 @@
                 answer(health.clone(), request)
             }));
         }
+        let ending = handle.clone();
         let follow = topazyard_wire::driver::follow_settings(settings, |told| {
             handle.tell(crate::machine::StorageCall::Seeds(told.seeds));
         });
         tokio::select! {
             biased;
-            () = topazyard_wire::driver::terminated() => {}
+            () = topazyard_wire::driver::terminated() => log_end(&ending).await,
             () = follow => {}
         }
         Ok(())
     })
 }
 
+/// How long a process that ends waits to hear how its machine stands.
+const HEALTH_LIMIT: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// Logs what is under way when the process ends: the shards that others must take over, and the
+/// calls whose callers are told nothing.
+async fn log_end(handle: &topazyard_wire::driver::Handle<crate::StorageMachine>) {
+    let health = handle.call(crate::StorageCall::Health);
+    let Ok(Ok(health)) = tokio::time::timeout(HEALTH_LIMIT, health).await else {
+        return spdlog::warn!("SIGTERM: the machine did not say how it stands; ends at once");
+    };
+    let led: Vec<String> = health.serving.iter().map(|shard| shard.0.to_string()).collect();
+    spdlog::info!(
+        "SIGTERM: ends at once; shards_led={} shards_hosted={} calls_given_up={} \
+         items_open={} write_wait_ms={}",
+        led.join(","),
+        health.hosting.len(),
+        health.calls_waiting,
+        health.items_open,
+        health.write_wait_ms,
+    );
+}
+
 /// Says how this node fares, at `GET /health`.
 async fn answer(
     handle: topazyard_wire::driver::Handle<crate::StorageMachine>,
--- a/programs/topazyard-storage/tests/batches.rs
+++ b/programs/topazyard-storage/tests/batches.rs
@@ -352,3 +352,19 @@
     }
     assert_eq!(batches::results(&shard.copy, parcel, 3), Some((3, Vec::new())));
 }
+
+#[test]
+fn kept_batches_and_their_open_items_are_counted() {
+    let mut shard = Shard::new();
+    let counts =
+        |shard: &Shard| (shard.parcels.batches.count(), shard.parcels.batches.open_items());
+    assert_eq!(counts(&shard), (0, 0));
+    assert!(shard.submit(&batch("1", 2), 0));
+    assert!(shard.submit(&batch("2", 3), 0));
+    assert_eq!(counts(&shard), (2, 5));
+    let run = shard.lease_one(A, 1);
+    shard.finish(A, run, done("x"), 2);
+    assert_eq!(counts(&shard), (2, 4));
+    shard.hand_over(4, 3);
+    assert_eq!(counts(&shard), (2, 4));
+}
--- /dev/null
+++ b/programs/topazyard-storage/tests/metrics.rs
@@ -0,0 +1,41 @@
+//! What a storage node tells in its metrics.
+
+use topazyard_storage::StorageHealth;
+use topazyard_storage::metrics::StorageFigures;
+use topazyard_types::{Epoch, NodeId, ShardId};
+use topazyard_wire::disk::DiskState;
+
+#[test]
+fn a_storage_node_tells_its_shards_and_batches() {
+    let health = StorageHealth {
+        node: NodeId(4),
+        serving: vec![ShardId(1)],
+        hosting: vec![ShardId(0), ShardId(1)],
+        disk: DiskState::Full,
+        write_wait_ms: 250,
+        holds: None,
+        epochs: [(ShardId(0), Epoch(6)), (ShardId(1), Epoch(9))].into(),
+        stopped: 1,
+        batches_acknowledged: 12,
+        batches_kept: 3,
+        items_open: 40,
+        calls_waiting: 2,
+    };
+    let text = topazyard_wire::metrics::text(Some(StorageFigures(health))).unwrap();
+    for sample in [
+        "storage_shards_led 1",
+        "storage_shards_hosted 2",
+        "storage_shards_stopped 1",
+        "storage_shard_epoch{shard=\"0\"} 6",
+        "storage_shard_epoch{shard=\"1\"} 9",
+        "storage_batches_acknowledged_total 12",
+        "storage_batches_kept 3",
+        "storage_items_open 40",
+        "storage_calls_waiting 2",
+        "storage_disk_healthy 0",
+        "storage_write_wait_seconds 0.25",
+    ] {
+        let sample = format!("topazyard_{sample}");
+        assert!(text.lines().any(|line| line == sample), "{sample} is missing in\n{text}");
+    }
+}
