--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -2,6 +2,7 @@
 
 mod claim;
 mod commands;
+pub mod configurations;
 mod confirm;
 mod core;
 mod feed;
@@ -43,6 +44,29 @@
     Health,
 }
 
+/// How a control node itself fares, whether or not it leads.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ControlHealth {
+    /// Its id.
+    pub node: NodeId,
+    /// The newest epoch that it knows.
+    pub epoch: Option<topazyard_types::Epoch>,
+    /// The primary of that epoch.
+    pub primary: Option<std::net::SocketAddr>,
+    /// Whether this node serves as the primary.
+    pub serving: bool,
+    /// How its disk fares.
+    pub disk: topazyard_wire::disk::DiskState,
+    /// How long the oldest write not yet synced has taken.
+    pub write_wait_ms: topazyard_types::DurationMs,
+    /// Configurations acknowledged here as primary since the start, repeats among them.
+    pub configurations_acknowledged: u64,
+    /// Configurations refused here as primary since the start.
+    pub configurations_refused: u64,
+    /// Orders that wait here or were passed on.
+    pub orders_waiting: usize,
+}
+
 /// What a control node begins outside.
 #[derive(Debug)]
 pub enum ControlTask {
@@ -74,6 +98,7 @@
     pub(crate) last_ticket: Ticket,
     pub(crate) operate: operate::OperateQueue,
     order_bounds: orders::OrderBounds,
+    configurations: configurations::Configurations,
     snapshots: feed::Snapshots,
     pub(crate) seen: health::Seen,
     confirming: confirm::Confirming,
@@ -114,7 +139,12 @@
         part: Option<topazyard_wire::message::feed::PartWanted>,
     },
     /// A command whose outcome is known once it is committed.
-    Command(operate::Origin, OperateOutcome),
+    Command {
+        origin: operate::Origin,
+        outcome: OperateOutcome,
+        /// Whether it puts a configuration in force.
+        is_configuration: bool,
+    },
     /// A query, answered from the committed state.
     Query(operate::Origin, topazyard_wire::message::operate::Query),
     /// The planner; nobody waits.
@@ -152,6 +182,7 @@
             last_ticket: 0,
             operate: operate::OperateQueue::new(life),
             order_bounds: orders::OrderBounds::within(&start.resources),
+            configurations: configurations::Configurations::default(),
             snapshots: feed::Snapshots::new(),
             seen: health::Seen::default(),
             confirming: confirm::Confirming::new(life),
@@ -252,6 +283,7 @@
                     }
                 }
                 ReplicaOutput::Serving => {
+                    self.configurations.check(self.version_in_force());
                     if self.serving_since.is_none() {
                         self.serving_since = Some(now);
                         let text =
@@ -270,7 +302,12 @@
             Waiting::Follower { to, nonce, after, part } => {
                 self.send_news(to, nonce, after, part, out);
             }
-            Waiting::Command(origin, outcome) => self.answer(origin, outcome, now, out),
+            Waiting::Command { origin, outcome, is_configuration } => {
+                if is_configuration {
+                    self.configurations.answered(&outcome, self.version_in_force());
+                }
+                self.answer(origin, outcome, now, out);
+            }
             Waiting::Query(origin, query) => {
                 let outcome = self.query(&query, now);
                 self.answer(origin, outcome, now, out);
@@ -283,7 +320,7 @@
     fn lose(&mut self, waiting: &Waiting, now: MonotonicMs, out: &mut Out) {
         use topazyard_wire::api::{ApiError, Code};
         match waiting {
-            Waiting::Command(origin, _) => {
+            Waiting::Command { origin, .. } => {
                 let unknown = ApiError::may_have_run(Code::OutcomeUnknown);
                 self.answer(*origin, OperateOutcome::Refused(unknown), now, out);
             }
@@ -346,15 +383,18 @@
     /// How this node itself fares, whether or not it leads.
     fn health(&self, now: MonotonicMs) -> OperateOutcome {
         let record = self.witness.record();
-        let health = serde_json::json!({
-            "node": self.me.id,
-            "epoch": record.map(|record| record.epoch),
-            "primary": record.map(|record| record.primary.address),
-            "serving": self.replica.is_serving(),
-            "disk": self.disk.state(now),
-            "write_wait_ms": self.disk.oldest_write(now),
-        });
-        OperateOutcome::Done(health.to_string())
+        let health = ControlHealth {
+            node: self.me.id,
+            epoch: record.map(|record| record.epoch),
+            primary: record.map(|record| record.primary.address),
+            serving: self.replica.is_serving(),
+            disk: self.disk.state(now),
+            write_wait_ms: self.disk.oldest_write(now),
+            configurations_acknowledged: self.configurations.acknowledged,
+            configurations_refused: self.configurations.refused,
+            orders_waiting: self.operate.waiting(),
+        };
+        OperateOutcome::Done(serde_json::json!(health).to_string())
     }
 
     /// Remembers where others are, so that stale seeds don't strand this node.
--- a/programs/topazyard-control/src/run.rs
+++ b/programs/topazyard-control/src/run.rs
@@ -44,6 +44,7 @@
         };
         let handle = topazyard_wire::driver::spawn(make, place, Some(disk), tasks)?;
         tokio::spawn(work(outside, handle.clone(), begun));
+        crate::metrics::serve(settings.metrics, &handle).await;
         let leaving = handle.clone();
         let told = handle.clone();
         let grace = std::time::Duration::from_millis(settings.bounds.grace.0 / 8 * 7);
@@ -62,6 +63,8 @@
 
 /// For how long a process that ends lets its last word go out.
 const LAST_WORD: std::time::Duration = std::time::Duration::from_millis(50);
+/// How long a process that ends waits to hear how its machine stands.
+const HEALTH_LIMIT: std::time::Duration = std::time::Duration::from_millis(50);
 /// The longest that a process that ends waits to be replaced, whatever the machine says.
 const LEAVE_LIMIT: std::time::Duration = std::time::Duration::from_millis(2_500);
 
@@ -72,7 +75,7 @@
 /// not answered within the grace is cut by the end of the process.
 async fn end(server: Server, handle: &Handle, grace: std::time::Duration) {
     let begun = std::time::Instant::now();
-    spdlog::info!("told to end: this node has itself replaced");
+    log_health("SIGTERM", handle).await;
     server.close_after_responses();
     leave(handle, grace).await;
     let replaced = begun.elapsed();
@@ -91,7 +94,26 @@
     let said = tokio::time::timeout(limit, handle.call(crate::ControlCall::Leave)).await;
     if said.is_ok() {
         tokio::time::sleep(LAST_WORD).await;
+    } else {
+        spdlog::warn!("gave up waiting to be replaced after {} ms", limit.as_millis());
     }
+    log_health("may end now", handle).await;
+}
+
+/// Logs how the node stands at one moment of its end. Orders that still wait at the last one are
+/// given up: their callers are told nothing.
+async fn log_health(moment: &str, handle: &Handle) {
+    let health = crate::metrics::health(handle);
+    let Ok(Some(health)) = tokio::time::timeout(HEALTH_LIMIT, health).await else {
+        return spdlog::warn!("{moment}: the machine did not say how it stands");
+    };
+    let epoch = health.epoch.map_or(0, |epoch| epoch.0);
+    let primary = health.primary.map_or("none".to_owned(), |primary| primary.to_string());
+    spdlog::info!(
+        "{moment}: serving={} epoch={epoch} primary={primary} orders_waiting={}",
+        health.serving,
+        health.orders_waiting,
+    );
 }
 
 /// Does what the machine begins outside: lists one after the other, loads beside them.
--- a/programs/topazyard-edge-agent/src/machine.rs
+++ b/programs/topazyard-edge-agent/src/machine.rs
@@ -24,7 +24,7 @@
 /// After how long without an asking the relay counts as gone, and its agent leaves the fleet.
 const RELAY_SILENT: DurationMs = DurationMs(3_000);
 
-type Out = Vec<Effect<(), topazyard_wire::machine::NoTask>>;
+type Out = Vec<Effect<AgentHealth, topazyard_wire::machine::NoTask>>;
 
 /// What may be asked of an agent from within its process.
 #[derive(Debug)]
@@ -33,6 +33,21 @@
     Seeds(Vec<std::net::SocketAddr>),
     /// The process is about to end: returned once its relay has ended.
     Leave,
+    /// How does it fare?
+    Health,
+}
+
+/// How an agent fares.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentHealth {
+    /// How long ago its relay last asked.
+    pub relay_heard_ago: Option<DurationMs>,
+    /// For how long the asking passed on last has waited for its answer.
+    pub unanswered_for: Option<DurationMs>,
+    /// Whether it knows the control primary.
+    pub knows_primary: bool,
+    /// Control nodes that it knows.
+    pub control_nodes: usize,
 }
 
 /// From what an agent starts.
@@ -234,6 +249,15 @@
         }
     }
 
+    fn health(&self, now: MonotonicMs) -> AgentHealth {
+        AgentHealth {
+            relay_heard_ago: self.relay_heard.map(|heard| now.since(heard)),
+            unanswered_for: self.passed.as_ref().map(|passed| now.since(passed.at)),
+            knows_primary: self.leader.is_some(),
+            control_nodes: self.sources.len(),
+        }
+    }
+
     fn relay_is_heard(&self, now: MonotonicMs) -> bool {
         self.relay_is_heard_within(RELAY_SILENT, now)
     }
@@ -248,14 +272,15 @@
             return;
         }
         if let Some(call) = self.leaving.take() {
-            out.push(Effect::Return { call, value: () });
+            let value = self.health(now);
+            out.push(Effect::Return { call, value });
         }
     }
 }
 
 impl Machine for AgentMachine {
     type Call = AgentCall;
-    type Return = ();
+    type Return = AgentHealth;
     type Task = topazyard_wire::machine::NoTask;
 
     fn step(&mut self, input: Input<AgentCall>, now: MonotonicMs) -> Out {
@@ -276,6 +301,9 @@
                 self.leaving = Some(call);
                 self.leave_after_relay(now, &mut out);
             }
+            Input::Call { call, request: AgentCall::Health } => {
+                out.push(Effect::Return { call, value: self.health(now) });
+            }
             Input::Written(token) => self.last_synced = token.number,
             Input::Frame { .. } | Input::Disk(_) => {}
         }
--- a/programs/topazyard-edge-agent/src/run.rs
+++ b/programs/topazyard-edge-agent/src/run.rs
@@ -53,6 +53,7 @@
         let make = |_| (crate::AgentMachine::new(start), Vec::new());
         let handle = topazyard_wire::driver::spawn(make, place, disk, tasks)?;
         let leave_limit = leave_limit(&settings.bounds);
+        crate::metrics::serve(settings.metrics, &handle).await;
         let follow = topazyard_wire::driver::follow_settings(settings, |told| {
             handle.tell(crate::AgentCall::Seeds(told.seeds));
         });
@@ -77,7 +78,29 @@
     handle: &topazyard_wire::driver::Handle<crate::AgentMachine>,
     limit: std::time::Duration,
 ) {
+    log_health("SIGTERM", handle).await;
     if tokio::time::timeout(limit, handle.call(crate::AgentCall::Leave)).await.is_err() {
         spdlog::warn!("the relay has not ended within {limit:?}");
     }
+    log_health("ends", handle).await;
+}
+
+/// How long a process that ends waits to hear how its machine stands.
+const HEALTH_LIMIT: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// Logs what is under way at one moment of the process's end.
+async fn log_health(moment: &str, handle: &topazyard_wire::driver::Handle<crate::AgentMachine>) {
+    let health = handle.call(crate::AgentCall::Health);
+    let Ok(Ok(health)) = tokio::time::timeout(HEALTH_LIMIT, health).await else {
+        return spdlog::warn!("{moment}: the machine did not say how it stands");
+    };
+    let ago = |duration: Option<topazyard_types::DurationMs>| {
+        duration.map_or("never".to_owned(), |duration| format!("{} ms", duration.0))
+    };
+    spdlog::info!(
+        "{moment}: relay_heard_ago={} asking_waits={} knows_primary={}",
+        ago(health.relay_heard_ago),
+        health.unanswered_for.is_some(),
+        health.knows_primary,
+    );
 }
--- a/programs/topazyard-relay/src/drain.rs
+++ b/programs/topazyard-relay/src/drain.rs
@@ -71,6 +71,11 @@
         Self { begun: now, times }
     }
 
+    /// How long it has lasted.
+    pub fn lasted(&self, now: MonotonicMs) -> DurationMs {
+        now.since(self.begun)
+    }
+
     /// When runs of routed items that are left are broken off, so that their shards hear in time how
     /// far they came.
     pub fn breaks_off_runs_at(&self) -> MonotonicMs {
--- a/programs/topazyard-relay/src/front/mod.rs
+++ b/programs/topazyard-relay/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod connections;
 pub mod dialect;
+pub mod ended;
 mod ending;
 pub mod engine;
 pub mod events;
--- a/programs/topazyard-relay/src/lib.rs
+++ b/programs/topazyard-relay/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod drain;
 pub mod front;
 pub mod machine;
+pub mod metrics;
 pub mod prompt;
 pub mod run;
 
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -199,6 +199,8 @@
     pub parcel_calls: usize,
     /// Ends of items' runs that their shards have not noted yet.
     pub ends_to_tell: usize,
+    /// How long it has taken nothing new, if it drains.
+    pub drained_for_ms: Option<DurationMs>,
     /// Engines that may be used.
     pub engines: usize,
     /// Prompts let in since the start.
@@ -339,6 +341,7 @@
             items: self.items.len(),
             parcel_calls: self.parcels.of_clients(),
             ends_to_tell: self.parcels.ends_to_tell(),
+            drained_for_ms: self.draining.map(|draining| draining.lasted(now)),
             engines: self.view.engines.values().filter(|e| self.engines.is_usable(e)).count(),
             allowed: self.allowed,
             refused: self
--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -53,6 +53,7 @@
         tokio::spawn(crate::front::tasks::run(handle.clone(), begun, names));
         tokio::spawn(sweep());
         let (drain, drains) = tokio::sync::watch::channel(inward::Stage::Serving);
+        crate::metrics::serve(settings.metrics, &handle, &drains).await;
         let still_sent = match &front {
             Front::Own => topazyard_types::DurationMs(0),
             Front::Routes { still_sent, .. } => *still_sent,
