--- a/programs/topazyard-control/tests/placement.rs
+++ b/programs/topazyard-control/tests/placement.rs
@@ -301,3 +301,33 @@
     settle(&mut view, &standings);
     assert_eq!(view.shards, before, "nobody is better");
 }
+
+#[test]
+fn a_record_that_may_answer_names_no_fallback() {
+    // A fallback is not sent what is answered: named beside members that answer, it could lead later
+    // with a copy that lacks it. Seen where the number of losses to be borne was changed.
+    let members: Vec<Member> = (1..=6).map(|id| member(id, &format!("zone-{id}"))).collect();
+    for (before, after) in [(3, 2), (2, 3), (4, 2), (2, 4)] {
+        for lost in 0..6 {
+            let mut view = FleetView::default();
+            settle(&mut view, &Standings { copies: before, ..standings(&members) });
+            let mut standings = Standings { copies: after, ..standings(&members) };
+            standings.heard.remove(&members[lost].id);
+            standings.down.insert(members[lost].id);
+            for _ in 0..40 {
+                let changes = plan(&view, &standings);
+                for change in changes {
+                    let Some(value) = change.value else { continue };
+                    let shard = ShardId::all()
+                        .find(|shard| topazyard_wire::state::shard_key(*shard) == change.key);
+                    let record: Option<topazyard_wire::message::control::ShardRecord> =
+                        topazyard_wire::rows::decode(&value);
+                    if let (Some(shard), Some(record)) = (shard, record) {
+                        assert!(!record.is_complete() || record.fallbacks.is_empty(), "{record:?}");
+                        view.shards.insert(shard, record);
+                    }
+                }
+            }
+        }
+    }
+}
