Count only synced copies: own disk, write numbers, fallbacks

- A primary begins to serve only once its own writes are synced too, not only its backups'.
- A copy that is taken up again numbers its writes after the write that deleted the one before, so that no late sync confirms what the disk has not done.
- A record that may answer names no fallbacks, whichever way it became complete.
Before, one with more backups than it needs, or whose number of copies was lowered, kept them; they are sent nothing.

--- a/libraries/topazyard-replication/src/replica/lead.rs
+++ b/libraries/topazyard-replication/src/replica/lead.rs
@@ -352,10 +352,12 @@
         self.serve_if_in_step(out);
     }
 
-    /// Begins to serve once all backups are in step.
+    /// Begins to serve once all backups are in step and its own copy is synced: a successor may hold a
+    /// batch that its disk has not done yet, and what it then shows is on all copies but its own.
     fn serve_if_in_step(&mut self, out: &mut Vec<ReplicaOutput>) {
+        let is_synced = self.is_synced();
         let Role::Primary(lead) = &mut self.role else { return };
-        if lead.phase != Phase::Comparing || !lead.answers || !lead.all_in_step() {
+        if !is_synced || lead.phase != Phase::Comparing || !lead.answers || !lead.all_in_step() {
             return;
         }
         lead.phase = Phase::Serving;
@@ -403,6 +405,7 @@
         {
             batch.write.take_if(|write| *write <= number);
         }
+        self.serve_if_in_step(out);
         self.finish_batch(out);
     }
 
--- a/libraries/topazyard-replication/src/replica/mod.rs
+++ b/libraries/topazyard-replication/src/replica/mod.rs
@@ -128,6 +128,18 @@
         }
     }
 
+    /// Numbers its writes from after that one. A sync is told by its number alone, so that no number may
+    /// be used again while a write of an earlier copy of the group may still be under way.
+    pub fn numbering_writes_after(mut self, number: u64) -> Self {
+        self.last_write = number;
+        self
+    }
+
+    /// The number of the last write.
+    pub fn last_write(&self) -> u64 {
+        self.last_write
+    }
+
     /// The copy.
     pub fn copy(&self) -> &crate::Copy {
         &self.copy
--- a/programs/topazyard-control/src/planner.rs
+++ b/programs/topazyard-control/src/planner.rs
@@ -64,7 +64,14 @@
     }
 }
 
-/// The record after backups are let go; they are kept as fallbacks.
+/// The record without fallbacks if it may answer: they are sent nothing, and one that led later would
+/// lack what was answered meanwhile.
+fn without_needless_fallbacks(record: ShardRecord) -> ShardRecord {
+    let fallbacks = if record.is_complete() { Vec::new() } else { record.fallbacks };
+    ShardRecord { fallbacks, ..record }
+}
+
+/// The record after backups are let go; they are kept as fallbacks until it is complete again.
 ///
 /// ```
 /// # use topazyard_control::planner::dropped_backups;
@@ -84,13 +91,13 @@
     if gone.is_empty() {
         return None;
     }
-    Some(ShardRecord {
+    Some(without_needless_fallbacks(ShardRecord {
         epoch: record.epoch.next(),
         backups,
         fallbacks: with_more(&record.fallbacks, &gone),
         learners: without(&record.learners, &gone),
         ..record.clone()
-    })
+    }))
 }
 
 fn without(nodes: &[CoreNode], gone: &[CoreNode]) -> Vec<CoreNode> {
@@ -183,10 +190,9 @@
     if next.backups.len() == standings.backups() {
         next.copies = standings.copies;
     }
-    if next.is_complete() {
-        next.fallbacks = Vec::new();
-    } else {
-        next.fallbacks = without(&next.fallbacks, &next.backups);
+    next.fallbacks = without(&next.fallbacks, &next.backups);
+    next = without_needless_fallbacks(next);
+    if !next.is_complete() {
         next = with_learners(view, standings, &next, &[]);
     }
     Some(next)
@@ -389,14 +395,14 @@
     let (backups, gone): (Vec<CoreNode>, Vec<CoreNode>) =
         record.backups.iter().copied().partition(works);
     let kept = with_more(&with_more(&record.fallbacks, &gone), &[record.primary]);
-    let promoted = ShardRecord {
+    let promoted = without_needless_fallbacks(ShardRecord {
         epoch: record.epoch.next(),
         copies: record.copies,
         primary: successor,
         backups,
         fallbacks: without(&kept, &[successor]),
         learners: Vec::new(),
-    };
+    });
     with_learners(view, standings, &promoted, &[])
 }
 
@@ -457,8 +463,9 @@
     }
     if record.copies > standings.copies {
         // Less may be lost than before: the copies there are suffice.
-        let epoch = record.epoch.next();
-        return Some(ShardRecord { epoch, copies: standings.copies, ..record.clone() });
+        let fewer =
+            ShardRecord { epoch: record.epoch.next(), copies: standings.copies, ..record.clone() };
+        return Some(without_needless_fallbacks(fewer));
     }
     // Only for a strictly better copy: in place of a backup that is unfit, stands in the zone of
     // another copy, or has a slow disk, in that order.
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -72,6 +72,8 @@
     /// Shards in which this node answers nothing more, up to that epoch.
     pub(crate) stopped: std::collections::BTreeMap<ShardId, topazyard_types::Epoch>,
     after_write: std::collections::BTreeMap<u64, ShardWish>,
+    /// The number of the write that deleted this node's last copy of a shard.
+    deletions: std::collections::BTreeMap<ShardId, u64>,
     last_write: u64,
     last_sweep: MonotonicMs,
     /// When this process began.
@@ -114,6 +116,7 @@
             loaded: start.loaded,
             stopped,
             after_write: std::collections::BTreeMap::new(),
+            deletions: std::collections::BTreeMap::new(),
             last_write: 0,
             last_sweep: MonotonicMs(0),
             started: None,
--- a/programs/topazyard-storage/src/machine/roles.rs
+++ b/programs/topazyard-storage/src/machine/roles.rs
@@ -40,10 +40,12 @@
     fn host(&mut self, shard: ShardId) -> &mut Hosted {
         let life = self.life;
         let loaded = self.loaded.remove(&Group::Shard(shard)).unwrap_or_default();
+        let last_write = self.deletions.get(&shard).copied().unwrap_or_default();
         self.hosted.entry(shard).or_insert_with(|| {
             let mut copy = Copy::loaded(loaded);
             copy.remember_only_last();
-            Hosted::new(Replica::new(Group::Shard(shard), !shard.is_counter(), copy, life))
+            let replica = Replica::new(Group::Shard(shard), !shard.is_counter(), copy, life);
+            Hosted::new(replica.numbering_writes_after(last_write))
         })
     }
 
@@ -122,14 +124,18 @@
         let hosted = self.hosted.remove(&shard);
         let mut keys: Vec<String> =
             loaded.map(|rows| rows.into_keys().collect()).unwrap_or_default();
+        let mut last_write = self.deletions.get(&shard).copied().unwrap_or_default();
         if let Some(hosted) = hosted {
             keys = hosted.replica.copy().keys_on_disk();
+            last_write = hosted.replica.last_write();
         }
         if shard.is_counter() || keys.is_empty() {
             return;
         }
-        // No one waits for this write; its number is never one that a replica gave out.
-        let token = WriteToken { group: Group::Shard(shard), number: u64::MAX };
+        // No one waits for this write. A copy that is taken up later numbers its writes after it.
+        let number = last_write + 1;
+        self.deletions.insert(shard, number);
+        let token = WriteToken { group: Group::Shard(shard), number };
         let changes = keys.into_iter().map(RowChange::gone).collect();
         out.push(Effect::Write { token, changes });
     }
