--- a/libraries/topazyard-replication/src/replica/follow.rs
+++ b/libraries/topazyard-replication/src/replica/follow.rs
@@ -13,6 +13,8 @@
     /// Appends that wait for the disk: (write, return address, round).
     appends: Vec<(u64, std::net::SocketAddr, u64)>,
     last_append: Option<u64>,
+    /// The last round that the primary said it has synced itself.
+    synced_by_primary: Option<u64>,
     /// The write after which it may say that it is in step.
     step: Option<(u64, std::net::SocketAddr, u64)>,
     /// The comparison by which it came in step. A batch counts only from the same life of the
@@ -59,11 +61,17 @@
             compared: None,
             appends: Vec::new(),
             last_append: None,
+            synced_by_primary: None,
             step: None,
             in_step_since: None,
         }
     }
 
+    /// Whether the primary has said that it synced the batch that was taken last.
+    pub(super) fn is_last_synced_by_primary(&self) -> bool {
+        self.last_append.is_some() && self.last_append == self.synced_by_primary
+    }
+
     /// Whether a round was begun by the life of the primary that this copy was compared with.
     fn is_of_same_life(&self, round: u64) -> bool {
         self.in_step_since.is_some_and(|compared| is_of_one_life(compared, round))
@@ -147,6 +155,7 @@
                 self.compare(from.address, now, out);
             }
             ReplicaBody::Range(part) => self.take_range(from, part, now, out),
+            ReplicaBody::Synced { round } => follow.synced_by_primary = Some(round),
             _ => {}
         }
     }
--- a/libraries/topazyard-replication/src/replica/lead.rs
+++ b/libraries/topazyard-replication/src/replica/lead.rs
@@ -402,13 +402,23 @@
     pub(super) fn lead_written(&mut self, number: u64, out: &mut Vec<ReplicaOutput>) {
         if let Role::Primary(lead) = &mut self.role
             && let Some(batch) = &mut lead.under_way
+            && batch.write.take_if(|write| *write <= number).is_some()
         {
-            batch.write.take_if(|write| *write <= number);
+            let round = batch.round;
+            self.say_synced(round, out);
         }
         self.serve_if_in_step(out);
         self.finish_batch(out);
     }
 
+    /// Tells the backups in step that this copy has synced a batch: with their own word that is all.
+    fn say_synced(&self, round: u64, out: &mut Vec<ReplicaOutput>) {
+        let Role::Primary(lead) = &self.role else { return };
+        for backup in lead.backups.iter().filter(|backup| backup.is_in_step()) {
+            self.send(backup.node.address, ReplicaBody::Synced { round }, out);
+        }
+    }
+
     /// The one place where something is said to be committed.
     fn finish_batch(&mut self, out: &mut Vec<ReplicaOutput>) {
         let Role::Primary(lead) = &mut self.role else { return };
--- a/libraries/topazyard-replication/src/replica/mod.rs
+++ b/libraries/topazyard-replication/src/replica/mod.rs
@@ -187,6 +187,11 @@
         self.primary() == Some(primary)
     }
 
+    /// Whether this node follows a primary that has said that it synced the batch taken last.
+    pub fn is_last_synced_by_primary(&self) -> bool {
+        matches!(&self.role, Role::Follower(follow) if follow.is_last_synced_by_primary())
+    }
+
     /// The primary that this node follows, if it follows one.
     pub fn primary(&self) -> Option<NodeId> {
         match &self.role {
--- a/libraries/topazyard-wire/src/message/replica.rs
+++ b/libraries/topazyard-wire/src/message/replica.rs
@@ -47,7 +47,10 @@
 impl ReplicaBody {
     /// Whether only a backup may be told this: one that knows the record that names it.
     pub fn is_for_backups(&self) -> bool {
-        matches!(self, Self::Append { .. } | Self::Digests { of: Follows::AsBackup, .. })
+        matches!(
+            self,
+            Self::Append { .. } | Self::Synced { .. } | Self::Digests { of: Follows::AsBackup, .. }
+        )
     }
 }
 
@@ -97,4 +100,9 @@
         /// The sequence held.
         sequence: Sequence,
     },
+    /// The primary's own disk has synced that round's batch; its backups may still be at it.
+    Synced {
+        /// Which round.
+        round: u64,
+    },
 }
--- a/programs/topazyard-storage/tests/confirming.rs
+++ b/programs/topazyard-storage/tests/confirming.rs
@@ -203,6 +203,7 @@
     let mut storage = Storage::start(BACKUP, Default::default());
     storage.learn(&record(backups));
     storage.take_unconfirmed_parcel();
+    storage.hear_primary(ReplicaBody::Synced { round: 2 });
     storage
 }
 
@@ -314,3 +315,25 @@
     storage.run_with_control(200);
     assert!(drops(&storage), "it is lost");
 }
+
+#[test]
+fn a_backup_shows_its_last_batch_only_once_it_knows_that_its_primary_has_synced_it() {
+    // The primary may hold it in memory alone. Were this disk lost while the primary loses its power,
+    // nobody would have what was shown.
+    for backups in 1..=2 {
+        let mut storage = Storage::start(BACKUP, Default::default());
+        storage.learn(&record(backups));
+        storage.take_unconfirmed_parcel();
+        storage.ask_aside();
+        storage.run(100);
+        storage.hear_records(storage.asked(), 1);
+        storage.hear_synced(OTHER_BACKUP, 1, 1);
+        assert!(!storage.has_answered(), "the primary has not said so: {backups} backups");
+        storage.hear_primary(ReplicaBody::Synced { round: 1 });
+        assert!(!storage.has_answered(), "that was an earlier round");
+        storage.hear_primary(ReplicaBody::Synced { round: 2 });
+        storage.run(100);
+        storage.hear_records(storage.asked(), 1);
+        assert!(storage.has_answered(), "{backups} backups");
+    }
+}
