Show a last batch aside only once the primary has synced it too

What is shown is then on f + 1 disks. A batch that was only compared is shown after the next round, which tells that it was committed.

The cost: where a primary goes between sending a batch and saying that it synced it, a read of what that batch touched waits for the takeover, as it did with two losses before.

--- a/fleet-simulator/src/model/network.rs
+++ b/fleet-simulator/src/model/network.rs
@@ -87,6 +87,7 @@
             ReplicaBody::Differ { .. } => "Differ",
             ReplicaBody::Range { .. } => "Range",
             ReplicaBody::InStep { .. } => "InStep",
+            ReplicaBody::Synced { .. } => "Synced",
         },
         Message::Feed(FeedMessage::Ask { .. }) => "FeedAsk",
         Message::Feed(FeedMessage::News { .. }) => "FeedNews",
--- a/programs/topazyard-storage/src/machine/aside.rs
+++ b/programs/topazyard-storage/src/machine/aside.rs
@@ -71,13 +71,14 @@
     let touched = || replica.copy().last_changed().any(is_of_parcel);
     let synced_by_all = || {
         let others_have = hosted.all_have_synced(other_backups(record, me));
-        record.is_complete() && replica.is_synced() && others_have
+        let primary_has = replica.is_last_synced_by_primary();
+        record.is_complete() && replica.is_synced() && others_have && primary_has
     };
     match (replica.doubt(), replica.is_primary()) {
         (Doubt::Nothing, _) => true,
-        // What all backups have synced their primary has too, and it outlives as many losses as the
-        // record bears: a primary that restarts without it hands over.
-        (Doubt::LastBatch | Doubt::SomeBatch, false) if synced_by_all() => true,
+        // It is on as many disks as the record bears losses, and one more. That the primary holds it in
+        // memory is not enough: it may lose its power while the others lose their disks.
+        (Doubt::LastBatch, false) if synced_by_all() => true,
         (Doubt::LastBatch, _) => !touched(),
         (Doubt::SomeBatch | Doubt::All, _) => false,
     }
