Simulate lost disks while all else loses power, and halves

Two scenarios. wipes: parcels land while a shard's primary mostly has a slow disk, and right after a drawn answer on one of them as many disks are lost as may be, the holders' above all, and all other machines lose their power at the same instant. halves: the machines with a disk are split in two for 1 to 9 s, all others reach both.

Both join the fixed seeds of lines.rs.

--- a/fleet-simulator/src/faults/mod.rs
+++ b/fleet-simulator/src/faults/mod.rs
@@ -102,6 +102,12 @@
     MoreLanes(u64),
     /// The next specs have that ceiling on waiting parcel work.
     Ceiling(u64),
+    /// After so many more answers that tell a client of a parcel, as many disks are lost as may be, those
+    /// of the parcel's shard among them, and all other machines lose their power at the same instant. All
+    /// start again after so many milliseconds.
+    WipeAfterAnswers(u64, u64),
+    /// The machines with a disk are split into two halves, drawn from that number.
+    Halves(u64),
 }
 
 /// Which ways are cut.
@@ -318,9 +324,64 @@
             }
             Fault::Ceiling(tokens) => self.people.habits.waiting_ceiling = tokens,
             Fault::MoreLanes(lanes) => self.people.habits.more_lanes = lanes,
+            Fault::WipeAfterAnswers(answers, dark_ms) => self.wipe_after = (answers, dark_ms),
+            Fault::Halves(seed) => self.split_into_halves(seed),
         }
     }
 
+    /// A client was told of a parcel: the loss that waits for that may strike now.
+    pub(crate) fn parcel_answered(&mut self, shard: ShardId) {
+        let (answers, dark_ms) = self.wipe_after;
+        self.wipe_after.0 = answers.saturating_sub(1);
+        if answers != 1 {
+            return;
+        }
+        let mut wiped = self.holders(shard);
+        if self.draw(0..4) == 0 {
+            let primary = self.control_primary().into_iter();
+            wiped.extend(primary.chain(self.control_backup()));
+        }
+        while wiped.len() > usize::from(self.bounds.lost_machines) {
+            let at = self.draw(0..wiped.len() as u64) as usize;
+            wiped.swap_remove(at);
+        }
+        let names: Vec<&str> =
+            wiped.iter().map(|index| self.nodes[index.0].name.as_str()).collect();
+        let text = format!("all lose their power, and their disks {}", names.join(" "));
+        self.history.faults.push(FaultSeen { text, at: self.time });
+        for index in (0..self.nodes.len()).map(NodeIndex) {
+            if self.nodes[index.0].is_on() {
+                self.stop(index, true);
+            }
+        }
+        wiped.iter().for_each(|index| self.nodes[index.0].disk.synced.clear());
+        self.after(dark_ms * 1_000, Event::Fault(Fault::StartAll));
+    }
+
+    /// Splits the machines with a disk into halves, each with some of the core and of the storage nodes.
+    fn split_into_halves(&mut self, seed: u64) {
+        use rand::{SeedableRng as _, seq::SliceRandom as _};
+        let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
+        let mut half = std::collections::BTreeSet::new();
+        for kind in [Kind::Control, Kind::Storage] {
+            let mut all: Vec<NodeIndex> = (0..self.nodes.len()).map(NodeIndex).collect();
+            all.retain(|at| self.nodes[at.0].kind == kind && !self.nodes[at.0].is_replaced());
+            all.iter().for_each(|index| self.strike_for(*index, Struck::Cut));
+            all.shuffle(&mut rng);
+            let inside = &all[..all.len() / 2];
+            half.extend(inside.iter().map(|index| self.nodes[index.0].address));
+        }
+        let with_disk: std::collections::BTreeSet<_> = [Kind::Control, Kind::Storage]
+            .into_iter()
+            .flat_map(|kind| self.addresses_of(kind))
+            .collect();
+        self.cut_where(|from, to| {
+            with_disk.contains(&from)
+                && with_disk.contains(&to)
+                && half.contains(&from) != half.contains(&to)
+        });
+    }
+
     fn of_zone(&self, zone: u16) -> Vec<NodeIndex> {
         let is_inside = |at: &NodeIndex| self.nodes[at.0].zone == zone;
         (0..self.nodes.len()).map(NodeIndex).filter(is_inside).collect()
--- a/fleet-simulator/src/people/parcels.rs
+++ b/fleet-simulator/src/people/parcels.rs
@@ -190,6 +190,13 @@
             }
         }
         let RelayReturn::Parcel(value) = value else { return };
+        let shard = self.history.parcels[parcel].id.shard;
+        self.note_parcel_told(parcel, asked, value);
+        self.parcel_answered(shard);
+    }
+
+    fn note_parcel_told(&mut self, parcel: usize, asked: &Asked, value: ParcelReturn) {
+        let time = self.time;
         match (asked, value) {
             (Asked::Submit, ParcelReturn::Accepted(_)) => {
                 self.history.parcels[parcel].accepted.get_or_insert(time);
--- a/fleet-simulator/src/plan/losses.rs
+++ b/fleet-simulator/src/plan/losses.rs
@@ -1,7 +1,7 @@
 //! Processes and machines that are lost, and come back.
 
 use super::{Draft, named, numbered};
-use crate::faults::Fault;
+use crate::faults::{Fault, Whom};
 use crate::world::EngineMood;
 use rand::Rng as _;
 
@@ -153,4 +153,42 @@
             self.at += 16_000;
         }
     }
+
+    /// Parcels land, and soon after an answer on one of them disks are lost and all else is dark. Mostly a
+    /// shard's primary has a slow disk by then, so that its copies are apart.
+    pub(super) fn wipes(&mut self) {
+        for round in 0..5 {
+            let ms = [0, 20, 300, 1_500][self.rng.random_range(0..4)];
+            let whom = Whom::ShardPrimary(self.rng.random_range(1..5));
+            let begins = self.rng.random_range(1_000..3_000);
+            self.add(begins, Fault::Parcels(8));
+            let slows = begins + self.rng.random_range(0..400);
+            self.add(slows, Fault::SlowDisk(whom.clone(), ms));
+            if round % 2 == 1 {
+                self.add(begins + 200, Fault::Kill(whom));
+            }
+            let (answers, dark_ms) =
+                (self.rng.random_range(1..40), self.rng.random_range(800..3_000));
+            self.add(begins + 100, Fault::WipeAfterAnswers(answers, dark_ms));
+            self.add(begins + 4_000, Fault::FastDisks);
+            self.at += begins + dark_ms + 20_000;
+        }
+    }
+
+    /// Halves for some seconds, under load; a storage node is killed in one of them now and then.
+    pub(super) fn halves(&mut self) {
+        for _ in 0..4 {
+            let seed = self.rng.random_range(0..u64::MAX);
+            self.add(0, Fault::Halves(seed));
+            self.add(200, Fault::Parcels(2));
+            if self.rng.random_range(0..3) == 0 {
+                let whom = self.with_disk();
+                self.add(1_000, Fault::LosePower(whom));
+            }
+            let ms = self.rng.random_range(1_000..9_000);
+            self.add(ms, Fault::Mend);
+            self.add(ms + 500, Fault::StartAll);
+            self.at += ms + 14_000;
+        }
+    }
 }
--- a/fleet-simulator/src/plan/mod.rs
+++ b/fleet-simulator/src/plan/mod.rs
@@ -64,6 +64,8 @@
         Scenario::SecondLoss => draft.second_loss(),
         Scenario::LongAbsent => draft.long_absent(),
         Scenario::CoreTroubles => draft.core_troubles(),
+        Scenario::Wipes => draft.wipes(),
+        Scenario::Halves => draft.halves(),
     }
     draft.finish()
 }
--- a/fleet-simulator/src/scenario.rs
+++ b/fleet-simulator/src/scenario.rs
@@ -62,11 +62,16 @@
     LongAbsent,
     /// All of control loses its power, seeds are exchanged, disks stall while others take over.
     CoreTroubles,
+    /// Right after work was accepted as many disks are lost as may be, and all other machines lose
+    /// their power with them.
+    Wipes,
+    /// The machines with a disk are split into two halves; all others reach both.
+    Halves,
 }
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 29] = [
         Self::Calm,
         Self::Crowds,
         Self::Ceiling,
@@ -94,6 +99,8 @@
         Self::SecondLoss,
         Self::LongAbsent,
         Self::CoreTroubles,
+        Self::Wipes,
+        Self::Halves,
     ];
 
     /// Whether operators order numbered configurations instead of signing specs off.
--- a/fleet-simulator/src/world/mod.rs
+++ b/fleet-simulator/src/world/mod.rs
@@ -92,6 +92,9 @@
     pub(crate) last_in_force: std::collections::BTreeMap<NodeIndex, usize>,
     /// Bugs planted to show that the checker can fail.
     pub plant: Option<Plant>,
+    /// After how many more answers on parcels disks and power are lost, none if 0, and for how many
+    /// milliseconds.
+    pub(crate) wipe_after: (u64, u64),
 }
 
 /// A bug planted in the world, to show that the checker sees it.
@@ -176,6 +179,7 @@
             weighed: std::collections::BTreeMap::new(),
             last_in_force: std::collections::BTreeMap::new(),
             plant: None,
+            wipe_after: (0, 0),
         }
     }
 
--- a/fleet-simulator/src/world/nodes/watch.rs
+++ b/fleet-simulator/src/world/nodes/watch.rs
@@ -51,6 +51,15 @@
         self.nodes.iter().position(holds).map(NodeIndex)
     }
 
+    /// The storage nodes that run and have a copy of a shard.
+    pub(crate) fn holders(&self, shard: topazyard_types::ShardId) -> Vec<NodeIndex> {
+        let holds = |node: &Node| match &node.body {
+            Body::Storage(machine) => machine.copy(shard).is_some(),
+            _ => false,
+        };
+        (0..self.nodes.len()).map(NodeIndex).filter(|at| holds(&self.nodes[at.0])).collect()
+    }
+
     /// The cost of all accepted items without a final return, as the most advanced copy of each
     /// shard has it.
     pub(crate) fn waiting_work(&mut self) -> u64 {
--- a/fleet-simulator/tests/lines.rs
+++ b/fleet-simulator/tests/lines.rs
@@ -99,6 +99,8 @@
     the_next_loss_comes_at_once: SecondLoss,
     members_are_away_for_hundreds_of_changes: LongAbsent,
     the_whole_core_is_in_trouble: CoreTroubles,
+    disks_are_lost_while_all_else_loses_power: Wipes,
+    machines_with_disks_are_split_in_halves: Halves,
 }
 
 #[test]
