Check at each acknowledgement that enough copies have synced it

Storage and control count, from the replica's own state, the copies that have synced a commit in their epoch before anything is answered, and a copy checks that it never goes back behind what was committed on it.

--- a/fleet-simulator/tests/lines.rs
+++ b/fleet-simulator/tests/lines.rs
@@ -5,7 +5,7 @@
 use fleet_simulator::{Deployment, Scenario, run};
 
 /// Seeds that once crossed a line.
-const REGRESSIONS: [(&str, Scenario, u64); 17] = [
+const REGRESSIONS: [(&str, Scenario, u64); 21] = [
     ("cristallo", Scenario::Cuts, 11),
     ("cristallo", Scenario::Cuts, 108),
     ("cristallo", Scenario::Cuts, 5008),
@@ -23,6 +23,10 @@
     ("cristallo", Scenario::Chaos, 111),
     ("cristallo", Scenario::Chaos, 117),
     ("cristallo", Scenario::Chaos, 127),
+    ("cristallo", Scenario::Wipes, 83003),
+    ("quito", Scenario::Wipes, 83014),
+    ("grown-cristallo", Scenario::Wipes, 83002),
+    ("grown-quito", Scenario::Wipes, 83014),
 ];
 
 fn deployments() -> [Deployment; 4] {
--- a/libraries/topazyard-replication/src/lib.rs
+++ b/libraries/topazyard-replication/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod copy;
 pub mod epoch;
 pub mod follower;
+pub mod invariants;
 pub mod replica;
 pub mod snapshot;
 
--- a/libraries/topazyard-replication/src/replica/follow.rs
+++ b/libraries/topazyard-replication/src/replica/follow.rs
@@ -194,6 +194,7 @@
         // A primary begins a round only once the one before is committed.
         if !repeated {
             self.doubt = if changes.is_empty() { Doubt::Nothing } else { Doubt::LastBatch };
+            self.note_committed(held);
         }
         if changes.is_empty() || repeated {
             self.send(from.address, ReplicaBody::Appended { round }, out);
@@ -232,6 +233,7 @@
         let Some(compared) = follow.compared.take() else { return };
         let (round, sequence) = (compared.round, compared.sequence);
         let changes = compared.fetched.into_values().flat_map(|range| range.changes).collect();
+        self.check_keeps_committed(sequence);
         // Written even if nothing changed: the disk works in order, so all before it is synced too.
         let rows = self.copy.replace(Place { epoch: self.epoch, sequence }, changes);
         match self.write(rows, now, out) {
--- a/libraries/topazyard-replication/src/replica/lead.rs
+++ b/libraries/topazyard-replication/src/replica/lead.rs
@@ -431,7 +431,11 @@
             batch.write.is_none() && backups.iter().all(confirmed)
         });
         let Some(batch) = done else { return };
+        let confirmed = lead.backups.iter().filter(|backup| backup.has_synced(batch.round));
+        let confirmed = confirmed.count();
+        self.synced_copies = confirmed + usize::from(self.is_synced());
         self.doubt = Doubt::Nothing;
+        self.note_committed(batch.sequence);
         if !batch.tickets.is_empty() {
             out.push(ReplicaOutput::Committed(batch.tickets));
         }
--- a/libraries/topazyard-replication/src/replica/mod.rs
+++ b/libraries/topazyard-replication/src/replica/mod.rs
@@ -10,11 +10,13 @@
 mod parts;
 mod progress;
 
-use topazyard_types::{Epoch, Life, MonotonicMs, NodeId};
+use topazyard_types::{Epoch, Life, MonotonicMs, NodeId, Sequence};
 use topazyard_wire::message::control::CoreNode;
 use topazyard_wire::message::replica::{ReplicaBody, ReplicaMessage};
 use topazyard_wire::{Group, RowChange, WriteToken};
 
+use crate::invariants::{Violation, check_committed_stays, report};
+
 pub use lead::Lead;
 
 /// With so many writes that are not synced a follower takes nothing more. A whole copy comes in
@@ -91,6 +93,10 @@
     /// The round given out last, in any role: none is given out twice in a life.
     last_round: u64,
     writes: std::collections::BTreeMap<u64, MonotonicMs>,
+    /// On how many copies the last commit was synced, this one among them.
+    synced_copies: usize,
+    /// What this node knows to have been committed.
+    committed: Sequence,
 }
 
 /// A frame's sender.
@@ -125,6 +131,8 @@
             last_write: 0,
             last_round: life.first_number(),
             writes: std::collections::BTreeMap::new(),
+            synced_copies: 0,
+            committed: Sequence::default(),
         }
     }
 
@@ -151,6 +159,11 @@
         self.holds_learner = holds;
     }
 
+    /// On how many copies the last commit of this primary was synced, its own among them.
+    pub fn synced_copies(&self) -> usize {
+        self.synced_copies
+    }
+
     /// How much of the copy may never have been committed, and so may go again.
     pub fn doubt(&self) -> Doubt {
         self.doubt
@@ -329,6 +342,21 @@
         out
     }
 
+    /// Everything up to that sequence is known to be committed.
+    fn note_committed(&mut self, sequence: Sequence) {
+        self.committed = self.committed.max(sequence);
+    }
+
+    /// The copy is about to be brought to that sequence.
+    fn check_keeps_committed(&self, sequence: Sequence) {
+        // A group in memory may begin anew where all its copies are gone.
+        let holds = !self.durable || check_committed_stays(self.committed, sequence);
+        report(holds, Violation::CommittedWentBack, || {
+            let (group, epoch) = (self.group, self.epoch);
+            format!("{group:?} in {epoch:?}: {sequence:?} after {:?}", self.committed)
+        });
+    }
+
     /// Time has passed.
     pub fn tick(&mut self, now: MonotonicMs) -> Vec<ReplicaOutput> {
         let mut out = Vec::new();
--- a/libraries/topazyard-replication/src/replica/progress.rs
+++ b/libraries/topazyard-replication/src/replica/progress.rs
@@ -61,6 +61,11 @@
         matches!(self.state, BackupState::InStep)
     }
 
+    /// Whether it has said in this epoch that it synced that round.
+    pub(super) fn has_synced(&self, round: u64) -> bool {
+        self.is_in_step() && self.confirmed == Some(round)
+    }
+
     /// Since when it owes a confirmation, if it does.
     pub(super) fn owes_since(&self, under_way: Option<&Batch>) -> Option<MonotonicMs> {
         match &self.state {
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -17,6 +17,7 @@
 mod tuning;
 
 use topazyard_membership::Membership;
+use topazyard_replication::invariants::{Violation, check_acknowledged_on_enough, report};
 use topazyard_replication::{Copy, Replica, ReplicaOutput, Ticket, Witness};
 use topazyard_types::{MonotonicMs, NodeId, ShardId};
 use topazyard_wire::driver::DiskStart;
@@ -224,6 +225,19 @@
         out.push(Effect::Write { token, changes });
     }
 
+    /// Checks, before anything is acknowledged, that all members of the epoch have synced it.
+    fn check_acknowledges(&self) {
+        let epoch = self.replica.epoch();
+        let Some(record) = self.witness.record().filter(|record| record.epoch == epoch) else {
+            return;
+        };
+        let (synced, needed) = (self.replica.synced_copies(), record.backups.len() + 1);
+        let holds = check_acknowledged_on_enough(synced, needed);
+        report(holds, Violation::AcknowledgedOnTooFew, || {
+            format!("control in epoch {epoch}: {synced} of {needed}")
+        });
+    }
+
     /// Deals with what the replica put out.
     pub(crate) fn take_replica(
         &mut self,
@@ -238,6 +252,7 @@
                 }
                 ReplicaOutput::Write(token, changes) => out.push(Effect::Write { token, changes }),
                 ReplicaOutput::Committed(tickets) => {
+                    self.check_acknowledges();
                     for ticket in tickets {
                         if let Some(waiting) = self.waiting.remove(&ticket) {
                             self.settle(waiting, now, out);
--- a/programs/topazyard-storage/src/machine/roles.rs
+++ b/programs/topazyard-storage/src/machine/roles.rs
@@ -2,6 +2,7 @@
 
 use super::hosted::{Hosted, Work};
 use super::{Out, StorageMachine};
+use topazyard_replication::invariants::{Violation, check_acknowledged_on_enough, report};
 use topazyard_replication::{Copy, Followers, Replica, ReplicaOutput};
 use topazyard_types::{MonotonicMs, ShardId};
 use topazyard_wire::message::Message;
@@ -163,6 +164,7 @@
                 }
                 ReplicaOutput::Write(token, changes) => out.push(Effect::Write { token, changes }),
                 ReplicaOutput::Committed(tickets) => {
+                    self.check_acknowledges(shard);
                     for ticket in tickets {
                         self.settle(shard, ticket, out);
                     }
@@ -190,6 +192,20 @@
         }
     }
 
+    /// Checks, before anything is acknowledged, that enough copies have synced it.
+    fn check_acknowledges(&self, shard: ShardId) {
+        let (Some(hosted), Some(record)) = (self.hosted.get(&shard), self.view.shards.get(&shard))
+        else {
+            return;
+        };
+        let (synced, needed) = (hosted.replica.synced_copies(), usize::from(record.copies));
+        let epoch = hosted.replica.epoch();
+        let holds = record.epoch != epoch || check_acknowledged_on_enough(synced, needed);
+        report(holds, Violation::AcknowledgedOnTooFew, || {
+            format!("shard {shard} in epoch {epoch}: {synced} of {needed}")
+        });
+    }
+
     /// The primary may commit: it takes up its work from the copy, unless it had it already.
     fn begin_work(&mut self, shard: ShardId, now: MonotonicMs, out: &mut Out) {
         let Some(hosted) = self.hosted.get_mut(&shard) else { return };
