--- a/fleet-simulator/tests/lines.rs
+++ b/fleet-simulator/tests/lines.rs
@@ -5,7 +5,7 @@
 use fleet_simulator::{Deployment, Scenario, run};
 
 /// Seeds that once crossed a line.
-const REGRESSIONS: [(&str, Scenario, u64); 17] = [
+const REGRESSIONS: [(&str, Scenario, u64); 21] = [
     ("cristallo", Scenario::Cuts, 11),
     ("cristallo", Scenario::Cuts, 108),
     ("cristallo", Scenario::Cuts, 5008),
@@ -23,6 +23,10 @@
     ("cristallo", Scenario::Chaos, 111),
     ("cristallo", Scenario::Chaos, 117),
     ("cristallo", Scenario::Chaos, 127),
+    ("cristallo", Scenario::Wipes, 83003),
+    ("quito", Scenario::Wipes, 83014),
+    ("grown-cristallo", Scenario::Wipes, 83002),
+    ("grown-quito", Scenario::Wipes, 83014),
 ];
 
 fn deployments() -> [Deployment; 4] {
@@ -99,6 +103,8 @@
     the_next_loss_comes_at_once: SecondLoss,
     members_are_away_for_hundreds_of_changes: LongAbsent,
     the_whole_core_is_in_trouble: CoreTroubles,
+    disks_are_lost_while_all_else_loses_power: Wipes,
+    machines_with_disks_are_split_in_halves: Halves,
 }
 
 #[test]
--- a/libraries/topazyard-replication/src/replica/lead.rs
+++ b/libraries/topazyard-replication/src/replica/lead.rs
@@ -352,10 +352,12 @@
         self.serve_if_in_step(out);
     }
 
-    /// Begins to serve once all backups are in step.
+    /// Begins to serve once all backups are in step and its own copy is synced: a successor may hold a
+    /// batch that its disk has not done yet, and what it then shows is on all copies but its own.
     fn serve_if_in_step(&mut self, out: &mut Vec<ReplicaOutput>) {
+        let is_synced = self.is_synced();
         let Role::Primary(lead) = &mut self.role else { return };
-        if lead.phase != Phase::Comparing || !lead.answers || !lead.all_in_step() {
+        if !is_synced || lead.phase != Phase::Comparing || !lead.answers || !lead.all_in_step() {
             return;
         }
         lead.phase = Phase::Serving;
@@ -400,12 +402,23 @@
     pub(super) fn lead_written(&mut self, number: u64, out: &mut Vec<ReplicaOutput>) {
         if let Role::Primary(lead) = &mut self.role
             && let Some(batch) = &mut lead.under_way
+            && batch.write.take_if(|write| *write <= number).is_some()
         {
-            batch.write.take_if(|write| *write <= number);
+            let round = batch.round;
+            self.say_synced(round, out);
         }
+        self.serve_if_in_step(out);
         self.finish_batch(out);
     }
 
+    /// Tells the backups in step that this copy has synced a batch: with their own word that is all.
+    fn say_synced(&self, round: u64, out: &mut Vec<ReplicaOutput>) {
+        let Role::Primary(lead) = &self.role else { return };
+        for backup in lead.backups.iter().filter(|backup| backup.is_in_step()) {
+            self.send(backup.node.address, ReplicaBody::Synced { round }, out);
+        }
+    }
+
     /// The one place where something is said to be committed.
     fn finish_batch(&mut self, out: &mut Vec<ReplicaOutput>) {
         let Role::Primary(lead) = &mut self.role else { return };
@@ -418,7 +431,11 @@
             batch.write.is_none() && backups.iter().all(confirmed)
         });
         let Some(batch) = done else { return };
+        let confirmed = lead.backups.iter().filter(|backup| backup.has_synced(batch.round));
+        let confirmed = confirmed.count();
+        self.synced_copies = confirmed + usize::from(self.is_synced());
         self.doubt = Doubt::Nothing;
+        self.note_committed(batch.sequence);
         if !batch.tickets.is_empty() {
             out.push(ReplicaOutput::Committed(batch.tickets));
         }
--- a/programs/topazyard-storage/src/machine/roles.rs
+++ b/programs/topazyard-storage/src/machine/roles.rs
@@ -2,6 +2,7 @@
 
 use super::hosted::{Hosted, Work};
 use super::{Out, StorageMachine};
+use topazyard_replication::invariants::{Violation, check_acknowledged_on_enough, report};
 use topazyard_replication::{Copy, Followers, Replica, ReplicaOutput};
 use topazyard_types::{MonotonicMs, ShardId};
 use topazyard_wire::message::Message;
@@ -40,10 +41,12 @@
     fn host(&mut self, shard: ShardId) -> &mut Hosted {
         let life = self.life;
         let loaded = self.loaded.remove(&Group::Shard(shard)).unwrap_or_default();
+        let last_write = self.deletions.get(&shard).copied().unwrap_or_default();
         self.hosted.entry(shard).or_insert_with(|| {
             let mut copy = Copy::loaded(loaded);
             copy.remember_only_last();
-            Hosted::new(Replica::new(Group::Shard(shard), !shard.is_counter(), copy, life))
+            let replica = Replica::new(Group::Shard(shard), !shard.is_counter(), copy, life);
+            Hosted::new(replica.numbering_writes_after(last_write))
         })
     }
 
@@ -122,14 +125,18 @@
         let hosted = self.hosted.remove(&shard);
         let mut keys: Vec<String> =
             loaded.map(|rows| rows.into_keys().collect()).unwrap_or_default();
+        let mut last_write = self.deletions.get(&shard).copied().unwrap_or_default();
         if let Some(hosted) = hosted {
             keys = hosted.replica.copy().keys_on_disk();
+            last_write = hosted.replica.last_write();
         }
         if shard.is_counter() || keys.is_empty() {
             return;
         }
-        // No one waits for this write; its number is never one that a replica gave out.
-        let token = WriteToken { group: Group::Shard(shard), number: u64::MAX };
+        // No one waits for this write. A copy that is taken up later numbers its writes after it.
+        let number = last_write + 1;
+        self.deletions.insert(shard, number);
+        let token = WriteToken { group: Group::Shard(shard), number };
         let changes = keys.into_iter().map(RowChange::gone).collect();
         out.push(Effect::Write { token, changes });
     }
@@ -157,6 +164,7 @@
                 }
                 ReplicaOutput::Write(token, changes) => out.push(Effect::Write { token, changes }),
                 ReplicaOutput::Committed(tickets) => {
+                    self.check_acknowledges(shard);
                     for ticket in tickets {
                         self.settle(shard, ticket, out);
                     }
@@ -184,6 +192,20 @@
         }
     }
 
+    /// Checks, before anything is acknowledged, that enough copies have synced it.
+    fn check_acknowledges(&self, shard: ShardId) {
+        let (Some(hosted), Some(record)) = (self.hosted.get(&shard), self.view.shards.get(&shard))
+        else {
+            return;
+        };
+        let (synced, needed) = (hosted.replica.synced_copies(), usize::from(record.copies));
+        let epoch = hosted.replica.epoch();
+        let holds = record.epoch != epoch || check_acknowledged_on_enough(synced, needed);
+        report(holds, Violation::AcknowledgedOnTooFew, || {
+            format!("shard {shard} in epoch {epoch}: {synced} of {needed}")
+        });
+    }
+
     /// The primary may commit: it takes up its work from the copy, unless it had it already.
     fn begin_work(&mut self, shard: ShardId, now: MonotonicMs, out: &mut Out) {
         let Some(hosted) = self.hosted.get_mut(&shard) else { return };
