--- a/libraries/topazyard-replication/src/invariants.rs
+++ b/libraries/topazyard-replication/src/invariants.rs
@@ -3,15 +3,7 @@
 //! A check is a plain function over what the copy itself knows, so that a test can ask it too.
 
 use topazyard_types::Sequence;
-
-/// An invariant that does not hold.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
-pub enum Violation {
-    /// something was acknowledged that too few copies have synced in its epoch
-    AcknowledgedOnTooFew,
-    /// a copy went back behind what was committed on it
-    CommittedWentBack,
-}
+use topazyard_wire::invariants::{self, Invariant};
 
 /// Whether what is acknowledged is synced on as many copies as its record asks for: one more than may
 /// be lost.
@@ -38,15 +30,12 @@
     now >= committed
 }
 
-/// Says in the log that an invariant does not hold.
+/// Counts and logs an invariant that does not hold.
 ///
 /// # Panics
 /// Without optimisations for release an invariant that does not hold ends the process: tests and the
 /// simulator see it at once.
-pub fn report(holds: bool, violation: Violation, details: impl FnOnce() -> String) {
-    if !holds {
-        let details = details();
-        spdlog::error!("invariant violated: {violation}: {details}");
-        debug_assert!(holds, "{violation}: {details}");
-    }
+pub fn report(holds: bool, invariant: Invariant, details: impl Fn() -> String) {
+    invariants::check(holds, invariant, &details);
+    debug_assert!(holds, "{invariant}: {}", details());
 }
--- a/libraries/topazyard-replication/src/replica/mod.rs
+++ b/libraries/topazyard-replication/src/replica/mod.rs
@@ -15,7 +15,8 @@
 use topazyard_wire::message::replica::{ReplicaBody, ReplicaMessage};
 use topazyard_wire::{Group, RowChange, WriteToken};
 
-use crate::invariants::{Violation, check_committed_stays, report};
+use crate::invariants::{check_committed_stays, report};
+use topazyard_wire::invariants::Invariant;
 
 pub use lead::Lead;
 
@@ -351,7 +352,7 @@
     fn check_keeps_committed(&self, sequence: Sequence) {
         // A group in memory may begin anew where all its copies are gone.
         let holds = !self.durable || check_committed_stays(self.committed, sequence);
-        report(holds, Violation::CommittedWentBack, || {
+        report(holds, Invariant::CommittedStays, || {
             let (group, epoch) = (self.group, self.epoch);
             format!("{group:?} in {epoch:?}: {sequence:?} after {:?}", self.committed)
         });
--- a/libraries/topazyard-wire/src/invariants.rs
+++ b/libraries/topazyard-wire/src/invariants.rs
@@ -48,6 +48,14 @@
     RequestFollowsItsChart = "request_follows_its_chart",
     /// the configuration in force is never older than one that this node acknowledged
     AcknowledgedConfigurationStays = "acknowledged_configuration_stays",
+    /// what is acknowledged is synced on as many copies as its record asks for
+    AcknowledgedOnEnoughCopies = "acknowledged_on_enough_copies",
+    /// a copy never goes back behind what was committed on it
+    CommittedStays = "committed_stays",
+    /// a request that a draining relay takes has the time that it may need
+    TakenWithTimeLeft = "taken_with_time_left",
+    /// each request that a relay has taken gets its final answer before the process ends
+    AnsweredBeforeEnd = "answered_before_end",
 }
 
 /// How often one invariant may be logged, in ms.
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -18,10 +18,11 @@
 mod tuning;
 
 use topazyard_membership::Membership;
-use topazyard_replication::invariants::{Violation, check_acknowledged_on_enough, report};
+use topazyard_replication::invariants::{check_acknowledged_on_enough, report};
 use topazyard_replication::{Copy, Replica, ReplicaOutput, Ticket, Witness};
 use topazyard_types::{MonotonicMs, NodeId, ShardId};
 use topazyard_wire::driver::DiskStart;
+use topazyard_wire::invariants::Invariant;
 use topazyard_wire::message::control::{CoreMessage, CoreNode, EpochRecord, ShardWish};
 use topazyard_wire::message::membership::Duty;
 use topazyard_wire::message::operate::{Operate, OperateOutcome};
@@ -264,7 +265,7 @@
         };
         let (synced, needed) = (self.replica.synced_copies(), record.backups.len() + 1);
         let holds = check_acknowledged_on_enough(synced, needed);
-        report(holds, Violation::AcknowledgedOnTooFew, || {
+        report(holds, Invariant::AcknowledgedOnEnoughCopies, || {
             format!("control in epoch {epoch}: {synced} of {needed}")
         });
     }
--- a/programs/topazyard-relay/src/drain.rs
+++ b/programs/topazyard-relay/src/drain.rs
@@ -97,10 +97,15 @@
         self.begun.plus(self.times.ends)
     }
 
+    /// Up to when clients are still sent here.
+    pub fn still_sent_until(&self) -> MonotonicMs {
+        self.begun.plus(self.times.still_sent)
+    }
+
     /// Whether a request with this deadline may be taken: while clients are still sent here each is,
     /// later only one that is surely over before the relay is.
     pub fn may_take(&self, deadline: MonotonicMs, now: MonotonicMs) -> bool {
-        now < self.begun.plus(self.times.still_sent) || deadline <= self.serves_until()
+        now < self.still_sent_until() || deadline <= self.serves_until()
     }
 
     /// The stage to be in, where so much is under way.
@@ -117,7 +122,7 @@
     /// assert_eq!(draining.stage(true, MonotonicMs(7_100)), Stage::Overdue);
     /// ```
     pub fn stage(&self, is_under_way: bool, now: MonotonicMs) -> Stage {
-        if now < self.begun.plus(self.times.still_sent) {
+        if now < self.still_sent_until() {
             Stage::Closing
         } else if now >= self.serves_until() {
             Stage::Overdue
--- a/programs/topazyard-relay/src/front/mod.rs
+++ b/programs/topazyard-relay/src/front/mod.rs
@@ -28,6 +28,7 @@
     request: hyper::Request<hyper::body::Incoming>,
 ) -> hyper::Response<Body> {
     use topazyard_wire::http::inward;
+    let _unanswered = ended::Unanswered::begin();
     tokio::select! {
         biased;
         response = respond(handle, request) => response,
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -2,6 +2,7 @@
 
 use super::connections::{self, Kept, SendError};
 use super::dialect::{Addressed, Dialect, RequestFacts, Verdict};
+use super::ended::Unanswered;
 use super::ending::Ending;
 use super::engine::span;
 use super::routed_stream::Stream;
@@ -69,6 +70,7 @@
     mut drain: inward::Drain,
     request: hyper::Request<hyper::body::Incoming>,
 ) -> hyper::Response<Body> {
+    let _unanswered = Unanswered::begin();
     let (head, body) = request.into_parts();
     match serve(handle, &names, &mut drain, head, body).await {
         Ok(response) => response,
--- a/programs/topazyard-relay/src/machine/requests.rs
+++ b/programs/topazyard-relay/src/machine/requests.rs
@@ -13,6 +13,7 @@
 };
 use topazyard_wire::Effect;
 use topazyard_wire::api::{ApiError, Code};
+use topazyard_wire::invariants::{self, Invariant};
 use topazyard_wire::message::counter::HoldKind;
 
 /// What a request without stated counts is taken to cost: the source's default answer length and
@@ -32,6 +33,8 @@
 const PEAK_SPAN: DurationMs = DurationMs(750);
 /// A block is this part of the pool's budget, or one request's cost where that is more.
 const BLOCKS_OF_LIMIT: u64 = 4_096;
+/// How soon after its deadline the machine has been told that a request ended.
+const END_TOLD_WITHIN: DurationMs = DurationMs(250);
 /// The shortest that a request waits for room, whatever its target.
 const SHORTEST_WAIT: DurationMs = DurationMs(30);
 
@@ -104,6 +107,7 @@
     pool: PoolName,
     charge: Tokens,
     priority: u32,
+    arrived: MonotonicMs,
     deadline: MonotonicMs,
     give_up_at: MonotonicMs,
     prefix: Vec<PromptPart>,
@@ -152,6 +156,8 @@
 pub(crate) struct Requests {
     entries: std::collections::BTreeMap<PromptId, Entry>,
     rooms: std::collections::BTreeMap<PoolName, Room>,
+    /// Whether the end of a drain's time to serve has been looked at.
+    drain_checked: bool,
 }
 
 impl Requests {
@@ -224,6 +230,7 @@
             pool: judged.pool,
             charge: judged.charge,
             priority: judged.priority,
+            arrived: arrival.arrived,
             deadline: judged.terms.deadline,
             give_up_at: judged.give_up_at,
             prefix: arrival.prefix,
@@ -472,6 +479,7 @@
     }
 
     pub(super) fn requests_tick(&mut self, now: MonotonicMs, out: &mut Out) {
+        self.check_taken_with_time_left(now);
         self.give_up_waiting(now, out);
         let pools: Vec<PoolName> = self.requests.rooms.keys().cloned().collect();
         for pool in pools {
@@ -480,6 +488,19 @@
         }
     }
 
+    /// Checks, once a drain's time to serve is over, that nothing is left of what was taken late.
+    fn check_taken_with_time_left(&mut self, now: MonotonicMs) {
+        let Some(draining) = self.draining else { return };
+        if self.requests.drain_checked || now < draining.serves_until().plus(END_TOLD_WITHIN) {
+            return;
+        }
+        self.requests.drain_checked = true;
+        let late_from = draining.still_sent_until();
+        let left = self.requests.entries.values().filter(|entry| entry.arrived >= late_from);
+        let left = left.count();
+        invariants::check(left == 0, Invariant::TakenWithTimeLeft, || format!("left={left}"));
+    }
+
     /// Those that waited as long as it makes sense get their final answer at once.
     fn give_up_waiting(&mut self, now: MonotonicMs, out: &mut Out) {
         let stale = now >= self.routes_until();
--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -68,6 +68,7 @@
             () = served => spdlog::info!("ended in order"),
             () = drained(&handle, &drain, times) => note_given_up(&handle).await,
         }
+        crate::front::ended::check_all_answered();
         Ok(())
     })
 }
--- a/programs/topazyard-relay/tests/invariants.rs
+++ b/programs/topazyard-relay/tests/invariants.rs
@@ -1,5 +1,6 @@
 //! Each invariant that the relay checks, seen violated.
 
+use topazyard_relay::front::ended::{Unanswered, check_all_answered};
 use topazyard_relay::prompt::{Chart, State};
 use topazyard_types::MonotonicMs;
 use topazyard_wire::invariants::{Invariant, violations};
@@ -18,3 +19,13 @@
     assert_eq!(ended_again.is_err(), cfg!(debug_assertions));
     assert_eq!(violations(Invariant::RequestFollowsItsChart), 1);
 }
+
+#[test]
+fn a_request_without_a_response_at_the_end_is_a_violation() {
+    let unanswered = Unanswered::begin();
+    check_all_answered();
+    assert_eq!(violations(Invariant::AnsweredBeforeEnd), 1);
+    drop(unanswered);
+    check_all_answered();
+    assert_eq!(violations(Invariant::AnsweredBeforeEnd), 1);
+}
--- a/programs/topazyard-relay/tests/requests.rs
+++ b/programs/topazyard-relay/tests/requests.rs
@@ -11,6 +11,7 @@
     ShardId, SpecVersion, Tokens,
 };
 use topazyard_wire::api::Code;
+use topazyard_wire::invariants::{Invariant, violations};
 use topazyard_wire::message::Message;
 use topazyard_wire::message::control::{CoreNode, ShardRecord};
 use topazyard_wire::message::counter::{CounterBody, CounterMessage, HoldKind};
@@ -533,6 +534,20 @@
     assert_eq!(relay.code(too_long), Some(Code::Draining));
 }
 
+// Else nobody hears of a request that a relay took without the time to finish it.
+#[test]
+fn a_late_request_that_outlasts_a_drain_is_a_violation() {
+    let mut relay = Relay::granted();
+    relay.call(RelayCall::Drain(DrainTimes::within(DurationMs(8_000), DurationMs(0))));
+    let stuck = relay.arrive("/x", 1, 7_000, &[]);
+    assert!(relay.admitted(stuck).is_some());
+    relay.tick(7_000);
+    assert_eq!(violations(Invariant::TakenWithTimeLeft), 0, "it may be about to end");
+    relay.tick(250);
+    relay.tick(250);
+    assert_eq!(violations(Invariant::TakenWithTimeLeft), 1);
+}
+
 // Else requests go to an engine that is about to end, and are cut.
 #[test]
 fn an_engine_that_leaves_is_never_chosen() {
--- a/programs/topazyard-storage/src/machine/roles.rs
+++ b/programs/topazyard-storage/src/machine/roles.rs
@@ -2,9 +2,10 @@
 
 use super::hosted::{Hosted, Work};
 use super::{Out, StorageMachine};
-use topazyard_replication::invariants::{Violation, check_acknowledged_on_enough, report};
+use topazyard_replication::invariants::{check_acknowledged_on_enough, report};
 use topazyard_replication::{Copy, Followers, Replica, ReplicaOutput};
 use topazyard_types::{MonotonicMs, ShardId};
+use topazyard_wire::invariants::Invariant;
 use topazyard_wire::message::Message;
 use topazyard_wire::message::control::{CoreNode, ShardRecord, ShardWish, Wish};
 use topazyard_wire::{Effect, Group, RowChange, WriteToken};
@@ -201,7 +202,7 @@
         let (synced, needed) = (hosted.replica.synced_copies(), usize::from(record.copies));
         let epoch = hosted.replica.epoch();
         let holds = record.epoch != epoch || check_acknowledged_on_enough(synced, needed);
-        report(holds, Violation::AcknowledgedOnTooFew, || {
+        report(holds, Invariant::AcknowledgedOnEnoughCopies, || {
             format!("shard {shard} in epoch {epoch}: {synced} of {needed}")
         });
     }
