Let inner ports be listened on at another address than the advertised one

Ruled out: another field of `driver::Place`, which every test that makes one would have to name. `spawn` stays as it was; `spawn_at` takes the address to listen at.

--- a/libraries/topazyard-spec/src/settings/check.rs
+++ b/libraries/topazyard-spec/src/settings/check.rs
@@ -11,6 +11,8 @@
     pub fleet: FleetId,
     /// Where frames arrive.
     pub address: std::net::SocketAddr,
+    /// Where frames are listened for, if not at `address`: behind an address translation.
+    pub listen: Option<std::net::SocketAddr>,
     /// Where HTTP is served, for those that serve it.
     pub http: Option<std::net::SocketAddr>,
     /// Where readiness is asked, if not at `http`.
@@ -104,6 +106,11 @@
 }
 
 impl NodeSettings {
+    /// Where frames are listened for.
+    pub fn frames_at(&self) -> std::net::SocketAddr {
+        self.listen.unwrap_or(self.address)
+    }
+
     /// Reads the settings file, if one is named, and checks the whole.
     ///
     /// ```
@@ -146,6 +153,7 @@
         Ok(Self {
             name: None,
             ready: None,
+            listen: None,
             fleet,
             address: address("address", &own)?,
             http: settings.http.map(|text| address("http", &text)).transpose()?,
--- a/libraries/topazyard-wire/src/driver/mod.rs
+++ b/libraries/topazyard-wire/src/driver/mod.rs
@@ -13,4 +13,4 @@
 pub use disked::{DiskStart, start_with_disk};
 pub use identity::{fresh_id, settled_id};
 pub use signals::{follow_settings, terminated};
-pub use spawn::{Place, StartError, daemon, exit_code, run_process, spawn};
+pub use spawn::{Place, StartError, daemon, exit_code, run_process, spawn, spawn_at};
--- a/libraries/topazyard-wire/src/driver/spawn.rs
+++ b/libraries/topazyard-wire/src/driver/spawn.rs
@@ -90,8 +90,22 @@
     disk: Option<crate::disk::OpenFile>,
     tasks: tokio::sync::mpsc::Sender<M::Task>,
 ) -> Result<super::Handle<M>, StartError> {
-    let at = |error: std::io::Error| StartError::Address(place.address, error.kind());
-    let listener = std::net::TcpListener::bind(place.address).map_err(at)?;
+    spawn_at(place.address, make, place, disk, tasks)
+}
+
+/// The same where frames are listened for at another address than the one that others send to.
+///
+/// # Errors
+/// The address to listen at can't be had, or the thread's runtime can't be made.
+pub fn spawn_at<M: crate::Machine>(
+    listen: std::net::SocketAddr,
+    make: impl FnOnce(topazyard_types::MonotonicMs) -> (M, crate::machine::Effects<M>),
+    place: Place,
+    disk: Option<crate::disk::OpenFile>,
+    tasks: tokio::sync::mpsc::Sender<M::Task>,
+) -> Result<super::Handle<M>, StartError> {
+    let at = |error: std::io::Error| StartError::Address(listen, error.kind());
+    let listener = std::net::TcpListener::bind(listen).map_err(at)?;
     listener.set_nonblocking(true).map_err(at)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/programs/topazyard-control/src/run.rs
+++ b/programs/topazyard-control/src/run.rs
@@ -28,7 +28,8 @@
             }
             (machine, first)
         };
-        let handle = topazyard_wire::driver::spawn(make, place, Some(disk), tasks)?;
+        let handle =
+            topazyard_wire::driver::spawn_at(settings.frames_at(), make, place, Some(disk), tasks)?;
         tokio::spawn(work(outside, handle.clone(), begun));
         let leaving = handle.clone();
         let told = handle.clone();
--- a/programs/topazyard-edge-agent/src/run.rs
+++ b/programs/topazyard-edge-agent/src/run.rs
@@ -51,7 +51,8 @@
     topazyard_wire::driver::run_process(async move {
         let (tasks, _no_tasks) = tokio::sync::mpsc::channel(1);
         let make = |_| (crate::AgentMachine::new(start), Vec::new());
-        let handle = topazyard_wire::driver::spawn(make, place, disk, tasks)?;
+        let handle =
+            topazyard_wire::driver::spawn_at(settings.frames_at(), make, place, disk, tasks)?;
         let follow = topazyard_wire::driver::follow_settings(settings, |told| {
             handle.tell(crate::AgentCall::Seeds(told.seeds));
         });
--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -43,7 +43,8 @@
         };
         let (tasks, begun) = tokio::sync::mpsc::channel(1_024);
         let make = move |_| (crate::RelayMachine::new(&start), Vec::new());
-        let handle = topazyard_wire::driver::spawn(make, place, None, tasks)?;
+        let handle =
+            topazyard_wire::driver::spawn_at(settings.frames_at(), make, place, None, tasks)?;
         let names = match &front {
             Front::Own => None,
             Front::Routes { names, .. } => Some(names.clone()),
--- a/programs/topazyard-storage/src/run.rs
+++ b/programs/topazyard-storage/src/run.rs
@@ -12,7 +12,8 @@
         let (start, place, disk) = start_with_disk(&settings, Duty::Storage).await?;
         let (tasks, _no_tasks) = tokio::sync::mpsc::channel(1);
         let make = |_| (crate::StorageMachine::new(start), Vec::new());
-        let handle = topazyard_wire::driver::spawn(make, place, Some(disk), tasks)?;
+        let handle =
+            topazyard_wire::driver::spawn_at(settings.frames_at(), make, place, Some(disk), tasks)?;
         let health = handle.clone();
         if let Some(http) = settings.http {
             let listener = topazyard_wire::http::inward::bind(http).await?;
