--- a/libraries/topazyard-wire/src/invariants.rs
+++ b/libraries/topazyard-wire/src/invariants.rs
@@ -52,6 +52,8 @@
     AcknowledgedOnEnoughCopies = "acknowledged_on_enough_copies",
     /// a copy never goes back behind what was committed on it
     CommittedStays = "committed_stays",
+    /// each item of a batch is open or listed, and each listed result is there
+    BatchIsWhole = "batch_is_whole",
     /// a request that a draining relay takes has the time that it may need
     TakenWithTimeLeft = "taken_with_time_left",
     /// each request that a relay has taken gets its final answer before the process ends
--- a/programs/topazyard-control/src/run.rs
+++ b/programs/topazyard-control/src/run.rs
@@ -42,7 +42,8 @@
             }
             (machine, first)
         };
-        let handle = topazyard_wire::driver::spawn(make, place, Some(disk), tasks)?;
+        let handle =
+            topazyard_wire::driver::spawn_at(settings.frames_at(), make, place, Some(disk), tasks)?;
         tokio::spawn(work(outside, handle.clone(), begun));
         crate::metrics::serve(settings.metrics, &handle).await;
         let leaving = handle.clone();
--- a/programs/topazyard-storage/src/parcels/batches/mod.rs
+++ b/programs/topazyard-storage/src/parcels/batches/mod.rs
@@ -8,6 +8,7 @@
 use topazyard_types::{
     DurationMs, ItemNumber, Life, MonotonicMs, NodeId, ParcelId, RouteName, ShardId, Tokens,
 };
+use topazyard_wire::invariants::{self, Invariant};
 use topazyard_wire::message::parcel::{Progress, Run, Terms};
 
 pub use changes::Taken;
@@ -84,6 +85,15 @@
     last_lease: u64,
 }
 
+/// Checks that a batch that is taken over has each of its items, open or with a result.
+fn check_whole(number: u64, row: &BatchRow, open: usize, results: usize) {
+    let listed = row.listed as usize;
+    let has_items = row.ended || open + listed == row.items as usize;
+    invariants::check(has_items && results == listed, Invariant::BatchIsWhole, || {
+        format!("batch={number:016x} open={open} results={results} row={row:?}")
+    });
+}
+
 impl Batches {
     /// The batches that a copy holds.
     pub(super) fn taken_over(
@@ -109,9 +119,11 @@
                 let value = rows::item_of(copy, number, item)?;
                 Some((item, Open::new(&value)))
             });
+            let open: std::collections::BTreeMap<ItemNumber, Open> = open.collect();
             let results = (1..=row.listed).filter_map(|at| rows::result_of(copy, number, at));
-            let result_bytes = results.map(|result| changes::bytes_of(&result.end)).sum();
-            let (open, age_then) = (open.collect(), row.age);
+            let bytes: Vec<u64> = results.map(|result| changes::bytes_of(&result.end)).collect();
+            check_whole(number, &row, open.len(), bytes.len());
+            let (result_bytes, age_then) = (bytes.into_iter().sum(), row.age);
             batches.hold(number, Held { row, since: now, age_then, open, result_bytes });
         }
         batches
--- a/programs/topazyard-storage/tests/batches.rs
+++ b/programs/topazyard-storage/tests/batches.rs
@@ -7,6 +7,7 @@
     DurationMs, Epoch, ItemNumber, Life, MonotonicMs, NodeId, ParcelId, RouteName, Sequence, Tokens,
 };
 use topazyard_wire::RowChange;
+use topazyard_wire::invariants::{Invariant, violations};
 use topazyard_wire::message::parcel::{
     Batch, Directions, Item, ItemEnd, ItemReturn, LeasedItem, Progress, Run, RunEnd, Terms,
 };
@@ -368,3 +369,23 @@
     shard.hand_over(4, 3);
     assert_eq!(counts(&shard), (2, 4));
 }
+
+// Else nobody hears that a result or an item is missing before its client does.
+#[test]
+fn a_batch_that_lacks_a_result_or_an_item_is_a_violation() {
+    let mut shard = Shard::new();
+    assert!(shard.submit(&batch("a", 2), 0));
+    let run = shard.lease_one(A, 0);
+    shard.finish(A, run, RunEnd::Done { text: "out".to_owned() }, 10);
+    shard.hand_over(4, 20);
+    assert_eq!(violations(Invariant::BatchIsWhole), 0);
+    for (seen, kind) in [(1, "result/"), (2, "work/")] {
+        let lost: Vec<String> =
+            shard.copy.with_prefix(kind).map(|(key, _)| key.to_owned()).collect();
+        assert_eq!(lost.len(), 1);
+        let mut rows = shard.copy.rows().clone();
+        rows.retain(|key, _| !lost.contains(key));
+        Shard::of(&Copy::loaded(rows), 5, 30);
+        assert_eq!(violations(Invariant::BatchIsWhole), seen, "{kind}");
+    }
+}
