--- a/programs/topazyard-control/tests/ending.rs
+++ b/programs/topazyard-control/tests/ending.rs
@@ -52,6 +52,7 @@
 fn settings(http: Address, folder: &std::path::Path) -> topazyard_spec::NodeSettings {
     topazyard_spec::NodeSettings {
         metrics: None,
+        listen: None,
         name: None,
         fleet: FleetId(4),
         address: free_address(),
