Look at a drain's moments as they come, and give last answers after a late wake

Cause: a draining relay looked every 100 ms (200 where its machine is behind), while a sixteenth of the grace lies between the moment of the final answers and the end: below 1.6 s of grace, or after a stop of the process, the stage Overdue could be skipped, and requests without a response were dropped with the process.

Now it looks no later than the next moment of the drain, and a process that learns late that its time is over still gives final answers, with 50 ms for their way.

--- a/programs/topazyard-relay/src/drain.rs
+++ b/programs/topazyard-relay/src/drain.rs
@@ -102,6 +102,23 @@
         self.begun.plus(self.times.still_sent)
     }
 
+    /// For how long nothing needs to be looked at: until the next moment at which the stage may change
+    /// by itself, and no longer than `longest`. None where the process should have ended.
+    ///
+    /// ```
+    /// use topazyard_relay::drain::{DrainTimes, Draining};
+    /// use topazyard_types::{DurationMs, MonotonicMs};
+    /// let times = DrainTimes::within(DurationMs(800), DurationMs(0));
+    /// let draining = Draining::begin(times, MonotonicMs(100));
+    /// let next = |now| draining.until_next_look(DurationMs(100), MonotonicMs(now)).0;
+    /// assert_eq!((next(100), next(760), next(800), next(850)), (100, 40, 50, 0));
+    /// ```
+    pub fn until_next_look(&self, longest: DurationMs, now: MonotonicMs) -> DurationMs {
+        let moments = [self.still_sent_until(), self.serves_until(), self.ends_at()];
+        let next = moments.into_iter().filter(|moment| *moment > now).min();
+        next.map_or(DurationMs(0), |moment| moment.since(now).min(longest))
+    }
+
     /// Whether a request with this deadline may be taken: while clients are still sent here each is,
     /// later only one that is surely over before the relay is.
     pub fn may_take(&self, deadline: MonotonicMs, now: MonotonicMs) -> bool {
--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -1,15 +1,19 @@
 //! The program as a whole: its machine, its links and its HTTP.
 
 use crate::drain::DrainTimes;
+use crate::front::engine::span;
 use crate::front::{Handle, connections, routed};
 use crate::{RelayCall, RelayReturn};
+use topazyard_types::DurationMs;
 use topazyard_wire::driver::StartError;
 use topazyard_wire::http::inward;
 
 /// How often idle connections to engines are looked through.
 const SWEEP_MS: u64 = 500;
 /// How often a draining relay looks whether it has finished.
-const DRAIN_LOOK: std::time::Duration = std::time::Duration::from_millis(100);
+const DRAIN_LOOK: DurationMs = DurationMs(100);
+/// How long final answers have for their way where the process learns late that its time is over.
+const LAST_ANSWERS: std::time::Duration = std::time::Duration::from_millis(50);
 
 /// How a relay serves its clients.
 #[derive(Clone)]
@@ -21,7 +25,7 @@
         /// The names.
         names: routed::Names,
         /// For how long clients may still be sent here after the relay said that it isn't ready.
-        still_sent: topazyard_types::DurationMs,
+        still_sent: DurationMs,
     },
 }
 
@@ -56,7 +60,7 @@
         let (drain, drains) = tokio::sync::watch::channel(inward::Stage::Serving);
         crate::metrics::serve(settings.metrics, &handle, &drains).await;
         let still_sent = match &front {
-            Front::Own => topazyard_types::DurationMs(0),
+            Front::Own => DurationMs(0),
             Front::Routes { still_sent, .. } => *still_sent,
         };
         if let Some(ready) = ready {
@@ -117,7 +121,8 @@
     };
     while clock.now() < draining.ends_at() {
         // A machine that is behind may have anything under way, and must not put the end off.
-        let looked = tokio::time::timeout(DRAIN_LOOK, handle.call(RelayCall::Health)).await;
+        let limit = span(draining.until_next_look(DRAIN_LOOK, clock.now()));
+        let looked = tokio::time::timeout(limit, handle.call(RelayCall::Health)).await;
         let health = match &looked {
             Ok(Ok(RelayReturn::Health(health))) => Some(health),
             Ok(_) => return,
@@ -130,7 +135,18 @@
             spdlog::info!("drain stage {stage:?} {counts}");
             drain.send_replace(stage);
         }
-        tokio::time::sleep(DRAIN_LOOK).await;
+        tokio::time::sleep(span(draining.until_next_look(DRAIN_LOOK, clock.now()))).await;
+    }
+    give_last_answers(drain).await;
+}
+
+/// Has final answers given that were not given in time: the process was stopped meanwhile, or has
+/// hardly any time to end.
+async fn give_last_answers(drain: &tokio::sync::watch::Sender<inward::Stage>) {
+    if *drain.borrow() < inward::Stage::Overdue {
+        spdlog::warn!("drain stage Overdue late");
+        drain.send_replace(inward::Stage::Overdue);
+        tokio::time::sleep(LAST_ANSWERS).await;
     }
 }
 
