--- a/fleet-measure/src/main.rs
+++ b/fleet-measure/src/main.rs
@@ -19,7 +19,7 @@
         #[arg(long, default_value_t = 5)]
         seeds: u64,
     },
-    /// Tuned weights against fixed ones, in a crowd with many parcels
+    /// Tuned weights against fixed ones, in a crowd with many batches
     Weights {
         /// How many seeds
         #[arg(long, default_value_t = 5)]
--- a/fleet-measure/src/scale/items.rs
+++ b/fleet-measure/src/scale/items.rs
@@ -2,10 +2,10 @@
 
 use super::fleet::Fleet;
 use super::meter::{Meter, process_us, resident_bytes};
-use topazyard_types::{Epoch, ParcelId, ShardId, Tokens};
+use topazyard_types::{BatchId, Epoch, ShardId, Tokens};
 use topazyard_wire::Message;
-use topazyard_wire::message::parcel::{
-    Item, ParcelBody, ParcelCall, ParcelMessage, ParcelReturn, RunEnd,
+use topazyard_wire::message::batch::{
+    BatchBody, BatchCall, BatchMessage, BatchReturn, Item, RunEnd,
 };
 
 const SHARD: ShardId = ShardId(1);
@@ -61,21 +61,21 @@
 }
 
 impl Client {
-    fn call(&mut self, fleet: &mut Fleet, call: ParcelCall) {
+    fn call(&mut self, fleet: &mut Fleet, call: BatchCall) {
         self.last_call += 1;
         let (epoch, call_id) = (self.epoch, self.last_call);
-        let body = ParcelBody::Call(call);
-        let message = ParcelMessage { shard: SHARD, epoch, call: call_id, body };
-        fleet.send(self.number, self.to, Message::Parcel(message));
+        let body = BatchBody::Call(call);
+        let message = BatchMessage { shard: SHARD, epoch, call: call_id, body };
+        fleet.send(self.number, self.to, Message::Batch(message));
     }
 
     /// What came back; a higher epoch that it tells of is used from then on.
-    fn returns(&mut self, fleet: &mut Fleet) -> Vec<ParcelReturn> {
+    fn returns(&mut self, fleet: &mut Fleet) -> Vec<BatchReturn> {
         let mut returns = Vec::new();
         for message in fleet.take_received(self.number) {
-            if let Message::Parcel(ParcelMessage { epoch, body, .. }) = message {
+            if let Message::Batch(BatchMessage { epoch, body, .. }) = message {
                 self.epoch = self.epoch.max(epoch);
-                if let ParcelBody::Return(value) = body {
+                if let BatchBody::Return(value) = body {
                     returns.push(value);
                 }
             }
@@ -96,7 +96,7 @@
     fleet.run_ms(5_000);
     let to = fleet.nodes[primary].address;
     let mut client = Client { number, to, epoch: Epoch(0), last_call: 0 };
-    client.call(&mut fleet, ParcelCall::Read(ParcelId { shard: SHARD, number: 0 }));
+    client.call(&mut fleet, BatchCall::Read(BatchId { shard: SHARD, number: 0 }));
     fleet.run_ms(50);
     client.returns(&mut fleet);
 
@@ -105,9 +105,9 @@
     fleet.reset();
     let mut accepted = 0;
     let batches = size.div_ceil(IN_A_BATCH);
-    for batch in 0..batches {
-        let parcel = ParcelId { shard: SHARD, number: batch as u64 + 1 };
-        let items = (0..IN_A_BATCH.min(size - batch * IN_A_BATCH)).map(|item| Item {
+    for index in 0..batches {
+        let batch = BatchId { shard: SHARD, number: index as u64 + 1 };
+        let items = (0..IN_A_BATCH.min(size - index * IN_A_BATCH)).map(|item| Item {
             directions: None,
             model: "m".into(),
             body: body_of(BODY_BYTES, item),
@@ -115,13 +115,13 @@
             cost: Tokens(1_200),
         });
         let ceiling = Tokens(1_000_000_000_000);
-        let call = ParcelCall::Submit { parcel, items: items.collect(), ceiling };
+        let call = BatchCall::Submit { batch, items: items.collect(), ceiling };
         client.call(&mut fleet, call);
         for _ in 0..3_000 {
             fleet.run_ms(1);
-            let is_accepted = |value: &ParcelReturn| matches!(value, ParcelReturn::Accepted(_));
+            let is_accepted = |value: &BatchReturn| matches!(value, BatchReturn::Accepted(_));
             accepted += client.returns(&mut fleet).iter().filter(|v| is_accepted(v)).count();
-            if accepted > batch {
+            if accepted > index {
                 break;
             }
         }
@@ -157,13 +157,13 @@
     while ended < size && idle < 3_000 {
         client.call(
             fleet,
-            ParcelCall::Lease { most: LEASED, models: vec!["m".into()], routes: Vec::new() },
+            BatchCall::Lease { most: LEASED, models: vec!["m".into()], routes: Vec::new() },
         );
         let mut leased = Vec::new();
         for _ in 0..20 {
             fleet.run_ms(1);
             for value in client.returns(fleet) {
-                if let ParcelReturn::Leased(items) = value {
+                if let BatchReturn::Leased(items) = value {
                     leased = items;
                 }
             }
@@ -173,15 +173,15 @@
         }
         idle = if leased.is_empty() { idle + 1 } else { 0 };
         for item in &leased {
-            client.call(fleet, ParcelCall::Start(item.run));
+            client.call(fleet, BatchCall::Start(item.run));
         }
         fleet.run_ms(10);
         for item in &leased {
             let body = body_of(RESULT_BYTES, item.run.item.0 as usize);
-            client.call(fleet, ParcelCall::Finish(item.run, RunEnd::Whole { status: 200, body }));
+            client.call(fleet, BatchCall::Finish(item.run, RunEnd::Whole { status: 200, body }));
         }
         fleet.run_ms(10);
-        let noted = |value: &ParcelReturn| matches!(value, ParcelReturn::Noted);
+        let noted = |value: &BatchReturn| matches!(value, BatchReturn::Noted);
         ended += client.returns(fleet).iter().filter(|value| noted(value)).count();
     }
     ended
--- a/fleet-measure/src/simulated.rs
+++ b/fleet-measure/src/simulated.rs
@@ -77,7 +77,7 @@
 
 /// A row for each size of the fleet: frames a node and second, by kind.
 pub fn growth() {
-    println!("| processes | membership | feed | counter | replica | core | parcel |");
+    println!("| processes | membership | feed | counter | replica | core | batch |");
     println!("|---|---|---|---|---|---|---|");
     for relays in [9_u16, 22, 47, 97] {
         let deployment =
@@ -95,7 +95,7 @@
             each("counter"),
             each("replica"),
             each("core"),
-            each("parcel"),
+            each("batch"),
         );
     }
 }
--- a/fleet-simulator/src/check/parcels.rs
+++ b/fleet-simulator/src/check/batches.rs
@@ -1,10 +1,10 @@
-//! Parcels: readable, listed for good, ended for good, within their ceiling.
+//! Batches: readable, listed for good, ended for good, within their ceiling.
 
 use super::specs::IN_FORCE_US;
 use super::{Bounds, Figures, Line, Violation, crossed};
-use crate::history::{History, ListedReturn, ParcelSeen, ReadTold, SpecSeen, StruckSeen, Us};
+use crate::history::{BatchSeen, History, ListedReturn, ReadTold, SpecSeen, StruckSeen, Us};
 
-/// How long after its acceptance a parcel may not be readable yet.
+/// How long after its acceptance a batch may not be readable yet.
 const READABLE_US: Us = 1_000_000;
 /// Within which time a read must then be answered.
 const READ_WITHIN_US: Us = 1_000_000;
@@ -23,32 +23,32 @@
     violations: &mut Vec<Violation>,
     figures: &mut Figures,
 ) {
-    for (at, parcel) in history.parcels.iter().enumerate() {
-        if parcel.accepted.is_some() {
-            figures.items += parcel.items as usize;
+    for (at, batch) in history.batches.iter().enumerate() {
+        if batch.accepted.is_some() {
+            figures.items += batch.items as usize;
         }
-        check_reads(at, parcel, history, bounds, violations, figures);
-        check_lists(at, parcel, history, violations);
+        check_reads(at, batch, history, bounds, violations, figures);
+        check_lists(at, batch, history, violations);
     }
     for (at, run) in history.runs.iter().enumerate() {
         let Some(work) = run.work else { continue };
-        let Some(number) = history.works[work].parcel else { continue };
+        let Some(number) = history.works[work].batch else { continue };
         figures.items_done_ms = figures.items_done_ms.max(run.ended.unwrap_or(0) / 1_000);
-        let parcel = &history.parcels[number];
-        let item = (work - parcel.first_work) as u32;
-        if parcel.ended.is_some_and(|ended| run.began > ended + ENDED_US) {
-            let text = format!("run {at}: item {item} of parcel {number} started after its end");
-            crossed(violations, Line::ParcelEnded, text);
+        let batch = &history.batches[number];
+        let item = (work - batch.first_work) as u32;
+        if batch.ended.is_some_and(|ended| run.began > ended + ENDED_US) {
+            let text = format!("run {at}: item {item} of batch {number} started after its end");
+            crossed(violations, Line::BatchEnded, text);
         }
-        if parcel.recalls.iter().any(|(_, recalled, never)| *recalled == item && *never) {
-            let text = format!("run {at}: item {item} of parcel {number} was recalled and ran");
+        if batch.recalls.iter().any(|(_, recalled, never)| *recalled == item && *never) {
+            let text = format!("run {at}: item {item} of batch {number} was recalled and ran");
             crossed(violations, Line::RanTwiceOrRefused, text);
         }
-        let said_not_run = parcel.lists.iter().flat_map(|(_, list)| list).any(|listed| {
+        let said_not_run = batch.lists.iter().flat_map(|(_, list)| list).any(|listed| {
             listed.item == item && matches!(listed.text.as_str(), "recalled" | "ended")
         });
         if said_not_run {
-            let text = format!("run {at}: item {item} of parcel {number} is listed as not run");
+            let text = format!("run {at}: item {item} of batch {number} is listed as not run");
             crossed(violations, Line::RanTwiceOrRefused, text);
         }
     }
@@ -59,18 +59,18 @@
 /// that was asked was struck itself or more than one machine with a disk was out.
 fn check_reads(
     at: usize,
-    parcel: &ParcelSeen,
+    batch: &BatchSeen,
     history: &History,
     bounds: &Bounds,
     violations: &mut Vec<Violation>,
     figures: &mut Figures,
 ) {
-    let Some(accepted) = parcel.accepted else { return };
-    for read in parcel.reads.iter().filter(|read| read.asked >= accepted + READABLE_US) {
+    let Some(accepted) = batch.accepted else { return };
+    for read in batch.reads.iter().filter(|read| read.asked >= accepted + READABLE_US) {
         figures.reads += 1;
         if let Some((_, ReadTold::Unknown)) = read.told {
-            let text = format!("parcel {at} was accepted and is not known");
-            crossed(violations, Line::ParcelList, text);
+            let text = format!("batch {at} was accepted and is not known");
+            crossed(violations, Line::BatchList, text);
         }
         let until = read.asked + READ_WITHIN_US;
         let given = matches!(read.told, Some((told, ReadTold::Given)) if told <= until);
@@ -80,8 +80,8 @@
             figures.reads_failed += 1;
             let (asked, relay) = (read.asked / 1_000, &read.relay);
             let text =
-                format!("parcel {at} asked of {relay} at {asked} ms could not be read: {read:?}");
-            crossed(violations, Line::ParcelList, text);
+                format!("batch {at} asked of {relay} at {asked} ms could not be read: {read:?}");
+            crossed(violations, Line::BatchList, text);
         }
     }
 }
@@ -126,42 +126,38 @@
     })
 }
 
-fn check_lists(at: usize, parcel: &ParcelSeen, history: &History, violations: &mut Vec<Violation>) {
+fn check_lists(at: usize, batch: &BatchSeen, history: &History, violations: &mut Vec<Violation>) {
     let mut longest: &[ListedReturn] = &[];
-    for (_, list) in &parcel.lists {
+    for (_, list) in &batch.lists {
         let common = longest.len().min(list.len());
         if longest[..common] != list[..common] || list.len() < longest.len() {
-            let text = format!("parcel {at}: a listed return changed, moved or went");
-            crossed(violations, Line::ParcelList, text);
+            let text = format!("batch {at}: a listed return changed, moved or went");
+            crossed(violations, Line::BatchList, text);
         }
         let mut items: Vec<u32> = list.iter().map(|listed| listed.item).collect();
         items.sort_unstable();
         if items.windows(2).any(|two| two[0] == two[1]) {
-            crossed(violations, Line::ParcelList, format!("parcel {at}: an item is listed twice"));
+            crossed(violations, Line::BatchList, format!("batch {at}: an item is listed twice"));
         }
         let in_order = list.iter().zip(1..).all(|(listed, position)| listed.position == position);
         if !in_order {
-            crossed(
-                violations,
-                Line::ParcelList,
-                format!("parcel {at}: positions are not in order"),
-            );
+            crossed(violations, Line::BatchList, format!("batch {at}: positions are not in order"));
         }
         longest = list;
     }
-    if parcel.accepted.is_some() && longest.len() < parcel.items as usize {
-        let text = format!("parcel {at} has {} of {} returns at rest", longest.len(), parcel.items);
-        crossed(violations, Line::ParcelList, text);
+    if batch.accepted.is_some() && longest.len() < batch.items as usize {
+        let text = format!("batch {at} has {} of {} returns at rest", longest.len(), batch.items);
+        crossed(violations, Line::BatchList, text);
     }
     for listed in longest {
         let Some(body) = &listed.body else { continue };
-        let work = parcel.first_work + listed.item as usize;
+        let work = batch.first_work + listed.item as usize;
         let own = history.runs.iter().enumerate().any(|(run, log)| {
             log.work == Some(work)
                 && body.as_ref() == format!("return of work {work} run {run}").as_bytes()
         });
         if !own {
-            let text = format!("parcel {at}: item {} has a return not its own", listed.item);
+            let text = format!("batch {at}: item {} has a return not its own", listed.item);
             crossed(violations, Line::WrongReturn, text);
         }
     }
--- a/fleet-simulator/src/check/mod.rs
+++ b/fleet-simulator/src/check/mod.rs
@@ -1,10 +1,10 @@
 //! The checker: it judges a history by what was seen from outside, line by line of what must
 //! never happen.
 
+mod batches;
 mod configurations;
 mod engines;
 pub mod invariants;
-mod parcels;
 mod prompts;
 mod service;
 mod specs;
@@ -38,10 +38,10 @@
     EngineLeaving,
     /// A stream lost, repeated or spliced pieces.
     StreamBroken,
-    /// A parcel was not readable, or its list changed.
-    ParcelList,
-    /// An item of an ended parcel started.
-    ParcelEnded,
+    /// A batch was not readable, or its list changed.
+    BatchList,
+    /// An item of an ended batch started.
+    BatchEnded,
     /// Waiting work exceeded its ceiling.
     Ceiling,
     /// Service did not come back.
@@ -93,7 +93,7 @@
     pub refused: usize,
     /// Connections that broke.
     pub broken: usize,
-    /// Items handed in with accepted parcels.
+    /// Items handed in with accepted batches.
     pub items: usize,
     /// Median time of whole returns.
     pub p50_ms: u64,
@@ -120,11 +120,11 @@
     pub most_tokens: u64,
     /// When the last item that ran had ended.
     pub items_done_ms: u64,
-    /// Reads of parcels asked more than a second after they were accepted.
+    /// Reads of batches asked more than a second after they were accepted.
     pub reads: usize,
     /// Reads of these that failed though no more machines with a disk were out than may be.
     pub reads_failed: usize,
-    /// The most waiting parcel work, and the ceiling then in force.
+    /// The most waiting batch work, and the ceiling then in force.
     pub most_waiting: (u64, u64),
 }
 
@@ -136,7 +136,7 @@
     engines::check(history, bounds, &mut violations, &mut figures);
     specs::check(history, &mut violations);
     configurations::check(history, &mut violations, &mut figures);
-    parcels::check(history, bounds, &mut violations, &mut figures);
+    batches::check(history, bounds, &mut violations, &mut figures);
     service::check(history, bounds, &mut violations, &mut figures);
     (violations, figures)
 }
--- a/fleet-simulator/src/deployment.rs
+++ b/fleet-simulator/src/deployment.rs
@@ -23,10 +23,10 @@
     pub words: u64,
     /// New tokens of a prompt.
     pub new_tokens: u64,
-    /// Items of a parcel.
-    pub parcel_items: u64,
-    /// Seconds between parcels.
-    pub parcel_every_s: u64,
+    /// Items of a batch.
+    pub items_per_batch: u64,
+    /// Seconds between batches.
+    pub batch_every_s: u64,
 }
 
 impl Deployment {
@@ -35,7 +35,7 @@
         [Self::cristallo(), Self::quito(), Self::grown_cristallo(), Self::grown_quito()]
     }
 
-    /// Materials checks and datasheet extractions, small parcels every second.
+    /// Materials checks and datasheet extractions, small batches every second.
     ///
     /// ```
     /// assert_eq!(fleet_simulator::Deployment::cristallo().relays, 9);
@@ -52,8 +52,8 @@
             prompts_per_s: 60,
             words: 150,
             new_tokens: 64,
-            parcel_items: 20,
-            parcel_every_s: 2,
+            items_per_batch: 20,
+            batch_every_s: 2,
         }
     }
 
@@ -74,8 +74,8 @@
             prompts_per_s: 40,
             words: 40,
             new_tokens: 32,
-            parcel_items: 80,
-            parcel_every_s: 10,
+            items_per_batch: 80,
+            batch_every_s: 10,
         }
     }
 
--- a/fleet-simulator/src/faults/mod.rs
+++ b/fleet-simulator/src/faults/mod.rs
@@ -78,8 +78,8 @@
     EngineReady(u16),
     /// The clients send so many prompts a second.
     Crowd(u64),
-    /// So many parcels land at once.
-    Parcels(u64),
+    /// So many batches land at once.
+    Batches(u64),
     /// A machine is replaced by an empty one at a new address.
     Replace(Whom),
     /// An empty machine is started at a new address to take a machine's place, which runs on.
@@ -102,10 +102,10 @@
     Empty(Whom),
     /// Specs have so many lanes more.
     MoreLanes(u64),
-    /// The next specs have that ceiling on waiting parcel work.
+    /// The next specs have that ceiling on waiting batch work.
     Ceiling(u64),
-    /// After so many more answers that tell a client of a parcel, as many disks are lost as may be, those
-    /// of the parcel's shard among them, and all other machines lose their power at the same instant. All
+    /// After so many more answers that tell a client of a batch, as many disks are lost as may be, those
+    /// of the batch's shard among them, and all other machines lose their power at the same instant. All
     /// start again after so many milliseconds.
     WipeAfterAnswers(u64, u64),
     /// The machines with a disk are split into two halves, drawn from that number.
@@ -274,7 +274,7 @@
                 self.list_engines();
             }
             Fault::Crowd(rate) => self.people.habits.prompts_per_s = rate,
-            Fault::Parcels(count) => (0..count).for_each(|_| self.hand_in_parcel()),
+            Fault::Batches(count) => (0..count).for_each(|_| self.hand_in_batch()),
             Fault::Replace(_) => {
                 if let Some(index) = struck {
                     self.stop(index, true);
@@ -333,8 +333,8 @@
         }
     }
 
-    /// A client was told of a parcel: the loss that waits for that may strike now.
-    pub(crate) fn parcel_answered(&mut self, shard: ShardId) {
+    /// A client was told of a batch: the loss that waits for that may strike now.
+    pub(crate) fn batch_answered(&mut self, shard: ShardId) {
         let (answers, dark_ms) = self.wipe_after;
         self.wipe_after.0 = answers.saturating_sub(1);
         if answers != 1 {
--- a/fleet-simulator/src/history/mod.rs
+++ b/fleet-simulator/src/history/mod.rs
@@ -89,11 +89,11 @@
     pub model: String,
     /// Its estimated cost.
     pub cost: u64,
-    /// The parcel it is an item of.
-    pub parcel: Option<usize>,
+    /// The batch it is an item of.
+    pub batch: Option<usize>,
 }
 
-/// A return as a parcel's list showed it.
+/// A return as a batch's list showed it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ListedReturn {
     /// Its position.
@@ -106,7 +106,7 @@
     pub body: Option<bytes::Bytes>,
 }
 
-/// A read of a parcel as its client saw it.
+/// A read of a batch as its client saw it.
 #[derive(Debug, Clone)]
 pub struct ReadSeen {
     /// When it was asked.
@@ -117,12 +117,12 @@
     pub told: Option<(Us, ReadTold)>,
 }
 
-/// What a read of a parcel gave.
+/// What a read of a batch gave.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadTold {
     /// How it stands, or a page of its list.
     Given,
-    /// That there is no such parcel.
+    /// That there is no such batch.
     Unknown,
     /// An error.
     Refused,
@@ -165,11 +165,11 @@
     }
 }
 
-/// A parcel as its client saw it.
+/// A batch as its client saw it.
 #[derive(Debug, Clone)]
-pub struct ParcelSeen {
+pub struct BatchSeen {
     /// Its id.
-    pub id: topazyard_types::ParcelId,
+    pub id: topazyard_types::BatchId,
     /// The first of its items in the list of works; the others follow.
     pub first_work: usize,
     /// How many items.
@@ -195,7 +195,7 @@
 pub struct SpecSeen {
     /// Its version, once submitted.
     pub version: Option<u64>,
-    /// Its ceiling on waiting parcel work.
+    /// Its ceiling on waiting batch work.
     pub ceiling: u64,
     /// The model that only this version maps.
     pub model: String,
@@ -245,8 +245,8 @@
     pub prompts: Vec<PromptSeen>,
     /// Engine runs.
     pub runs: Vec<EngineRun>,
-    /// Parcels.
-    pub parcels: Vec<ParcelSeen>,
+    /// Batches.
+    pub batches: Vec<BatchSeen>,
     /// Specs.
     pub specs: Vec<SpecSeen>,
     /// Reads of the spec in force.
@@ -263,7 +263,7 @@
     pub faults: Vec<FaultSeen>,
     /// Machines that were struck, and for how long.
     pub struck: Vec<StruckSeen>,
-    /// Waiting parcel work as the copies have it, now and then.
+    /// Waiting batch work as the copies have it, now and then.
     pub waiting: Vec<(Us, u64)>,
     /// Holds at the counter at the very end, when nothing runs any more.
     pub holds_at_rest: Option<usize>,
--- a/fleet-simulator/src/people/parcels.rs
+++ b/fleet-simulator/src/people/batches.rs
@@ -1,13 +1,13 @@
-//! Clients with parcels: they hand in, read, list, ask items back and end.
+//! Clients with batches: they hand in, read, list, ask items back and end.
 
 use super::Doing;
-use crate::history::{ListedReturn, ParcelSeen, ReadSeen, ReadTold, Us};
+use crate::history::{BatchSeen, ListedReturn, ReadSeen, ReadTold, Us};
 use crate::world::{Caller, Event, Plant, World};
 use topazyard_relay::{RelayCall, RelayReturn};
-use topazyard_types::{DurationMs, ItemNumber, ParcelId, Tokens};
-use topazyard_wire::message::parcel::{Item, ItemEnd, ParcelCall, ParcelReturn};
+use topazyard_types::{BatchId, DurationMs, ItemNumber, Tokens};
+use topazyard_wire::message::batch::{BatchCall, BatchReturn, Item, ItemEnd};
 
-/// What a client asked of its parcel.
+/// What a client asked of its batch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Asked {
     /// Take it.
@@ -22,9 +22,9 @@
     End,
 }
 
-/// A client with a parcel.
+/// A client with a batch.
 #[derive(Debug)]
-pub(super) struct ParcelClient {
+pub(super) struct BatchClient {
     serial: u64,
     asked: Option<Us>,
     /// The list being read, page by page.
@@ -37,35 +37,35 @@
 
 /// After how many whole lists with all returns a client is content.
 const CONTENT: u32 = 3;
-/// For how long after its acceptance a parcel is read at the least.
+/// For how long after its acceptance a batch is read at the least.
 const READS_FOR_US: Us = 10_000_000;
 
 impl World {
-    pub(super) fn next_parcel(&mut self) {
-        let every = self.people.habits.parcel_every_s;
-        self.after(every.max(1) * 1_000_000, Event::Person(Doing::NextParcel));
+    pub(super) fn next_batch(&mut self) {
+        let every = self.people.habits.batch_every_s;
+        self.after(every.max(1) * 1_000_000, Event::Person(Doing::NextBatch));
         if every > 0 && self.people.habits.is_open {
-            self.hand_in_parcel();
+            self.hand_in_batch();
         }
     }
 
-    /// Somebody hands in a parcel now.
-    pub fn hand_in_parcel(&mut self) {
+    /// Somebody hands in a batch now.
+    pub fn hand_in_batch(&mut self) {
         let habits = self.people.habits.clone();
-        let parcel = self.history.parcels.len();
+        let batch = self.history.batches.len();
         let first_work = self.history.works.len();
         let mut cost = 0;
-        for _ in 0..habits.parcel_items {
+        for _ in 0..habits.items_per_batch {
             let repeatable = self.draw(0..2) == 0;
-            let work =
-                self.new_work("m", habits.words, habits.new_tokens, repeatable, Some(parcel));
+            let work = self.new_work("m", habits.words, habits.new_tokens, repeatable, Some(batch));
             cost += self.history.works[work].cost;
         }
-        let key = format!("parcel {parcel} of {}", self.time);
-        self.history.parcels.push(ParcelSeen {
-            id: ParcelId::from_key(&key),
+        // The older word stays: the id follows from the key, and a seed's history from the id.
+        let key = format!("parcel {batch} of {}", self.time);
+        self.history.batches.push(BatchSeen {
+            id: BatchId::from_key(&key),
             first_work,
-            items: habits.parcel_items as u32,
+            items: habits.items_per_batch as u32,
             cost,
             sent: self.time,
             accepted: None,
@@ -77,8 +77,8 @@
         let ends = self.draw(0..6) == 0;
         let ends_at = ends.then(|| self.time + 1_000_000 + 500_000 * (first_work as u64 % 7));
         let recalls =
-            (self.draw(0..5) == 0).then(|| self.draw(0..habits.parcel_items.max(1)) as u32);
-        self.people.parcels.push(ParcelClient {
+            (self.draw(0..5) == 0).then(|| self.draw(0..habits.items_per_batch.max(1)) as u32);
+        self.people.batches.push(BatchClient {
             serial: 0,
             asked: None,
             page: Vec::new(),
@@ -87,20 +87,20 @@
             recalls,
             turn: 0,
         });
-        self.after(0, Event::Person(Doing::Parcel(parcel)));
+        self.after(0, Event::Person(Doing::Batch(batch)));
     }
 
-    /// Whether every accepted parcel was listed whole.
-    pub(crate) fn parcels_are_done(&self) -> bool {
-        let all = self.history.parcels.iter().zip(&self.people.parcels);
+    /// Whether every accepted batch was listed whole.
+    pub(crate) fn batches_are_done(&self) -> bool {
+        let all = self.history.batches.iter().zip(&self.people.batches);
         all.into_iter()
             .all(|(seen, client)| seen.accepted.is_none() || client.lists_whole >= CONTENT)
     }
 
-    fn next_asked(&mut self, parcel: usize) -> Asked {
+    fn next_asked(&mut self, batch: usize) -> Asked {
         let time = self.time;
-        let seen = &self.history.parcels[parcel];
-        let client = &mut self.people.parcels[parcel];
+        let seen = &self.history.batches[batch];
+        let client = &mut self.people.batches[batch];
         if seen.accepted.is_none() {
             return Asked::Submit;
         }
@@ -114,20 +114,20 @@
         if client.turn.is_multiple_of(4) { Asked::Read } else { Asked::List }
     }
 
-    pub(super) fn look_after_parcel(&mut self, parcel: usize) {
-        let accepted = self.history.parcels[parcel].accepted;
+    pub(super) fn look_after_batch(&mut self, batch: usize) {
+        let accepted = self.history.batches[batch].accepted;
         let reads_on = accepted.is_some_and(|at| self.time < at + READS_FOR_US);
-        if self.people.parcels[parcel].lists_whole >= CONTENT && !reads_on {
+        if self.people.batches[batch].lists_whole >= CONTENT && !reads_on {
             return;
         }
-        self.after(400_000, Event::Person(Doing::Parcel(parcel)));
-        let asked = self.people.parcels[parcel].asked;
+        self.after(400_000, Event::Person(Doing::Batch(batch)));
+        let asked = self.people.batches[batch].asked;
         if asked.is_some_and(|asked| self.time - asked < 6_000_000) {
             return;
         }
         let Some(relay) = self.draw_relay() else { return };
-        let asked = self.next_asked(parcel);
-        let seen = &self.history.parcels[parcel];
+        let asked = self.next_asked(batch);
+        let seen = &self.history.batches[batch];
         let id = seen.id;
         let limit = DurationMs(5_000);
         let request = match &asked {
@@ -142,83 +142,83 @@
                 });
                 RelayCall::Submit(id, items.collect())
             }
-            Asked::Read => RelayCall::Parcel(ParcelCall::Read(id), limit),
+            Asked::Read => RelayCall::Batch(BatchCall::Read(id), limit),
             Asked::List => {
-                let after = self.people.parcels[parcel].page.len() as u32;
-                RelayCall::Parcel(ParcelCall::Returns { parcel: id, after }, limit)
+                let after = self.people.batches[batch].page.len() as u32;
+                RelayCall::Batch(BatchCall::Returns { batch: id, after }, limit)
             }
             Asked::Recall(item) => {
-                RelayCall::Parcel(ParcelCall::Recall(id, ItemNumber(*item)), limit)
+                RelayCall::Batch(BatchCall::Recall(id, ItemNumber(*item)), limit)
             }
-            Asked::End => RelayCall::Parcel(ParcelCall::End(id), limit),
+            Asked::End => RelayCall::Batch(BatchCall::End(id), limit),
         };
         let time = self.time;
         if matches!(asked, Asked::Read | Asked::List) {
             let relay = self.nodes[relay.0].name.clone();
             let read = ReadSeen { asked: time, relay, told: None };
-            self.history.parcels[parcel].reads.push(read);
+            self.history.batches[batch].reads.push(read);
         }
-        let client = &mut self.people.parcels[parcel];
+        let client = &mut self.people.batches[batch];
         client.serial += 1;
         client.asked = Some(time);
-        let doing = Doing::ParcelCall(parcel, client.serial, asked);
+        let doing = Doing::BatchCall(batch, client.serial, asked);
         self.call_relay(relay, request, Caller::Person(doing));
     }
 
-    pub(super) fn parcel_told(
+    pub(super) fn batch_told(
         &mut self,
-        parcel: usize,
+        batch: usize,
         serial: u64,
         asked: &Asked,
         value: RelayReturn,
     ) {
-        if self.people.parcels[parcel].serial != serial {
+        if self.people.batches[batch].serial != serial {
             return;
         }
-        self.people.parcels[parcel].asked = None;
+        self.people.batches[batch].asked = None;
         let time = self.time;
         if matches!(asked, Asked::Read | Asked::List) {
             let told = match &value {
-                RelayReturn::Parcel(ParcelReturn::Unknown) => ReadTold::Unknown,
-                RelayReturn::Parcel(ParcelReturn::Standing(_) | ParcelReturn::Returns(_)) => {
+                RelayReturn::Batch(BatchReturn::Unknown) => ReadTold::Unknown,
+                RelayReturn::Batch(BatchReturn::Standing(_) | BatchReturn::Returns(_)) => {
                     ReadTold::Given
                 }
                 _ => ReadTold::Refused,
             };
-            if let Some(read) = self.history.parcels[parcel].reads.last_mut() {
+            if let Some(read) = self.history.batches[batch].reads.last_mut() {
                 read.told = Some((time, told));
             }
         }
-        let RelayReturn::Parcel(value) = value else { return };
-        let shard = self.history.parcels[parcel].id.shard;
-        self.note_parcel_told(parcel, asked, value);
-        self.parcel_answered(shard);
+        let RelayReturn::Batch(value) = value else { return };
+        let shard = self.history.batches[batch].id.shard;
+        self.note_batch_told(batch, asked, value);
+        self.batch_answered(shard);
     }
 
-    fn note_parcel_told(&mut self, parcel: usize, asked: &Asked, value: ParcelReturn) {
+    fn note_batch_told(&mut self, batch: usize, asked: &Asked, value: BatchReturn) {
         let time = self.time;
         match (asked, value) {
-            (Asked::Submit, ParcelReturn::Accepted(_)) => {
-                self.history.parcels[parcel].accepted.get_or_insert(time);
+            (Asked::Submit, BatchReturn::Accepted(_)) => {
+                self.history.batches[batch].accepted.get_or_insert(time);
             }
-            (Asked::List, ParcelReturn::Returns(returns)) => self.listed(parcel, &returns),
-            (Asked::Recall(item), ParcelReturn::Recalled) => {
-                self.history.parcels[parcel].recalls.push((time, *item, true));
+            (Asked::List, BatchReturn::Returns(returns)) => self.listed(batch, &returns),
+            (Asked::Recall(item), BatchReturn::Recalled) => {
+                self.history.batches[batch].recalls.push((time, *item, true));
             }
-            (Asked::Recall(item), ParcelReturn::TooLate { .. }) => {
-                self.history.parcels[parcel].recalls.push((time, *item, false));
+            (Asked::Recall(item), BatchReturn::TooLate { .. }) => {
+                self.history.batches[batch].recalls.push((time, *item, false));
             }
-            (Asked::End, ParcelReturn::Standing(_)) => {
-                self.history.parcels[parcel].ended.get_or_insert(time);
+            (Asked::End, BatchReturn::Standing(_)) => {
+                self.history.batches[batch].ended.get_or_insert(time);
             }
             _ => {}
         }
     }
 
     /// A page of the list: an empty one ends the list, and the next is read from the start.
-    fn listed(&mut self, parcel: usize, returns: &[topazyard_wire::message::parcel::ItemReturn]) {
+    fn listed(&mut self, batch: usize, returns: &[topazyard_wire::message::batch::ItemReturn]) {
         let changes = self.plant == Some(Plant::ChangeReturn) && self.draw(0..30) == 0;
-        let client = &mut self.people.parcels[parcel];
+        let client = &mut self.people.batches[batch];
         for item_return in returns {
             let (text, body) = match &item_return.end {
                 ItemEnd::Whole { status, body } => (format!("whole {status}"), Some(body.clone())),
@@ -232,11 +232,11 @@
         }
         if returns.is_empty() {
             let list = std::mem::take(&mut client.page);
-            if list.len() as u32 >= self.history.parcels[parcel].items {
+            if list.len() as u32 >= self.history.batches[batch].items {
                 client.lists_whole += 1;
             }
             let time = self.time;
-            self.history.parcels[parcel].lists.push((time, list));
+            self.history.batches[batch].lists.push((time, list));
         }
     }
 }
--- a/fleet-simulator/src/people/mod.rs
+++ b/fleet-simulator/src/people/mod.rs
@@ -1,8 +1,8 @@
 //! Clients, operators and the platform, as they act on the fleet from outside.
 
+mod batches;
 mod configurations;
 mod operators;
-mod parcels;
 mod platform;
 mod prompts;
 mod retirement;
@@ -21,12 +21,12 @@
     AskReady,
     /// A relay was asked whether it is ready.
     Ready(NodeIndex),
-    /// Hand in the next parcel, and so on.
-    NextParcel,
-    /// Look after a parcel.
-    Parcel(usize),
-    /// A parcel's call, by its serial number.
-    ParcelCall(usize, u64, parcels::Asked),
+    /// Hand in the next batch, and so on.
+    NextBatch,
+    /// Look after a batch.
+    Batch(usize),
+    /// A batch's call, by its serial number.
+    BatchCall(usize, u64, batches::Asked),
     /// Look after a spec.
     Spec(usize),
     /// A spec's step, by its serial number.
@@ -45,7 +45,7 @@
     AskRetired(NodeIndex),
     /// That was answered.
     RetiredAnswered(NodeIndex),
-    /// Weigh the waiting parcel work, and so on.
+    /// Weigh the waiting batch work, and so on.
     WeighWaiting,
     /// Something about numbered configurations.
     Configuration(configurations::OrderDoing),
@@ -64,10 +64,10 @@
     pub words: u64,
     /// New tokens of a prompt.
     pub new_tokens: u64,
-    /// Items of a parcel.
-    pub parcel_items: u64,
-    /// Seconds between parcels; 0 for none.
-    pub parcel_every_s: u64,
+    /// Items of a batch.
+    pub items_per_batch: u64,
+    /// Seconds between batches; 0 for none.
+    pub batch_every_s: u64,
     /// Seconds between specs; 0 for none.
     pub spec_every_s: u64,
     /// Milliseconds between numbered configurations; 0 for specs that are signed off instead.
@@ -80,7 +80,7 @@
     pub more_lanes: u64,
     /// The budget of in-flight tokens.
     pub limit_tokens: u64,
-    /// The ceiling on waiting parcel work.
+    /// The ceiling on waiting batch work.
     pub waiting_ceiling: u64,
     /// Floor, start and ceiling of the live share, in percent.
     pub live_percents: (u8, u8, u8),
@@ -94,8 +94,8 @@
             prompts_per_s: 0,
             words: 40,
             new_tokens: 32,
-            parcel_items: 20,
-            parcel_every_s: 0,
+            items_per_batch: 20,
+            batch_every_s: 0,
             spec_every_s: 0,
             orders_every_ms: 0,
             orders_at_once: 8,
@@ -116,7 +116,7 @@
     pub habits: Habits,
     works: std::collections::BTreeMap<bytes::Bytes, usize>,
     ready: std::collections::BTreeSet<NodeIndex>,
-    parcels: Vec<parcels::ParcelClient>,
+    batches: Vec<batches::BatchClient>,
     specs: Vec<operators::SpecOperator>,
     orders: configurations::Orders,
     /// Storage nodes whose retirement was acknowledged.
@@ -145,7 +145,7 @@
         words: u64,
         new_tokens: u64,
         repeatable: bool,
-        parcel: Option<usize>,
+        batch: Option<usize>,
     ) -> usize {
         let work = self.history.works.len();
         let text = format!("work {work} {}", "word ".repeat(words as usize));
@@ -162,7 +162,7 @@
             repeatable,
             model,
             cost: cost.0,
-            parcel,
+            batch,
         });
         work
     }
@@ -200,8 +200,8 @@
             Doing::NextPrompt => self.next_prompt(),
             Doing::PromptArrives(prompt, relay) => self.prompt_arrives(prompt, relay),
             Doing::AskReady => self.ask_ready(),
-            Doing::NextParcel => self.next_parcel(),
-            Doing::Parcel(parcel) => self.look_after_parcel(parcel),
+            Doing::NextBatch => self.next_batch(),
+            Doing::Batch(batch) => self.look_after_batch(batch),
             Doing::NextSpec => self.next_spec(),
             Doing::Spec(spec) => self.look_after_spec(spec),
             Doing::PutEngines => self.put_engines(),
@@ -217,7 +217,7 @@
             Doing::Ready(_)
             | Doing::RetireAnswered(_)
             | Doing::RetiredAnswered(_)
-            | Doing::ParcelCall(..)
+            | Doing::BatchCall(..)
             | Doing::SpecCall(..)
             | Doing::EnginesSent(_)
             | Doing::SpecAsked(_) => {}
@@ -228,8 +228,8 @@
     pub(crate) fn relay_told(&mut self, doing: Doing, value: topazyard_relay::RelayReturn) {
         match doing {
             Doing::Ready(relay) => self.ready_told(relay, &value),
-            Doing::ParcelCall(parcel, serial, asked) => {
-                self.parcel_told(parcel, serial, &asked, value);
+            Doing::BatchCall(batch, serial, asked) => {
+                self.batch_told(batch, serial, &asked, value);
             }
             _ => {}
         }
--- a/fleet-simulator/src/people/operators.rs
+++ b/fleet-simulator/src/people/operators.rs
@@ -80,7 +80,7 @@
         self.bundle_of(model, pool, &[]).to_string()
     }
 
-    /// A bundle with a lane of its own, its parcels' lane at that pool, and these routes.
+    /// A bundle with a lane of its own, its batches' lane at that pool, and these routes.
     pub(super) fn bundle_of(
         &self,
         model: &str,
@@ -90,7 +90,7 @@
         let habits = &self.people.habits;
         let mut lanes = vec![
             serde_json::json!({"name": "live", "kind": "live", "models": ["m"], "pool": "main"}),
-            serde_json::json!({"name": "parcel", "kind": "parcel", "models": ["m"], "pool": pool}),
+            serde_json::json!({"name": "batch", "kind": "batch", "models": ["m"], "pool": pool}),
             serde_json::json!({"name": model, "kind": "live", "models": [model], "pool": "main"}),
         ];
         for lane in 0..habits.more_lanes {
@@ -103,7 +103,7 @@
             "pools": [{"name": "main", "limit_tokens": habits.limit_tokens}],
             "lanes": lanes,
             "routes": routes,
-            "parcels": {
+            "batches": {
                 "waiting_ceiling_tokens": habits.waiting_ceiling,
                 "max_items": 1000, "max_item_bytes": 65536,
             },
--- a/fleet-simulator/src/plan/load.rs
+++ b/fleet-simulator/src/plan/load.rs
@@ -1,4 +1,4 @@
-//! Load: crowds, parcels, engines and what is emptied in order.
+//! Load: crowds, batches, engines and what is emptied in order.
 
 use super::{Draft, named};
 use crate::faults::{Fault, Whom};
@@ -8,7 +8,7 @@
 impl Draft<'_> {
     pub(super) fn crowds(&mut self) {
         self.add(0, Fault::Crowd(self.deployment.prompts_per_s * 8));
-        self.add(2_000, Fault::Parcels(30));
+        self.add(2_000, Fault::Batches(30));
         self.add(6_000, Fault::Crowd(self.deployment.prompts_per_s));
         self.add(9_000, Fault::Crowd(self.deployment.prompts_per_s * 4));
         self.add(12_000, Fault::Crowd(self.deployment.prompts_per_s));
@@ -16,7 +16,7 @@
 
     pub(super) fn ceiling(&mut self) {
         for n in 0..3 {
-            self.add(0, Fault::Parcels(30));
+            self.add(0, Fault::Batches(30));
             let whom = match n {
                 0 => Whom::ShardPrimary(self.rng.random_range(1..5)),
                 1 => Whom::ControlPrimary,
@@ -24,12 +24,12 @@
             };
             let after = self.rng.random_range(100..1_500);
             self.add(after, Fault::Kill(whom));
-            self.add(2_000, Fault::Parcels(10));
+            self.add(2_000, Fault::Batches(10));
             self.add(6_000, Fault::StartAll);
             self.at += 9_000;
         }
         // Both holders of the counter at once, and with them a shard's primary.
-        self.add(0, Fault::Parcels(20));
+        self.add(0, Fault::Batches(20));
         let shard = self.rng.random_range(1..5);
         self.add(300, Fault::Kill(Whom::ShardPrimary(shard)));
         for n in 1..=self.count_storages() {
@@ -43,12 +43,12 @@
             let next = (first - 1 + n) % storages + 1;
             self.add(1_500, Fault::Start(named("storage", next)));
         }
-        self.add(4_000, Fault::Parcels(60));
+        self.add(4_000, Fault::Batches(60));
         self.add(12_000, Fault::StartAll);
         self.at += 20_000;
         self.add(0, Fault::Ceiling(20_000));
-        self.add(0, Fault::Parcels(20));
-        self.add(9_000, Fault::Parcels(20));
+        self.add(0, Fault::Batches(20));
+        self.add(9_000, Fault::Batches(20));
         self.add(9_200, Fault::Kill(Whom::ShardPrimary(0)));
         self.add(11_000, Fault::StartAll);
     }
--- a/fleet-simulator/src/plan/losses.rs
+++ b/fleet-simulator/src/plan/losses.rs
@@ -154,14 +154,14 @@
         }
     }
 
-    /// Parcels land, and soon after an answer on one of them disks are lost and all else is dark. Mostly a
+    /// Batches land, and soon after an answer on one of them disks are lost and all else is dark. Mostly a
     /// shard's primary has a slow disk by then, so that its copies are apart.
     pub(super) fn wipes(&mut self) {
         for round in 0..5 {
             let ms = [0, 20, 300, 1_500][self.rng.random_range(0..4)];
             let whom = Whom::ShardPrimary(self.rng.random_range(1..5));
             let begins = self.rng.random_range(1_000..3_000);
-            self.add(begins, Fault::Parcels(8));
+            self.add(begins, Fault::Batches(8));
             let slows = begins + self.rng.random_range(0..400);
             self.add(slows, Fault::SlowDisk(whom.clone(), ms));
             if round % 2 == 1 {
@@ -180,7 +180,7 @@
         for _ in 0..4 {
             let seed = self.rng.random_range(0..u64::MAX);
             self.add(0, Fault::Halves(seed));
-            self.add(200, Fault::Parcels(2));
+            self.add(200, Fault::Batches(2));
             if self.rng.random_range(0..3) == 0 {
                 let whom = self.with_disk();
                 self.add(1_000, Fault::LosePower(whom));
--- a/fleet-simulator/src/run.rs
+++ b/fleet-simulator/src/run.rs
@@ -75,8 +75,8 @@
         prompts_per_s: deployment.prompts_per_s,
         words: deployment.words,
         new_tokens: deployment.new_tokens,
-        parcel_items: deployment.parcel_items,
-        parcel_every_s: deployment.parcel_every_s,
+        items_per_batch: deployment.items_per_batch,
+        batch_every_s: deployment.batch_every_s,
         // In a crowd the budget is what must hold.
         limit_tokens: if scenario == Scenario::Crowds { 25 * cost } else { 40_000 },
         spec_every_s: if scenario == Scenario::Operators { 2 } else { 6 },
@@ -86,7 +86,13 @@
         return usual;
     }
     // What is watched here is control; a lighter load makes room for longer runs.
-    Habits { prompts_per_s: 12, parcel_items: 10, parcel_every_s: 4, orders_every_ms: 300, ..usual }
+    Habits {
+        prompts_per_s: 12,
+        items_per_batch: 10,
+        batch_every_s: 4,
+        orders_every_ms: 300,
+        ..usual
+    }
 }
 
 /// Runs a scenario from a seed.
@@ -118,7 +124,7 @@
     }
     world.list_engines();
     let usual =
-        [Doing::NextPrompt, Doing::AskReady, Doing::NextParcel, Doing::NextSpec, Doing::ReadSpec];
+        [Doing::NextPrompt, Doing::AskReady, Doing::NextBatch, Doing::NextSpec, Doing::ReadSpec];
     for doing in usual {
         world.at(0, Event::Person(doing));
     }
@@ -135,7 +141,7 @@
     world.run_until(closed + 18_000_000);
     world.people.habits.is_open = false;
     world.run_until(closed + 30_000_000);
-    // Until nothing runs any more and every parcel is done, within reason.
+    // Until nothing runs any more and every batch is done, within reason.
     for _ in 0..30 {
         if world.is_at_rest() {
             break;
--- a/fleet-simulator/src/scenario.rs
+++ b/fleet-simulator/src/scenario.rs
@@ -5,11 +5,11 @@
 pub enum Scenario {
     /// Nothing.
     Calm,
-    /// Crowds, jumps, and many parcels at once.
+    /// Crowds, jumps, and many batches at once.
     Crowds,
     /// Engines crash, go dark, slow down, cut returns, and are replaced in turn.
     Engines,
-    /// Many parcels land at once while the shards' and the counter's holders and control are lost,
+    /// Many batches land at once while the shards' and the counter's holders and control are lost,
     /// and a spec lowers the ceiling.
     Ceiling,
     /// Processes of every kind are killed and start again.
--- a/fleet-simulator/src/world/engines.rs
+++ b/fleet-simulator/src/world/engines.rs
@@ -103,9 +103,9 @@
         }
     }
 
-    /// Whether nothing runs and no parcel waits.
+    /// Whether nothing runs and no batch waits.
     pub fn is_at_rest(&self) -> bool {
-        self.engines.iter().all(|engine| engine.open.is_empty()) && self.parcels_are_done()
+        self.engines.iter().all(|engine| engine.open.is_empty()) && self.batches_are_done()
     }
 
     fn break_run(&mut self, run: usize) {
--- a/fleet-simulator/src/world/mod.rs
+++ b/fleet-simulator/src/world/mod.rs
@@ -92,7 +92,7 @@
     pub(crate) last_in_force: std::collections::BTreeMap<NodeIndex, usize>,
     /// Bugs planted to show that the checker can fail.
     pub plant: Option<Plant>,
-    /// After how many more answers on parcels disks and power are lost, none if 0, and for how many
+    /// After how many more answers on batches disks and power are lost, none if 0, and for how many
     /// milliseconds.
     pub(crate) wipe_after: (u64, u64),
 }
--- a/fleet-simulator/src/world/network.rs
+++ b/fleet-simulator/src/world/network.rs
@@ -121,7 +121,7 @@
         Message::Wish(_) => "wish",
         Message::Operate(_) => "operate",
         Message::Counter(_) => "counter",
-        Message::Parcel(_) => "parcel",
+        Message::Batch(_) => "batch",
         Message::Told(..) => "told",
         Message::Confirm(_) => "confirm",
     }
--- a/fleet-simulator/src/world/sessions.rs
+++ b/fleet-simulator/src/world/sessions.rs
@@ -9,7 +9,7 @@
 use topazyard_relay::{RelayCall, RelayReturn};
 use topazyard_types::{DurationMs, EngineName};
 use topazyard_wire::api::{ApiError, Ran};
-use topazyard_wire::message::parcel::{Run, RunEnd};
+use topazyard_wire::message::batch::{Run, RunEnd};
 
 /// A prompt on its way through a relay.
 #[derive(Debug)]
--- a/fleet-simulator/tests/lines.rs
+++ b/fleet-simulator/tests/lines.rs
@@ -77,8 +77,8 @@
 
 holds_through! {
     nothing_goes_wrong: Calm,
-    crowds_and_many_parcels: Crowds,
-    parcels_land_while_their_keepers_are_lost: Ceiling,
+    crowds_and_many_batches: Crowds,
+    batches_land_while_their_keepers_are_lost: Ceiling,
     engines_crash_go_dark_and_leave: Engines,
     processes_are_killed: Kills,
     processes_freeze_and_wake: Freezes,
--- a/fleet-simulator/tests/planted.rs
+++ b/fleet-simulator/tests/planted.rs
@@ -125,7 +125,7 @@
 
 #[test]
 fn a_changed_listed_return_is_seen() {
-    goes_red(Plant::ChangeReturn, Scenario::Calm, Line::ParcelList);
+    goes_red(Plant::ChangeReturn, Scenario::Calm, Line::BatchList);
 }
 
 #[test]
@@ -139,8 +139,8 @@
 }
 
 #[test]
-fn an_item_started_after_its_parcels_end_is_seen() {
-    goes_red(Plant::ItemsSentLate, Scenario::Ceiling, Line::ParcelEnded);
+fn an_item_started_after_its_batches_end_is_seen() {
+    goes_red(Plant::ItemsSentLate, Scenario::Ceiling, Line::BatchEnded);
 }
 
 #[test]
--- a/libraries/topazyard-replication/src/replica/follow.rs
+++ b/libraries/topazyard-replication/src/replica/follow.rs
@@ -193,7 +193,7 @@
         follow.last_append = Some(round);
         // A primary begins a round only once the one before is committed.
         if !repeated {
-            self.doubt = if changes.is_empty() { Doubt::Nothing } else { Doubt::LastBatch };
+            self.doubt = if changes.is_empty() { Doubt::Nothing } else { Doubt::LastChanges };
             self.note_committed(held);
         }
         if changes.is_empty() || repeated {
@@ -273,7 +273,7 @@
         out: &mut Vec<ReplicaOutput>,
     ) {
         let sequence = self.copy.place().sequence;
-        self.doubt = Doubt::SomeBatch;
+        self.doubt = Doubt::SomeChanges;
         if let Role::Follower(follow) = &mut self.role {
             follow.last_append = None;
             follow.in_step_since = Some(round);
--- a/libraries/topazyard-replication/src/replica/lead.rs
+++ b/libraries/topazyard-replication/src/replica/lead.rs
@@ -1,7 +1,7 @@
 //! The primary's side: batches, the comparisons that bring backups in step, and the learners.
 
 use super::parts::{bytes_of, split_into_parts};
-use super::progress::{Backup, BackupState, Batch, Comparison, Learner, Learning, is_due};
+use super::progress::{Backup, BackupState, ChangeBatch, Comparison, Learner, Learning, is_due};
 use super::{Doubt, Followers, From, Replica, ReplicaOutput, Role, Ticket};
 use topazyard_types::{DurationMs, MonotonicMs, NodeId, Sequence};
 use topazyard_wire::RowChange;
@@ -34,7 +34,7 @@
     /// Whether it may answer once all its backups are in step.
     answers: bool,
     phase: Phase,
-    under_way: Option<Batch>,
+    under_way: Option<ChangeBatch>,
     next_tickets: Vec<Ticket>,
     next_changes: Vec<RowChange>,
     last_batch: MonotonicMs,
@@ -155,12 +155,19 @@
             None
         } else {
             let rows = self.copy.apply(self.epoch, sequence, changes.clone());
-            self.doubt = Doubt::LastBatch;
+            self.doubt = Doubt::LastChanges;
             self.write(rows, now, &mut out)
         };
         if let Role::Primary(lead) = &mut self.role {
-            lead.under_way =
-                Some(Batch { round, sequence, changes, tickets, write, begun: now, sent: now });
+            lead.under_way = Some(ChangeBatch {
+                round,
+                sequence,
+                changes,
+                tickets,
+                write,
+                begun: now,
+                sent: now,
+            });
         }
         self.send_append(&mut out);
         // Where there are no backups nobody else has to confirm it.
--- a/libraries/topazyard-replication/src/replica/mod.rs
+++ b/libraries/topazyard-replication/src/replica/mod.rs
@@ -72,9 +72,9 @@
     /// Nothing: all of it was.
     Nothing,
     /// What the batch applied last changed.
-    LastBatch,
+    LastChanges,
     /// Some batch that nobody can tell from the rest: the copy equalled its primary's.
-    SomeBatch,
+    SomeChanges,
     /// Any of it: the copy is being compared, or was read from disk.
     All,
 }
--- a/libraries/topazyard-replication/src/replica/progress.rs
+++ b/libraries/topazyard-replication/src/replica/progress.rs
@@ -67,7 +67,7 @@
     }
 
     /// Since when it owes a confirmation, if it does.
-    pub(super) fn owes_since(&self, under_way: Option<&Batch>) -> Option<MonotonicMs> {
+    pub(super) fn owes_since(&self, under_way: Option<&ChangeBatch>) -> Option<MonotonicMs> {
         match &self.state {
             BackupState::Comparing(_, since) => Some(*since),
             BackupState::InStep => {
@@ -98,7 +98,7 @@
 
 /// A batch that is being synced on every copy.
 #[derive(Debug, Clone)]
-pub(super) struct Batch {
+pub(super) struct ChangeBatch {
     pub(super) round: u64,
     pub(super) sequence: Sequence,
     pub(super) changes: Vec<RowChange>,
--- a/libraries/topazyard-spec/src/bundle.rs
+++ b/libraries/topazyard-spec/src/bundle.rs
@@ -1,4 +1,4 @@
-//! The operators' versioned bundle: lanes, pools, parcel ceilings and weight bounds.
+//! The operators' versioned bundle: lanes, pools, batch ceilings and weight bounds.
 
 use topazyard_types::{LaneName, ModelName, PoolName, Tokens};
 
@@ -23,8 +23,8 @@
     pub clients: crate::ClientLimits,
     /// Limits on handed-in work.
     #[garde(dive)]
-    #[serde(default)]
-    pub parcels: ParcelLimits,
+    #[serde(default, alias = "parcels")]
+    pub batches: BatchLimits,
     /// Between which bounds the system may tune the live share.
     #[garde(dive)]
     #[serde(default)]
@@ -101,8 +101,9 @@
 pub enum LaneKind {
     /// Live prompts only.
     Live,
-    /// Parcel items only.
-    Parcel,
+    /// Batch items only.
+    #[serde(alias = "parcel")]
+    Batch,
     /// Both.
     Both,
 }
@@ -110,23 +111,23 @@
 /// Limits on handed-in work.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize, garde::Validate)]
 #[serde(deny_unknown_fields)]
-pub struct ParcelLimits {
+pub struct BatchLimits {
     /// The agreed ceiling on the cost of items not yet finished.
     #[garde(custom(within_tokens))]
     pub waiting_ceiling_tokens: Tokens,
-    /// Most items in a parcel.
+    /// Most items in a batch.
     #[garde(range(min = 1, max = 10_000))]
     pub max_items: u32,
     /// Largest item body.
     #[garde(range(min = 1, max = 1_048_576))]
     pub max_item_bytes: u32,
-    /// For how long a parcel is kept after its last return.
+    /// For how long a batch is kept after its last return.
     #[garde(range(min = 60, max = 31_536_000))]
     #[serde(default = "default_keep")]
     pub keep_finished_s: u32,
 }
 
-impl Default for ParcelLimits {
+impl Default for BatchLimits {
     fn default() -> Self {
         Self {
             waiting_ceiling_tokens: Tokens(2_000_000),
@@ -147,7 +148,7 @@
     /// The live share before anything was measured.
     #[garde(range(min = 0, max = 100))]
     pub live_start_percent: u8,
-    /// The greatest live share; below 100, so that parcels are not starved.
+    /// The greatest live share; below 100, so that batches are not starved.
     #[garde(range(min = 0, max = 95))]
     pub live_ceiling_percent: u8,
 }
@@ -269,7 +270,7 @@
     /// # let bundle = topazyard_spec::Bundle::read(text).unwrap();
     /// use topazyard_spec::LaneKind;
     /// assert!(bundle.lane_for(LaneKind::Live, &"m".into()).is_some());
-    /// assert!(bundle.lane_for(LaneKind::Parcel, &"m".into()).is_none());
+    /// assert!(bundle.lane_for(LaneKind::Batch, &"m".into()).is_none());
     /// ```
     pub fn lane_for(&self, kind: LaneKind, model: &ModelName) -> Option<&Lane> {
         self.lanes.iter().find(|lane| {
--- a/libraries/topazyard-spec/src/lib.rs
+++ b/libraries/topazyard-spec/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod routes;
 pub mod settings;
 
-pub use bundle::{Bundle, EngineShape, Lane, LaneKind, ParcelLimits, Pool, WeightBounds};
+pub use bundle::{BatchLimits, Bundle, EngineShape, Lane, LaneKind, Pool, WeightBounds};
 pub use engines::{Engine, EngineList, EngineState};
 pub use faults::{Fault, FaultReason, ReadError};
 pub use routes::{BatchTerms, ClientLimits, PoolShare, Route, RouteKind};
--- a/libraries/topazyard-spec/tests/reading.rs
+++ b/libraries/topazyard-spec/tests/reading.rs
@@ -65,3 +65,19 @@
     let missing = NodeSettings::check(Settings { settings: file, ..flags() });
     assert!(matches!(missing, Err(SettingsError::Unreadable(_))));
 }
+
+// Else a fleet can't read the specs that it keeps from before the words changed.
+#[test]
+fn specs_in_the_older_words_can_still_be_read() {
+    let spec = |kind: &str, limits: &str| {
+        let text = format!(
+            r#"{{"pools":[{{"name":"main","limit_tokens":1000}}],
+            "lanes":[{{"name":"l","kind":"{kind}","models":["m"],"pool":"main"}}],
+            "{limits}":{{"waiting_ceiling_tokens":1000,"max_items":7,"max_item_bytes":1000}}}}"#
+        );
+        Bundle::read(&text).expect("a spec")
+    };
+    let older = spec("parcel", "parcels");
+    assert_eq!(older.batches.max_items, 7);
+    assert_eq!(older, spec("batch", "batches"));
+}
--- a/libraries/topazyard-types/src/ids.rs
+++ b/libraries/topazyard-types/src/ids.rs
@@ -1,4 +1,4 @@
-//! Who and what: nodes, fleets, shards, engines, holds and parcels.
+//! Who and what: nodes, fleets, shards, engines, holds and batches.
 
 crate::number_type!(
     /// One life of a node's data: new when a data folder is new, and at each start of a node without a disk.
@@ -9,7 +9,7 @@
     FleetId, u32
 );
 crate::number_type!(
-    /// A shard: 0 counts tokens, the others keep parcels.
+    /// A shard: 0 counts tokens, the others keep batches.
     ShardId, u16
 );
 crate::number_type!(
@@ -17,7 +17,7 @@
     HoldId, u64
 );
 crate::number_type!(
-    /// An item's number within its parcel, from 0.
+    /// An item's number within its batch, from 0.
     ItemNumber, u32
 );
 crate::number_type!(
@@ -76,10 +76,10 @@
     /// assert!(topazyard_types::ShardId::COUNTER.is_counter());
     /// ```
     pub const COUNTER: Self = Self(0);
-    /// How many parcel shards a fleet has.
-    pub const PARCEL_SHARDS: u16 = 4;
+    /// How many batch shards a fleet has.
+    pub const BATCH_SHARDS: u16 = 4;
 
-    /// Whether this shard keeps the counter rather than parcels.
+    /// Whether this shard keeps the counter rather than batches.
     ///
     /// ```
     /// assert!(!topazyard_types::ShardId(3).is_counter());
@@ -94,58 +94,58 @@
     /// assert_eq!(topazyard_types::ShardId::all().count(), 5);
     /// ```
     pub fn all() -> impl Iterator<Item = Self> {
-        (0..=Self::PARCEL_SHARDS).map(Self)
+        (0..=Self::BATCH_SHARDS).map(Self)
     }
 }
 
-/// A parcel's id. It names the shard that keeps it, so that any relay finds it.
+/// A batch's id. It names the shard that keeps it, so that any relay finds it.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
 )]
-pub struct ParcelId {
-    /// The shard that keeps the parcel.
+pub struct BatchId {
+    /// The shard that keeps the batch.
     pub shard: ShardId,
     /// Its number there, made from the submission's idempotency key.
     pub number: u64,
 }
 
-impl std::fmt::Display for ParcelId {
+impl std::fmt::Display for BatchId {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{}-{:016x}", self.shard, self.number)
     }
 }
 
-/// {0:?} is not a parcel id
+/// {0:?} is not a batch id
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
-pub struct NotAParcelId(pub String);
+pub struct NotABatchId(pub String);
 
-impl std::error::Error for NotAParcelId {}
+impl std::error::Error for NotABatchId {}
 
-impl std::str::FromStr for ParcelId {
-    type Err = NotAParcelId;
+impl std::str::FromStr for BatchId {
+    type Err = NotABatchId;
 
-    fn from_str(text: &str) -> Result<Self, NotAParcelId> {
-        let refuse = || NotAParcelId(text.to_owned());
+    fn from_str(text: &str) -> Result<Self, NotABatchId> {
+        let refuse = || NotABatchId(text.to_owned());
         let (shard, number) = text.split_once('-').ok_or_else(refuse)?;
         let shard = ShardId(shard.parse().map_err(|_| refuse())?);
-        let known = !shard.is_counter() && shard.0 <= ShardId::PARCEL_SHARDS && number.len() == 16;
+        let known = !shard.is_counter() && shard.0 <= ShardId::BATCH_SHARDS && number.len() == 16;
         let number = u64::from_str_radix(number, 16).map_err(|_| refuse())?;
         if known { Ok(Self { shard, number }) } else { Err(refuse()) }
     }
 }
 
-impl ParcelId {
+impl BatchId {
     /// The id that a submission with this idempotency key gets, whichever relay takes it.
     ///
     /// ```
-    /// let id = topazyard_types::ParcelId::from_key("reel-17");
-    /// assert_eq!(id, topazyard_types::ParcelId::from_key("reel-17"));
+    /// let id = topazyard_types::BatchId::from_key("reel-17");
+    /// assert_eq!(id, topazyard_types::BatchId::from_key("reel-17"));
     /// assert_eq!(id.to_string().parse(), Ok(id));
     /// ```
     pub fn from_key(key: &str) -> Self {
         let digest = crate::Digest::of(&[key.as_bytes()]).0;
         let number = (digest >> 64) as u64;
-        let shard = ShardId((digest as u64 % u64::from(ShardId::PARCEL_SHARDS)) as u16 + 1);
+        let shard = ShardId((digest as u64 % u64::from(ShardId::BATCH_SHARDS)) as u16 + 1);
         Self { shard, number }
     }
 
@@ -153,14 +153,14 @@
     /// a host share a shard, so that one owner counts what waits on the host's routes.
     ///
     /// ```
-    /// use topazyard_types::ParcelId;
-    /// let id = ParcelId::of_host("a.example", "7c41e09b52d6a3f8");
+    /// use topazyard_types::BatchId;
+    /// let id = BatchId::of_host("a.example", "7c41e09b52d6a3f8");
     /// assert_eq!(id.number, 0x7c41_e09b_52d6_a3f8);
-    /// assert_eq!(id.shard, ParcelId::of_host("a.example", "other").shard);
+    /// assert_eq!(id.shard, BatchId::of_host("a.example", "other").shard);
     /// ```
     pub fn of_host(host: &str, id: &str) -> Self {
         let digest = crate::Digest::of(&[host.as_bytes()]).0;
-        let shard = ShardId((digest as u64 % u64::from(ShardId::PARCEL_SHARDS)) as u16 + 1);
+        let shard = ShardId((digest as u64 % u64::from(ShardId::BATCH_SHARDS)) as u16 + 1);
         let is_hex = (1..=16).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_hexdigit());
         let number = u64::from_str_radix(id, 16).ok().filter(|_| is_hex);
         let hashed = || (crate::Digest::of(&[id.as_bytes()]).0 >> 64) as u64;
--- a/libraries/topazyard-types/src/lib.rs
+++ b/libraries/topazyard-types/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use digest::Digest;
 pub use ids::{
-    CallId, EngineName, FleetId, HoldId, ItemNumber, LaneName, Life, ModelName, NodeId, ParcelId,
+    BatchId, CallId, EngineName, FleetId, HoldId, ItemNumber, LaneName, Life, ModelName, NodeId,
     PoolName, RouteName, ShardId, ZoneName,
 };
 pub use times::{DurationMs, MonotonicMs};
--- a/libraries/topazyard-wire/src/api.rs
+++ b/libraries/topazyard-wire/src/api.rs
@@ -36,7 +36,7 @@
     NoLane,
     /// no route takes this host and path
     NoRoute,
-    /// there is no such parcel, item, node or version
+    /// there is no such batch, item, node or version
     NotFound,
     /// another version was put in between
     StaleBase,
@@ -50,8 +50,8 @@
     Budget,
     /// the relay's queue is full
     QueueFull,
-    /// the ceiling on waiting parcel work is reached
-    ParcelCeiling,
+    /// the ceiling on waiting batch work is reached
+    BatchCeiling,
     /// no engine is ready for it
     NoEngine,
     /// the engine turned it away without running it
@@ -62,7 +62,7 @@
     StaleFeed,
     /// the relay takes nothing new
     Draining,
-    /// the shard that keeps the parcel can't be reached
+    /// the shard that keeps the batch can't be reached
     NoShard,
     /// no control primary can be reached
     NoPrimary,
@@ -92,7 +92,7 @@
             Self::NoSuchPath | Self::NoLane | Self::NoRoute | Self::NotFound => 404,
             Self::StaleBase | Self::WrongState | Self::NoRoom | Self::HoldsCopies => 409,
             Self::InvalidSpec => 422,
-            Self::Deadline | Self::Budget | Self::QueueFull | Self::ParcelCeiling => 429,
+            Self::Deadline | Self::Budget | Self::QueueFull | Self::BatchCeiling => 429,
             Self::NoEngine
             | Self::TurnedAway
             | Self::NoCounter
--- a/libraries/topazyard-wire/src/message/parcel.rs
+++ b/libraries/topazyard-wire/src/message/batch.rs
@@ -1,12 +1,12 @@
-//! Parcels: calls that relays make to a shard's primary, and their returns.
+//! Batches: calls that relays make to a shard's primary, and their returns.
 
 use topazyard_types::{
-    Digest, DurationMs, Epoch, ItemNumber, ModelName, ParcelId, RouteName, ShardId, Tokens,
+    BatchId, Digest, DurationMs, Epoch, ItemNumber, ModelName, RouteName, ShardId, Tokens,
 };
 
-/// A message to or from a parcel shard's primary, under its epoch.
+/// A message to or from a batch shard's primary, under its epoch.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct ParcelMessage {
+pub struct BatchMessage {
     /// Which shard.
     pub shard: ShardId,
     /// The epoch; a lower one is refused.
@@ -14,19 +14,19 @@
     /// Marks the return.
     pub call: u64,
     /// What is said.
-    pub body: ParcelBody,
+    pub body: BatchBody,
 }
 
 /// A call or its return.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub enum ParcelBody {
+pub enum BatchBody {
     /// Asked by a relay.
-    Call(ParcelCall),
+    Call(BatchCall),
     /// Returned to it.
-    Return(ParcelReturn),
+    Return(BatchReturn),
     /// A read that its primary leaves unanswered, asked of every node that holds a copy. Whoever
     /// can't be sure says nothing.
-    Aside(ParcelCall),
+    Aside(BatchCall),
 }
 
 /// One item as handed in.
@@ -74,9 +74,9 @@
 
 /// A batch of routed items as it is handed in.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Batch {
+pub struct RoutedBatch {
     /// Its id.
-    pub parcel: ParcelId,
+    pub batch: BatchId,
     /// Its terms.
     pub terms: Terms,
     /// Its items, each with directions.
@@ -99,8 +99,8 @@
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
 )]
 pub struct Run {
-    /// The parcel.
-    pub parcel: ParcelId,
+    /// The batch.
+    pub batch: BatchId,
     /// The item.
     pub item: ItemNumber,
     /// The lease under which it would run; no two leases are alike, so that a late word on one
@@ -137,45 +137,45 @@
 
 /// What a relay may ask.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub enum ParcelCall {
-    /// Take a parcel; the same id again changes nothing.
+pub enum BatchCall {
+    /// Take a batch of items on lanes; the same id again changes nothing.
     Submit {
         /// Its id.
-        parcel: ParcelId,
+        batch: BatchId,
         /// Its items.
         items: Vec<Item>,
         /// The ceiling on waiting work by the spec in force at the relay.
         ceiling: Tokens,
     },
     /// Take a batch of routed items; the same id again changes nothing.
-    SubmitBatch(Batch),
+    SubmitRouted(RoutedBatch),
     /// A batch's results after a position.
     Results {
         /// The batch.
-        parcel: ParcelId,
+        batch: BatchId,
         /// Positions up to this are known; 0 asks from the first.
         after: u32,
     },
     /// The body of an item that has no result yet.
     Body {
         /// The batch.
-        parcel: ParcelId,
+        batch: BatchId,
         /// The caller's own id of the item.
         id: String,
     },
-    /// How does the parcel stand?
-    Read(ParcelId),
+    /// How does the batch stand?
+    Read(BatchId),
     /// Its returns after a position.
     Returns {
-        /// The parcel.
-        parcel: ParcelId,
+        /// The batch.
+        batch: BatchId,
         /// Positions up to this are known; 0 asks from the first.
         after: u32,
     },
     /// Ask an unfinished item back.
-    Recall(ParcelId, ItemNumber),
-    /// End the parcel.
-    End(ParcelId),
+    Recall(BatchId, ItemNumber),
+    /// End the batch.
+    End(BatchId),
     /// Lease items of these models.
     Lease {
         /// At most that many.
@@ -193,11 +193,11 @@
     Running(Vec<Run>),
 }
 
-/// How a parcel stands.
+/// How a batch stands.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct ParcelStanding {
+pub struct BatchStanding {
     /// Its id.
-    pub parcel: ParcelId,
+    pub batch: BatchId,
     /// Its items.
     pub items: u32,
     /// Items with a final return.
@@ -225,7 +225,7 @@
     OutcomeUnknown,
     /// It was asked back before it started.
     Recalled,
-    /// The parcel ended before it started.
+    /// The batch ended before it started.
     Ended,
     /// It was given up: an engine can't do it, too many attempts failed, or its time was over.
     Abandoned,
@@ -259,13 +259,13 @@
 
 /// What a shard's primary returns.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub enum ParcelReturn {
+pub enum BatchReturn {
     /// Accepted and synced on both, now or before.
-    Accepted(ParcelStanding),
-    /// The parcel ceiling is reached: come back later.
+    Accepted(BatchStanding),
+    /// The batch ceiling is reached: come back later.
     CeilingReached,
     /// How it stands.
-    Standing(ParcelStanding),
+    Standing(BatchStanding),
     /// Returns in order.
     Returns(Vec<ItemReturn>),
     /// A batch's results.
@@ -277,7 +277,7 @@
     },
     /// The body of an item, byte for byte.
     Body(bytes::Bytes),
-    /// There is no such parcel or item.
+    /// There is no such batch or item.
     Unknown,
     /// The item will never run.
     Recalled,
--- a/libraries/topazyard-wire/src/message/counter.rs
+++ b/libraries/topazyard-wire/src/message/counter.rs
@@ -18,7 +18,7 @@
 pub enum HoldKind {
     /// A live prompt: may use the whole limit.
     Live,
-    /// A parcel item: may use only what the weights leave.
+    /// A batch item: may use only what the weights leave.
     Item,
     /// Room that a relay keeps for the requests of routes, from which it takes without asking.
     /// It stands until its expiry, not only until the relay's lease: its relay may go on while
@@ -83,7 +83,7 @@
         /// Which renewal.
         number: u64,
     },
-    /// A parcel shard's waiting cost, and how much more it asks to accept.
+    /// A batch shard's waiting cost, and how much more it asks to accept.
     Waiting {
         /// Which shard.
         shard: ShardId,
@@ -97,7 +97,7 @@
         total: Tokens,
         /// The cost asked for besides: checked against the ceiling and added, in one.
         asked: Tokens,
-        /// The ceiling by the spec in force at the relay that handed the parcel in.
+        /// The ceiling by the spec in force at the relay that handed the batch in.
         ceiling: Tokens,
     },
     /// Whether the report stands.
--- a/libraries/topazyard-wire/src/message/feed.rs
+++ b/libraries/topazyard-wire/src/message/feed.rs
@@ -90,7 +90,7 @@
         disk: crate::disk::DiskState,
         /// How long the oldest write not yet synced has taken.
         write_wait_ms: u64,
-        /// Waiting cost of each parcel shard that it leads.
+        /// Waiting cost of each batch shard that it leads.
         waiting: Vec<(ShardId, u64)>,
         /// Live tokens in flight, if it leads the counter.
         live_tokens: Option<u64>,
--- a/libraries/topazyard-wire/src/message/mod.rs
+++ b/libraries/topazyard-wire/src/message/mod.rs
@@ -1,12 +1,12 @@
 //! What the system's own processes say to each other.
 
+pub mod batch;
 pub mod confirm;
 pub mod control;
 pub mod counter;
 pub mod feed;
 pub mod membership;
 pub mod operate;
-pub mod parcel;
 pub mod replica;
 
 use topazyard_types::{FleetId, NodeId};
@@ -49,8 +49,8 @@
     Operate(operate::OperateMessage),
     /// Holds on the budget.
     Counter(counter::CounterMessage),
-    /// Parcels.
-    Parcel(parcel::ParcelMessage),
+    /// Batches.
+    Batch(batch::BatchMessage),
     /// A shard's record, passed on to a holder that has not heard of it.
     Told(topazyard_types::ShardId, control::ShardRecord),
     /// Confirming a copy for a read while primaries are silent.
--- a/libraries/topazyard-wire/src/state.rs
+++ b/libraries/topazyard-wire/src/state.rs
@@ -249,7 +249,7 @@
         topazyard_types::Tokens(tokens.0.max(slot))
     }
 
-    /// The part of a pool's budget that parcel items may hold.
+    /// The part of a pool's budget that batch items may hold.
     ///
     /// ```
     /// use topazyard_wire::state::{FleetView, WeightRow};
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -529,7 +529,7 @@
                 Message::Confirm(message) => {
                     self.receive_confirm(sender, from, message, now, &mut out);
                 }
-                Message::Counter(_) | Message::Parcel(_) | Message::Told(..) => {}
+                Message::Counter(_) | Message::Batch(_) | Message::Told(..) => {}
             },
         }
         self.fulfil_wishes(now);
--- a/programs/topazyard-control/src/machine/queries.rs
+++ b/programs/topazyard-control/src/machine/queries.rs
@@ -119,7 +119,7 @@
                 };
                 serde_json::json!({
                     "shard": shard,
-                    "keeps": if shard.is_counter() { "counter" } else { "parcels" },
+                    "keeps": if shard.is_counter() { "counter" } else { "batches" },
                     "epoch": record.epoch,
                     "primary": record.primary.address,
                     "copies": record.copies,
--- a/programs/topazyard-control/src/machine/tuning.rs
+++ b/programs/topazyard-control/src/machine/tuning.rs
@@ -67,13 +67,13 @@
                     demand.live_refused += u64::from(*refused);
                 }
                 Health::Storage { waiting, live_tokens, .. } => {
-                    demand.parcel_tokens += waiting.iter().map(|(_, cost)| cost).sum::<u64>();
+                    demand.batch_tokens += waiting.iter().map(|(_, cost)| cost).sum::<u64>();
                     demand.live_tokens = demand.live_tokens.max(live_tokens.unwrap_or(0));
                 }
             }
         }
         // Waiting and refused prompts are not told apart by pool: a fleet has few pools, and
-        // raising the live share of one too many only slows parcels.
+        // raising the live share of one too many only slows batches.
         let pools = bundle.pools.iter().filter_map(|pool| {
             let weight = view.weights.get(&pool.name)?;
             let demand = Demand {
--- a/programs/topazyard-control/src/tuner.rs
+++ b/programs/topazyard-control/src/tuner.rs
@@ -1,11 +1,11 @@
 //! How the live share of a pool is tuned: up at once when live prompts want for room, down slowly
-//! while parcels wait and live prompts leave room. Between bounds that the spec sets.
+//! while batches wait and live prompts leave room. Between bounds that the spec sets.
 
 use topazyard_types::EngineName;
 
 /// How far the share rises in one step when live prompts want for room.
 const RISE_PERCENT: u64 = 15;
-/// How far it falls in one step while parcels wait.
+/// How far it falls in one step while batches wait.
 const FALL_PERCENT: u64 = 8;
 /// How much room above what live prompts use is kept for a jump, in percent of what they use.
 const HEADROOM_PERCENT: u64 = 150;
@@ -31,7 +31,7 @@
     /// Prompts refused for want of room since the relays last spoke.
     pub live_refused: u64,
     /// The cost of items that wait.
-    pub parcel_tokens: u64,
+    pub batch_tokens: u64,
     /// The least live share.
     pub floor_percent: u8,
     /// The greatest.
@@ -42,9 +42,9 @@
 ///
 /// ```
 /// use topazyard_control::tuner::{next_share, Demand};
-/// let calm = Demand { limit_tokens: 1_000, live_tokens: 100, parcel_tokens: 500,
+/// let calm = Demand { limit_tokens: 1_000, live_tokens: 100, batch_tokens: 500,
 ///     floor_percent: 40, ceiling_percent: 90, ..Demand::default() };
-/// assert_eq!(next_share(70, &calm, &[]), 62); // parcels wait: give them some
+/// assert_eq!(next_share(70, &calm, &[]), 62); // batches wait: give them some
 /// let crowd = Demand { live_refused: 4, ..calm };
 /// assert_eq!(next_share(70, &crowd, &[]), 85); // a jump: take it back at once
 /// ```
@@ -59,7 +59,7 @@
         now + RISE_PERCENT
     } else if kept > now {
         kept.min(now + RISE_PERCENT)
-    } else if demand.parcel_tokens > 0 {
+    } else if demand.batch_tokens > 0 {
         now.saturating_sub(FALL_PERCENT).max(kept)
     } else {
         now
@@ -76,7 +76,7 @@
         Demand {
             limit_tokens: 10_000,
             live_tokens: 1_000,
-            parcel_tokens: 9_000,
+            batch_tokens: 9_000,
             floor_percent: 40,
             ceiling_percent: 90,
             ..Demand::default()
@@ -84,7 +84,7 @@
     }
 
     #[test]
-    fn parcels_are_not_starved_at_rest_and_live_prompts_are_protected_in_a_jump() {
+    fn batches_are_not_starved_at_rest_and_live_prompts_are_protected_in_a_jump() {
         let mut share = 90;
         for _ in 0..30 {
             share = next_share(share, &demand(), &[]);
@@ -112,7 +112,7 @@
     }
 
     #[test]
-    fn an_engine_that_queues_takes_room_from_parcels() {
+    fn an_engine_that_queues_takes_room_from_batches() {
         let load = EngineLoad { engine: "e".into(), queued: 3 };
         assert_eq!(next_share(50, &demand(), &[&load]), 65);
     }
@@ -120,12 +120,12 @@
     #[test]
     fn any_demand_stays_within_bounds() {
         bolero::check!().with_type::<(u8, u64, u64, u64, u64)>().with_iterations(2_000).for_each(
-            |(now, live, waiting, refused, parcels)| {
+            |(now, live, waiting, refused, batches)| {
                 let wild = Demand {
                     live_tokens: *live % 1_000_000_000,
                     live_waiting: *waiting,
                     live_refused: *refused,
-                    parcel_tokens: *parcels,
+                    batch_tokens: *batches,
                     ..demand()
                 };
                 assert!((40..=90).contains(&next_share(*now, &wild, &[])));
--- a/programs/topazyard-relay/src/front/parcels.rs
+++ b/programs/topazyard-relay/src/front/batches.rs
@@ -1,21 +1,21 @@
-//! Parcel calls.
+//! Batch calls.
 
 use super::Handle;
 use crate::machine::{RelayCall, RelayReturn};
-use topazyard_types::{DurationMs, ItemNumber, ModelName, ParcelId, Tokens};
+use topazyard_types::{BatchId, DurationMs, ItemNumber, ModelName, Tokens};
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::http::Body;
-use topazyard_wire::message::parcel::{
-    Item, ItemEnd, ItemReturn, ParcelCall, ParcelReturn, ParcelStanding,
+use topazyard_wire::message::batch::{
+    BatchCall, BatchReturn, BatchStanding, Item, ItemEnd, ItemReturn,
 };
 
-/// The largest parcel taken, in bytes.
+/// The largest batch taken, in bytes.
 const MOST_BYTES: usize = 16 * 1024 * 1024;
 const LIMIT: DurationMs = DurationMs(5_000);
 
 #[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
-struct ParcelBody<'a> {
+struct BatchBody<'a> {
     #[serde(borrow)]
     items: Vec<ItemBody<'a>>,
 }
@@ -32,7 +32,7 @@
     token_count: Option<u64>,
 }
 
-/// Serves a call on parcels.
+/// Serves a call on batches.
 ///
 /// # Errors
 /// The error that the client gets.
@@ -45,26 +45,26 @@
     let parts: Vec<&str> = head.uri.path().trim_matches('/').split('/').collect();
     let call = match (head.method.as_str(), &parts[1..]) {
         ("POST", []) => {
-            let parcel = id_for(&head.headers)?;
+            let batch = id_for(&head.headers)?;
             let items = items_of(&body)?;
-            return answer(handle.call(RelayCall::Submit(parcel, items)).await);
+            return answer(handle.call(RelayCall::Submit(batch, items)).await);
         }
-        ("GET", [id]) => ParcelCall::Read(parcel_of(id)?),
+        ("GET", [id]) => BatchCall::Read(batch_of(id)?),
         ("GET", [id, "returns"]) => {
-            ParcelCall::Returns { parcel: parcel_of(id)?, after: after_of(head.uri.query())? }
+            BatchCall::Returns { batch: batch_of(id)?, after: after_of(head.uri.query())? }
         }
         ("POST", [id, "items", item, "recall"]) => {
             let malformed = |_| ApiError::not_run(Code::Malformed).at("item");
-            ParcelCall::Recall(parcel_of(id)?, ItemNumber(item.parse().map_err(malformed)?))
+            BatchCall::Recall(batch_of(id)?, ItemNumber(item.parse().map_err(malformed)?))
         }
-        ("DELETE", [id]) => ParcelCall::End(parcel_of(id)?),
+        ("DELETE", [id]) => BatchCall::End(batch_of(id)?),
         _ => return Err(ApiError::not_run(Code::NoSuchPath).at(head.uri.path())),
     };
-    answer(handle.call(RelayCall::Parcel(call, LIMIT)).await)
+    answer(handle.call(RelayCall::Batch(call, LIMIT)).await)
 }
 
-fn parcel_of(text: &str) -> Result<ParcelId, ApiError> {
-    text.parse().map_err(|_| ApiError::not_run(Code::NotFound).at("parcel"))
+fn batch_of(text: &str) -> Result<BatchId, ApiError> {
+    text.parse().map_err(|_| ApiError::not_run(Code::NotFound).at("batch"))
 }
 
 fn after_of(query: Option<&str>) -> Result<u32, ApiError> {
@@ -74,22 +74,22 @@
     after.map_or(Ok(0), |text| text.parse().map_err(malformed))
 }
 
-/// The parcel's id: made from the idempotency key, or from one that nobody else has.
-fn id_for(headers: &hyper::HeaderMap) -> Result<ParcelId, ApiError> {
+/// The batch's id: made from the idempotency key, or from one that nobody else has.
+fn id_for(headers: &hyper::HeaderMap) -> Result<BatchId, ApiError> {
     let name = "Idempotency-Key";
     let Some(value) = headers.get(name) else {
-        return Ok(ParcelId::from_key(&format!("{:032x}", rand::random::<u128>())));
+        return Ok(BatchId::from_key(&format!("{:032x}", rand::random::<u128>())));
     };
     match value.to_str() {
-        Ok(key) if !key.is_empty() && key.len() <= 256 => Ok(ParcelId::from_key(key)),
+        Ok(key) if !key.is_empty() && key.len() <= 256 => Ok(BatchId::from_key(key)),
         _ => Err(ApiError::not_run(Code::Malformed).at(name)),
     }
 }
 
-/// The items of a parcel as it is handed in.
+/// The items of a batch as it is handed in.
 ///
 /// ```
-/// let items = topazyard_relay::front::parcels::items_of(
+/// let items = topazyard_relay::front::batches::items_of(
 ///     br#"{"items":[{"model":"m","body":{"inputs":"one two"}}]}"#).unwrap();
 /// assert_eq!(items[0].body.as_ref(), br#"{"inputs":"one two"}"#);
 /// assert!(!items[0].repeatable);
@@ -98,11 +98,11 @@
 /// # Errors
 /// The field at fault.
 pub fn items_of(body: &[u8]) -> Result<Vec<Item>, ApiError> {
-    let parcel: ParcelBody<'_> = serde_json::from_slice(body).map_err(|error| {
+    let batch: BatchBody<'_> = serde_json::from_slice(body).map_err(|error| {
         let place = format!("line {} column {}", error.line(), error.column());
         ApiError { message: error.to_string(), ..ApiError::not_run(Code::Malformed).at(place) }
     })?;
-    let items = parcel.items.iter().enumerate();
+    let items = batch.items.iter().enumerate();
     let items = items.map(|(index, item)| {
         let text = item.body.get().as_bytes();
         let cost = super::read::cost_of(text, item.token_count.map(Tokens))
@@ -122,40 +122,40 @@
     outcome: Result<RelayReturn, topazyard_wire::driver::CallError>,
 ) -> Result<hyper::Response<Body>, ApiError> {
     match outcome {
-        Ok(RelayReturn::Parcel(value)) => shown(value),
+        Ok(RelayReturn::Batch(value)) => shown(value),
         Ok(RelayReturn::Refused(error)) => Err(error),
         _ => Err(ApiError::may_have_run(Code::OutcomeUnknown)),
     }
 }
 
-fn shown(value: ParcelReturn) -> Result<hyper::Response<Body>, ApiError> {
+fn shown(value: BatchReturn) -> Result<hyper::Response<Body>, ApiError> {
     use topazyard_wire::http::json;
     match value {
-        ParcelReturn::Accepted(standing) => Ok(json(201, &shown_standing(&standing))),
-        ParcelReturn::Standing(standing) => Ok(json(200, &shown_standing(&standing))),
-        ParcelReturn::Returns(returns) => {
+        BatchReturn::Accepted(standing) => Ok(json(201, &shown_standing(&standing))),
+        BatchReturn::Standing(standing) => Ok(json(200, &shown_standing(&standing))),
+        BatchReturn::Returns(returns) => {
             let shown: Vec<_> = returns.iter().map(shown_return).collect();
             Ok(json(200, &serde_json::json!({ "returns": shown })))
         }
-        ParcelReturn::Recalled => Ok(json(200, &serde_json::json!({ "recalled": true }))),
-        ParcelReturn::TooLate { returned } => {
+        BatchReturn::Recalled => Ok(json(200, &serde_json::json!({ "recalled": true }))),
+        BatchReturn::TooLate { returned } => {
             let state = if returned { "returned" } else { "started" };
             Ok(json(200, &serde_json::json!({ "recalled": false, "item": state })))
         }
-        ParcelReturn::Unknown => Err(ApiError::not_run(Code::NotFound).at("parcel")),
-        ParcelReturn::CeilingReached => Err(ApiError::not_run(Code::ParcelCeiling)),
-        ParcelReturn::Leased(_)
-        | ParcelReturn::Results { .. }
-        | ParcelReturn::Body(_)
-        | ParcelReturn::MayStart(_)
-        | ParcelReturn::Noted
-        | ParcelReturn::NotHere => Err(ApiError::not_run(Code::NoShard)),
+        BatchReturn::Unknown => Err(ApiError::not_run(Code::NotFound).at("batch")),
+        BatchReturn::CeilingReached => Err(ApiError::not_run(Code::BatchCeiling)),
+        BatchReturn::Leased(_)
+        | BatchReturn::Results { .. }
+        | BatchReturn::Body(_)
+        | BatchReturn::MayStart(_)
+        | BatchReturn::Noted
+        | BatchReturn::NotHere => Err(ApiError::not_run(Code::NoShard)),
     }
 }
 
-fn shown_standing(standing: &ParcelStanding) -> serde_json::Value {
+fn shown_standing(standing: &BatchStanding) -> serde_json::Value {
     serde_json::json!({
-        "parcel": standing.parcel.to_string(),
+        "batch": standing.batch.to_string(),
         "items": standing.items,
         "returned": standing.returned,
         "waiting": standing.waiting,
--- a/programs/topazyard-relay/src/front/items.rs
+++ b/programs/topazyard-relay/src/front/items.rs
@@ -12,7 +12,7 @@
 use hyper::header::HeaderValue;
 use topazyard_types::DurationMs;
 use topazyard_wire::http::Body;
-use topazyard_wire::message::parcel::{Progress, RunEnd};
+use topazyard_wire::message::batch::{Progress, RunEnd};
 
 /// The largest output of an item that is kept, in bytes.
 const MOST_BYTES: usize = 4 * 1024 * 1024;
--- a/programs/topazyard-relay/src/front/mod.rs
+++ b/programs/topazyard-relay/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP for clients.
 
+pub mod batches;
 pub mod connections;
 pub mod dialect;
 pub mod ended;
@@ -7,7 +8,6 @@
 pub mod engine;
 pub mod events;
 pub mod items;
-pub mod parcels;
 pub mod read;
 pub mod routed;
 mod routed_stream;
@@ -47,7 +47,7 @@
     let outcome = match (head.method.as_str(), parts.as_slice()) {
         ("POST", ["generate"]) => session::serve(handle, &head, body, false).await,
         ("POST", ["generate_stream"]) => session::serve(handle, &head, body, true).await,
-        (_, ["parcels", ..]) => parcels::serve(handle, &head, body).await,
+        (_, ["batches", ..]) => batches::serve(handle, &head, body).await,
         ("GET", ["ready"]) => match handle.call(crate::RelayCall::Ready).await {
             Ok(crate::RelayReturn::Noted) => {
                 Ok(topazyard_wire::http::json(200, &serde_json::json!({ "ready": true })))
--- a/programs/topazyard-relay/src/front/tasks.rs
+++ b/programs/topazyard-relay/src/front/tasks.rs
@@ -4,7 +4,7 @@
 use super::engine::span;
 use crate::machine::{EngineUse, RelayCall, RelayReturn, RelayTask, Target};
 use http_body_util::BodyExt as _;
-use topazyard_wire::message::parcel::{Run, RunEnd};
+use topazyard_wire::message::batch::{Run, RunEnd};
 
 /// The largest return of an item that is kept.
 const MOST_BYTES: usize = 4 * 1024 * 1024;
--- a/programs/topazyard-relay/src/lib.rs
+++ b/programs/topazyard-relay/src/lib.rs
@@ -1,4 +1,4 @@
-//! The edge: HTTP for clients, admission, prefix affinity, streaming, and parcel items run under
+//! The edge: HTTP for clients, admission, prefix affinity, streaming, and batch items run under
 //! leases.
 
 pub mod drain;
--- a/programs/topazyard-relay/src/machine/parcels.rs
+++ b/programs/topazyard-relay/src/machine/batches.rs
@@ -1,16 +1,16 @@
-//! Calls on parcels: sent to the shard's primary until it returns or time is up. All of them may
+//! Calls on batches: sent to the shard's primary until it returns or time is up. All of them may
 //! be sent twice without harm.
 
 use super::{FRESH_FOR, Out, RelayMachine, RelayReturn};
 use topazyard_spec::LaneKind;
 use topazyard_types::{
-    CallId, DurationMs, Epoch, Life, MonotonicMs, ParcelId, RouteName, ShardId, Tokens,
+    BatchId, CallId, DurationMs, Epoch, Life, MonotonicMs, RouteName, ShardId, Tokens,
 };
 use topazyard_wire::Effect;
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::Message;
-use topazyard_wire::message::parcel::{
-    Batch, Item, ParcelBody, ParcelCall, ParcelMessage, ParcelReturn, Terms,
+use topazyard_wire::message::batch::{
+    BatchBody, BatchCall, BatchMessage, BatchReturn, Item, RoutedBatch, Terms,
 };
 
 /// After how long without a return a call is sent again.
@@ -19,7 +19,7 @@
 const SEND_AGAIN_SOON: DurationMs = DurationMs(100);
 /// After how long without a return a read is asked aside, of every node that holds a copy.
 const ASK_ASIDE: DurationMs = DurationMs(150);
-/// How old the last word of control may be when a parcel is handed to its shard. With the second
+/// How old the last word of control may be when a batch is handed to its shard. With the second
 /// that it may wait there it stays below the 2 s within which a spec is in force.
 const SUBMIT_FRESH_FOR: DurationMs = DurationMs(800);
 /// How long a client's call may take.
@@ -35,7 +35,7 @@
     /// This relay, which leases items of a shard since that moment.
     Leasing(MonotonicMs),
     /// This relay, for a run's start.
-    Starting(topazyard_wire::message::parcel::Run),
+    Starting(topazyard_wire::message::batch::Run),
     /// This relay, for a run's end.
     Finishing,
 }
@@ -44,7 +44,7 @@
 struct Pending {
     caller: Caller,
     shard: ShardId,
-    call: ParcelCall,
+    call: BatchCall,
     until: MonotonicMs,
     send_at: MonotonicMs,
     aside_at: MonotonicMs,
@@ -54,12 +54,12 @@
 
 /// Calls under way.
 #[derive(Debug, Default)]
-pub(crate) struct ParcelCalls {
+pub(crate) struct BatchCalls {
     pending: std::collections::BTreeMap<u64, Pending>,
     last: u64,
 }
 
-impl ParcelCalls {
+impl BatchCalls {
     pub(super) fn new(life: Life) -> Self {
         Self { last: life.first_number(), ..Self::default() }
     }
@@ -82,38 +82,38 @@
     }
 }
 
-fn shard_of(call: &ParcelCall) -> Option<ShardId> {
+fn shard_of(call: &BatchCall) -> Option<ShardId> {
     match call {
-        ParcelCall::SubmitBatch(batch) => Some(batch.parcel.shard),
-        ParcelCall::Submit { parcel, .. }
-        | ParcelCall::Results { parcel, .. }
-        | ParcelCall::Body { parcel, .. }
-        | ParcelCall::Returns { parcel, .. }
-        | ParcelCall::Read(parcel)
-        | ParcelCall::Recall(parcel, _)
-        | ParcelCall::End(parcel) => Some(parcel.shard),
-        ParcelCall::Start(run) | ParcelCall::Finish(run, _) => Some(run.parcel.shard),
-        ParcelCall::Lease { .. } | ParcelCall::Running(_) => None,
+        BatchCall::SubmitRouted(routed) => Some(routed.batch.shard),
+        BatchCall::Submit { batch, .. }
+        | BatchCall::Results { batch, .. }
+        | BatchCall::Body { batch, .. }
+        | BatchCall::Returns { batch, .. }
+        | BatchCall::Read(batch)
+        | BatchCall::Recall(batch, _)
+        | BatchCall::End(batch) => Some(batch.shard),
+        BatchCall::Start(run) | BatchCall::Finish(run, _) => Some(run.batch.shard),
+        BatchCall::Lease { .. } | BatchCall::Running(_) => None,
     }
 }
 
-fn is_read(call: &ParcelCall) -> bool {
+fn is_read(call: &BatchCall) -> bool {
     matches!(
         call,
-        ParcelCall::Read(_)
-            | ParcelCall::Returns { .. }
-            | ParcelCall::Results { .. }
-            | ParcelCall::Body { .. }
+        BatchCall::Read(_)
+            | BatchCall::Returns { .. }
+            | BatchCall::Results { .. }
+            | BatchCall::Body { .. }
     )
 }
 
-fn changes_state(call: &ParcelCall) -> bool {
+fn changes_state(call: &BatchCall) -> bool {
     matches!(
         call,
-        ParcelCall::Submit { .. }
-            | ParcelCall::SubmitBatch(_)
-            | ParcelCall::Recall(..)
-            | ParcelCall::End(_)
+        BatchCall::Submit { .. }
+            | BatchCall::SubmitRouted(_)
+            | BatchCall::Recall(..)
+            | BatchCall::End(_)
     )
 }
 
@@ -132,11 +132,11 @@
 }
 
 impl RelayMachine {
-    /// Takes a client's call on a parcel.
-    pub(super) fn call_parcel(
+    /// Takes a client's call on a batch.
+    pub(super) fn call_batch(
         &mut self,
         call: CallId,
-        request: ParcelCall,
+        request: BatchCall,
         limit: DurationMs,
         now: MonotonicMs,
         out: &mut Out,
@@ -148,14 +148,14 @@
             Some(Code::Draining)
         } else if changes && now >= self.fresh_until() {
             Some(Code::StaleFeed)
-        } else if self.parcels.pending.len() >= MOST_CALLS {
+        } else if self.batches.pending.len() >= MOST_CALLS {
             Some(Code::NoShard)
         } else {
             None
         };
         match (refused, shard_of(&request)) {
             (None, Some(shard)) => {
-                self.send_parcel(Caller::Client(call), shard, request, limit, now, out);
+                self.send_batch(Caller::Client(call), shard, request, limit, now, out);
             }
             (code, _) => {
                 let error = ApiError::not_run(code.unwrap_or(Code::NoShard));
@@ -164,19 +164,19 @@
         }
     }
 
-    /// Checks a parcel against the spec in force and hands it in.
-    pub(super) fn submit_parcel(
+    /// Checks a batch against the spec in force and hands it in.
+    pub(super) fn submit_batch(
         &mut self,
         call: CallId,
-        parcel: ParcelId,
+        batch: BatchId,
         items: Vec<Item>,
         now: MonotonicMs,
         out: &mut Out,
     ) {
         match self.check_items(&items) {
             Ok(ceiling) => {
-                let request = ParcelCall::Submit { parcel, items, ceiling };
-                self.call_parcel(call, request, CLIENT_LIMIT, now, out);
+                let request = BatchCall::Submit { batch, items, ceiling };
+                self.call_batch(call, request, CLIENT_LIMIT, now, out);
             }
             Err(error) => {
                 self.count_refusal(error.code);
@@ -186,10 +186,10 @@
     }
 
     /// Hands in a batch of routed items.
-    pub(super) fn submit_batch(
+    pub(super) fn submit_routed(
         &mut self,
         call: CallId,
-        (parcel, route): (ParcelId, &RouteName),
+        (batch, route): (BatchId, &RouteName),
         items: Vec<Item>,
         limit: DurationMs,
         now: MonotonicMs,
@@ -202,8 +202,8 @@
             let error = ApiError::not_run(Code::NoLane);
             return out.push(Effect::Return { call, value: RelayReturn::Refused(error) });
         };
-        let batch = Batch {
-            parcel,
+        let routed = RoutedBatch {
+            batch,
             terms: Terms {
                 route: route.name.clone(),
                 host: route.host.clone(),
@@ -214,7 +214,7 @@
             items,
             ceiling: terms.ceiling_tokens,
         };
-        self.call_parcel(call, ParcelCall::SubmitBatch(batch), limit, now, out);
+        self.call_batch(call, BatchCall::SubmitRouted(routed), limit, now, out);
     }
 
     /// Checks items against the spec in force, and gives its ceiling on waiting work.
@@ -222,7 +222,7 @@
         let Some((_, bundle)) = &self.view.spec else {
             return Err(ApiError::not_run(Code::StaleFeed));
         };
-        let limits = &bundle.parcels;
+        let limits = &bundle.batches;
         if items.is_empty() || items.len() > limits.max_items as usize {
             return Err(ApiError::not_run(Code::Malformed).at("items"));
         }
@@ -231,24 +231,24 @@
                 let error = ApiError::not_run(Code::BodyTooLarge);
                 return Err(error.at(format!("items[{index}].body")));
             }
-            if bundle.lane_for(LaneKind::Parcel, &item.model).is_none() {
+            if bundle.lane_for(LaneKind::Batch, &item.model).is_none() {
                 return Err(ApiError::not_run(Code::NoLane).at(format!("items[{index}].model")));
             }
         }
         Ok(limits.waiting_ceiling_tokens)
     }
 
-    pub(super) fn send_parcel(
+    pub(super) fn send_batch(
         &mut self,
         caller: Caller,
         shard: ShardId,
-        call: ParcelCall,
+        call: BatchCall,
         limit: DurationMs,
         now: MonotonicMs,
         out: &mut Out,
     ) {
-        self.parcels.last += 1;
-        let id = self.parcels.last;
+        self.batches.last += 1;
+        let id = self.batches.last;
         let until = now.plus(limit);
         let aside_at = now.plus(ASK_ASIDE);
         let mut pending =
@@ -256,85 +256,80 @@
         if let Some(draining) = &self.draining {
             pending.end_by(draining.answers_calls_until());
         }
-        self.parcels.pending.insert(id, pending);
+        self.batches.pending.insert(id, pending);
         self.send_pending(id, now, out);
     }
 
     fn send_pending(&mut self, id: u64, now: MonotonicMs, out: &mut Out) {
         let ceiling =
-            self.view.spec.as_ref().map(|(_, bundle)| bundle.parcels.waiting_ceiling_tokens);
+            self.view.spec.as_ref().map(|(_, bundle)| bundle.batches.waiting_ceiling_tokens);
         let heard_lately = now.plus(FRESH_FOR) < self.fresh_until().plus(SUBMIT_FRESH_FOR);
-        let Some(pending) = self.parcels.pending.get_mut(&id) else { return };
-        if let ParcelCall::Submit { ceiling: told, .. } = &mut pending.call {
+        let Some(pending) = self.batches.pending.get_mut(&id) else { return };
+        if let BatchCall::Submit { ceiling: told, .. } = &mut pending.call {
             // It waits at the shard only as long as it is told the ceiling in force.
             match ceiling.filter(|_| heard_lately) {
                 Some(ceiling) => *told = ceiling,
                 None => return pending.send_at = now.plus(SEND_AGAIN_SOON),
             }
         }
-        if let ParcelCall::SubmitBatch(batch) = &mut pending.call {
+        if let BatchCall::SubmitRouted(routed) = &mut pending.call {
             // The ceiling in force comes with each sending; a route that went takes nothing more.
-            match self.view.routes.named(&batch.terms.route).and_then(|r| r.batch.as_ref()) {
-                Some(terms) if heard_lately => batch.ceiling = terms.ceiling_tokens,
+            match self.view.routes.named(&routed.terms.route).and_then(|r| r.batch.as_ref()) {
+                Some(terms) if heard_lately => routed.ceiling = terms.ceiling_tokens,
                 _ => return pending.send_at = now.plus(SEND_AGAIN_SOON),
             }
         }
-        let Some(pending) = self.parcels.pending.get(&id) else { return };
+        let Some(pending) = self.batches.pending.get(&id) else { return };
         let Some((to, epoch)) = self.leads(pending.shard) else { return };
-        let body = ParcelBody::Call(pending.call.clone());
+        let body = BatchBody::Call(pending.call.clone());
         let shard = pending.shard;
-        let message = ParcelMessage { shard, epoch, call: id, body };
-        out.push(Effect::Send { to, message: Message::Parcel(message) });
-        if let Some(pending) = self.parcels.pending.get_mut(&id) {
+        let message = BatchMessage { shard, epoch, call: id, body };
+        out.push(Effect::Send { to, message: Message::Batch(message) });
+        if let Some(pending) = self.batches.pending.get_mut(&id) {
             pending.send_at = now.plus(SEND_AGAIN);
             pending.sent_in = Some(epoch);
         }
     }
 
     /// Tells a shard something that needs no return.
-    pub(super) fn tell_parcel(&self, shard: ShardId, call: ParcelCall, out: &mut Out) {
+    pub(super) fn tell_batch(&self, shard: ShardId, call: BatchCall, out: &mut Out) {
         if let Some((to, epoch)) = self.leads(shard) {
-            let body = ParcelBody::Call(call);
-            let message = ParcelMessage { shard, epoch, call: 0, body };
-            out.push(Effect::Send { to, message: Message::Parcel(message) });
+            let body = BatchBody::Call(call);
+            let message = BatchMessage { shard, epoch, call: 0, body };
+            out.push(Effect::Send { to, message: Message::Batch(message) });
         }
     }
 
-    pub(super) fn receive_parcel(
-        &mut self,
-        message: ParcelMessage,
-        now: MonotonicMs,
-        out: &mut Out,
-    ) {
-        let ParcelBody::Return(value) = message.body else { return };
-        if value == ParcelReturn::NotHere {
+    pub(super) fn receive_batch(&mut self, message: BatchMessage, now: MonotonicMs, out: &mut Out) {
+        let BatchBody::Return(value) = message.body else { return };
+        if value == BatchReturn::NotHere {
             self.tell_record(message.shard, message.epoch, out);
-            if let Some(pending) = self.parcels.pending.get_mut(&message.call) {
+            if let Some(pending) = self.batches.pending.get_mut(&message.call) {
                 pending.send_at = now.plus(SEND_AGAIN_SOON);
             }
             return;
         }
-        if value == ParcelReturn::CeilingReached
-            && let Some(pending) = self.parcels.pending.get(&message.call)
+        if value == BatchReturn::CeilingReached
+            && let Some(pending) = self.batches.pending.get(&message.call)
             && !pending.is_refused_by(message.epoch)
         {
             return;
         }
-        let Some(pending) = self.parcels.pending.remove(&message.call) else { return };
+        let Some(pending) = self.batches.pending.remove(&message.call) else { return };
         match (pending.caller, value) {
-            (Caller::Client(call), ParcelReturn::CeilingReached) => {
-                self.count_refusal(Code::ParcelCeiling);
-                let error = ApiError::not_run(Code::ParcelCeiling);
+            (Caller::Client(call), BatchReturn::CeilingReached) => {
+                self.count_refusal(Code::BatchCeiling);
+                let error = ApiError::not_run(Code::BatchCeiling);
                 out.push(Effect::Return { call, value: RelayReturn::Refused(error) });
             }
             (Caller::Client(call), value) => {
-                out.push(Effect::Return { call, value: RelayReturn::Parcel(value) });
+                out.push(Effect::Return { call, value: RelayReturn::Batch(value) });
             }
-            (Caller::Leasing(since), ParcelReturn::Leased(items)) => {
+            (Caller::Leasing(since), BatchReturn::Leased(items)) => {
                 self.items_leased(pending.shard, items, since, now, out);
             }
             (Caller::Leasing(_), _) => self.items.lease_over(pending.shard),
-            (Caller::Starting(run), ParcelReturn::MayStart(may)) => {
+            (Caller::Starting(run), BatchReturn::MayStart(may)) => {
                 self.start_settled(run, may, now, out);
             }
             (Caller::Starting(run), _) => self.start_settled(run, false, now, out),
@@ -342,16 +337,16 @@
         }
     }
 
-    pub(super) fn parcels_tick(&mut self, now: MonotonicMs, out: &mut Out) {
+    pub(super) fn batches_tick(&mut self, now: MonotonicMs, out: &mut Out) {
         let late: Vec<u64> = self
-            .parcels
+            .batches
             .pending
             .iter()
             .filter(|(_, pending)| now >= pending.until)
             .map(|(id, _)| *id)
             .collect();
         for id in late {
-            let Some(pending) = self.parcels.pending.remove(&id) else { continue };
+            let Some(pending) = self.batches.pending.remove(&id) else { continue };
             match pending.caller {
                 Caller::Client(call) => {
                     let unknown = changes_state(&pending.call) && pending.sent_in.is_some();
@@ -369,7 +364,7 @@
             }
         }
         let due: Vec<u64> = self
-            .parcels
+            .batches
             .pending
             .iter()
             .filter(|(_, pending)| now >= pending.send_at)
@@ -383,17 +378,17 @@
 
     /// Asks reads that a primary leaves unanswered of every node that holds a copy.
     fn ask_aside(&mut self, now: MonotonicMs, out: &mut Out) {
-        for (id, pending) in &mut self.parcels.pending {
+        for (id, pending) in &mut self.batches.pending {
             let Some(record) = self.view.shards.get(&pending.shard) else { continue };
             if now < pending.aside_at || !is_read(&pending.call) {
                 continue;
             }
             pending.aside_at = now.plus(ASK_ASIDE);
             for holder in record.members() {
-                let body = ParcelBody::Aside(pending.call.clone());
+                let body = BatchBody::Aside(pending.call.clone());
                 let (shard, epoch) = (pending.shard, record.epoch);
-                let message = ParcelMessage { shard, epoch, call: *id, body };
-                out.push(Effect::Send { to: holder.address, message: Message::Parcel(message) });
+                let message = BatchMessage { shard, epoch, call: *id, body };
+                out.push(Effect::Send { to: holder.address, message: Message::Batch(message) });
             }
         }
     }
--- a/programs/topazyard-relay/src/machine/engines.rs
+++ b/programs/topazyard-relay/src/machine/engines.rs
@@ -112,7 +112,7 @@
         self.usable(pool, model).next().is_some()
     }
 
-    /// Models that have an engine for parcel items.
+    /// Models that have an engine for batch items.
     pub(super) fn models_with_engine(&self) -> Vec<ModelName> {
         let Some((_, bundle)) = &self.view.spec else { return Vec::new() };
         let mut models: Vec<ModelName> = bundle
--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -1,18 +1,18 @@
-//! Parcel items run here: leased, held, recorded as started on both, and only then sent.
+//! Batch items run here: leased, held, recorded as started on both, and only then sent.
 
+use super::batches::Caller;
 use super::choice::Wanted;
-use super::parcels::Caller;
 use super::requests::PromptPart;
 use super::{EngineUse, Out, RelayMachine, RelayReturn, RelayTask};
 use topazyard_spec::{LaneKind, RouteKind};
 use topazyard_types::{
-    Digest, DurationMs, EngineName, HoldId, ModelName, MonotonicMs, ParcelId, PoolName, RouteName,
+    BatchId, Digest, DurationMs, EngineName, HoldId, ModelName, MonotonicMs, PoolName, RouteName,
     ShardId, Tokens,
 };
 use topazyard_wire::Effect;
 use topazyard_wire::api::{ApiError, Code};
+use topazyard_wire::message::batch::{BatchCall, Item, LeasedItem, Progress, Run, RunEnd};
 use topazyard_wire::message::counter::HoldKind;
-use topazyard_wire::message::parcel::{Item, LeasedItem, ParcelCall, Progress, Run, RunEnd};
 use topazyard_wire::state::FleetView;
 
 /// How long an item may run. A dark engine holds its budget no longer than this.
@@ -34,7 +34,7 @@
 /// How often the counter is asked again for a waiting item.
 const ASK_EVERY: DurationMs = DurationMs(150);
 /// How long after a start was asked for the item may still be sent. With the asking's own way it
-/// stays below the 3 s within which an ended parcel starts nothing more.
+/// stays below the 3 s within which an ended batch starts nothing more.
 const START_WITHIN: DurationMs = DurationMs(2_000);
 /// How often shards hear which runs go on.
 const SPEAK_EVERY: DurationMs = DurationMs(500);
@@ -115,7 +115,7 @@
     }
 
     /// Breaks off routed items that would outlast a draining relay: another goes on with them from
-    /// the last event that came. An item of a parcel can't be taken up so, and keeps its time.
+    /// the last event that came. An item of a batch can't be taken up so, and keeps its time.
     fn break_off_late_runs(&mut self, now: MonotonicMs, out: &mut Out) {
         let is_routed = |entry: &Entry| entry.routed.is_some();
         if self.items.break_off_at.is_some_and(|at| now >= at)
@@ -134,11 +134,11 @@
         let mut by_shard: std::collections::BTreeMap<ShardId, Vec<Run>> = Default::default();
         for (run, entry) in &self.items.entries {
             if matches!(entry.stage, Stage::Started(..)) {
-                by_shard.entry(run.parcel.shard).or_default().push(*run);
+                by_shard.entry(run.batch.shard).or_default().push(*run);
             }
         }
         for (shard, runs) in by_shard {
-            self.tell_parcel(shard, ParcelCall::Running(runs), out);
+            self.tell_batch(shard, BatchCall::Running(runs), out);
         }
     }
 
@@ -163,9 +163,9 @@
             self.items.leasing.insert(shard);
             let most = most.min(room) as u32;
             let models = models.clone();
-            let call = ParcelCall::Lease { most, models, routes: routes.clone() };
+            let call = BatchCall::Lease { most, models, routes: routes.clone() };
             let limit = DurationMs(1_000);
-            self.send_parcel(Caller::Leasing(now), shard, call, limit, now, out);
+            self.send_batch(Caller::Leasing(now), shard, call, limit, now, out);
         }
     }
 
@@ -203,7 +203,7 @@
                 .view
                 .spec
                 .as_ref()
-                .and_then(|(_, bundle)| bundle.lane_for(LaneKind::Parcel, &item.model));
+                .and_then(|(_, bundle)| bundle.lane_for(LaneKind::Batch, &item.model));
             let Some(pool) = lane.map(|lane| lane.pool.clone()) else {
                 self.finish_run(run, RunEnd::NotRun, now, out);
                 continue;
@@ -301,8 +301,8 @@
             return self.start_routed(run, hold, now, out);
         }
         self.set_stage(run, Stage::Starting(hold, now));
-        let call = ParcelCall::Start(run);
-        self.send_parcel(Caller::Starting(run), run.parcel.shard, call, START_WITHIN, now, out);
+        let call = BatchCall::Start(run);
+        self.send_batch(Caller::Starting(run), run.batch.shard, call, START_WITHIN, now, out);
     }
 
     pub(super) fn start_settled(&mut self, run: Run, may: bool, now: MonotonicMs, out: &mut Out) {
@@ -351,7 +351,7 @@
                 Ok(until) => RelayReturn::GoUntil(until.min(*start_until)),
             };
         }
-        match self.go_until(engine, &entry.pool, &entry.item.model, LaneKind::Parcel, now) {
+        match self.go_until(engine, &entry.pool, &entry.item.model, LaneKind::Batch, now) {
             Err(code) => refused(code),
             Ok(until) => RelayReturn::GoUntil(until.min(*start_until)),
         }
@@ -370,8 +370,8 @@
     }
 
     fn finish_run(&mut self, run: Run, end: RunEnd, now: MonotonicMs, out: &mut Out) {
-        let call = ParcelCall::Finish(run, end);
-        self.send_parcel(Caller::Finishing, run.parcel.shard, call, FINISH_LIMIT, now, out);
+        let call = BatchCall::Finish(run, end);
+        self.send_batch(Caller::Finishing, run.batch.shard, call, FINISH_LIMIT, now, out);
     }
 }
 
@@ -401,7 +401,7 @@
     fn shards_with_work(&self, models: &[ModelName], routes: &[RouteName]) -> Vec<ShardId> {
         let hosts = routes.iter().filter_map(|name| self.view.routes.named(name));
         let of_hosts: std::collections::BTreeSet<ShardId> =
-            hosts.map(|route| ParcelId::of_host(&route.host, "").shard).collect();
+            hosts.map(|route| BatchId::of_host(&route.host, "").shard).collect();
         let shards = self.view.shards.keys().copied().filter(|shard| !shard.is_counter());
         shards.filter(|shard| !models.is_empty() || of_hosts.contains(shard)).collect()
     }
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -1,26 +1,26 @@
 //! The relay's machine: what it knows of the fleet, its holds, its queue, its engines and the
-//! parcel items it runs.
+//! batch items it runs.
 
 mod admission;
+pub mod batches;
 mod choice;
 mod counting;
 mod engine_failures;
 mod engines;
 pub mod items;
-pub mod parcels;
 pub mod requests;
 pub mod routed_items;
 
 use crate::prompt::Failure;
 use topazyard_replication::{Follower, follower::Followed};
 use topazyard_types::{
-    DurationMs, EngineName, Life, ModelName, MonotonicMs, NodeId, ParcelId, RouteName, ShardId,
+    BatchId, DurationMs, EngineName, Life, ModelName, MonotonicMs, NodeId, RouteName, ShardId,
     SpecVersion, Tokens,
 };
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::Message;
+use topazyard_wire::message::batch::{BatchCall, BatchReturn, Item, Run, RunEnd};
 use topazyard_wire::message::feed::{FeedMessage, Health};
-use topazyard_wire::message::parcel::{Item, ParcelCall, ParcelReturn, Run, RunEnd};
 use topazyard_wire::state::FleetView;
 use topazyard_wire::{Effect, Input, Machine};
 
@@ -107,12 +107,12 @@
     RequestEnded(PromptId, EngineUse),
     /// Whether an engine that was left alone took a connection.
     Reached(EngineName, bool),
-    /// A call on parcels, within a limit.
-    Parcel(ParcelCall, DurationMs),
-    /// Hand in a parcel.
-    Submit(ParcelId, Vec<Item>),
+    /// A call on batches, within a limit.
+    Batch(BatchCall, DurationMs),
+    /// Hand in a batch.
+    Submit(BatchId, Vec<Item>),
     /// Hand in a batch of routed items, within a limit.
-    SubmitBatch(ParcelId, RouteName, Vec<Item>, DurationMs),
+    SubmitRouted(BatchId, RouteName, Vec<Item>, DurationMs),
     /// May this item's run be sent to that engine now?
     DispatchItem(Run, EngineName),
     /// An item's run ended.
@@ -142,8 +142,8 @@
     OnBatchRoute(topazyard_types::RouteName),
     /// It may be sent if it is sent before that moment.
     GoUntil(MonotonicMs),
-    /// What came of a call on parcels.
-    Parcel(ParcelReturn),
+    /// What came of a call on batches.
+    Batch(BatchReturn),
     /// It drains, at these times.
     Drains(crate::drain::Draining),
     /// Nothing to say.
@@ -193,10 +193,10 @@
     pub waiting: usize,
     /// Prompts that hold their cost.
     pub holding: usize,
-    /// Parcel items leased or running here.
+    /// Batch items leased or running here.
     pub items: usize,
-    /// Clients' calls on parcels under way.
-    pub parcel_calls: usize,
+    /// Clients' calls on batches under way.
+    pub batch_calls: usize,
     /// Ends of items' runs that their shards have not noted yet.
     pub ends_to_tell: usize,
     /// How long it has taken nothing new, if it drains.
@@ -213,7 +213,7 @@
     /// Whether anything is under way that a relay should finish before it ends.
     pub fn under_way(&self) -> bool {
         let of_items = self.items + self.ends_to_tell;
-        self.waiting + self.holding + self.parcel_calls + of_items > 0
+        self.waiting + self.holding + self.batch_calls + of_items > 0
     }
 }
 
@@ -246,7 +246,7 @@
     pub(crate) block_expiry: DurationMs,
     pub(crate) engines: engines::Engines,
     pub(crate) items: items::Items,
-    pub(crate) parcels: parcels::ParcelCalls,
+    pub(crate) batches: batches::BatchCalls,
     allowed: u64,
     refused: std::collections::BTreeMap<Code, u64>,
     refused_for_room: u32,
@@ -275,7 +275,7 @@
             block_expiry: DurationMs(start.bounds.contact.0 * BLOCK_EXPIRY_OF_CONTACT),
             engines: engines::Engines::default(),
             items: items::Items::default(),
-            parcels: parcels::ParcelCalls::new(life),
+            batches: batches::BatchCalls::new(life),
             allowed: 0,
             refused: std::collections::BTreeMap::new(),
             refused_for_room: 0,
@@ -339,8 +339,8 @@
             waiting: self.admission.waiting() + self.requests.waiting(),
             holding: self.admission.holding() + self.requests.holding(),
             items: self.items.len(),
-            parcel_calls: self.parcels.of_clients(),
-            ends_to_tell: self.parcels.ends_to_tell(),
+            batch_calls: self.batches.of_clients(),
+            ends_to_tell: self.batches.ends_to_tell(),
             drained_for_ms: self.draining.map(|draining| draining.lasted(now)),
             engines: self.view.engines.values().filter(|e| self.engines.is_usable(e)).count(),
             allowed: self.allowed,
@@ -377,7 +377,7 @@
         self.engines_tick(now, out);
         self.engine_failures_tick(now, out);
         self.items_tick(now, out);
-        self.parcels_tick(now, out);
+        self.batches_tick(now, out);
     }
 
     fn take_news(&mut self, from: std::net::SocketAddr, message: FeedMessage, out: &mut Out) {
@@ -403,14 +403,14 @@
     ) {
         let value = match request {
             RelayCall::Allow(prompt) => return self.allow(call, prompt, now, out),
-            RelayCall::Parcel(request, limit) => {
-                return self.call_parcel(call, request, limit, now, out);
+            RelayCall::Batch(request, limit) => {
+                return self.call_batch(call, request, limit, now, out);
             }
-            RelayCall::Submit(parcel, items) => {
-                return self.submit_parcel(call, parcel, items, now, out);
+            RelayCall::Submit(batch, items) => {
+                return self.submit_batch(call, batch, items, now, out);
             }
-            RelayCall::SubmitBatch(parcel, route, items, limit) => {
-                return self.submit_batch(call, (parcel, &route), items, limit, now, out);
+            RelayCall::SubmitRouted(batch, route, items, limit) => {
+                return self.submit_routed(call, (batch, &route), items, limit, now, out);
             }
             RelayCall::Arrive(arrival) => return self.arrive(call, arrival, now, out),
             RelayCall::Retry(id, engine_use) => self.retry(id, engine_use, now),
@@ -468,7 +468,7 @@
     ) -> crate::drain::Draining {
         let begun = crate::drain::Draining::begin(times, now);
         let draining = *self.draining.get_or_insert(begun);
-        self.parcels.end_calls_by(draining.answers_calls_until());
+        self.batches.end_calls_by(draining.answers_calls_until());
         self.drain_items(draining.breaks_off_runs_at(), now, out);
         draining
     }
@@ -511,7 +511,7 @@
                     }
                 }
                 Message::Counter(message) => self.receive_counter(&message, now, &mut out),
-                Message::Parcel(message) => self.receive_parcel(message, now, &mut out),
+                Message::Batch(message) => self.receive_batch(message, now, &mut out),
                 _ => {}
             },
             Input::Written(_) | Input::Disk(_) => {}
--- a/programs/topazyard-relay/src/machine/routed_items.rs
+++ b/programs/topazyard-relay/src/machine/routed_items.rs
@@ -3,7 +3,7 @@
 use super::Target;
 use topazyard_spec::Route;
 use topazyard_types::{DurationMs, PoolName};
-use topazyard_wire::message::parcel::{Directions, Progress, Run};
+use topazyard_wire::message::batch::{Directions, Progress, Run};
 
 /// The shortest silence after which an engine counts as gone.
 const SHORTEST_SILENCE_MS: u64 = 2_000;
@@ -35,15 +35,15 @@
 /// # let text = r#"{"name":"r","host":"a","path_prefix":"/","kind":"batch","timeout_ms":1,
 /// #   "max_attempts":1,"pools":[{"pool":"p","weight":0},{"pool":"q","weight":1}]}"#;
 /// use topazyard_relay::machine::routed_items::pool_of;
-/// use topazyard_types::{ItemNumber, ParcelId};
+/// use topazyard_types::{ItemNumber, BatchId};
 /// let route: topazyard_spec::Route = serde_json::from_str(text).unwrap();
-/// let parcel = ParcelId::of_host("a", "1");
-/// let run = topazyard_wire::message::parcel::Run { parcel, item: ItemNumber(3), lease: 1 };
+/// let batch = BatchId::of_host("a", "1");
+/// let run = topazyard_wire::message::batch::Run { batch, item: ItemNumber(3), lease: 1 };
 /// assert_eq!(pool_of(&route, run), Some("q".into()));
 /// ```
 pub fn pool_of(route: &Route, run: Run) -> Option<PoolName> {
     let total: u64 = route.pools.iter().map(|share| u64::from(share.weight)).sum();
-    let parts = [&run.parcel.number.to_be_bytes()[..], &run.item.0.to_be_bytes()[..]];
+    let parts = [&run.batch.number.to_be_bytes()[..], &run.item.0.to_be_bytes()[..]];
     let digest = topazyard_types::Digest::of(&parts).0 as u64;
     let mut at = digest.checked_rem(total)?;
     for share in &route.pools {
--- a/programs/topazyard-relay/src/metrics.rs
+++ b/programs/topazyard-relay/src/metrics.rs
@@ -59,7 +59,7 @@
             ("waiting", health.waiting),
             ("holding", health.holding),
             ("items", health.items),
-            ("batch_calls", health.parcel_calls),
+            ("batch_calls", health.batch_calls),
             ("ends_to_tell", health.ends_to_tell),
         ];
         let under_way = under_way.map(|(at, count)| (at, count as u64));
--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -160,6 +160,6 @@
 fn under_way(health: &crate::machine::RelayHealth) -> String {
     format!(
         "{} requests waiting, {} held, {} items, {} batch calls",
-        health.waiting, health.holding, health.items, health.parcel_calls
+        health.waiting, health.holding, health.items, health.batch_calls
     )
 }
--- a/programs/topazyard-relay/tests/edge.rs
+++ b/programs/topazyard-relay/tests/edge.rs
@@ -240,7 +240,7 @@
     let encode = |key: String, value: bytes::Bytes| (key, value);
     let text = r#"{"pools":[{"name":"main","limit_tokens":1000}],
         "lanes":[{"name":"live","kind":"live","models":["m"],"pool":"main"}],
-        "parcels":{"waiting_ceiling_tokens":1000,"max_items":10,"max_item_bytes":1000},
+        "batches":{"waiting_ceiling_tokens":1000,"max_items":10,"max_item_bytes":1000},
         "weights":{"live_floor_percent":40,"live_start_percent":70,"live_ceiling_percent":90}}"#;
     let in_force = InForceRow { version: topazyard_types::SpecVersion(1), text: text.to_owned() };
     let name: EngineName = "e".into();
--- a/programs/topazyard-relay/tests/loopback/core.rs
+++ b/programs/topazyard-relay/tests/loopback/core.rs
@@ -1,16 +1,16 @@
 //! The core as a relay sees it: the agent beside it, the counter's primary and a shard's.
 
 use topazyard_types::{
-    EngineName, Epoch, FleetId, ItemNumber, NodeId, ParcelId, Place, Sequence, ShardId,
-    SpecVersion, Tokens,
+    BatchId, EngineName, Epoch, FleetId, ItemNumber, NodeId, Place, Sequence, ShardId, SpecVersion,
+    Tokens,
+};
+use topazyard_wire::message::batch::{
+    BatchBody, BatchCall, BatchMessage, BatchReturn, Directions, Item, LeasedItem, Progress, Run,
+    RunEnd,
 };
 use topazyard_wire::message::control::{CoreNode, ShardRecord};
 use topazyard_wire::message::counter::{CounterBody, CounterMessage};
 use topazyard_wire::message::feed::{FeedMessage, Matter};
-use topazyard_wire::message::parcel::{
-    Directions, Item, LeasedItem, ParcelBody, ParcelCall, ParcelMessage, ParcelReturn, Progress,
-    Run, RunEnd,
-};
 use topazyard_wire::message::{FRAME_VERSION, Frame, Message};
 use topazyard_wire::state::{IN_FORCE, InForceRow, engine_key, route_key, shard_key};
 
@@ -22,8 +22,8 @@
 pub const HOST: &str = "a.example";
 
 /// The batch that all items are of.
-fn parcel() -> ParcelId {
-    ParcelId::of_host(HOST, "1")
+fn batch() -> BatchId {
+    BatchId::of_host(HOST, "1")
 }
 
 /// The primary of the shard with that batch: it leases what was handed in, and tells how it ended.
@@ -37,18 +37,18 @@
 }
 
 impl Shard {
-    fn answer(&mut self, call: ParcelCall) -> ParcelReturn {
+    fn answer(&mut self, call: BatchCall) -> BatchReturn {
         match call {
-            ParcelCall::Lease { .. } => {
+            BatchCall::Lease { .. } => {
                 let handed_in = std::iter::from_fn(|| self.handed_in.try_recv().ok());
                 let ids: Vec<String> = handed_in.collect();
-                ParcelReturn::Leased(ids.into_iter().map(|id| self.lease(id)).collect())
+                BatchReturn::Leased(ids.into_iter().map(|id| self.lease(id)).collect())
             }
-            ParcelCall::Finish(_, end) => {
+            BatchCall::Finish(_, end) => {
                 let _ = self.tell_end.send(end);
-                ParcelReturn::Noted
+                BatchReturn::Noted
             }
-            _ => ParcelReturn::Noted,
+            _ => BatchReturn::Noted,
         }
     }
 
@@ -63,7 +63,7 @@
             cost: Tokens(1),
             directions: Some(directions),
         };
-        let run = Run { parcel: parcel(), item: ItemNumber(0), lease: self.leases };
+        let run = Run { batch: batch(), item: ItemNumber(0), lease: self.leases };
         let route = Some(("batch".into(), HOST.to_owned()));
         LeasedItem { run, item, route, progress: Progress::default() }
     }
@@ -97,12 +97,10 @@
                 };
                 Message::Counter(CounterMessage { epoch, body })
             }
-            Message::Parcel(ParcelMessage {
-                body: ParcelBody::Call(call), call: number, ..
-            }) => {
-                let body = ParcelBody::Return(shard.answer(call));
-                let shard = parcel().shard;
-                Message::Parcel(ParcelMessage { shard, epoch: Epoch(1), call: number, body })
+            Message::Batch(BatchMessage { body: BatchBody::Call(call), call: number, .. }) => {
+                let body = BatchBody::Return(shard.answer(call));
+                let shard = batch().shard;
+                Message::Batch(BatchMessage { shard, epoch: Epoch(1), call: number, body })
             }
             _ => continue,
         };
@@ -127,7 +125,7 @@
     let mut rows = vec![
         (IN_FORCE.to_owned(), encode(&in_force)),
         (shard_key(ShardId::COUNTER), encode(&shard)),
-        (shard_key(parcel().shard), encode(&shard)),
+        (shard_key(batch().shard), encode(&shard)),
     ];
     for (name, kind, most) in [
         ("safe", "safe", 3),
--- a/programs/topazyard-relay/tests/loopback/mod.rs
+++ b/programs/topazyard-relay/tests/loopback/mod.rs
@@ -11,7 +11,7 @@
 use topazyard_types::{DurationMs, EngineName, NodeId};
 use topazyard_wire::api::{ApiError, Ran};
 use topazyard_wire::http::inward;
-use topazyard_wire::message::parcel::RunEnd;
+use topazyard_wire::message::batch::RunEnd;
 
 type Address = std::net::SocketAddr;
 
--- a/programs/topazyard-relay/tests/reading.rs
+++ b/programs/topazyard-relay/tests/reading.rs
@@ -1,6 +1,6 @@
 //! Clients' requests: whatever they hold, the field at fault is named.
 
-use topazyard_relay::front::{parcels::items_of, read::read};
+use topazyard_relay::front::{batches::items_of, read::read};
 use topazyard_types::{DurationMs, Tokens};
 use topazyard_wire::api::Code;
 
--- a/programs/topazyard-relay/tests/routed.rs
+++ b/programs/topazyard-relay/tests/routed.rs
@@ -11,7 +11,7 @@
 use topazyard_types::{DurationMs, EngineName, RouteName, Tokens};
 use topazyard_wire::api::{ApiError, Ran};
 use topazyard_wire::http::Body;
-use topazyard_wire::message::parcel::{Progress, RunEnd};
+use topazyard_wire::message::batch::{Progress, RunEnd};
 
 /// Names of the tests' own: `x-id`, `x-to`, `x-after`, `x-turned-away`.
 struct Plain;
--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -7,18 +7,18 @@
 use topazyard_relay::machine::routed_items::RoutedRun;
 use topazyard_relay::{RelayCall, RelayMachine, RelayReturn, RelayTask, Start};
 use topazyard_types::{
-    CallId, DurationMs, EngineName, Epoch, HoldId, ItemNumber, MonotonicMs, NodeId, ParcelId,
-    Place, Sequence, ShardId, Tokens,
+    BatchId, CallId, DurationMs, EngineName, Epoch, HoldId, ItemNumber, MonotonicMs, NodeId, Place,
+    Sequence, ShardId, Tokens,
 };
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::Message;
+use topazyard_wire::message::batch::{
+    BatchBody, BatchCall, BatchMessage, BatchReturn, BatchStanding, Directions, Item, LeasedItem,
+    Progress, Run, RunEnd,
+};
 use topazyard_wire::message::control::{CoreNode, ShardRecord};
 use topazyard_wire::message::counter::{CounterBody, CounterMessage};
 use topazyard_wire::message::feed::{FeedMessage, Matter};
-use topazyard_wire::message::parcel::{
-    Directions, Item, LeasedItem, ParcelBody, ParcelCall, ParcelMessage, ParcelReturn,
-    ParcelStanding, Progress, Run, RunEnd,
-};
 use topazyard_wire::state::{IN_FORCE, InForceRow, engine_key, route_key, shard_key};
 use topazyard_wire::{Effect, Input, Machine as _, RowChange};
 
@@ -40,7 +40,7 @@
     holds: Vec<HoldId>,
     released: Vec<HoldId>,
     renewals: Vec<u64>,
-    calls: Vec<(u64, ParcelCall)>,
+    calls: Vec<(u64, BatchCall)>,
     returned: Vec<(CallId, RelayReturn)>,
     runs: Vec<RoutedRun>,
     /// The primary of the shard with the batch and its epoch, as the feed says.
@@ -86,9 +86,9 @@
                 Effect::Send { message: Message::Feed(FeedMessage::Ask { nonce, .. }), .. } => {
                     self.feed_nonce = nonce;
                 }
-                Effect::Send { to, message: Message::Parcel(message) } => {
+                Effect::Send { to, message: Message::Batch(message) } => {
                     assert_eq!(to, at(self.shard));
-                    if let ParcelBody::Call(call) = message.body {
+                    if let BatchBody::Call(call) = message.body {
                         self.calls.push((message.call, call));
                     }
                 }
@@ -140,7 +140,7 @@
         let mut rows = vec![
             RowChange::put(IN_FORCE, &InForceRow { version, text: text.to_owned() }),
             RowChange::put(shard_key(ShardId::COUNTER), &record(COUNTER)),
-            RowChange::put(shard_key(parcel().shard), &record(self.shard)),
+            RowChange::put(shard_key(batch().shard), &record(self.shard)),
             RowChange::put(engine_key(&engine.name), &engine),
         ];
         if with_route {
@@ -161,14 +161,14 @@
         self.hear_counter(CounterBody::Renewed { number });
     }
 
-    fn hear_shard(&mut self, call: u64, value: ParcelReturn) {
+    fn hear_shard(&mut self, call: u64, value: BatchReturn) {
         self.hear_shard_of(self.epoch, call, value);
     }
 
-    fn hear_shard_of(&mut self, epoch: Epoch, call: u64, value: ParcelReturn) {
-        let body = ParcelBody::Return(value);
-        let message = ParcelMessage { shard: parcel().shard, epoch, call, body };
-        self.hear(SHARD, Message::Parcel(message));
+    fn hear_shard_of(&mut self, epoch: Epoch, call: u64, value: BatchReturn) {
+        let body = BatchBody::Return(value);
+        let message = BatchMessage { shard: batch().shard, epoch, call, body };
+        self.hear(SHARD, Message::Batch(message));
     }
 
     /// The shard with the batch has another primary.
@@ -185,7 +185,7 @@
 
     fn submit(&mut self) {
         let (items, limit) = (vec![item()], DurationMs(1_000));
-        self.call(RelayCall::SubmitBatch(parcel(), "r".into(), items, limit));
+        self.call(RelayCall::SubmitRouted(batch(), "r".into(), items, limit));
     }
 
     fn last_return(&self) -> &RelayReturn {
@@ -202,7 +202,7 @@
     /// The call under which the shard was asked for items last.
     fn asked_lease(&self) -> (u64, u32) {
         let lease = self.calls.iter().rev().find_map(|(call, body)| match body {
-            ParcelCall::Lease { most, models, routes } => {
+            BatchCall::Lease { most, models, routes } => {
                 assert!(models.is_empty() && *routes == ["r".into()]);
                 Some((*call, *most))
             }
@@ -213,12 +213,12 @@
 
     /// Leases an item and lets it have its cost.
     fn run_one(&mut self) -> Run {
-        let run = Run { parcel: parcel(), item: ItemNumber(0), lease: 5 };
+        let run = Run { batch: batch(), item: ItemNumber(0), lease: 5 };
         let (call, _) = self.asked_lease();
         let route = Some(("r".into(), HOST.to_owned()));
         let progress = Progress { last_event: Some(3), text: "so far".to_owned() };
         let leased = LeasedItem { run, item: item(), route, progress };
-        self.hear_shard(call, ParcelReturn::Leased(vec![leased]));
+        self.hear_shard(call, BatchReturn::Leased(vec![leased]));
         if let Some(id) = self.holds.last().copied() {
             self.hear_counter(CounterBody::Added { id, granted: true });
         }
@@ -227,14 +227,14 @@
 
     fn finished(&self) -> Option<&RunEnd> {
         self.calls.iter().rev().find_map(|(_, call)| match call {
-            ParcelCall::Finish(_, end) => Some(end),
+            BatchCall::Finish(_, end) => Some(end),
             _ => None,
         })
     }
 }
 
-fn parcel() -> ParcelId {
-    ParcelId::of_host(HOST, "7c41")
+fn batch() -> BatchId {
+    BatchId::of_host(HOST, "7c41")
 }
 
 fn item() -> Item {
@@ -261,7 +261,7 @@
     let started = relay.runs.first().expect("it runs");
     assert_eq!((started.run, started.host.as_str()), (run, HOST));
     assert_eq!(started.progress.last_event, Some(3));
-    assert!(!relay.calls.iter().any(|(_, call)| matches!(call, ParcelCall::Start(_))));
+    assert!(!relay.calls.iter().any(|(_, call)| matches!(call, BatchCall::Start(_))));
     relay.call(RelayCall::RoutedEnded(
         run,
         RunEnd::Done { text: "x".to_owned() },
@@ -311,18 +311,18 @@
     let mut relay = Relay::ready();
     relay.submit();
     let (call, body) = relay.calls.last().cloned().expect("it is sent");
-    let ParcelCall::SubmitBatch(batch) = body else { panic!("{body:?}") };
-    assert_eq!((batch.ceiling, batch.terms.max_attempts), (Tokens(700), 2));
-    let standing = ParcelStanding {
-        parcel: parcel(),
+    let BatchCall::SubmitRouted(routed) = body else { panic!("{body:?}") };
+    assert_eq!((routed.ceiling, routed.terms.max_attempts), (Tokens(700), 2));
+    let standing = BatchStanding {
+        batch: batch(),
         items: 1,
         returned: 0,
         waiting: 1,
         running: 0,
         ended: false,
     };
-    relay.hear_shard(call, ParcelReturn::Accepted(standing));
-    assert!(matches!(relay.last_return(), RelayReturn::Parcel(ParcelReturn::Accepted(_))));
+    relay.hear_shard(call, BatchReturn::Accepted(standing));
+    assert!(matches!(relay.last_return(), RelayReturn::Batch(BatchReturn::Accepted(_))));
 }
 
 #[test]
@@ -330,7 +330,7 @@
     let mut relay = Relay::ready();
     relay.submit();
     let call = relay.calls.last().expect("it is sent").0;
-    relay.hear_shard(call, ParcelReturn::CeilingReached);
+    relay.hear_shard(call, BatchReturn::CeilingReached);
     assert_eq!(relay.last_code().map(Code::status), Some(429));
     relay.submit();
     relay.tick(1_000);
@@ -347,16 +347,16 @@
     relay.tick(400);
     let again = relay.calls.last().expect("it is sent again").clone();
     assert_eq!(again, first, "the same call, to the new primary");
-    let standing = ParcelStanding {
-        parcel: parcel(),
+    let standing = BatchStanding {
+        batch: batch(),
         items: 1,
         returned: 0,
         waiting: 1,
         running: 0,
         ended: false,
     };
-    relay.hear_shard(again.0, ParcelReturn::Accepted(standing));
-    assert!(matches!(relay.last_return(), RelayReturn::Parcel(ParcelReturn::Accepted(_))));
+    relay.hear_shard(again.0, BatchReturn::Accepted(standing));
+    assert!(matches!(relay.last_return(), RelayReturn::Batch(BatchReturn::Accepted(_))));
 }
 
 // Else a client is promised that nothing runs of a batch that the new primary takes.
@@ -368,9 +368,9 @@
     relay.move_shard();
     relay.tick(400);
     let answered = relay.returned.len();
-    relay.hear_shard_of(Epoch(1), call, ParcelReturn::CeilingReached);
+    relay.hear_shard_of(Epoch(1), call, BatchReturn::CeilingReached);
     assert_eq!(relay.returned.len(), answered, "its successor may take it");
-    relay.hear_shard_of(Epoch(2), call, ParcelReturn::CeilingReached);
+    relay.hear_shard_of(Epoch(2), call, BatchReturn::CeilingReached);
     assert_eq!(relay.last_code().map(Code::status), Some(429));
 }
 
@@ -380,7 +380,7 @@
     // Its shard is not heard of lately enough: it waits here.
     relay.tick(1_000);
     relay.submit();
-    assert!(!relay.calls.iter().any(|(_, call)| matches!(call, ParcelCall::SubmitBatch(_))));
+    assert!(!relay.calls.iter().any(|(_, call)| matches!(call, BatchCall::SubmitRouted(_))));
     relay.hear_feed(2, false);
     relay.tick(1_000);
     assert_eq!(relay.last_code().map(Code::status), Some(503));
@@ -390,7 +390,7 @@
 fn a_batch_is_handed_in_only_on_a_route_that_is_there() {
     let mut relay = Relay::ready();
     let limit = DurationMs(1_000);
-    relay.call(RelayCall::SubmitBatch(parcel(), "other".into(), vec![item()], limit));
+    relay.call(RelayCall::SubmitRouted(batch(), "other".into(), vec![item()], limit));
     assert_eq!(relay.last_code(), Some(Code::NoLane));
 }
 
@@ -424,11 +424,11 @@
     }
 
     fn lease_without_room(&mut self) -> Run {
-        let run = Run { parcel: parcel(), item: ItemNumber(0), lease: 5 };
+        let run = Run { batch: batch(), item: ItemNumber(0), lease: 5 };
         let (call, _) = self.asked_lease();
         let route = Some(("r".into(), HOST.to_owned()));
         let leased = LeasedItem { run, item: item(), route, progress: Progress::default() };
-        self.hear_shard(call, ParcelReturn::Leased(vec![leased]));
+        self.hear_shard(call, BatchReturn::Leased(vec![leased]));
         run
     }
 }
@@ -477,10 +477,10 @@
     relay.call(RelayCall::RoutedEnded(run, done.clone(), EngineUse::Whole(DurationMs(9))));
     assert!(relay.is_under_way(), "the shard may not have heard of it");
     let told = relay.calls.iter().rev().find_map(|(call, body)| match body {
-        ParcelCall::Finish(_, end) if *end == done => Some(*call),
+        BatchCall::Finish(_, end) if *end == done => Some(*call),
         _ => None,
     });
-    relay.hear_shard(told.expect("it is told"), ParcelReturn::Noted);
+    relay.hear_shard(told.expect("it is told"), BatchReturn::Noted);
     assert!(!relay.is_under_way());
 }
 
@@ -489,12 +489,12 @@
 fn a_batch_call_is_answered_before_a_draining_relay_ends() {
     for late in [0, grace() / 2, grace() * 3 / 4, grace() * 13 / 16] {
         let mut relay = Relay::ready();
-        let read = ParcelCall::Results { parcel: parcel(), after: 0 };
+        let read = BatchCall::Results { batch: batch(), after: 0 };
         relay.drain();
         relay.pass(late / 200 * 200);
         relay.returned.clear();
         // The limit is a client's that waits longer than the process lives.
-        relay.call(RelayCall::Parcel(read, DurationMs(grace())));
+        relay.call(RelayCall::Batch(read, DurationMs(grace())));
         let left = (grace() * 27 / 32).saturating_sub(late);
         relay.pass(left);
         assert_eq!(relay.last_code().map(Code::status), Some(503), "{late} ms after the signal");
@@ -505,7 +505,7 @@
 fn a_batch_that_was_sent_before_the_signal_is_answered_before_the_relay_ends() {
     let mut relay = Relay::ready();
     let (items, limit) = (vec![item()], DurationMs(grace()));
-    relay.call(RelayCall::SubmitBatch(parcel(), "r".into(), items, limit));
+    relay.call(RelayCall::SubmitRouted(batch(), "r".into(), items, limit));
     relay.drain();
     relay.returned.clear();
     relay.pass(grace() * 27 / 32);
--- a/programs/topazyard-storage/src/parcels/changes.rs
+++ b/programs/topazyard-storage/src/batches/changes.rs
@@ -1,10 +1,10 @@
 //! Commands: each changes an item's state in one place and gives the rows that record it.
 
-use super::{ItemFacts, ItemState, LEASE, Lease, Parcel, ParcelRow, Parcels, RUN_SILENT, rows};
-use topazyard_types::{DurationMs, ItemNumber, ModelName, MonotonicMs, NodeId, ParcelId, Tokens};
+use super::{Batch, BatchRow, Batches, ItemFacts, ItemState, LEASE, Lease, RUN_SILENT, rows};
+use topazyard_types::{BatchId, DurationMs, ItemNumber, ModelName, MonotonicMs, NodeId, Tokens};
 use topazyard_wire::RowChange;
-use topazyard_wire::message::parcel::{
-    Item, ItemEnd, ItemReturn, LeasedItem, ParcelReturn, Progress, Run, RunEnd,
+use topazyard_wire::message::batch::{
+    BatchReturn, Item, ItemEnd, ItemReturn, LeasedItem, Progress, Run, RunEnd,
 };
 
 /// How an item ends that is not run any more: as said, unless it may have run before.
@@ -12,13 +12,13 @@
     if may_have_run { ItemEnd::OutcomeUnknown } else { end }
 }
 
-impl Parcels {
-    /// Takes a parcel that is not known yet.
-    pub fn submit(&mut self, parcel: ParcelId, items: &[Item]) -> Vec<RowChange> {
-        let number = parcel.number;
-        let row = ParcelRow { items: items.len() as u32, returned: 0, ended: false };
+impl Batches {
+    /// Takes a batch that is not known yet.
+    pub fn submit(&mut self, batch: BatchId, items: &[Item]) -> Vec<RowChange> {
+        let number = batch.number;
+        let row = BatchRow { items: items.len() as u32, returned: 0, ended: false };
         let state = ItemState::Waiting { may_have_run: false };
-        let mut changes = vec![rows::parcel(number, &row)];
+        let mut changes = vec![rows::batch(number, &row)];
         let mut kept = Vec::new();
         for (item_number, item) in (0..).map(ItemNumber).zip(items) {
             changes.push(rows::item(number, item_number, item));
@@ -32,55 +32,55 @@
                 cost: item.cost,
             });
         }
-        self.parcels.insert(number, Parcel { row, items: kept });
+        self.batches.insert(number, Batch { row, items: kept });
         changes
     }
 
     /// The one place where an item's state changes.
-    fn set_state(&mut self, parcel: ParcelId, item: ItemNumber, state: ItemState) -> RowChange {
+    fn set_state(&mut self, batch: BatchId, item: ItemNumber, state: ItemState) -> RowChange {
         let facts = self
-            .parcels
-            .get_mut(&parcel.number)
-            .and_then(|parcel| parcel.items.get_mut(item.0 as usize));
+            .batches
+            .get_mut(&batch.number)
+            .and_then(|batch| batch.items.get_mut(item.0 as usize));
         if let Some(facts) = facts {
             facts.state = state;
         }
-        rows::state(parcel.number, item, &state)
+        rows::state(batch.number, item, &state)
     }
 
     /// The one place where an item gets its final return, at the next position.
     fn give_return(
         &mut self,
-        parcel: ParcelId,
+        batch: BatchId,
         item: ItemNumber,
         end: ItemEnd,
         now: MonotonicMs,
     ) -> Vec<RowChange> {
-        let cost = self.facts(parcel, item).map_or(Tokens(0), |facts| facts.cost);
-        let Some(kept) = self.parcels.get_mut(&parcel.number) else { return Vec::new() };
+        let cost = self.facts(batch, item).map_or(Tokens(0), |facts| facts.cost);
+        let Some(kept) = self.batches.get_mut(&batch.number) else { return Vec::new() };
         kept.row.returned += 1;
         let row = kept.row;
         if row.returned == row.items {
-            self.finished.push_back((now, parcel.number));
+            self.finished.push_back((now, batch.number));
         }
         self.waiting = Tokens(self.waiting.0.saturating_sub(cost.0));
         let position = row.returned;
         vec![
-            self.set_state(parcel, item, ItemState::Returned { position }),
-            rows::item_return(parcel.number, &ItemReturn { position, item, id: None, end }),
-            rows::parcel(parcel.number, &row),
+            self.set_state(batch, item, ItemState::Returned { position }),
+            rows::item_return(batch.number, &ItemReturn { position, item, id: None, end }),
+            rows::batch(batch.number, &row),
         ]
     }
 
     /// Lets an item wait for its next run.
     fn wait_again(&mut self, run: Run, may_have_run: bool, now: MonotonicMs) -> Vec<RowChange> {
-        let ended = self.parcels.get(&run.parcel.number).is_some_and(|parcel| parcel.row.ended);
+        let ended = self.batches.get(&run.batch.number).is_some_and(|batch| batch.row.ended);
         if ended {
             let end = unrun_end(may_have_run, ItemEnd::Ended);
-            return self.give_return(run.parcel, run.item, end, now);
+            return self.give_return(run.batch, run.item, end, now);
         }
-        self.queue.push_front((run.parcel.number, run.item));
-        vec![self.set_state(run.parcel, run.item, ItemState::Waiting { may_have_run })]
+        self.queue.push_front((run.batch.number, run.item));
+        vec![self.set_state(run.batch, run.item, ItemState::Waiting { may_have_run })]
     }
 
     /// Leases the oldest items of these models to a relay.
@@ -96,8 +96,8 @@
         let mut passed_over = Vec::new();
         while leased.len() < most as usize {
             let Some((number, item)) = self.queue.pop_front() else { break };
-            let parcel = self.id(number);
-            let Some(facts) = self.facts(parcel, item) else { continue };
+            let batch = self.id(number);
+            let Some(facts) = self.facts(batch, item) else { continue };
             // An entry may be old: only what still waits is leased.
             if !matches!(facts.state, ItemState::Waiting { .. }) {
                 continue;
@@ -112,7 +112,7 @@
                 continue;
             };
             self.last_lease += 1;
-            let run = Run { parcel, item, lease: self.last_lease };
+            let run = Run { batch, item, lease: self.last_lease };
             self.leases.insert(run, Lease { relay, until: now.plus(LEASE) });
             let progress = Progress::default();
             leased.push(LeasedItem { run, item: whole, route: None, progress });
@@ -127,7 +127,7 @@
     pub fn start(&mut self, relay: NodeId, run: Run, now: MonotonicMs) -> (bool, Vec<RowChange>) {
         let lease = self.leases.get(&run);
         let leased = lease.is_some_and(|lease| lease.relay == relay && now < lease.until);
-        match self.facts(run.parcel, run.item).map(|facts| facts.state) {
+        match self.facts(run.batch, run.item).map(|facts| facts.state) {
             Some(ItemState::Started { lease, relay: at, .. }) => {
                 (lease == run.lease && at == relay, Vec::new())
             }
@@ -135,7 +135,7 @@
                 self.leases.remove(&run);
                 self.heard.insert(run, now);
                 let started = ItemState::Started { lease: run.lease, relay, may_have_run };
-                (true, vec![self.set_state(run.parcel, run.item, started)])
+                (true, vec![self.set_state(run.batch, run.item, started)])
             }
             _ => (false, Vec::new()),
         }
@@ -149,7 +149,7 @@
         end: RunEnd,
         now: MonotonicMs,
     ) -> Vec<RowChange> {
-        let Some(facts) = self.facts(run.parcel, run.item) else { return Vec::new() };
+        let Some(facts) = self.facts(run.batch, run.item) else { return Vec::new() };
         let repeatable = facts.repeatable;
         let may_have_run = match facts.state {
             ItemState::Started { lease, relay: at, may_have_run }
@@ -161,7 +161,7 @@
                 // A lease handed back.
                 if self.leases.get(&run).is_some_and(|lease| lease.relay == relay) {
                     self.leases.remove(&run);
-                    self.queue.push_front((run.parcel.number, run.item));
+                    self.queue.push_front((run.batch.number, run.item));
                 }
                 return Vec::new();
             }
@@ -170,12 +170,12 @@
         self.heard.remove(&run);
         match end {
             RunEnd::Whole { status, body } => {
-                self.give_return(run.parcel, run.item, ItemEnd::Whole { status, body }, now)
+                self.give_return(run.batch, run.item, ItemEnd::Whole { status, body }, now)
             }
             RunEnd::NotRun => self.wait_again(run, may_have_run, now),
             _ if repeatable => self.wait_again(run, true, now),
             // The ends of routed items say no more of one that isn't.
-            _ => self.give_return(run.parcel, run.item, ItemEnd::OutcomeUnknown, now),
+            _ => self.give_return(run.batch, run.item, ItemEnd::OutcomeUnknown, now),
         }
     }
 
@@ -191,33 +191,33 @@
     /// Asks an item back.
     pub fn recall(
         &mut self,
-        parcel: ParcelId,
+        batch: BatchId,
         item: ItemNumber,
         now: MonotonicMs,
-    ) -> (ParcelReturn, Vec<RowChange>) {
-        match self.facts(parcel, item).map(|facts| facts.state) {
-            None => (ParcelReturn::Unknown, Vec::new()),
+    ) -> (BatchReturn, Vec<RowChange>) {
+        match self.facts(batch, item).map(|facts| facts.state) {
+            None => (BatchReturn::Unknown, Vec::new()),
             Some(ItemState::Waiting { may_have_run }) => {
-                self.leases.retain(|run, _| (run.parcel, run.item) != (parcel, item));
+                self.leases.retain(|run, _| (run.batch, run.item) != (batch, item));
                 let end = unrun_end(may_have_run, ItemEnd::Recalled);
                 let answer = match may_have_run {
-                    false => ParcelReturn::Recalled,
-                    true => ParcelReturn::TooLate { returned: true },
+                    false => BatchReturn::Recalled,
+                    true => BatchReturn::TooLate { returned: true },
                 };
-                (answer, self.give_return(parcel, item, end, now))
+                (answer, self.give_return(batch, item, end, now))
             }
             Some(ItemState::Started { .. }) => {
-                (ParcelReturn::TooLate { returned: false }, Vec::new())
+                (BatchReturn::TooLate { returned: false }, Vec::new())
             }
             Some(ItemState::Returned { .. }) => {
-                (ParcelReturn::TooLate { returned: true }, Vec::new())
+                (BatchReturn::TooLate { returned: true }, Vec::new())
             }
         }
     }
 
-    /// Ends a parcel: what has not started never will.
-    pub fn end(&mut self, parcel: ParcelId, now: MonotonicMs) -> Option<Vec<RowChange>> {
-        let kept = self.parcels.get_mut(&parcel.number)?;
+    /// Ends a batch: what has not started never will.
+    pub fn end(&mut self, batch: BatchId, now: MonotonicMs) -> Option<Vec<RowChange>> {
+        let kept = self.batches.get_mut(&batch.number)?;
         if kept.row.ended {
             return Some(Vec::new());
         }
@@ -231,24 +231,24 @@
                 _ => None,
             })
             .collect();
-        self.leases.retain(|run, _| run.parcel != parcel);
-        let mut changes = vec![rows::parcel(parcel.number, &row)];
+        self.leases.retain(|run, _| run.batch != batch);
+        let mut changes = vec![rows::batch(batch.number, &row)];
         for (item, may_have_run) in waiting {
             let end = unrun_end(may_have_run, ItemEnd::Ended);
-            changes.extend(self.give_return(parcel, item, end, now));
+            changes.extend(self.give_return(batch, item, end, now));
         }
         Some(changes)
     }
 
-    /// Ends a parcel or a batch of routed items.
-    pub fn end_either(&mut self, parcel: ParcelId, now: MonotonicMs) -> Option<Vec<RowChange>> {
-        if self.batches.contains(parcel) {
-            return self.batches.end(parcel, now);
+    /// Ends a batch, of routed items or not.
+    pub fn end_either(&mut self, batch: BatchId, now: MonotonicMs) -> Option<Vec<RowChange>> {
+        if self.routed.contains(batch) {
+            return self.routed.end(batch, now);
         }
-        self.end(parcel, now)
+        self.end(batch, now)
     }
 
-    /// Notes parcels that have all their returns, and lets go of those kept long enough.
+    /// Notes batches that have all their returns, and lets go of those kept long enough.
     pub fn let_go(&mut self, keep: DurationMs, now: MonotonicMs) -> Vec<RowChange> {
         let mut changes = Vec::new();
         while let Some((since, number)) = self.finished.front().copied() {
@@ -256,8 +256,8 @@
                 break;
             }
             self.finished.pop_front();
-            if let Some(parcel) = self.parcels.remove(&number) {
-                changes.extend(rows::all_gone(number, parcel.row.items));
+            if let Some(batch) = self.batches.remove(&number) {
+                changes.extend(rows::all_gone(number, batch.row.items));
             }
         }
         changes
@@ -269,7 +269,7 @@
             self.leases.iter().filter(|(_, l)| now >= l.until).map(|(run, _)| *run).collect();
         for run in lapsed {
             self.leases.remove(&run);
-            self.queue.push_front((run.parcel.number, run.item));
+            self.queue.push_front((run.batch.number, run.item));
         }
         let silent: Vec<Run> = self
             .heard
@@ -280,7 +280,7 @@
         let mut changes = Vec::new();
         for run in silent {
             if let Some(ItemState::Started { relay, .. }) =
-                self.facts(run.parcel, run.item).map(|facts| facts.state)
+                self.facts(run.batch, run.item).map(|facts| facts.state)
             {
                 changes.extend(self.finish(relay, run, RunEnd::Unknown, now));
             }
--- a/programs/topazyard-storage/src/parcels/mod.rs
+++ b/programs/topazyard-storage/src/batches/mod.rs
@@ -1,14 +1,14 @@
-//! The parcels of one shard, as its primary holds them.
+//! The batches of one shard, as its primary holds them.
 
-pub mod batches;
 mod changes;
 mod read;
+pub mod routed;
 pub(crate) mod rows;
 
 use topazyard_types::{
-    DurationMs, ItemNumber, Life, MonotonicMs, NodeId, ParcelId, ShardId, Tokens,
+    BatchId, DurationMs, ItemNumber, Life, MonotonicMs, NodeId, ShardId, Tokens,
 };
-use topazyard_wire::message::parcel::Run;
+use topazyard_wire::message::batch::Run;
 
 pub use read::{returns, standing, waiting};
 
@@ -41,9 +41,9 @@
     },
 }
 
-/// A parcel's own row.
+/// A batch's own row.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub(crate) struct ParcelRow {
+pub(crate) struct BatchRow {
     pub(crate) items: u32,
     pub(crate) returned: u32,
     pub(crate) ended: bool,
@@ -59,8 +59,8 @@
 }
 
 #[derive(Debug, Clone)]
-struct Parcel {
-    row: ParcelRow,
+struct Batch {
+    row: BatchRow,
     items: Vec<ItemFacts>,
 }
 
@@ -70,43 +70,43 @@
     until: MonotonicMs,
 }
 
-/// The parcels of a shard.
+/// The batches of a shard.
 #[derive(Debug)]
-pub struct Parcels {
+pub struct Batches {
     shard: ShardId,
-    parcels: std::collections::BTreeMap<u64, Parcel>,
+    batches: std::collections::BTreeMap<u64, Batch>,
     /// Items that may be leased, oldest first.
     queue: std::collections::VecDeque<(u64, ItemNumber)>,
     leases: std::collections::BTreeMap<Run, Lease>,
     heard: std::collections::BTreeMap<Run, MonotonicMs>,
     waiting: Tokens,
-    /// Parcels with all their returns, and since when that is known here.
+    /// Batches with all their returns, and since when that is known here.
     finished: std::collections::VecDeque<(MonotonicMs, u64)>,
     last_lease: u64,
-    /// Batches of routed items, which have rows and rules of their own.
-    pub batches: batches::Batches,
+    /// Routed batches, which have rows and rules of their own.
+    pub routed: routed::RoutedBatches,
 }
 
-impl Parcels {
-    /// The parcels that a copy holds.
+impl Batches {
+    /// The batches that a copy holds.
     pub fn taken_over(
         shard: ShardId,
         copy: &topazyard_replication::Copy,
         life: Life,
         now: MonotonicMs,
     ) -> Self {
-        let mut parcels = Self {
+        let mut batches = Self {
             shard,
-            parcels: std::collections::BTreeMap::new(),
+            batches: std::collections::BTreeMap::new(),
             queue: std::collections::VecDeque::new(),
             leases: std::collections::BTreeMap::new(),
             heard: std::collections::BTreeMap::new(),
             waiting: Tokens(0),
             finished: std::collections::VecDeque::new(),
             last_lease: life.first_number(),
-            batches: batches::Batches::taken_over(shard, copy, life, now),
+            routed: routed::RoutedBatches::taken_over(shard, copy, life, now),
         };
-        for (number, row) in rows::parcels(copy) {
+        for (number, row) in rows::batches(copy) {
             let mut items = Vec::new();
             for item in (0..row.items).map(ItemNumber) {
                 let (Some(state), Some(facts)) =
@@ -114,17 +114,17 @@
                 else {
                     continue;
                 };
-                let run = |lease| Run { parcel: ParcelId { shard, number }, item, lease };
+                let run = |lease| Run { batch: BatchId { shard, number }, item, lease };
                 match state {
-                    ItemState::Waiting { .. } => parcels.queue.push_back((number, item)),
+                    ItemState::Waiting { .. } => batches.queue.push_back((number, item)),
                     // A run that is still going will be heard of; one that isn't times out.
                     ItemState::Started { lease, .. } => {
-                        parcels.heard.insert(run(lease), now);
+                        batches.heard.insert(run(lease), now);
                     }
                     ItemState::Returned { .. } => {}
                 }
                 if !matches!(state, ItemState::Returned { .. }) {
-                    parcels.waiting = parcels.waiting.plus(facts.cost);
+                    batches.waiting = batches.waiting.plus(facts.cost);
                 }
                 items.push(ItemFacts {
                     state,
@@ -133,35 +133,35 @@
                     cost: facts.cost,
                 });
             }
-            // A successor counts anew: a parcel may be kept longer than it must, never shorter.
+            // A successor counts anew: a batch may be kept longer than it must, never shorter.
             if row.returned == row.items {
-                parcels.finished.push_back((now, number));
+                batches.finished.push_back((now, number));
             }
-            parcels.parcels.insert(number, Parcel { row, items });
+            batches.batches.insert(number, Batch { row, items });
         }
-        parcels
+        batches
     }
 
-    /// The cost of all items without a final return, those of batches left out.
+    /// The cost of all items without a final return, those of routed batches left out.
     pub fn waiting(&self) -> Tokens {
         self.waiting
     }
 
     /// The cost of all items without a final return or result.
-    pub fn waiting_with_batches(&self) -> Tokens {
-        self.waiting.plus(self.batches.waiting())
+    pub fn waiting_with_routed(&self) -> Tokens {
+        self.waiting.plus(self.routed.waiting())
     }
 
-    /// Whether the parcel is known.
-    pub fn contains(&self, parcel: ParcelId) -> bool {
-        parcel.shard == self.shard && self.parcels.contains_key(&parcel.number)
+    /// Whether the batch is known.
+    pub fn contains(&self, batch: BatchId) -> bool {
+        batch.shard == self.shard && self.batches.contains_key(&batch.number)
     }
 
-    fn id(&self, number: u64) -> ParcelId {
-        ParcelId { shard: self.shard, number }
+    fn id(&self, number: u64) -> BatchId {
+        BatchId { shard: self.shard, number }
     }
 
-    fn facts(&self, parcel: ParcelId, item: ItemNumber) -> Option<&ItemFacts> {
-        self.parcels.get(&parcel.number)?.items.get(item.0 as usize)
+    fn facts(&self, batch: BatchId, item: ItemNumber) -> Option<&ItemFacts> {
+        self.batches.get(&batch.number)?.items.get(item.0 as usize)
     }
 }
--- a/programs/topazyard-storage/src/parcels/read.rs
+++ b/programs/topazyard-storage/src/batches/read.rs
@@ -1,15 +1,15 @@
 //! Queries, answered from the committed copy.
 
 use super::{ItemState, rows};
-use topazyard_types::{ItemNumber, ParcelId};
-use topazyard_wire::message::parcel::{ItemReturn, ParcelStanding};
+use topazyard_types::{BatchId, ItemNumber};
+use topazyard_wire::message::batch::{BatchStanding, ItemReturn};
 
 /// The most bytes of returns in one answer.
 const MOST_BYTES: usize = 4 * 1024 * 1024;
 
 /// The cost of all items in a copy that have no final return.
 pub fn waiting(copy: &topazyard_replication::Copy) -> topazyard_types::Tokens {
-    let items = rows::parcels(copy)
+    let items = rows::batches(copy)
         .flat_map(|(number, row)| (0..row.items).map(move |item| (number, ItemNumber(item))));
     let unreturned = items.filter(|(number, item)| {
         let state = rows::state_of(copy, *number, *item);
@@ -18,12 +18,12 @@
     unreturned.filter_map(|(number, item)| Some(rows::item_of(copy, number, item)?.cost)).sum()
 }
 
-/// How a parcel stands.
-pub fn standing(copy: &topazyard_replication::Copy, parcel: ParcelId) -> Option<ParcelStanding> {
-    let Some(row) = rows::parcel_of(copy, parcel.number) else {
-        return super::batches::standing(copy, parcel);
+/// How a batch stands.
+pub fn standing(copy: &topazyard_replication::Copy, batch: BatchId) -> Option<BatchStanding> {
+    let Some(row) = rows::batch_of(copy, batch.number) else {
+        return super::routed::standing(copy, batch);
     };
-    let states = (0..row.items).filter_map(|n| rows::state_of(copy, parcel.number, ItemNumber(n)));
+    let states = (0..row.items).filter_map(|n| rows::state_of(copy, batch.number, ItemNumber(n)));
     let (mut waiting, mut running) = (0, 0);
     for state in states {
         match state {
@@ -32,8 +32,8 @@
             ItemState::Returned { .. } => {}
         }
     }
-    Some(ParcelStanding {
-        parcel,
+    Some(BatchStanding {
+        batch,
         items: row.items,
         returned: row.returned,
         waiting,
@@ -42,18 +42,18 @@
     })
 }
 
-/// A parcel's returns after a position, in order; at least one if there is one.
+/// A batch's returns after a position, in order; at least one if there is one.
 pub fn returns(
     copy: &topazyard_replication::Copy,
-    parcel: ParcelId,
+    batch: BatchId,
     after: u32,
 ) -> Option<Vec<ItemReturn>> {
-    use topazyard_wire::message::parcel::ItemEnd;
-    let row = rows::parcel_of(copy, parcel.number)?;
+    use topazyard_wire::message::batch::ItemEnd;
+    let row = rows::batch_of(copy, batch.number)?;
     let mut bytes = 0;
     let mut found = Vec::new();
     for position in after.saturating_add(1)..=row.returned {
-        let Some(item_return) = rows::return_of(copy, parcel.number, position) else { break };
+        let Some(item_return) = rows::return_of(copy, batch.number, position) else { break };
         if let ItemEnd::Whole { body, .. } = &item_return.end {
             bytes += body.len();
         }
--- a/programs/topazyard-storage/src/parcels/batches/changes.rs
+++ b/programs/topazyard-storage/src/batches/routed/changes.rs
@@ -1,11 +1,11 @@
 //! Commands: each changes what is held in one place and gives the rows that record it.
 
-use super::{BatchRow, Batches, Held, Lease, Open, Place, rows};
-use crate::parcels::LEASE;
-use topazyard_types::{DurationMs, ItemNumber, MonotonicMs, NodeId, ParcelId, RouteName, Tokens};
+use super::{Held, Lease, Open, Place, RoutedBatchRow, RoutedBatches, rows};
+use crate::batches::LEASE;
+use topazyard_types::{BatchId, DurationMs, ItemNumber, MonotonicMs, NodeId, RouteName, Tokens};
 use topazyard_wire::RowChange;
-use topazyard_wire::message::parcel::{
-    Batch, Item, ItemEnd, ItemReturn, LeasedItem, Progress, Run, RunEnd,
+use topazyard_wire::message::batch::{
+    Item, ItemEnd, ItemReturn, LeasedItem, Progress, RoutedBatch, Run, RunEnd,
 };
 
 /// What an item or a result weighs beside its body, in bytes.
@@ -47,28 +47,28 @@
     }
 }
 
-impl Batches {
+impl RoutedBatches {
     /// Takes a batch, unless it is known already. `room_bytes` is what all batches here may weigh.
-    pub fn submit(&mut self, batch: &Batch, room_bytes: u64, now: MonotonicMs) -> Taken {
-        if self.contains(batch.parcel) {
+    pub fn submit(&mut self, routed: &RoutedBatch, room_bytes: u64, now: MonotonicMs) -> Taken {
+        if self.contains(routed.batch) {
             return Taken::Accepted(Vec::new());
         }
-        let asked: Tokens = batch.items.iter().map(|item| item.cost).sum();
-        let waiting = self.waiting_on(&batch.terms.route);
-        if batch.ceiling > Tokens(0) && waiting.plus(asked) > batch.ceiling {
+        let asked: Tokens = routed.items.iter().map(|item| item.cost).sum();
+        let waiting = self.waiting_on(&routed.terms.route);
+        if routed.ceiling > Tokens(0) && waiting.plus(asked) > routed.ceiling {
             return Taken::CeilingReached;
         }
-        let items = (0..).map(ItemNumber).zip(&batch.items);
+        let items = (0..).map(ItemNumber).zip(&routed.items);
         let open: std::collections::BTreeMap<ItemNumber, Open> =
             items.clone().map(|(number, item)| (number, Open::new(item))).collect();
         let bytes: u64 = open.values().map(|open| open.bytes).sum();
         if self.bytes + bytes > room_bytes {
             return Taken::NoRoom;
         }
-        let number = batch.parcel.number;
-        let row = BatchRow {
-            terms: batch.terms.clone(),
-            items: batch.items.len() as u32,
+        let number = routed.batch.number;
+        let row = RoutedBatchRow {
+            terms: routed.terms.clone(),
+            items: routed.items.len() as u32,
             listed: 0,
             ended: false,
             age: DurationMs(0),
@@ -80,9 +80,9 @@
         Taken::Accepted(changes)
     }
 
-    fn place(&self, parcel: ParcelId, item: ItemNumber) -> Option<Place> {
-        let held = self.held.get(&parcel.number)?;
-        Some((held.reaches(held.row.terms.run_target), parcel.number, item))
+    fn place(&self, batch: BatchId, item: ItemNumber) -> Option<Place> {
+        let held = self.held.get(&batch.number)?;
+        Some((held.reaches(held.row.terms.run_target), batch.number, item))
     }
 
     /// Leases items of these routes: the first due first, and what is late already only where
@@ -114,8 +114,8 @@
         for (place, item, route, progress) in chosen {
             self.queue.remove(&place);
             self.last_lease += 1;
-            let parcel = ParcelId { shard: self.shard, number: place.1 };
-            let run = Run { parcel, item: place.2, lease: self.last_lease };
+            let batch = BatchId { shard: self.shard, number: place.1 };
+            let run = Run { batch, item: place.2, lease: self.last_lease };
             self.leases.insert(run, Lease { relay, until: now.plus(LEASE) });
             leased.push(LeasedItem { run, item, route, progress });
         }
@@ -144,7 +144,7 @@
         if held_lease {
             self.leases.remove(&run);
         }
-        let Some(held) = self.held.get_mut(&run.parcel.number) else { return Vec::new() };
+        let Some(held) = self.held.get_mut(&run.batch.number) else { return Vec::new() };
         let max_attempts = held.row.terms.max_attempts;
         let Some(open) = held.open.get_mut(&run.item) else { return Vec::new() };
         let result = match end {
@@ -164,9 +164,9 @@
             RunEnd::Failed | RunEnd::NotRun | RunEnd::Unknown | RunEnd::Whole { .. } => None,
         };
         if let Some(result) = result {
-            return self.give_result(run.parcel, run.item, result, now);
+            return self.give_result(run.batch, run.item, result, now);
         }
-        if held_lease && let Some(place) = self.place(run.parcel, run.item) {
+        if held_lease && let Some(place) = self.place(run.batch, run.item) {
             self.queue.insert(place);
         }
         Vec::new()
@@ -175,13 +175,13 @@
     /// The one place where an item gets its result, at the next position.
     fn give_result(
         &mut self,
-        parcel: ParcelId,
+        batch: BatchId,
         item: ItemNumber,
         end: ItemEnd,
         now: MonotonicMs,
     ) -> Vec<RowChange> {
-        let Some(open) = self.close(parcel, item) else { return Vec::new() };
-        let Some(held) = self.held.get_mut(&parcel.number) else { return Vec::new() };
+        let Some(open) = self.close(batch, item) else { return Vec::new() };
+        let Some(held) = self.held.get_mut(&batch.number) else { return Vec::new() };
         held.row.listed += 1;
         held.row.age = held.age(now);
         let position = held.row.listed;
@@ -190,25 +190,25 @@
         self.bytes += bytes;
         let result = ItemReturn { position, item, id: Some(open.id), end };
         let changes = vec![
-            rows::item_gone(parcel.number, item),
-            rows::result(parcel.number, &result),
-            rows::batch(parcel.number, &held.row),
+            rows::item_gone(batch.number, item),
+            rows::result(batch.number, &result),
+            rows::batch(batch.number, &held.row),
         ];
-        self.note_if_finished(parcel.number);
+        self.note_if_finished(batch.number);
         changes
     }
 
     /// Takes an item out of everything that waits.
-    fn close(&mut self, parcel: ParcelId, item: ItemNumber) -> Option<Open> {
-        let place = self.place(parcel, item)?;
-        let held = self.held.get_mut(&parcel.number)?;
+    fn close(&mut self, batch: BatchId, item: ItemNumber) -> Option<Open> {
+        let place = self.place(batch, item)?;
+        let held = self.held.get_mut(&batch.number)?;
         let open = held.open.remove(&item)?;
         self.queue.remove(&place);
         if let Some(waiting) = self.waiting.get_mut(&held.row.terms.route) {
             *waiting = Tokens(waiting.0.saturating_sub(open.cost.0));
         }
         self.bytes = self.bytes.saturating_sub(open.bytes);
-        self.leases.retain(|run, _| (run.parcel, run.item) != (parcel, item));
+        self.leases.retain(|run, _| (run.batch, run.item) != (batch, item));
         Some(open)
     }
 
@@ -223,20 +223,20 @@
     }
 
     /// Ends a batch: what has no result gets none. None if the batch is unknown.
-    pub fn end(&mut self, parcel: ParcelId, now: MonotonicMs) -> Option<Vec<RowChange>> {
-        let held = self.held.get_mut(&parcel.number)?;
+    pub fn end(&mut self, batch: BatchId, now: MonotonicMs) -> Option<Vec<RowChange>> {
+        let held = self.held.get_mut(&batch.number)?;
         if held.row.ended || held.open.is_empty() {
             return Some(Vec::new());
         }
         held.row.ended = true;
         held.row.age = held.age(now);
         let open: Vec<ItemNumber> = held.open.keys().copied().collect();
-        let mut changes = vec![rows::batch(parcel.number, &held.row)];
+        let mut changes = vec![rows::batch(batch.number, &held.row)];
         for item in open {
-            self.close(parcel, item);
-            changes.push(rows::item_gone(parcel.number, item));
+            self.close(batch, item);
+            changes.push(rows::item_gone(batch.number, item));
         }
-        self.note_if_finished(parcel.number);
+        self.note_if_finished(batch.number);
         Some(changes)
     }
 
@@ -262,7 +262,7 @@
             self.leases.iter().filter(|(_, l)| now >= l.until).map(|(run, _)| *run).collect();
         for run in lapsed {
             self.leases.remove(&run);
-            if let Some(place) = self.place(run.parcel, run.item) {
+            if let Some(place) = self.place(run.batch, run.item) {
                 self.queue.insert(place);
             }
         }
@@ -270,9 +270,9 @@
         while let Some((at, number)) = self.give_up.first().copied().filter(|(at, _)| now >= *at) {
             let items = self.held.get(&number).map(|held| held.open.keys().copied().collect());
             let items: Vec<ItemNumber> = items.unwrap_or_default();
-            let parcel = ParcelId { shard: self.shard, number };
+            let batch = BatchId { shard: self.shard, number };
             for item in items {
-                changes.extend(self.give_result(parcel, item, ItemEnd::Abandoned, now));
+                changes.extend(self.give_result(batch, item, ItemEnd::Abandoned, now));
             }
             self.give_up.remove(&(at, number));
         }
--- a/programs/topazyard-storage/src/parcels/batches/mod.rs
+++ b/programs/topazyard-storage/src/batches/routed/mod.rs
@@ -6,17 +6,17 @@
 mod rows;
 
 use topazyard_types::{
-    DurationMs, ItemNumber, Life, MonotonicMs, NodeId, ParcelId, RouteName, ShardId, Tokens,
+    BatchId, DurationMs, ItemNumber, Life, MonotonicMs, NodeId, RouteName, ShardId, Tokens,
 };
 use topazyard_wire::invariants::{self, Invariant};
-use topazyard_wire::message::parcel::{Progress, Run, Terms};
+use topazyard_wire::message::batch::{Progress, Run, Terms};
 
 pub use changes::Taken;
 pub use read::{body, results, standing};
 
 /// A batch's own row.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub(crate) struct BatchRow {
+pub(crate) struct RoutedBatchRow {
     terms: Terms,
     items: u32,
     listed: u32,
@@ -37,7 +37,7 @@
 
 #[derive(Debug, Clone)]
 struct Held {
-    row: BatchRow,
+    row: RoutedBatchRow,
     /// When it became known here, and how old it was then.
     since: MonotonicMs,
     age_then: DurationMs,
@@ -68,7 +68,7 @@
 
 /// Batches of a shard.
 #[derive(Debug)]
-pub struct Batches {
+pub struct RoutedBatches {
     shard: ShardId,
     held: std::collections::BTreeMap<u64, Held>,
     /// Items that may be leased, the first due first.
@@ -86,7 +86,7 @@
 }
 
 /// Checks that a batch that is taken over has each of its items, open or with a result.
-fn check_whole(number: u64, row: &BatchRow, open: usize, results: usize) {
+fn check_whole(number: u64, row: &RoutedBatchRow, open: usize, results: usize) {
     let listed = row.listed as usize;
     let has_items = row.ended || open + listed == row.items as usize;
     invariants::check(has_items && results == listed, Invariant::BatchIsWhole, || {
@@ -94,7 +94,7 @@
     });
 }
 
-impl Batches {
+impl RoutedBatches {
     /// The batches that a copy holds.
     pub(super) fn taken_over(
         shard: ShardId,
@@ -168,8 +168,8 @@
     }
 
     /// Whether the batch is known.
-    pub fn contains(&self, parcel: ParcelId) -> bool {
-        parcel.shard == self.shard && self.held.contains_key(&parcel.number)
+    pub fn contains(&self, batch: BatchId) -> bool {
+        batch.shard == self.shard && self.held.contains_key(&batch.number)
     }
 
     /// Bytes of all bodies and results.
--- a/programs/topazyard-storage/src/parcels/batches/read.rs
+++ b/programs/topazyard-storage/src/batches/routed/read.rs
@@ -2,8 +2,8 @@
 
 use super::rows;
 use topazyard_replication::Copy;
-use topazyard_types::{ItemNumber, ParcelId};
-use topazyard_wire::message::parcel::{ItemEnd, ItemReturn, ParcelStanding};
+use topazyard_types::{BatchId, ItemNumber};
+use topazyard_wire::message::batch::{BatchStanding, ItemEnd, ItemReturn};
 
 /// The most bytes of bodies in one page of results.
 const MOST_BYTES: usize = 900_000;
@@ -11,11 +11,11 @@
 const BESIDE_BODY: usize = 128;
 
 /// How a batch stands.
-pub fn standing(copy: &Copy, parcel: ParcelId) -> Option<ParcelStanding> {
-    let row = rows::batch_of(copy, parcel.number)?;
+pub fn standing(copy: &Copy, batch: BatchId) -> Option<BatchStanding> {
+    let row = rows::batch_of(copy, batch.number)?;
     let waiting = if row.ended { 0 } else { row.items - row.listed };
-    Some(ParcelStanding {
-        parcel,
+    Some(BatchStanding {
+        batch,
         items: row.items,
         returned: row.listed,
         waiting,
@@ -26,12 +26,12 @@
 
 /// The number of a batch's items, and its results after a position in order: at least one if
 /// there is one.
-pub fn results(copy: &Copy, parcel: ParcelId, after: u32) -> Option<(u32, Vec<ItemReturn>)> {
-    let row = rows::batch_of(copy, parcel.number)?;
+pub fn results(copy: &Copy, batch: BatchId, after: u32) -> Option<(u32, Vec<ItemReturn>)> {
+    let row = rows::batch_of(copy, batch.number)?;
     let mut bytes = 0;
     let mut found = Vec::new();
     for position in after.saturating_add(1)..=row.listed {
-        let Some(result) = rows::result_of(copy, parcel.number, position) else { break };
+        let Some(result) = rows::result_of(copy, batch.number, position) else { break };
         bytes += BESIDE_BODY;
         if let ItemEnd::Whole { body, .. } = &result.end {
             // Line feeds and the like take two bytes where they are shown.
@@ -46,10 +46,10 @@
 }
 
 /// The body of an item that has no result yet.
-pub fn body(copy: &Copy, parcel: ParcelId, id: &str) -> Option<bytes::Bytes> {
-    let row = rows::batch_of(copy, parcel.number)?;
-    let items = (0..row.items).filter_map(|n| rows::item_of(copy, parcel.number, ItemNumber(n)));
-    let is_named = |item: &topazyard_wire::message::parcel::Item| {
+pub fn body(copy: &Copy, batch: BatchId, id: &str) -> Option<bytes::Bytes> {
+    let row = rows::batch_of(copy, batch.number)?;
+    let items = (0..row.items).filter_map(|n| rows::item_of(copy, batch.number, ItemNumber(n)));
+    let is_named = |item: &topazyard_wire::message::batch::Item| {
         item.directions.as_ref().is_some_and(|d| d.id == id)
     };
     items.into_iter().find(is_named).map(|item| item.body)
--- a/programs/topazyard-storage/src/parcels/batches/rows.rs
+++ b/programs/topazyard-storage/src/batches/routed/rows.rs
@@ -1,12 +1,12 @@
 //! The rows of batches of routed items. An item's row is gone once it has its result or its batch
 //! has ended; what has a row waits.
 
-use super::BatchRow;
+use super::RoutedBatchRow;
 use topazyard_types::ItemNumber;
 use topazyard_wire::RowChange;
-use topazyard_wire::message::parcel::{Item, ItemReturn};
+use topazyard_wire::message::batch::{Item, ItemReturn};
 
-const BATCHES: &str = "batch/";
+const ROUTED_BATCHES: &str = "batch/";
 
 fn item_key(number: u64, item: ItemNumber) -> String {
     format!("work/{number:016x}/{:04}", item.0)
@@ -17,10 +17,10 @@
 }
 
 fn batch_key(number: u64) -> String {
-    format!("{BATCHES}{number:016x}")
+    format!("{ROUTED_BATCHES}{number:016x}")
 }
 
-pub(super) fn batch(number: u64, row: &BatchRow) -> RowChange {
+pub(super) fn batch(number: u64, row: &RoutedBatchRow) -> RowChange {
     RowChange::put(batch_key(number), row)
 }
 
@@ -42,14 +42,16 @@
     results.chain([RowChange::gone(batch_key(number))]).collect()
 }
 
-pub(super) fn batches(copy: &topazyard_replication::Copy) -> impl Iterator<Item = (u64, BatchRow)> {
-    copy.with_prefix(BATCHES).filter_map(|(key, value)| {
-        let number = u64::from_str_radix(key.strip_prefix(BATCHES)?, 16).ok()?;
+pub(super) fn batches(
+    copy: &topazyard_replication::Copy,
+) -> impl Iterator<Item = (u64, RoutedBatchRow)> {
+    copy.with_prefix(ROUTED_BATCHES).filter_map(|(key, value)| {
+        let number = u64::from_str_radix(key.strip_prefix(ROUTED_BATCHES)?, 16).ok()?;
         Some((number, topazyard_wire::rows::decode(value)?))
     })
 }
 
-pub(super) fn batch_of(copy: &topazyard_replication::Copy, number: u64) -> Option<BatchRow> {
+pub(super) fn batch_of(copy: &topazyard_replication::Copy, number: u64) -> Option<RoutedBatchRow> {
     copy.get(&batch_key(number))
 }
 
--- a/programs/topazyard-storage/src/machine/aside.rs
+++ b/programs/topazyard-storage/src/machine/aside.rs
@@ -2,73 +2,73 @@
 //!
 //! Whoever a shard's record names primary or backup holds all that was ever answered under it. So
 //! either may answer a read once control has confirmed, after the read came, that the record still
-//! stands. Left out is what the last batch touched as long as nobody knows whether it was
-//! committed: it might go again. A parcel that isn't held is never said not to exist.
+//! stands. Left out is what the last changes touched as long as nobody knows whether they were
+//! committed: they might go again. A batch that isn't held is never said not to exist.
 
-use super::hosted::{Aside, Hosted, ParcelAnswer, ParcelCaller};
+use super::hosted::{Aside, BatchAnswer, BatchCaller, Hosted};
 use super::{Out, StorageMachine};
 use topazyard_replication::{Copy, Doubt};
-use topazyard_types::{DurationMs, MonotonicMs, NodeId, ParcelId, ShardId};
+use topazyard_types::{BatchId, DurationMs, MonotonicMs, NodeId, ShardId};
+use topazyard_wire::message::batch::{BatchCall, BatchReturn};
 use topazyard_wire::message::control::ShardRecord;
-use topazyard_wire::message::parcel::{ParcelCall, ParcelReturn};
 
 /// Reads asked aside that may wait at a shard.
 const MOST_ASIDES: usize = 256;
 /// How long one waits; its relay asks again.
 const WAITS: DurationMs = DurationMs(600);
 
-impl ParcelAnswer {
+impl BatchAnswer {
     /// What a read is answered with, if it is one.
-    pub(super) fn of_read(call: &ParcelCall) -> Option<Self> {
+    pub(super) fn of_read(call: &BatchCall) -> Option<Self> {
         match call {
-            ParcelCall::Read(parcel) => Some(Self::Standing(*parcel, false)),
-            ParcelCall::Returns { parcel, after } => Some(Self::Returns(*parcel, *after)),
-            ParcelCall::Results { parcel, after } => Some(Self::Results(*parcel, *after)),
-            ParcelCall::Body { parcel, id } => Some(Self::Body(*parcel, id.clone())),
+            BatchCall::Read(batch) => Some(Self::Standing(*batch, false)),
+            BatchCall::Returns { batch, after } => Some(Self::Returns(*batch, *after)),
+            BatchCall::Results { batch, after } => Some(Self::Results(*batch, *after)),
+            BatchCall::Body { batch, id } => Some(Self::Body(*batch, id.clone())),
             _ => None,
         }
     }
 
-    fn parcel(&self) -> Option<ParcelId> {
+    fn batch(&self) -> Option<BatchId> {
         match self {
             Self::Ready(_) => None,
-            Self::Standing(parcel, _)
-            | Self::Returns(parcel, _)
-            | Self::Results(parcel, _)
-            | Self::Body(parcel, _) => Some(*parcel),
+            Self::Standing(batch, _)
+            | Self::Returns(batch, _)
+            | Self::Results(batch, _)
+            | Self::Body(batch, _) => Some(*batch),
         }
     }
 
     /// The return, as a copy has it.
-    pub(super) fn answered_by(self, copy: &Copy) -> Option<ParcelReturn> {
+    pub(super) fn answered_by(self, copy: &Copy) -> Option<BatchReturn> {
         match self {
             Self::Ready(value) => Some(value),
-            Self::Standing(parcel, accepted) => {
-                let standing = crate::parcels::standing(copy, parcel);
+            Self::Standing(batch, accepted) => {
+                let standing = crate::batches::standing(copy, batch);
                 standing.map(|standing| match accepted {
-                    true => ParcelReturn::Accepted(standing),
-                    false => ParcelReturn::Standing(standing),
+                    true => BatchReturn::Accepted(standing),
+                    false => BatchReturn::Standing(standing),
                 })
             }
-            Self::Returns(parcel, after) => {
-                crate::parcels::returns(copy, parcel, after).map(ParcelReturn::Returns)
+            Self::Returns(batch, after) => {
+                crate::batches::returns(copy, batch, after).map(BatchReturn::Returns)
             }
-            Self::Results(parcel, after) => {
-                let found = crate::parcels::batches::results(copy, parcel, after);
-                found.map(|(total, results)| ParcelReturn::Results { total, results })
+            Self::Results(batch, after) => {
+                let found = crate::batches::routed::results(copy, batch, after);
+                found.map(|(total, results)| BatchReturn::Results { total, results })
             }
-            Self::Body(parcel, id) => {
-                crate::parcels::batches::body(copy, parcel, &id).map(ParcelReturn::Body)
+            Self::Body(batch, id) => {
+                crate::batches::routed::body(copy, batch, &id).map(BatchReturn::Body)
             }
         }
     }
 }
 
-/// Whether all that this node's copy has of a parcel surely stays.
-fn is_sure(hosted: &Hosted, record: &ShardRecord, me: NodeId, parcel: ParcelId) -> bool {
+/// Whether all that this node's copy has of a batch surely stays.
+fn is_sure(hosted: &Hosted, record: &ShardRecord, me: NodeId, batch: BatchId) -> bool {
     let replica = &hosted.replica;
-    let is_of_parcel = |key| crate::parcels::rows::is_of(key, parcel.number);
-    let touched = || replica.copy().last_changed().any(is_of_parcel);
+    let is_of_batch = |key| crate::batches::rows::is_of(key, batch.number);
+    let touched = || replica.copy().last_changed().any(is_of_batch);
     let synced_by_all = || {
         let others_have = hosted.all_have_synced(other_backups(record, me));
         let primary_has = replica.is_last_synced_by_primary();
@@ -78,9 +78,9 @@
         (Doubt::Nothing, _) => true,
         // It is on as many disks as the record bears losses, and one more. That the primary holds it in
         // memory is not enough: it may lose its power while the others lose their disks.
-        (Doubt::LastBatch, false) if synced_by_all() => true,
-        (Doubt::LastBatch, _) => !touched(),
-        (Doubt::SomeBatch | Doubt::All, _) => false,
+        (Doubt::LastChanges, false) if synced_by_all() => true,
+        (Doubt::LastChanges, _) => !touched(),
+        (Doubt::SomeChanges | Doubt::All, _) => false,
     }
 }
 
@@ -93,13 +93,13 @@
     pub(super) fn take_aside(
         &mut self,
         shard: ShardId,
-        caller: ParcelCaller,
-        call: &ParcelCall,
+        caller: BatchCaller,
+        call: &BatchCall,
         now: MonotonicMs,
     ) {
         let Some(hosted) = self.hosted.get_mut(&shard) else { return };
         hosted.asides.retain(|aside| now.since(aside.since) < WAITS);
-        if let Some(answer) = ParcelAnswer::of_read(call)
+        if let Some(answer) = BatchAnswer::of_read(call)
             && hosted.asides.len() < MOST_ASIDES
         {
             hosted.asides.push(Aside { caller, answer, since: now });
@@ -121,8 +121,8 @@
             let Some(confirmed) = hosted.confirmed_at(by_feed) else { continue };
             let waiting = std::mem::take(&mut hosted.asides);
             let (now_sure, waiting) = waiting.into_iter().partition::<Vec<_>, _>(|aside| {
-                let sure = |parcel| is_sure(hosted, record, me, parcel);
-                aside.since < confirmed && aside.answer.parcel().is_some_and(sure)
+                let sure = |batch| is_sure(hosted, record, me, batch);
+                aside.since < confirmed && aside.answer.batch().is_some_and(sure)
             });
             hosted.asides = waiting;
             for aside in now_sure {
--- a/programs/topazyard-storage/src/machine/counting.rs
+++ b/programs/topazyard-storage/src/machine/counting.rs
@@ -1,4 +1,4 @@
-//! The counter's calls, and the parcel shards' reports to it.
+//! The counter's calls, and the batch shards' reports to it.
 
 use super::hosted::{Waiting, Work};
 use super::{Out, StorageMachine};
@@ -8,7 +8,7 @@
 use topazyard_wire::message::Message;
 use topazyard_wire::message::counter::{CounterBody, CounterMessage};
 
-/// How often a parcel shard reports its waiting cost.
+/// How often a batch shard reports its waiting cost.
 const REPORT_EVERY: DurationMs = DurationMs(250);
 /// How long a submission may wait for room below the ceiling.
 const RAISE_LIMIT: DurationMs = DurationMs(2_000);
@@ -98,7 +98,7 @@
         let Some(counter) = self.view.shards.get(&ShardId::COUNTER) else { return };
         let (to, epoch) = (counter.primary.address, counter.epoch);
         let Some(hosted) = self.hosted.get_mut(&shard) else { return };
-        let Work::Parcels(parcels) = &hosted.work else { return };
+        let Work::Batches(batches) = &hosted.work else { return };
         let raising = &mut hosted.raising;
         let first = raising.queue.front();
         let asks = first.map(|s| s.items.iter().map(|item| item.cost).sum());
@@ -113,7 +113,7 @@
         raising.last_number += 1;
         raising.last_report = now;
         raising.asked = asks.map(|_| (raising.last_number, now));
-        let (total, asked) = (parcels.waiting(), asks.unwrap_or(Tokens(0)));
+        let (total, asked) = (batches.waiting(), asks.unwrap_or(Tokens(0)));
         let (shard_epoch, number) = (hosted.replica.epoch(), raising.last_number);
         let life = self.life;
         let body = CounterBody::Waiting { shard, shard_epoch, life, number, total, asked, ceiling };
@@ -146,7 +146,7 @@
         while hosted.raising.queue.front().is_some_and(is_late) {
             hosted.raising.asked = None;
             if let Some(late) = hosted.raising.queue.pop_front() {
-                let answer = topazyard_wire::message::parcel::ParcelReturn::NotHere;
+                let answer = topazyard_wire::message::batch::BatchReturn::NotHere;
                 super::serving::send(shard, epoch, late.caller, answer, out);
             }
         }
--- a/programs/topazyard-storage/src/machine/hosted.rs
+++ b/programs/topazyard-storage/src/machine/hosted.rs
@@ -1,12 +1,12 @@
 //! One shard's copy at this node.
 
+use crate::batches::Batches;
 use crate::counter::Counter;
-use crate::parcels::Parcels;
 use topazyard_replication::{Doubt, Replica, Ticket};
-use topazyard_types::{Epoch, MonotonicMs, NodeId, ParcelId, Sequence, Tokens};
+use topazyard_types::{BatchId, Epoch, MonotonicMs, NodeId, Sequence, Tokens};
+use topazyard_wire::message::batch::{BatchReturn, Item};
 use topazyard_wire::message::control::ShardWish;
 use topazyard_wire::message::counter::CounterBody;
-use topazyard_wire::message::parcel::{Item, ParcelReturn};
 
 /// After how long without its backup's confirmation a primary wants to know what control says.
 const BACKUP_LATE: topazyard_types::DurationMs = topazyard_types::DurationMs(200);
@@ -18,8 +18,8 @@
     None,
     /// The counter.
     Counter(Counter),
-    /// Parcels.
-    Parcels(Parcels),
+    /// Batches.
+    Batches(Batches),
 }
 
 /// A shard's copy, and what its primary works with.
@@ -45,8 +45,8 @@
 /// A read asked aside.
 #[derive(Debug)]
 pub(crate) struct Aside {
-    pub(crate) caller: ParcelCaller,
-    pub(crate) answer: ParcelAnswer,
+    pub(crate) caller: BatchCaller,
+    pub(crate) answer: BatchAnswer,
     pub(crate) since: MonotonicMs,
 }
 
@@ -57,30 +57,30 @@
     Nobody,
     /// A relay or a shard primary that asked the counter.
     Counter(std::net::SocketAddr, CounterBody),
-    /// A relay that asked about parcels.
-    Parcel(ParcelCaller, ParcelAnswer),
+    /// A relay that asked about batches.
+    Batch(BatchCaller, BatchAnswer),
 }
 
-/// A relay's call on parcels.
+/// A relay's call on batches.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct ParcelCaller {
+pub(crate) struct BatchCaller {
     pub(crate) to: std::net::SocketAddr,
     pub(crate) call: u64,
 }
 
 /// What a relay's call returns once its ticket is committed.
 #[derive(Debug, Clone)]
-pub(crate) enum ParcelAnswer {
+pub(crate) enum BatchAnswer {
     /// This.
-    Ready(ParcelReturn),
-    /// How the parcel stands then; as accepted, or as read.
-    Standing(ParcelId, bool),
+    Ready(BatchReturn),
+    /// How the batch stands then; as accepted, or as read.
+    Standing(BatchId, bool),
     /// Its returns after a position.
-    Returns(ParcelId, u32),
+    Returns(BatchId, u32),
     /// A batch's results after a position.
-    Results(ParcelId, u32),
+    Results(BatchId, u32),
     /// The body of a batch's item.
-    Body(ParcelId, String),
+    Body(BatchId, String),
 }
 
 /// Submissions that wait for room below the ceiling, one asked for at a time.
@@ -95,8 +95,8 @@
 
 #[derive(Debug)]
 pub(crate) struct Submission {
-    pub(crate) caller: ParcelCaller,
-    pub(crate) parcel: ParcelId,
+    pub(crate) caller: BatchCaller,
+    pub(crate) batch: BatchId,
     pub(crate) items: Vec<Item>,
     pub(crate) ceiling: Tokens,
     pub(crate) since: MonotonicMs,
@@ -132,9 +132,9 @@
         }
     }
 
-    pub(crate) fn parcels(&self) -> Option<&Parcels> {
+    pub(crate) fn batches(&self) -> Option<&Batches> {
         match &self.work {
-            Work::Parcels(parcels) => Some(parcels),
+            Work::Batches(batches) => Some(batches),
             _ => None,
         }
     }
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -210,7 +210,7 @@
                 .hosted
                 .iter()
                 .filter_map(|(shard, hosted)| {
-                    Some((*shard, hosted.parcels()?.waiting_with_batches().0))
+                    Some((*shard, hosted.batches()?.waiting_with_routed().0))
                 })
                 .collect(),
             live_tokens: self
@@ -222,7 +222,7 @@
 
     fn own_health(&self, now: MonotonicMs) -> StorageHealth {
         let serving = || self.hosted.iter().filter(|(_, hosted)| hosted.replica.is_serving());
-        let batches = || serving().filter_map(|(_, hosted)| Some(&hosted.parcels()?.batches));
+        let batches = || serving().filter_map(|(_, hosted)| Some(&hosted.batches()?.routed));
         StorageHealth {
             node: self.member.id,
             serving: serving().map(|(shard, _)| *shard).collect(),
@@ -240,8 +240,8 @@
                 .collect(),
             stopped: self.hosted.values().filter(|hosted| hosted.wish.is_some()).count(),
             batches_acknowledged: self.batches_acknowledged,
-            batches_kept: batches().map(crate::parcels::batches::Batches::count).sum(),
-            items_open: batches().map(crate::parcels::batches::Batches::open_items).sum(),
+            batches_kept: batches().map(crate::batches::routed::RoutedBatches::count).sum(),
+            items_open: batches().map(crate::batches::routed::RoutedBatches::open_items).sum(),
             calls_waiting: self.hosted.values().map(Hosted::calls_waiting).sum(),
         }
     }
@@ -414,8 +414,8 @@
                 Message::Counter(message) => {
                     self.receive_counter(sender, from, message, now, &mut out);
                 }
-                Message::Parcel(message) => {
-                    self.receive_parcel(sender, from, message, now, &mut out);
+                Message::Batch(message) => {
+                    self.receive_batch(sender, from, message, now, &mut out);
                 }
                 Message::Told(shard, record) => self.told_record(shard, record, now, &mut out),
                 Message::Confirm(message) => {
--- a/programs/topazyard-storage/src/machine/roles.rs
+++ b/programs/topazyard-storage/src/machine/roles.rs
@@ -215,7 +215,7 @@
             hosted.work = if shard.is_counter() {
                 Work::Counter(crate::counter::Counter::taken_over(copy, now))
             } else {
-                Work::Parcels(crate::parcels::Parcels::taken_over(shard, copy, self.life, now))
+                Work::Batches(crate::batches::Batches::taken_over(shard, copy, self.life, now))
             };
         }
         let text = format!("shard {shard} serves in epoch {}", hosted.replica.epoch());
