--- a/programs/topazyard-storage/tests/confirming.rs
+++ b/programs/topazyard-storage/tests/confirming.rs
@@ -337,3 +337,48 @@
         assert!(storage.has_answered(), "{backups} backups");
     }
 }
+
+#[test]
+fn a_lost_word_of_the_primarys_sync_is_made_up_for_by_its_next_round() {
+    // The word is sent once. Were it waited for, a backup would show nothing aside for ever.
+    let mut storage = Storage::start(BACKUP, Default::default());
+    storage.learn(&record(1));
+    storage.take_unconfirmed_batch();
+    storage.hear_primary(ReplicaBody::Append {
+        round: 3,
+        sequence: Sequence(1),
+        changes: Vec::new(),
+    });
+    storage.ask_aside();
+    storage.run(100);
+    storage.hear_records(storage.asked(), 1);
+    assert!(storage.has_answered(), "a round is begun once the one before is committed");
+}
+
+#[test]
+fn a_word_of_sync_from_another_than_the_primary_or_of_another_epoch_shows_nothing() {
+    for (from, epoch) in [(OTHER_BACKUP, 1), (PRIMARY, 0), (PRIMARY, 2)] {
+        let mut storage = Storage::start(BACKUP, Default::default());
+        storage.learn(&record(1));
+        storage.take_unconfirmed_batch();
+        let body = ReplicaBody::Synced { round: 2 };
+        let message = ReplicaMessage { group: Group::Shard(SHARD), epoch: Epoch(epoch), body };
+        storage.hear(from, Message::Replica(message));
+        storage.ask_aside();
+        storage.run(100);
+        storage.hear_records(storage.asked(), 1);
+        assert!(!storage.has_answered(), "from {from} in epoch {epoch}");
+    }
+}
+
+#[test]
+fn a_word_of_sync_that_comes_twice_or_late_puts_nothing_off_for_good() {
+    let mut storage = backup_of(1);
+    storage.hear_primary(ReplicaBody::Synced { round: 2 });
+    storage.hear_primary(ReplicaBody::Synced { round: 1 });
+    storage.ask_aside();
+    storage.hear_primary(ReplicaBody::Synced { round: 2 });
+    storage.run(100);
+    storage.hear_records(storage.asked(), 1);
+    assert!(storage.has_answered());
+}
