Show that a draining relay ends while items are being leased to it

Failing test of the machine: a lease that was asked for before SIGTERM isn't counted as under way. Where nobody is sent here after the signal (the own interface), a relay may end before the answer comes, and its items wait for the end of their leases.

--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -433,6 +433,18 @@
     }
 }
 
+// Else items are leased to a relay that has ended, and wait for the end of their leases.
+#[test]
+fn a_relay_ends_only_after_it_heard_what_was_leased_to_it() {
+    let mut relay = Relay::ready();
+    relay.tick(25);
+    let (call, _) = relay.asked_lease();
+    relay.drain();
+    assert!(relay.is_under_way(), "items may be on their way here");
+    relay.hear_shard(call, BatchReturn::Leased(Vec::new()));
+    assert!(!relay.is_under_way());
+}
+
 // Else an item waits for the end of its lease, or is begun by a relay that ends.
 #[test]
 fn an_item_that_waits_for_room_is_handed_back_as_the_relay_drains() {
