Let a draining relay end only once it heard what was leased to it

Cause: what was under way counted items and ends of runs, not the askings for items (at most 1 s each). A relay of the own interface has no time in which clients are still sent to it, so it could end at once, and items whose lease was on its way waited for the end of the lease.

--- a/programs/topazyard-relay/src/machine/batches.rs
+++ b/programs/topazyard-relay/src/machine/batches.rs
@@ -75,6 +75,12 @@
         self.pending.values_mut().for_each(|pending| pending.end_by(until));
     }
 
+    /// Askings for items whose answers have not come.
+    pub(super) fn leases_asked(&self) -> usize {
+        let is_lease = |pending: &&Pending| matches!(pending.caller, Caller::Leasing(_));
+        self.pending.values().filter(is_lease).count()
+    }
+
     /// Ends of runs that their shards have not noted.
     pub(super) fn ends_to_tell(&self) -> usize {
         let is_end = |pending: &&Pending| matches!(pending.caller, Caller::Finishing);
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -199,6 +199,8 @@
     pub batch_calls: usize,
     /// Ends of items' runs that their shards have not noted yet.
     pub ends_to_tell: usize,
+    /// Askings for items whose answers have not come: some may be leased to this relay.
+    pub leases_asked: usize,
     /// How long it has taken nothing new, if it drains.
     pub drained_for_ms: Option<DurationMs>,
     /// Engines that may be used.
@@ -212,7 +214,7 @@
 impl RelayHealth {
     /// Whether anything is under way that a relay should finish before it ends.
     pub fn under_way(&self) -> bool {
-        let of_items = self.items + self.ends_to_tell;
+        let of_items = self.items + self.leases_asked + self.ends_to_tell;
         self.waiting + self.holding + self.batch_calls + of_items > 0
     }
 }
@@ -341,6 +343,7 @@
             items: self.items.len(),
             batch_calls: self.batches.of_clients(),
             ends_to_tell: self.batches.ends_to_tell(),
+            leases_asked: self.batches.leases_asked(),
             drained_for_ms: self.draining.map(|draining| draining.lasted(now)),
             engines: self.view.engines.values().filter(|e| self.engines.is_usable(e)).count(),
             allowed: self.allowed,
