Give each test process loopback ports that nothing else can take

Tests bound port 0 of 127.0.0.1, gave the port back and listened on it later; meanwhile a connection outward could take it. The stand-in core then panicked in a task ("a free port: Address already in use") and its test waited for ever.

Ruled out: a fault of the relay.

--- a/libraries/topazyard-wire/tests/metrics.rs
+++ b/libraries/topazyard-wire/tests/metrics.rs
@@ -14,12 +14,6 @@
     }
 }
 
-/// An address of loopback that nothing listens on.
-fn free_address() -> std::net::SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 async fn fetch(from: std::net::SocketAddr, path: &str) -> String {
     let mut stream = tokio::net::TcpStream::connect(from).await.unwrap();
     let request = format!("GET {path} HTTP/1.1\r\nHost: metrics\r\nConnection: close\r\n\r\n");
@@ -31,7 +25,7 @@
 
 #[tokio::test]
 async fn figures_are_asked_for_at_each_fetch() {
-    let address = free_address();
+    let address = stand_ins::loopback::free_address();
     let asked = std::sync::Arc::new(std::sync::atomic::AtomicU64::new(0));
     let counted = asked.clone();
     let next = move || {
@@ -56,7 +50,7 @@
 
 #[tokio::test]
 async fn a_machine_that_gives_nothing_leaves_the_process_its_own_figures() {
-    let address = free_address();
+    let address = stand_ins::loopback::free_address();
     serve(Some(address), || async { None::<Queue> }).await;
     let text = fetch(address, "/metrics").await;
     assert!(text.contains(
@@ -67,7 +61,7 @@
 
 #[tokio::test]
 async fn another_path_is_not_found() {
-    let address = free_address();
+    let address = stand_ins::loopback::free_address();
     serve(Some(address), || async { Some(Queue(1)) }).await;
     assert!(fetch(address, "/").await.starts_with("HTTP/1.1 404 "));
 }
--- a/programs/topazyard-control/tests/ending.rs
+++ b/programs/topazyard-control/tests/ending.rs
@@ -44,23 +44,18 @@
     }
 }
 
-fn free_address() -> Address {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
-}
-
 fn settings(http: Address, folder: &std::path::Path) -> topazyard_spec::NodeSettings {
     topazyard_spec::NodeSettings {
         metrics: None,
         listen: None,
         name: None,
         fleet: FleetId(4),
-        address: free_address(),
+        address: stand_ins::loopback::free_address(),
         http: Some(http),
         ready: None,
         zone: "north".into(),
         // Nobody listens there: the node stays alone and needs nobody to replace it.
-        seeds: vec![free_address()],
+        seeds: vec![stand_ins::loopback::free_address()],
         data: Some(folder.to_owned()),
         beside: None,
         bounds: topazyard_spec::Bounds::default(),
@@ -99,7 +94,7 @@
     let (reads, read) = std::sync::mpsc::channel();
     READS.set(reads).expect("one test uses it");
     let folder = std::env::temp_dir().join(format!("topazyard-ending-{}", std::process::id()));
-    let http = free_address();
+    let http = stand_ins::loopback::free_address();
     let settings = settings(http, &folder);
     let (terminate, terminated) = tokio::sync::oneshot::channel::<()>();
     let process = std::thread::spawn(move || {
--- a/programs/topazyard-relay/tests/edge.rs
+++ b/programs/topazyard-relay/tests/edge.rs
@@ -4,6 +4,7 @@
 //! Every prompt must end with the right final answer, with one release of its hold, and without a
 //! run that nobody waits for.
 
+use stand_ins::loopback::free_address;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use topazyard_types::{EngineName, Epoch, FleetId, HoldId, NodeId, Place, Sequence, ShardId};
 use topazyard_wire::message::control::{CoreNode, ShardRecord};
@@ -23,11 +24,6 @@
     RUNTIME.get_or_init(|| tokio::runtime::Runtime::new().expect("a runtime"))
 }
 
-fn free_address() -> Address {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
-}
-
 /// What an engine does with a connection once it has read the request.
 #[derive(Clone, Copy)]
 enum Then {
--- a/programs/topazyard-relay/tests/loopback/mod.rs
+++ b/programs/topazyard-relay/tests/loopback/mod.rs
@@ -29,27 +29,18 @@
     })
 }
 
-fn free_address() -> Address {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
-}
-
 /// A relay's machine and links, on a port that is free.
 fn spawn_relay(
     agent: Address,
 ) -> (topazyard_relay::front::Handle, tokio::sync::mpsc::Receiver<topazyard_relay::RelayTask>) {
-    let bounds = || topazyard_spec::Bounds { grace: GRACE, ..Default::default() };
-    let spawned = (0..10).find_map(|_| {
-        // Between the look and the use another may take it.
-        let address = free_address();
-        let start = topazyard_relay::Start { node: NodeId(9), agent, bounds: bounds() };
-        let place = topazyard_wire::driver::Place { fleet: FLEET, node: NodeId(9), address };
-        let (tasks, begun) = tokio::sync::mpsc::channel(64);
-        let make = move |_| (topazyard_relay::RelayMachine::new(&start), Vec::new());
-        let handle = topazyard_wire::driver::spawn(make, place, None, tasks).ok()?;
-        Some((handle, begun))
-    });
-    spawned.expect("a relay")
+    let bounds = topazyard_spec::Bounds { grace: GRACE, ..Default::default() };
+    let address = stand_ins::loopback::free_address();
+    let start = topazyard_relay::Start { node: NodeId(9), agent, bounds };
+    let place = topazyard_wire::driver::Place { fleet: FLEET, node: NodeId(9), address };
+    let (tasks, begun) = tokio::sync::mpsc::channel(64);
+    let make = move |_| (topazyard_relay::RelayMachine::new(&start), Vec::new());
+    let handle = topazyard_wire::driver::spawn(make, place, None, tasks).expect("a relay");
+    (handle, begun)
 }
 
 /// An outer adapter, and the headers of requests that engines and clients need to know.
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -1,4 +1,5 @@
 //! Stand-ins for what topazyard meets from outside: engines, the platform and clients.
 
+pub mod loopback;
 pub mod prompt;
 pub mod tally;
