Change a configuration in part: PATCH, spec patch, and the simulator's operators

Change: topazyard-spec has Patch (fields, upsert and remove by name; what is replaced keeps its place). The primary applies it to the version in force, to the bundle and to the source that is read back, in the same step as it takes it: nothing by halves. Base, version, digest of the order and refusals are those of a whole configuration. Simulated operators order in part in two of ten orders, now and then two in a race.

Ruled out: a patch worked out at the node that gets it, since another order may come between.

--- a/fleet-simulator/src/history/configurations.rs
+++ b/fleet-simulator/src/history/configurations.rs
@@ -36,6 +36,8 @@
     pub source: bytes::Bytes,
     /// What tells it apart where it is in force; none if it is invalid.
     pub fingerprint: Option<Digest>,
+    /// The change that was sent in place of the whole, if it was one.
+    pub patch: Option<String>,
     /// Each sending, in order.
     pub attempts: Vec<OrderAttempt>,
 }
--- a/fleet-simulator/src/people/configurations.rs
+++ b/fleet-simulator/src/people/configurations.rs
@@ -127,7 +127,8 @@
             return;
         }
         match self.draw(0..10) {
-            0..=3 => self.order_on(base, None),
+            0 | 1 => self.order_on(base, None),
+            2 | 3 => self.order_in_part(base),
             4 | 5 => {
                 // Two operators under one number.
                 let number = self.next_number(base);
@@ -148,6 +149,31 @@
         }
     }
 
+    /// An order that says only what it changes of the configuration that an operator knows under
+    /// that number; a whole one where none does. Now and then two operators race with such orders.
+    fn order_in_part(&mut self, base: u64) {
+        let Some(before) = self.known_source(base) else { return self.order_on(base, None) };
+        for _ in 0..=self.draw(0..2) {
+            let number = self.next_number(base);
+            let after = self.draw(0..3_000);
+            if let Some(content) = self.changed_content(&before) {
+                self.begin_order(number, base, content, after);
+            }
+        }
+    }
+
+    /// What was acknowledged or read back under a number.
+    fn known_source(&self, number: u64) -> Option<bytes::Bytes> {
+        let numbered = || self.history.orders.iter().filter(|order| order.number == number);
+        let acknowledged = numbered().find(|o| o.first(OrderAnswer::Acknowledged).is_some());
+        let was_read = |source: &bytes::Bytes| {
+            let told = self.history.read_backs.iter().filter_map(|read| read.told.as_ref());
+            told.into_iter().any(|(_, told)| *told == ReadBack::Given(source.clone()))
+        };
+        let known = acknowledged.or_else(|| numbered().find(|order| was_read(&order.source)));
+        known.map(|order| order.source.clone())
+    }
+
     /// Two orders of which one builds on the other, which may still be under way.
     fn order_in_turn(&mut self, base: u64) {
         let number = self.next_number(base);
@@ -182,6 +208,7 @@
             base,
             source: content.source,
             fingerprint: content.fingerprint,
+            patch: content.patch,
             attempts: Vec::new(),
         });
         self.people.orders.standings.push(Standing::Open);
--- a/fleet-simulator/src/people/configurations/contents.rs
+++ b/fleet-simulator/src/people/configurations/contents.rs
@@ -1,7 +1,7 @@
 //! What stands in a numbered configuration: lanes as ever, and routes that come, change and go.
 
 use crate::world::World;
-use topazyard_spec::Bundle;
+use topazyard_spec::{Bundle, Patch};
 use topazyard_types::Digest;
 
 /// What is wrong with an invalid configuration.
@@ -36,6 +36,19 @@
     pub(super) source: bytes::Bytes,
     /// What tells it apart where it is in force; none if its content is invalid.
     pub(super) fingerprint: Option<Digest>,
+    /// The change that makes it of the one that it builds on, where only that is sent.
+    pub(super) patch: Option<String>,
+}
+
+impl Content {
+    /// The content that a text comes to.
+    fn of(text: String, patch: Option<String>) -> Self {
+        let fingerprint = Bundle::read(&text).ok().map(|bundle| {
+            let routes = bundle.routes.clone();
+            fingerprint(&Bundle { routes: Vec::new(), ..bundle }, routes.iter())
+        });
+        Self { source: text.into(), fingerprint, patch }
+    }
 }
 
 /// Routes whose number of tokens, pools and times change from one configuration to the next.
@@ -63,11 +76,33 @@
         if fault == Some(Fault::Unreadable) {
             text.truncate(text.len() / 2);
         }
-        let fingerprint = Bundle::read(&text).ok().map(|bundle| {
-            let routes = bundle.routes.clone();
-            fingerprint(&Bundle { routes: Vec::new(), ..bundle }, routes.iter())
-        });
-        Content { source: text.into(), fingerprint }
+        Content::of(text, None)
+    }
+
+    /// A content that changes another in part: the route that tells it apart is replaced, and some
+    /// of the others are added, replaced or removed. None where the other is no sound bundle.
+    pub(super) fn changed_content(&mut self, before: &[u8]) -> Option<Content> {
+        let order = self.history.orders.len();
+        let bundle = Bundle::read(std::str::from_utf8(before).ok()?).ok()?;
+        let mut upserted = vec![route("only", &format!("/{order}/"), "main", 1, 1_000)];
+        let mut removed = Vec::new();
+        for number in 0..CHANGING_ROUTES {
+            let name = format!("route-{number}");
+            let is_there = bundle.routes.iter().any(|route| route.name.0 == name);
+            match self.draw(0..4) {
+                0 if is_there => removed.push(name),
+                0 | 1 => {}
+                _ => {
+                    let timeout_ms = 500 + 250 * self.draw(0..4);
+                    upserted.push(route(&name, "/", "main", 1, timeout_ms));
+                }
+            }
+        }
+        let lists = |items| std::collections::BTreeMap::from([("routes".to_owned(), items)]);
+        let remove = std::collections::BTreeMap::from([("routes".to_owned(), removed)]);
+        let patch = Patch { upsert: lists(upserted), remove, ..Patch::default() };
+        let after = patch.apply(&serde_json::from_slice(before).ok()?).ok()?;
+        Some(Content::of(after.to_string(), serde_json::to_string(&patch).ok()))
     }
 }
 
--- a/fleet-simulator/src/people/configurations/sending.rs
+++ b/fleet-simulator/src/people/configurations/sending.rs
@@ -2,11 +2,11 @@
 //! second of silence, with a pause that grows.
 
 use super::{OrderDoing, Standing};
-use crate::history::{OrderAnswer, OrderAttempt, Us};
+use crate::history::{OrderAnswer, OrderAttempt, OrderSeen, Us};
 use crate::people::Doing;
 use crate::world::{Caller, Kind, NodeIndex, Plant, World};
 use topazyard_types::SpecVersion;
-use topazyard_wire::message::operate::{Command, Operate};
+use topazyard_wire::message::operate::{Command, Operate, SourcePatch};
 
 /// After how long without an answer an operator goes on to another node.
 const SILENCE_US: Us = 1_000_000;
@@ -57,12 +57,7 @@
             return;
         }
         let seen = &self.history.orders[order];
-        let command = Command::TakeSpec {
-            base: SpecVersion(seen.base),
-            version: SpecVersion(seen.number),
-            text: String::from_utf8_lossy(&seen.source).into_owned(),
-            source: seen.source.clone(),
-        };
+        let command = command_of(seen);
         let caller = Caller::Person(Doing::Configuration(OrderDoing::Answered(order, attempt)));
         self.call_control(node, Operate::Command(command), caller);
     }
@@ -74,3 +69,30 @@
         self.after(pause, OrderDoing::Send(order).event());
     }
 }
+
+/// The largest configuration that an operator's order may make, in bytes.
+const MOST_SOURCE_BYTES: u64 = 4 * 1024 * 1024;
+
+/// What an order asks of control.
+fn command_of(order: &OrderSeen) -> Command {
+    let (base, version) = (SpecVersion(order.base), SpecVersion(order.number));
+    match &order.patch {
+        None => Command::TakeSpec {
+            base,
+            version,
+            text: String::from_utf8_lossy(&order.source).into_owned(),
+            source: order.source.clone(),
+        },
+        // What is read back is the bundle itself, so both are changed alike.
+        Some(patch) => Command::PatchSpec {
+            base,
+            version,
+            patch: patch.clone(),
+            source: SourcePatch {
+                order: patch.clone().into(),
+                patch: patch.clone(),
+                most_bytes: MOST_SOURCE_BYTES,
+            },
+        },
+    }
+}
--- a/libraries/topazyard-spec/src/bundle.rs
+++ b/libraries/topazyard-spec/src/bundle.rs
@@ -250,6 +250,16 @@
         crate::faults::read(text)
     }
 
+    /// This bundle with a partial change made, checked as a whole one is.
+    ///
+    /// # Errors
+    /// Every fault of the change, or of the bundle that it would make.
+    pub fn patched(&self, patch: &crate::Patch) -> Result<Self, crate::ReadError> {
+        let before = serde_json::to_value(self).map_err(|e| crate::ReadError::of_json(&e))?;
+        let after = patch.apply(&before).map_err(crate::ReadError::Faults)?;
+        Self::read(&after.to_string())
+    }
+
     /// The pool of that name.
     ///
     /// ```
--- a/libraries/topazyard-spec/src/faults.rs
+++ b/libraries/topazyard-spec/src/faults.rs
@@ -21,6 +21,8 @@
     NamedTwice(String),
     /// no pool is named {0:?}
     UnknownPool(String),
+    /// nothing is named {0:?}
+    NotThere(String),
     /// not of the expected shape: {0}
     Shape(String),
     /// {0:?} is not an address of the form IP:PORT
@@ -43,6 +45,19 @@
 
 impl std::error::Error for ReadError {}
 
+impl ReadError {
+    /// What serde says of a text that is no declaration.
+    pub(crate) fn of_json(error: &serde_json::Error) -> Self {
+        match error.classify() {
+            serde_json::error::Category::Data => Self::Faults(vec![Fault {
+                place: format!("line {} column {}", error.line(), error.column()),
+                reason: FaultReason::Shape(error.to_string()),
+            }]),
+            _ => Self::NotJson { line: error.line(), column: error.column() },
+        }
+    }
+}
+
 /// Reads JSON into a checked declaration, or gives every fault with its place.
 ///
 /// ```
@@ -56,13 +71,7 @@
 where
     T: serde::de::DeserializeOwned + garde::Validate<Context = ()> + CrossCheck,
 {
-    let declaration: T = serde_json::from_str(text).map_err(|error| match error.classify() {
-        serde_json::error::Category::Data => ReadError::Faults(vec![Fault {
-            place: format!("line {} column {}", error.line(), error.column()),
-            reason: FaultReason::Shape(error.to_string()),
-        }]),
-        _ => ReadError::NotJson { line: error.line(), column: error.column() },
-    })?;
+    let declaration: T = serde_json::from_str(text).map_err(|error| ReadError::of_json(&error))?;
     let mut faults = Vec::new();
     if let Err(report) = declaration.validate() {
         faults.extend(report.iter().map(|(place, error)| Fault {
--- a/libraries/topazyard-spec/src/lib.rs
+++ b/libraries/topazyard-spec/src/lib.rs
@@ -5,11 +5,13 @@
 pub mod engines;
 pub mod faults;
 mod names;
+pub mod patch;
 pub mod routes;
 pub mod settings;
 
 pub use bundle::{BatchLimits, Bundle, EngineShape, Lane, LaneKind, Pool, WeightBounds};
 pub use engines::{Engine, EngineList, EngineState};
 pub use faults::{Fault, FaultReason, ReadError};
+pub use patch::Patch;
 pub use routes::{BatchTerms, ClientLimits, PoolShare, Route, RouteKind};
 pub use settings::{Bounds, NodeSettings, Reread, Resources, Settings, SettingsError};
--- /dev/null
+++ b/libraries/topazyard-spec/tests/patching.rs
@@ -0,0 +1,99 @@
+//! Partial changes of a bundle: what they make of it, and each kind that is refused.
+
+use topazyard_spec::{Bundle, Fault, FaultReason, Patch, ReadError};
+
+fn route(name: &str, prefix: &str, pool: &str) -> serde_json::Value {
+    serde_json::json!({ "name": name, "host": "a.example", "path_prefix": prefix, "kind": "safe",
+        "pools": [{ "pool": pool, "weight": 1 }], "timeout_ms": 500, "max_attempts": 1 })
+}
+
+fn bundle() -> Bundle {
+    let text = serde_json::json!({ "pools": [{ "name": "main" }, { "name": "other" }],
+        "routes": [route("a", "/a/", "main"), route("b", "/b/", "main"), route("c", "/c/", "other")] });
+    Bundle::read(&text.to_string()).expect("a sound bundle")
+}
+
+fn patched(patch: serde_json::Value) -> Result<Bundle, ReadError> {
+    bundle().patched(&Patch::read(&patch.to_string())?)
+}
+
+fn faults(patch: serde_json::Value) -> Vec<Fault> {
+    match patched(patch) {
+        Err(ReadError::Faults(faults)) => faults,
+        other => panic!("not refused with faults: {other:?}"),
+    }
+}
+
+fn names(bundle: &Bundle) -> Vec<&str> {
+    bundle.routes.iter().map(|route| route.name.0.as_str()).collect()
+}
+
+#[test]
+fn what_is_replaced_keeps_its_place_and_what_is_added_comes_last() {
+    let after = patched(serde_json::json!({
+        "upsert": { "routes": [route("d", "/d/", "main"), route("b", "/new/", "main")] },
+        "remove": { "routes": ["a"] } }))
+    .expect("a sound change");
+    assert_eq!(names(&after), ["b", "c", "d"]);
+    assert_eq!(after.routes[0].path_prefix, "/new/");
+    assert_eq!(after.pools, bundle().pools);
+}
+
+#[test]
+fn nothing_but_what_is_named_changes() {
+    assert_eq!(patched(serde_json::json!({})).expect("an empty change"), bundle());
+    let same = serde_json::json!({ "upsert": { "routes": [route("b", "/b/", "main")] } });
+    assert_eq!(patched(same).expect("a sound change"), bundle());
+}
+
+#[test]
+fn fields_are_set_whole() {
+    let clients = serde_json::json!({ "fields": { "weights": { "live_floor_percent": 10,
+        "live_start_percent": 20, "live_ceiling_percent": 30 } } });
+    let after = patched(clients).expect("a sound change");
+    assert_eq!(after.weights.live_ceiling_percent, 30);
+    assert_eq!(after.routes, bundle().routes);
+}
+
+#[test]
+fn a_service_and_its_last_route_go_together_and_not_alone() {
+    let alone = faults(serde_json::json!({ "remove": { "pools": ["other"] } }));
+    assert!(alone.iter().any(|f| f.reason == FaultReason::UnknownPool("other".to_owned())));
+    let both = serde_json::json!({ "remove": { "pools": ["other"], "routes": ["c"] } });
+    assert_eq!(names(&patched(both).expect("a sound change")), ["a", "b"]);
+}
+
+#[test]
+fn a_change_that_cannot_be_made_says_each_place() {
+    let found = faults(serde_json::json!({
+        "upsert": { "routes": [{ "host": "a" }, route("b", "/b/", "main"), route("b", "/x/", "main"),
+            route("a", "/a/", "main")] },
+        "remove": { "routes": ["a", "nobody", "c", "c"] } }));
+    let places: Vec<&str> = found.iter().map(|fault| fault.place.as_str()).collect();
+    assert_eq!(
+        places,
+        [
+            "remove.routes[1]",
+            "remove.routes[3]",
+            "upsert.routes[0].name",
+            "upsert.routes[2].name",
+            "upsert.routes[3].name"
+        ]
+    );
+    assert_eq!(found[0].reason, FaultReason::NotThere("nobody".to_owned()));
+}
+
+#[test]
+fn what_is_no_list_of_the_bundle_is_refused() {
+    for patch in [
+        serde_json::json!({ "upsert": { "weights": [{ "name": "x" }] } }),
+        serde_json::json!({ "upsert": { "unheard": [{ "name": "x" }] } }),
+        serde_json::json!({ "fields": { "unheard": 1 } }),
+        serde_json::json!({ "upsert": { "routes": [route("b", "/c/", "main"),
+            route("c", "/c/", "main")] } }),
+    ] {
+        assert!(!faults(patch.clone()).is_empty(), "{patch}");
+    }
+    assert!(matches!(Patch::read(r#"{"insert": {}}"#), Err(ReadError::Faults(_))));
+    assert!(matches!(Patch::read("{"), Err(ReadError::NotJson { .. })));
+}
--- a/libraries/topazyard-wire/src/message/operate.rs
+++ b/libraries/topazyard-wire/src/message/operate.rs
@@ -43,6 +43,18 @@
     Query(Query),
 }
 
+/// A partial change of the source that an outer adapter made a bundle from. The source is JSON
+/// then, with lists of named items.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct SourcePatch {
+    /// The order as the adapter got it, which tells it from others.
+    pub order: bytes::Bytes,
+    /// The change, as a [`topazyard_spec::Patch`] in JSON.
+    pub patch: String,
+    /// The largest source that the adapter takes, in bytes.
+    pub most_bytes: u64,
+}
+
 /// What changes state.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Command {
@@ -77,6 +89,24 @@
         /// What an outer adapter made it from; it is read back byte for byte.
         source: bytes::Bytes,
     },
+    /// Submit the bundle that a partial change makes of a version.
+    SubmitPatch {
+        /// The version it builds on.
+        base: SpecVersion,
+        /// The change, as a [`topazyard_spec::Patch`] in JSON.
+        patch: String,
+    },
+    /// Change the spec in force in part, under the terms of [`Command::TakeSpec`].
+    PatchSpec {
+        /// The version in force that it builds on.
+        base: SpecVersion,
+        /// Its own version, above the one in force.
+        version: SpecVersion,
+        /// The change of the bundle, as a [`topazyard_spec::Patch`] in JSON.
+        patch: String,
+        /// The change of the source that is read back.
+        source: SourcePatch,
+    },
     /// Replace the engine list by one that this process was given by the platform.
     ListEngines(Vec<topazyard_spec::Engine>),
     /// Replace the engine list.
@@ -116,6 +146,7 @@
     pub fn must_be_fresh(&self) -> bool {
         match self {
             Self::SubmitSpec { .. } | Self::TakeSpec { .. } => false,
+            Self::SubmitPatch { .. } | Self::PatchSpec { .. } => false,
             // This node's own duties: said again, or under an epoch.
             Self::ListEngines(_) | Self::SetWeight { .. } => false,
             Self::SignOff { .. }
@@ -136,7 +167,7 @@
     /// assert!(!Command::RetireNamed("storage-1".into()).is_configuration());
     /// ```
     pub fn is_configuration(&self) -> bool {
-        matches!(self, Self::TakeSpec { .. } | Self::RollOut { .. })
+        matches!(self, Self::TakeSpec { .. } | Self::PatchSpec { .. } | Self::RollOut { .. })
     }
 }
 
--- a/programs/topazyard-control/src/http.rs
+++ b/programs/topazyard-control/src/http.rs
@@ -16,6 +16,14 @@
     bundle: &'a serde_json::value::RawValue,
 }
 
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PatchBody<'a> {
+    base: SpecVersion,
+    #[serde(borrow)]
+    patch: &'a serde_json::value::RawValue,
+}
+
 #[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 struct SignBody {
@@ -74,6 +82,11 @@
             let text = submit.bundle.get().to_owned();
             command(Command::SubmitSpec { base: submit.base, text })
         }
+        ("PATCH", ["specs"]) => {
+            let change: PatchBody<'_> = read_json(body)?;
+            let patch = change.patch.get().to_owned();
+            command(Command::SubmitPatch { base: change.base, patch })
+        }
         ("POST", ["specs", version, "sign-off"]) => {
             let sign: SignBody = read_json(body)?;
             if sign.by.is_empty() {
--- a/programs/topazyard-control/src/machine/commands.rs
+++ b/programs/topazyard-control/src/machine/commands.rs
@@ -5,7 +5,7 @@
 use topazyard_types::{Digest, MonotonicMs, NodeId, SpecVersion};
 use topazyard_wire::RowChange;
 use topazyard_wire::api::{ApiError, Code};
-use topazyard_wire::message::operate::Command;
+use topazyard_wire::message::operate::{Command, SourcePatch};
 use topazyard_wire::state::{
     ENGINES, FleetView, IN_FORCE, InForceRow, ROUTES, SPECS, SpecRow, SpecStage, StorageRow,
     StorageStage, WeightRow, engine_key, route_key, spec_key, storage_key, weight_key,
@@ -20,11 +20,44 @@
     Digest::of(&[b"submitted", text.as_bytes()])
 }
 
+/// The digest that tells a submitted change from other submissions.
+fn digest_of_submitted_patch(patch: &str) -> Digest {
+    Digest::of(&[b"submitted patch", patch.as_bytes()])
+}
+
+/// The digest that tells a partial change with its own version from other orders.
+fn digest_of_patch(order: &[u8]) -> Digest {
+    Digest::of(&[b"patch", order])
+}
+
 /// The digest that tells an order with its own version from another.
 fn digest_of_source(source: &[u8]) -> Digest {
     Digest::of(&[b"source", source])
 }
 
+/// A bundle's text with a partial change made.
+fn patched(text: &str, patch: &str) -> Result<topazyard_spec::Bundle, ApiError> {
+    let patch = topazyard_spec::Patch::read(patch).map_err(ApiError::of_read)?;
+    let bundle = topazyard_spec::Bundle::read(text).map_err(ApiError::of_read)?;
+    bundle.patched(&patch).map_err(ApiError::of_read)
+}
+
+/// The source that is read back, with a partial change made.
+fn patched_source(before: Option<&[u8]>, change: &SourcePatch) -> Result<bytes::Bytes, ApiError> {
+    let invalid = || ApiError::not_run(Code::InvalidSpec).at("source");
+    let before: serde_json::Value =
+        before.and_then(|text| serde_json::from_slice(text).ok()).ok_or_else(invalid)?;
+    let patch = topazyard_spec::Patch::read(&change.patch).map_err(ApiError::of_read)?;
+    let after = patch
+        .apply(&before)
+        .map_err(|faults| ApiError::of_read(topazyard_spec::ReadError::Faults(faults)))?;
+    let after = bytes::Bytes::from(after.to_string());
+    if after.len() as u64 > change.most_bytes {
+        return Err(ApiError::not_run(Code::BodyTooLarge).at("source"));
+    }
+    Ok(after)
+}
+
 impl ControlMachine {
     pub(super) fn judge(&self, command: &Command, now: MonotonicMs) -> Judged {
         match command {
@@ -34,6 +67,10 @@
             Command::TakeSpec { base, version, text, source } => {
                 self.take_spec(*base, *version, text, source)
             }
+            Command::SubmitPatch { base, patch } => self.submit_patch(*base, patch),
+            Command::PatchSpec { base, version, patch, source } => {
+                self.patch_spec(*base, *version, patch, source)
+            }
             Command::ListEngines(engines) => Ok(self.list_engines(engines)),
             Command::PutEngines { text } => self.put_engines(text),
             Command::EmptyStorage(id) => self.empty_storage(*id, now),
@@ -82,6 +119,28 @@
         }
         topazyard_spec::Bundle::read(text).map_err(ApiError::of_read)?;
         Self::check_base(base, self.newest_version())?;
+        Ok((self.submitted(base, text, digest), done))
+    }
+
+    /// The whole bundle that a change makes of the newest version, submitted as its successor.
+    fn submit_patch(&self, base: SpecVersion, patch: &str) -> Judged {
+        let version = SpecVersion(base.0.saturating_add(1));
+        let done = serde_json::json!({ "version": version });
+        let digest = digest_of_submitted_patch(patch);
+        match self.known_order(version, digest) {
+            Known::Taken => return Ok((Vec::new(), done)),
+            Known::Forgotten => return Err(unclear()),
+            Known::NotTaken => {}
+        }
+        Self::check_base(base, self.newest_version())?;
+        let bundle = patched(&self.patchable(base)?.text, patch)?;
+        let text = serde_json::to_string(&bundle).unwrap_or_default();
+        Ok((self.submitted(base, &text, digest), done))
+    }
+
+    /// The changes that submit a bundle as the successor of its base.
+    fn submitted(&self, base: SpecVersion, text: &str, digest: Digest) -> Vec<RowChange> {
+        let version = SpecVersion(base.0.saturating_add(1));
         let row = SpecRow {
             version,
             base,
@@ -94,7 +153,7 @@
         let mut changes = self.drop_old_texts(&change, self.version_in_force());
         changes.push(change);
         changes.extend(self.remember_order(version, digest));
-        Ok((changes, done))
+        changes
     }
 
     /// Checks, takes and rolls out in one step. A source that was taken under its version before is
@@ -114,17 +173,8 @@
             Known::NotTaken => {}
         }
         let bundle = topazyard_spec::Bundle::read(text).map_err(ApiError::of_read)?;
-        let newest = self.version_in_force();
-        Self::check_base(base, newest)?;
-        if version <= newest || version <= self.newest_version() {
-            let reason = "a version is above all before it".to_owned();
-            let fault = topazyard_spec::Fault {
-                place: "version".to_owned(),
-                reason: topazyard_spec::FaultReason::OutOfBounds(reason),
-            };
-            let refused = ApiError::not_run(Code::InvalidSpec).at("version");
-            return Err(ApiError { faults: vec![fault], ..refused });
-        }
+        Self::check_base(base, self.version_in_force())?;
+        self.check_rises(version)?;
         let row = SpecRow {
             version,
             base,
@@ -133,12 +183,76 @@
             text: text.to_owned(),
             source: Some(source.clone()),
         };
-        let change = RowChange::put(spec_key(version), &row);
-        let mut changes = self.drop_old_texts(&change, version);
+        Ok((self.taken(&row, bundle, digest), done))
+    }
+
+    /// Makes a partial change of the spec in force, and of the source that is read back, in one
+    /// step with taking it.
+    fn patch_spec(
+        &self,
+        base: SpecVersion,
+        version: SpecVersion,
+        patch: &str,
+        source: &SourcePatch,
+    ) -> Judged {
+        let done = serde_json::json!({ "version": version, "in_force": true });
+        let digest = digest_of_patch(&source.order);
+        match self.known_order(version, digest) {
+            Known::Taken => return Ok((Vec::new(), done)),
+            Known::Forgotten => return Err(unclear()),
+            Known::NotTaken => {}
+        }
+        Self::check_base(base, self.version_in_force())?;
+        let before = self.patchable(base)?;
+        let bundle = patched(&before.text, patch)?;
+        let source = patched_source(before.source.as_deref(), source)?;
+        self.check_rises(version)?;
+        let row = SpecRow {
+            version,
+            base,
+            stage: SpecStage::RolledOut,
+            signed_by: None,
+            text: serde_json::to_string(&bundle).unwrap_or_default(),
+            source: Some(source),
+        };
+        Ok((self.taken(&row, bundle, digest), done))
+    }
+
+    /// The version that a partial change builds on.
+    fn patchable(&self, base: SpecVersion) -> Result<SpecRow, ApiError> {
+        match base {
+            SpecVersion(0) => Err(ApiError::not_run(Code::InvalidSpec).at("base")),
+            _ => self.spec(base),
+        }
+    }
+
+    /// Checks that an order's own version is above all before it.
+    fn check_rises(&self, version: SpecVersion) -> Result<(), ApiError> {
+        if version > self.version_in_force() && version > self.newest_version() {
+            return Ok(());
+        }
+        let reason = "a version is above all before it".to_owned();
+        let fault = topazyard_spec::Fault {
+            place: "version".to_owned(),
+            reason: topazyard_spec::FaultReason::OutOfBounds(reason),
+        };
+        let refused = ApiError::not_run(Code::InvalidSpec).at("version");
+        Err(ApiError { faults: vec![fault], ..refused })
+    }
+
+    /// The changes that take a version and put it in force in one step.
+    fn taken(
+        &self,
+        row: &SpecRow,
+        bundle: topazyard_spec::Bundle,
+        digest: Digest,
+    ) -> Vec<RowChange> {
+        let change = RowChange::put(spec_key(row.version), row);
+        let mut changes = self.drop_old_texts(&change, row.version);
         changes.push(change);
-        changes.extend(self.remember_order(version, digest));
-        changes.extend(self.in_force(version, bundle));
-        Ok((changes, done))
+        changes.extend(self.remember_order(row.version, digest));
+        changes.extend(self.in_force(row.version, bundle));
+        changes
     }
 
     /// The rows that put a bundle in force: each route in a row of its own, so that followers are
--- a/programs/topazyard-control/src/machine/operate.rs
+++ b/programs/topazyard-control/src/machine/operate.rs
@@ -84,7 +84,10 @@
 ) -> Option<Effect<OperateOutcome, super::ControlTask>> {
     let order = match command {
         Command::TakeSpec { base, version, .. } => format!("spec {version} on {base}"),
-        Command::SubmitSpec { base, .. } => format!("submission on {base}"),
+        Command::PatchSpec { base, version, .. } => format!("patch {version} on {base}"),
+        Command::SubmitSpec { base, .. } | Command::SubmitPatch { base, .. } => {
+            format!("submission on {base}")
+        }
         Command::RetireNamed(name) => format!("retirement of {name}"),
         _ => return None,
     };
--- a/programs/topazyard-control/tests/orders.rs
+++ b/programs/topazyard-control/tests/orders.rs
@@ -8,7 +8,9 @@
 use topazyard_types::SpecVersion;
 use topazyard_wire::Message;
 use topazyard_wire::api::Code;
-use topazyard_wire::message::operate::{Command, Operate, OperateMessage, OperateOutcome, Query};
+use topazyard_wire::message::operate::{
+    Command, Operate, OperateMessage, OperateOutcome, Query, SourcePatch,
+};
 
 fn bundle(routes: usize) -> String {
     let routes: Vec<_> = (0..routes)
@@ -412,3 +414,102 @@
     refused(fleet.command(1, order(5, 6, "b")), Code::StaleBase);
     source_is(&mut fleet, 2, "a 7");
 }
+
+/// A source as an adapter writes it: JSON with a list of named items.
+fn whole(base: u64, version: u64) -> Command {
+    Command::TakeSpec {
+        base: SpecVersion(base),
+        version: SpecVersion(version),
+        text: bundle(3),
+        source: br#"{"items":[{"name":"r0"},{"name":"r1"},{"name":"r2"}],"number":1}"#[..].into(),
+    }
+}
+
+/// A change that removes one route, in the bundle and in the source.
+fn removal(base: u64, version: u64, route: &str) -> Command {
+    let patch = serde_json::json!({ "remove": { "routes": [route] } }).to_string();
+    let of_source =
+        serde_json::json!({ "fields": { "number": version }, "remove": { "items": [route] } });
+    Command::PatchSpec {
+        base: SpecVersion(base),
+        version: SpecVersion(version),
+        source: SourcePatch {
+            order: patch.clone().into(),
+            patch: of_source.to_string(),
+            most_bytes: 1_000,
+        },
+        patch,
+    }
+}
+
+#[test]
+fn a_partial_change_makes_a_whole_configuration_and_is_acknowledged_again() {
+    let mut fleet = running();
+    refused(fleet.command(0, removal(0, 5, "r1")), Code::InvalidSpec);
+    taken(fleet.command(0, whole(0, 1)));
+    taken(fleet.command(1, removal(1, 5, "r1")));
+    source_is(&mut fleet, 2, r#"{"items":[{"name":"r0"},{"name":"r2"}],"number":5}"#);
+    let Some(OperateOutcome::Done(read)) = fleet.query(0, Query::ReadSpec(None)) else {
+        panic!("not read");
+    };
+    let read: serde_json::Value = serde_json::from_str(&read).expect("JSON");
+    let names: Vec<_> = read["bundle"]["routes"].as_array().expect("routes").iter().collect();
+    assert_eq!(
+        names.iter().map(|r| r["name"].as_str()).collect::<Vec<_>>(),
+        [Some("r0"), Some("r2")]
+    );
+    // Sent again, also once others came after it and after a restart.
+    taken(fleet.command(2, removal(1, 5, "r1")));
+    taken(fleet.command(0, removal(5, 8, "r0")));
+    (0..3).for_each(|number| fleet.stop(number, false));
+    fleet.may_found = false;
+    (0..3).for_each(|number| fleet.start(number));
+    fleet.run(6_000);
+    taken(fleet.command(2, removal(1, 5, "r1")));
+    source_is(&mut fleet, 1, r#"{"items":[{"name":"r2"}],"number":8}"#);
+}
+
+#[test]
+fn of_two_partial_changes_on_one_version_one_is_taken() {
+    let mut fleet = running();
+    taken(fleet.command(0, whole(0, 1)));
+    taken(at_once(&mut fleet, 0, removal(1, 5, "r1")));
+    refused(at_once(&mut fleet, 0, removal(1, 6, "r0")), Code::StaleBase);
+    refused(at_once(&mut fleet, 1, removal(1, 5, "r0")), Code::StaleBase);
+    source_is(&mut fleet, 2, r#"{"items":[{"name":"r0"},{"name":"r2"}],"number":5}"#);
+}
+
+#[test]
+fn a_partial_change_that_cannot_be_made_changes_nothing() {
+    let mut fleet = running();
+    taken(fleet.command(0, whole(0, 3)));
+    refused(fleet.command(0, removal(3, 5, "nobody")), Code::InvalidSpec);
+    refused(fleet.command(0, removal(3, 2, "r1")), Code::InvalidSpec);
+    let Command::PatchSpec { base, version, patch, source } = removal(3, 5, "r1") else {
+        panic!("a partial change");
+    };
+    let small = SourcePatch { most_bytes: 10, ..source.clone() };
+    let oversized = Command::PatchSpec { base, version, patch: patch.clone(), source: small };
+    refused(fleet.command(0, oversized), Code::BodyTooLarge);
+    let apart = SourcePatch { patch: r#"{"remove":{"items":["r7"]}}"#.into(), ..source };
+    refused(
+        fleet.command(0, Command::PatchSpec { base, version, patch, source: apart }),
+        Code::InvalidSpec,
+    );
+    source_is(&mut fleet, 0, r#"{"items":[{"name":"r0"},{"name":"r1"},{"name":"r2"}],"number":1}"#);
+}
+
+#[test]
+fn a_submitted_change_waits_for_its_signature() {
+    let mut fleet = running();
+    let patch = || Command::SubmitPatch {
+        base: SpecVersion(1),
+        patch: r#"{"remove":{"routes":["r0"]}}"#.into(),
+    };
+    taken(fleet.command(0, submission(0, 2)));
+    assert_eq!(taken(fleet.command(1, patch()))["version"], 2);
+    assert_eq!(taken(fleet.command(2, patch()))["version"], 2);
+    let read = taken(fleet.query(0, Query::ReadSpec(Some(SpecVersion(2)))));
+    assert_eq!(read["stage"], "submitted");
+    assert_eq!(read["bundle"]["routes"].as_array().map(Vec::len), Some(1));
+}
--- a/programs/topazyard-operator/src/bundle_file.rs
+++ b/programs/topazyard-operator/src/bundle_file.rs
@@ -11,15 +11,35 @@
 /// Reads and checks a file.
 pub(crate) fn read(file: &std::path::Path) -> Result<BundleFile, OperatorError> {
     let text = crate::read_file(file)?;
-    match topazyard_spec::Bundle::read(&text) {
-        Ok(bundle) => Ok(BundleFile { text, bundle }),
-        Err(topazyard_spec::ReadError::Faults(faults)) => {
-            let lines: Vec<String> =
-                faults.iter().map(|fault| format!("{}: {}", fault.place, fault.reason)).collect();
-            Err(OperatorError::Faults(file.to_owned(), lines.join("\n")))
+    let bundle = topazyard_spec::Bundle::read(&text).map_err(|error| faults(file, error))?;
+    Ok(BundleFile { text, bundle })
+}
+
+/// Reads a partial change. Whether it can be made shows only beside the bundle that it changes.
+pub(crate) fn read_patch(file: &std::path::Path) -> Result<topazyard_spec::Patch, OperatorError> {
+    let text = crate::read_file(file)?;
+    topazyard_spec::Patch::read(&text).map_err(|error| faults(file, error))
+}
+
+/// A bundle with a file's partial change made.
+pub(crate) fn patched(
+    file: &std::path::Path,
+    before: &topazyard_spec::Bundle,
+    patch: &topazyard_spec::Patch,
+) -> Result<topazyard_spec::Bundle, OperatorError> {
+    before.patched(patch).map_err(|error| faults(file, error))
+}
+
+/// What is wrong with a file, a line for each fault.
+fn faults(file: &std::path::Path, error: topazyard_spec::ReadError) -> OperatorError {
+    let text = match error {
+        topazyard_spec::ReadError::Faults(faults) => {
+            let lines = faults.iter().map(|fault| format!("{}: {}", fault.place, fault.reason));
+            lines.collect::<Vec<String>>().join("\n")
         }
-        Err(error) => Err(OperatorError::Faults(file.to_owned(), error.to_string())),
-    }
+        error => error.to_string(),
+    };
+    OperatorError::Faults(file.to_owned(), text)
 }
 
 /// What a control node's answer shows as a version's bundle.
--- a/programs/topazyard-operator/src/main.rs
+++ b/programs/topazyard-operator/src/main.rs
@@ -8,8 +8,8 @@
 #[derive(clap::Parser)]
 #[command(
     version,
-    after_help = "Exit codes: 0 done, or nothing to do; 1 refused, or `spec diff` \
-found differences; 2 a wrong flag or a file that can't be used; 3 no control node could be reached, \
+    after_help = "Exit codes: 0 done, or nothing to do; 1 refused, or `spec diff` or \
+`spec patch --dry-run` found differences; 2 a wrong flag or a file that can't be used; 3 no control node could be reached, \
 or the outcome is unknown"
 )]
 struct Flags {
@@ -63,6 +63,17 @@
         #[arg(long)]
         base: u64,
     },
+    /// Submit what a partial change makes of a version
+    Patch {
+        /// The change, as JSON: `fields` to set, and by list items to `upsert` and names to `remove`
+        file: std::path::PathBuf,
+        /// The version it builds on
+        #[arg(long)]
+        base: u64,
+        /// Only check it, and show what it would change
+        #[arg(long)]
+        dry_run: bool,
+    },
     /// Sign a version off
     SignOff {
         /// The version
@@ -160,6 +171,11 @@
     let post = |path: String, body: String| Ok((Method::POST, path, body));
     match what {
         What::Spec(Spec::Submit { file, base }) => Ok(submit(&read_file(file)?, *base)),
+        What::Spec(Spec::Patch { file, base, .. }) => {
+            let patch = bundle_file::read_patch(file)?;
+            let body = serde_json::json!({ "base": base, "patch": patch }).to_string();
+            Ok((Method::PATCH, "/specs".to_owned(), body))
+        }
         What::Spec(Spec::SignOff { version, by }) => {
             let body = serde_json::json!({ "by": by }).to_string();
             post(format!("/specs/{version}/sign-off"), body)
@@ -236,6 +252,27 @@
     }
 }
 
+/// What a partial change would change of a version, without submitting it.
+async fn try_patch(
+    control: &[std::net::SocketAddr],
+    file: &std::path::Path,
+    base: u64,
+) -> Result<Vec<String>, OperatorError> {
+    let patch = bundle_file::read_patch(file)?;
+    let before = ask(control, &What::Spec(Spec::Read { version: Some(base) })).await?;
+    let before = bundle_file::shown(&before).ok_or(OperatorError::Unknown)?;
+    let after = bundle_file::patched(file, &before, &patch)?;
+    Ok(bundle_file::differences(Some(&before), &after))
+}
+
+/// The text for what was found to differ, and its exit code.
+fn differing(found: &[String]) -> (String, u8) {
+    match found.is_empty() {
+        true => ("no difference".to_owned(), 0),
+        false => (found.join("\n"), 1),
+    }
+}
+
 /// Brings a bundle in force. Said again after a lost answer it goes on where it stood: a version
 /// that was submitted last, holds the same and is not in force yet is taken up.
 async fn apply(
@@ -285,9 +322,10 @@
             let wanted = bundle_file::read(file)?;
             let present = in_force(&flags.control).await?;
             let present = present.as_ref().and_then(bundle_file::shown);
-            let found = bundle_file::differences(present.as_ref(), &wanted.bundle);
-            let text = if found.is_empty() { "no difference".to_owned() } else { found.join("\n") };
-            Ok((text, u8::from(!found.is_empty())))
+            Ok(differing(&bundle_file::differences(present.as_ref(), &wanted.bundle)))
+        }
+        What::Spec(Spec::Patch { file, base, dry_run: true }) => {
+            Ok(differing(&try_patch(&flags.control, file, *base).await?))
         }
         What::Spec(Spec::Apply { file, by }) => Ok((apply(&flags.control, file, by).await?, 0)),
         what => {
