--- a/fleet-measure/src/main.rs
+++ b/fleet-measure/src/main.rs
@@ -1,9 +1,7 @@
 //! Measures simulated and real fleets. Simulated figures are the same on every machine.
 
-mod hollow;
 mod knee;
 mod processor;
-mod scale;
 mod simulated;
 mod watch;
 
@@ -29,11 +27,6 @@
     Growth,
     /// Ramps tokens in flight against one engine and finds the knee of the p99
     Knee(knee::Knee),
-    /// What the real machines cost in one process, as one size grows
-    #[command(subcommand)]
-    Scale(scale::Scale),
-    /// Hollow edge nodes, many in this process, beside the real processes of a fleet
-    Hollow(hollow::Hollow),
     /// Processor time and memory of running processes
     Processor(processor::Processor),
     /// Sends prompts to real relays and shows how service goes, half second by half second
@@ -46,8 +39,6 @@
         Flags::Weights { seeds } => simulated::weights(seeds),
         Flags::Growth => simulated::growth(),
         Flags::Knee(flags) => return on_runtime(knee::run(flags)),
-        Flags::Scale(scale) => scale::run(&scale),
-        Flags::Hollow(flags) => return on_runtime(hollow::run(flags)),
         Flags::Processor(flags) => return processor::run(&flags),
         Flags::Watch(flags) => return on_runtime(watch::run(flags)),
     }
