Choose an item's engine with its hold; lease as the counter grants; hear engines' load

Relays lease items by the dozen and ask for all of them in a loop while there is no room. Change 1: a hold names up to eight engines, and the counter gives the one of which items hold least, in the same step as it checks and adds. A relay's waiting items follow what is granted: one more with each grant, half when there is no room; after a refusal one asks each 50 ms.

Hypothesis 2: engines' load header and fading first words choose better, and of 89 engines seven (three keepers, four drawn) are enough. Change 2: as said; the header is read at the platform's border, told with its age, counted where it can't be read.

--- a/libraries/topazyard-wire/src/message/counter.rs
+++ b/libraries/topazyard-wire/src/message/counter.rs
@@ -1,6 +1,6 @@
 //! Holds on the token budget.
 
-use topazyard_types::{DurationMs, Epoch, HoldId, Life, PoolName, ShardId, Tokens};
+use topazyard_types::{DurationMs, EngineName, Epoch, HoldId, Life, PoolName, ShardId, Tokens};
 
 /// A message to or from the counter's primary, under its epoch.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -26,6 +26,9 @@
     Block,
 }
 
+/// The most engines that a hold may name.
+pub const MOST_ENGINES: usize = 8;
+
 /// A hold, named by the relay that asks and its own rising id.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Hold {
@@ -37,6 +40,9 @@
     pub cost: Tokens,
     /// For what.
     pub kind: HoldKind,
+    /// While it is asked for: engines that it may use, the best first, [`MOST_ENGINES`] at most. Once
+    /// it is granted: the one that it uses. Empty where its engine is not chosen with it.
+    pub engines: Vec<EngineName>,
     /// The terms of the spec in force at the relay, whose word of control is fresh: the counter
     /// may know an older one.
     pub terms: Terms,
@@ -64,6 +70,8 @@
         id: HoldId,
         /// Whether it was added.
         granted: bool,
+        /// Which of the engines that it may use it was given.
+        engine: Option<EngineName>,
     },
     /// The return ended or was cut: let it go.
     Release(HoldId),
--- a/programs/topazyard-relay/src/front/dialect.rs
+++ b/programs/topazyard-relay/src/front/dialect.rs
@@ -1,5 +1,6 @@
 //! What an outer adapter says of requests on routes, in its own names.
 
+use crate::machine::EngineLoad;
 use crate::machine::requests::PromptPart;
 use topazyard_types::{DurationMs, EngineName, Tokens};
 
@@ -42,6 +43,12 @@
     Foreign,
 }
 
+/// what an engine says of its load can't be read
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub struct MalformedLoad;
+
+impl std::error::Error for MalformedLoad {}
+
 /// An outer adapter's names for requests on routes. It translates and decides nothing.
 pub trait Dialect: Send + Sync + 'static {
     /// Reads a request's head.
@@ -68,6 +75,12 @@
         request_id: &hyper::header::HeaderValue,
     ) -> Verdict;
 
+    /// What the head of an engine's response says of its load, if anything.
+    ///
+    /// # Errors
+    /// It says something that is no load.
+    fn load(&self, headers: &hyper::HeaderMap) -> Result<Option<EngineLoad>, MalformedLoad>;
+
     /// A refusal as the client gets it.
     fn refuse(
         &self,
--- a/programs/topazyard-relay/src/front/items.rs
+++ b/programs/topazyard-relay/src/front/items.rs
@@ -96,7 +96,11 @@
     let first = handle.clock().now().since(sent_at);
     let is_delimited = super::engine::is_delimited(response.headers());
     let (head, body) = response.into_parts();
-    match (names.judge(&head, &request_id), head.status.as_u16()) {
+    let verdict = names.judge(&head, &request_id);
+    if verdict != Verdict::Foreign {
+        super::loads::tell(handle, names, &run.target.engine, &head.headers);
+    }
+    match (verdict, head.status.as_u16()) {
         (Verdict::TurnedAway, _) => (RunEnd::NotRun, EngineUse::TurnedAway),
         (Verdict::Failure, 500) => (RunEnd::Failed, failed(handle, run, Failure::Failed)),
         (Verdict::Response, 422) => (RunEnd::Impossible, EngineUse::Whole(first)),
--- /dev/null
+++ b/programs/topazyard-relay/src/front/loads.rs
@@ -0,0 +1,29 @@
+//! What engines say of their load with their responses.
+
+use super::Handle;
+use super::dialect::Dialect;
+use crate::machine::RelayCall;
+use std::sync::atomic::{AtomicU64, Ordering};
+use topazyard_types::EngineName;
+
+static MALFORMED: AtomicU64 = AtomicU64::new(0);
+
+/// Tells the machine what a response's head says of its engine's load; what can't be read is
+/// counted and passed over.
+pub(super) fn tell(
+    handle: &Handle,
+    names: &dyn Dialect,
+    engine: &EngineName,
+    headers: &hyper::HeaderMap,
+) {
+    match names.load(headers) {
+        Ok(Some(load)) => handle.tell(RelayCall::EngineLoad(engine.clone(), load)),
+        Ok(None) => {}
+        Err(_) => drop(MALFORMED.fetch_add(1, Ordering::Relaxed)),
+    }
+}
+
+/// How many could not be read since the process began.
+pub fn malformed() -> u64 {
+    MALFORMED.load(Ordering::Relaxed)
+}
--- a/programs/topazyard-relay/src/front/mod.rs
+++ b/programs/topazyard-relay/src/front/mod.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod events;
 pub mod items;
+pub mod loads;
 pub mod read;
 pub mod routed;
 mod routed_stream;
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -352,7 +352,12 @@
             // Its end could not be told from a cut.
             return Err(self.failed(Failure::Broken, EngineUse::Failed));
         }
-        match self.names.judge(&head, &self.facts.request_id) {
+        let verdict = self.names.judge(&head, &self.facts.request_id);
+        if verdict != Verdict::Foreign {
+            let engine = &chosen.target.engine;
+            super::loads::tell(&self.ending.handle, self.names.as_ref(), engine, &head.headers);
+        }
+        match verdict {
             Verdict::Response => Ok(Begun { connection, head, body, first }),
             Verdict::TurnedAway => {
                 tokio::spawn(keep_after(connection, head, body));
--- a/programs/topazyard-relay/src/machine/choice.rs
+++ b/programs/topazyard-relay/src/machine/choice.rs
@@ -7,7 +7,7 @@
 
 use super::engines::Engines;
 use super::requests::PromptPart;
-use super::{EngineUse, Out, RelayReturn, RelayTask, Target};
+use super::{EngineLoad, EngineUse, Out, RelayReturn, RelayTask, Target};
 use topazyard_spec::{Engine, EngineState};
 use topazyard_types::{Digest, DurationMs, EngineName, MonotonicMs, NodeId, PoolName};
 use topazyard_wire::Effect;
@@ -33,6 +33,21 @@
 const RECENT_MS: f64 = 400.0;
 /// What a request that is still open adds, against one that was just sent.
 const OPEN_WEIGHT: f64 = 0.15;
+/// Up to so many engines of a pool are all compared; of more only the keepers and a few that are
+/// drawn: the best of a few drawn at random is nearly as good, and relays don't all find the same.
+const FEW_ENGINES: usize = 16;
+/// Engines that are drawn beside the keepers.
+const DRAWN: usize = 4;
+/// How many engines are passed over that can't be used, before a place goes empty.
+const PASSED_OVER: usize = 16;
+/// What an engine's first words told counts less and less within this span.
+const FIRST_WORDS_MS: f64 = 4_000.0;
+/// What an engine said of its load counts less and less within this span.
+const LOAD_MS: f64 = 1_000.0;
+/// From this fill on an engine's slots count as crowded.
+const CROWDED: f64 = 0.6;
+/// What a full engine adds to the cost of a request more, against an empty one.
+const CROWD_WEIGHT: f64 = 2.0;
 /// The prompt that counts as one where none was seen yet, in tokens.
 const USUAL_TOKENS: f64 = 1_000.0;
 /// What an engine is taken to need for its first word while nothing is known.
@@ -47,13 +62,24 @@
     pub(super) not: &'a [EngineName],
 }
 
+/// An engine that is compared for a request.
+#[derive(Debug)]
+struct Candidate<'a> {
+    engine: &'a Engine,
+    /// Whether it keeps the request's shared parts.
+    keeps: bool,
+}
+
 /// What requests on routes taught of an engine.
 #[derive(Debug, Default)]
 pub(super) struct Learned {
     /// Requests of this relay that it works on.
     open: u32,
-    /// Moving average of the time to its first word.
+    /// Moving average of the time to its first word, and when the last of them came.
     first_ms: Option<f64>,
+    first_at: MonotonicMs,
+    /// How full it last said that its slots are, and when.
+    fill: Option<(f64, MonotonicMs)>,
     /// Prompts sent there of late, in usual ones, as of the moment beside it.
     recent: f64,
     recent_at: MonotonicMs,
@@ -66,15 +92,27 @@
     is_logged_as_paused: bool,
 }
 
+/// The part that still counts of what was learned so long ago.
+fn faded(age: DurationMs, span_ms: f64) -> f64 {
+    (-(age.0 as f64) / span_ms).exp()
+}
+
 impl Learned {
     fn recent_now(&self, now: MonotonicMs) -> f64 {
-        self.recent * (-(now.since(self.recent_at).0 as f64) / RECENT_MS).exp()
+        self.recent * faded(now.since(self.recent_at), RECENT_MS)
     }
 
     pub(super) fn is_busy(&self) -> bool {
         self.open > 0
     }
 
+    /// What the engine said of its load adds to the cost of a request more.
+    fn crowd(&self, now: MonotonicMs) -> f64 {
+        let Some((fill, at)) = self.fill else { return 0.0 };
+        let above = (fill - CROWDED).max(0.0) / (1.0 - CROWDED);
+        CROWD_WEIGHT * above * faded(now.since(at), LOAD_MS)
+    }
+
     /// What is to be told of it in the log, once each time it changes.
     fn state_change(&mut self, engine: &EngineName) -> Option<Effect<RelayReturn, RelayTask>> {
         let is_paused = self.pause.is_some();
@@ -102,47 +140,139 @@
 
     /// Chooses an engine, and says after how long without a word it is to be doubted.
     pub(super) fn choose(
-        &self,
+        &mut self,
         view: &FleetView,
         wanted: &Wanted<'_>,
         own: NodeId,
         now: MonotonicMs,
     ) -> Option<(Target, DurationMs)> {
-        let listed = || {
-            view.engines
-                .values()
-                .filter(|engine| engine.pool == *wanted.pool && engine.state == EngineState::Ready)
-        };
-        let is_new = |engine: &&Engine| !wanted.not.contains(&engine.name);
-        let mut usable: Vec<&Engine> =
-            listed().filter(is_new).filter(|engine| self.is_usable(engine)).collect();
-        if usable.is_empty() {
-            // Rather one that failed lately than none.
-            usable = listed().filter(is_new).collect();
-        }
-        let is_front = |engine: &&Engine| {
+        let chosen = self.ranked(view, wanted, own, now).into_iter().next()?;
+        let target = Target { engine: chosen.name.clone(), address: chosen.address };
+        Some((target, self.doubt_after(chosen, now)))
+    }
+
+    /// Engines that a request may go to, the best first: the cheapest keeper of its shared parts,
+    /// unless another engine costs much less, and then the others by what they cost. Of a large pool
+    /// only a few are compared.
+    pub(super) fn ranked<'a>(
+        &mut self,
+        view: &'a FleetView,
+        wanted: &Wanted<'_>,
+        own: NodeId,
+        now: MonotonicMs,
+    ) -> Vec<&'a Engine> {
+        let key = shared_key(wanted.prefix).unwrap_or(Digest(u128::from(own.0)));
+        let mut found = self.candidates(view, wanted, key, own);
+        let is_front = |engine: &Engine| {
             let behind = self.learned(&engine.name).and_then(|learned| learned.behind_until);
             behind.is_none_or(|until| now >= until)
         };
-        if usable.iter().any(&is_front) {
-            usable.retain(|engine| is_front(engine));
+        if found.iter().any(|candidate| is_front(candidate.engine)) {
+            found.retain(|candidate| is_front(candidate.engine));
         }
-        let key = shared_key(wanted.prefix).unwrap_or(Digest(u128::from(own.0)));
+        // The first ones keep its parts, or would if those before them could be used.
+        let keepers = if self.is_small(wanted.pool) { KEEPERS } else { 0 };
+        let mut ranked: Vec<(bool, f64, &Engine)> = found
+            .iter()
+            .enumerate()
+            .map(|(place, candidate)| {
+                let keeps = candidate.keeps || place < keepers;
+                (keeps, self.cost(candidate.engine, now), candidate.engine)
+            })
+            .collect();
+        ranked.sort_by(|(_, one, _), (_, other, _)| one.total_cmp(other));
+        let cheapest = ranked.first().map_or(0.0, |(_, cost, _)| *cost);
+        let is_preferred =
+            |(keeps, cost, _): &(bool, f64, &Engine)| *keeps && *cost <= cheapest * KEEPER_PREMIUM;
+        let preferred = ranked.iter().position(is_preferred);
+        // The others stay in the order of their costs.
+        if let Some(preferred) = preferred {
+            ranked[..=preferred].rotate_right(1);
+        }
+        ranked.into_iter().map(|(_, _, engine)| engine).collect()
+    }
+
+    /// Whether all engines of a pool are compared.
+    fn is_small(&self, pool: &PoolName) -> bool {
+        self.index.len(pool) <= FEW_ENGINES
+    }
+
+    /// The engines that are compared for a request, without those that can't be used.
+    fn candidates<'a>(
+        &mut self,
+        view: &'a FleetView,
+        wanted: &Wanted<'_>,
+        key: Digest,
+        own: NodeId,
+    ) -> Vec<Candidate<'a>> {
+        let candidates = match self.is_small(wanted.pool) {
+            true => self.all_by_rank(view, wanted, key, true),
+            false => self.a_few(view, wanted, key, own),
+        };
+        match candidates.is_empty() {
+            // Rather one that failed lately than none.
+            true => self.all_by_rank(view, wanted, key, false),
+            false => candidates,
+        }
+    }
+
+    /// All engines of a pool, in the order in which they keep these parts.
+    fn all_by_rank<'a>(
+        &self,
+        view: &'a FleetView,
+        wanted: &Wanted<'_>,
+        key: Digest,
+        only_usable: bool,
+    ) -> Vec<Candidate<'a>> {
         let rank = |engine: &Engine| Digest::of(&[&key.0.to_be_bytes(), engine.name.0.as_bytes()]);
-        let mut ranked: Vec<(Digest, f64, &Engine)> =
-            usable.iter().map(|engine| (rank(engine), self.cost(engine, now), *engine)).collect();
-        ranked.sort_by(|(one, ..), (other, ..)| other.cmp(one));
-        let least = |of: &[(Digest, f64, &'_ Engine)]| {
-            let costs = of.iter().enumerate().map(|(at, (_, cost, _))| (*cost, at));
-            costs.min_by(|(one, _), (other, _)| one.total_cmp(other))
+        let may_be_asked = |engine: &&Engine| {
+            let is_new = !wanted.not.contains(&engine.name);
+            is_new && (!only_usable || self.is_usable(engine))
         };
-        let (cheapest, anywhere) = least(&ranked)?;
-        let keepers = &ranked[..KEEPERS.min(ranked.len())];
-        let (cost, keeper) = least(keepers)?;
-        let at = if cost <= cheapest * KEEPER_PREMIUM { keeper } else { anywhere };
-        let chosen = ranked[at].2;
-        let target = Target { engine: chosen.name.clone(), address: chosen.address };
-        Some((target, self.doubt_after(&chosen.name)))
+        let listed = self.index.from(wanted.pool, Digest::default());
+        let engines = listed.filter_map(|name| view.engines.get(name)).filter(may_be_asked);
+        let mut ranked: Vec<(Digest, &Engine)> = engines.map(|e| (rank(e), e)).collect();
+        ranked.sort_by(|(one, _), (other, _)| other.cmp(one));
+        ranked.into_iter().map(|(_, engine)| Candidate { engine, keeps: false }).collect()
+    }
+
+    /// The keepers of these parts, each the next engine from a point of its own, and a few drawn.
+    fn a_few<'a>(
+        &mut self,
+        view: &'a FleetView,
+        wanted: &Wanted<'_>,
+        key: Digest,
+        own: NodeId,
+    ) -> Vec<Candidate<'a>> {
+        let mut found: Vec<Candidate<'a>> = Vec::with_capacity(KEEPERS + DRAWN);
+        for place in 0..KEEPERS + DRAWN {
+            let keeps = place < KEEPERS;
+            let point = match keeps {
+                true => Digest::of(&[&key.0.to_be_bytes(), &place.to_be_bytes()]),
+                false => self.draw(own),
+            };
+            let from = self.index.from(wanted.pool, point).take(PASSED_OVER);
+            let next = from.filter_map(|name| view.engines.get(name)).find(|engine| {
+                let is_new = !wanted.not.contains(&engine.name);
+                let is_found = found.iter().any(|candidate| candidate.engine.name == engine.name);
+                is_new && !is_found && self.is_usable(engine)
+            });
+            found.extend(next.map(|engine| Candidate { engine, keeps }));
+        }
+        found
+    }
+
+    /// A point that no other relay draws in the same order.
+    fn draw(&mut self, own: NodeId) -> Digest {
+        self.draws += 1;
+        Digest(u128::from(mixed(own.0 ^ mixed(self.draws))) << 64)
+    }
+
+    /// An engine said how many requests it runs, how many wait there, and of how many slots.
+    pub(super) fn told_load(&mut self, engine: &EngineName, load: EngineLoad, now: MonotonicMs) {
+        let Some(known) = self.known.get_mut(engine) else { return };
+        let fill = f64::from(load.running + load.waiting) / f64::from(load.slots.max(1));
+        known.learned.fill = Some((fill.min(1.0), now));
     }
 
     fn learned(&self, engine: &EngineName) -> Option<&Learned> {
@@ -150,17 +280,26 @@
     }
 
     /// What a request more costs there: how long the engine's first words take, times what this
-    /// relay has sent there of late and still has there.
+    /// relay has sent there of late and still has there, and what the engine said of others.
     fn cost(&self, engine: &Engine, now: MonotonicMs) -> f64 {
         let learned = self.learned(&engine.name);
-        let first_ms = learned.and_then(|l| l.first_ms).unwrap_or(UNKNOWN_FIRST_MS);
-        let load = learned.map_or(0.0, |l| l.recent_now(now) + f64::from(l.open) * OPEN_WEIGHT);
-        first_ms * (1.0 + load)
+        let load = learned
+            .map_or(0.0, |l| l.recent_now(now) + f64::from(l.open) * OPEN_WEIGHT + l.crowd(now));
+        self.first_ms(engine, now) * (1.0 + load)
+    }
+
+    /// How long an engine's first word likely takes: what it has shown, which fades to what is usual
+    /// in its pool, so that one that was slow once is tried again.
+    fn first_ms(&self, engine: &Engine, now: MonotonicMs) -> f64 {
+        let usual = self.usual_first_ms.get(&engine.pool).copied().unwrap_or(UNKNOWN_FIRST_MS);
+        let Some(learned) = self.learned(&engine.name) else { return usual };
+        let Some(first_ms) = learned.first_ms else { return usual };
+        usual + (first_ms - usual) * faded(now.since(learned.first_at), FIRST_WORDS_MS)
     }
 
-    fn doubt_after(&self, engine: &EngineName) -> DurationMs {
-        let first_ms = self.learned(engine).and_then(|l| l.first_ms).unwrap_or(UNKNOWN_FIRST_MS);
-        DurationMs((first_ms * 4.0 + 40.0).clamp(SHORTEST_DOUBT_MS, LONGEST_DOUBT_MS) as u64)
+    fn doubt_after(&self, engine: &Engine, now: MonotonicMs) -> DurationMs {
+        let doubt_ms = self.first_ms(engine, now) * 4.0 + 40.0;
+        DurationMs(doubt_ms.clamp(SHORTEST_DOUBT_MS, LONGEST_DOUBT_MS) as u64)
     }
 
     /// A request with that prompt goes there.
@@ -188,6 +327,7 @@
                 let first_ms = first.0 as f64;
                 let before = learned.first_ms.get_or_insert(first_ms);
                 *before += (first_ms - *before) / 8.0;
+                learned.first_at = now;
                 learned.strikes = 0;
                 learned.pause = None;
                 known.ill_until = None;
@@ -204,8 +344,10 @@
         }
     }
 
-    /// Learns the pool's best time to a first word.
+    /// Learns the pool's usual and best time to a first word.
     pub(super) fn first_word(&mut self, pool: &PoolName, first: DurationMs) {
+        let usual = self.usual_first_ms.entry(pool.clone()).or_insert(first.0 as f64);
+        *usual += (first.0 as f64 - *usual) / 64.0;
         let best = self.best_first_ms.entry(pool.clone()).or_insert(first.0 as f64);
         if (first.0 as f64) < *best {
             *best = first.0 as f64;
@@ -259,6 +401,14 @@
     }
 }
 
+/// Spreads a number over all 64 bits (the finalizer of SplitMix64).
+fn mixed(number: u64) -> u64 {
+    let number = number.wrapping_add(0x9E37_79B9_7F4A_7C15);
+    let number = (number ^ (number >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    number ^ (number >> 31)
+}
+
 /// What tells the parts that a prompt shares with others: all but its last, or that one where it
 /// stands alone.
 fn shared_key(prefix: &[PromptPart]) -> Option<Digest> {
--- a/programs/topazyard-relay/src/machine/counting.rs
+++ b/programs/topazyard-relay/src/machine/counting.rs
@@ -1,7 +1,9 @@
 //! This relay's holds at the counter, and the lease under which they stand.
 
 use super::{Out, RelayMachine};
-use topazyard_types::{DurationMs, Epoch, HoldId, Life, MonotonicMs, PoolName, ShardId, Tokens};
+use topazyard_types::{
+    DurationMs, EngineName, Epoch, HoldId, Life, MonotonicMs, PoolName, ShardId, Tokens,
+};
 use topazyard_wire::Effect;
 use topazyard_wire::message::Message;
 use topazyard_wire::message::counter::{CounterBody, CounterMessage, Hold, HoldKind, Terms};
@@ -80,11 +82,24 @@
         kind: HoldKind,
         now: MonotonicMs,
         out: &mut Out,
+    ) -> HoldId {
+        self.ask_hold_at(Vec::new(), pool, cost, kind, now, out)
+    }
+
+    /// Asks for a hold that gets one of these engines with it.
+    pub(super) fn ask_hold_at(
+        &mut self,
+        engines: Vec<EngineName>,
+        pool: PoolName,
+        cost: Tokens,
+        kind: HoldKind,
+        now: MonotonicMs,
+        out: &mut Out,
     ) -> HoldId {
         self.counting.last_id += 1;
         let id = HoldId(self.counting.last_id);
         let terms = self.terms(&pool, kind);
-        let hold = Hold { id, pool, cost, kind, terms };
+        let hold = Hold { id, pool, cost, kind, engines, terms };
         self.send_counter(CounterBody::Add(hold.clone()), out);
         self.counting.mine.insert(id, Mine { hold, granted: false, asked_at: now });
         id
@@ -146,23 +161,27 @@
         now: MonotonicMs,
         out: &mut Out,
     ) {
-        match message.body {
+        match &message.body {
             CounterBody::NotHere => self.tell_record(ShardId::COUNTER, message.epoch, out),
-            CounterBody::Added { id, granted } => match self.counting.mine.get_mut(&id) {
-                None if granted => self.send_counter(CounterBody::Release(id), out),
-                None => {}
-                // Answered before: the same asking was sent twice.
-                Some(mine) if mine.granted => {}
-                Some(mine) => {
-                    mine.granted = granted;
-                    if !granted {
-                        self.counting.mine.remove(&id);
+            CounterBody::Added { id, granted, engine } => {
+                let (id, granted) = (*id, *granted);
+                match self.counting.mine.get_mut(&id) {
+                    None if granted => self.send_counter(CounterBody::Release(id), out),
+                    None => {}
+                    // Answered before: the same asking was sent twice.
+                    Some(mine) if mine.granted => {}
+                    Some(mine) => {
+                        mine.granted = granted;
+                        mine.hold.engines = engine.iter().cloned().collect();
+                        if !granted {
+                            self.counting.mine.remove(&id);
+                        }
+                        self.hold_settled(id, granted.then_some(engine.as_ref()), now, out);
                     }
-                    self.hold_settled(id, granted, now, out);
                 }
-            },
+            }
             CounterBody::Renewed { number } => {
-                let sent = self.counting.renewals.iter().find(|(n, _)| *n == number);
+                let sent = self.counting.renewals.iter().find(|(n, _)| n == number);
                 if let Some((_, sent)) = sent {
                     self.counting.leased_from = self.counting.leased_from.max(Some(*sent));
                 }
@@ -171,14 +190,23 @@
         }
     }
 
-    /// A hold was granted or refused: it is a prompt's or an item's.
-    fn hold_settled(&mut self, id: HoldId, granted: bool, now: MonotonicMs, out: &mut Out) {
+    /// A hold was granted, maybe with an engine, or refused: it is a prompt's, a block or an item's.
+    fn hold_settled(
+        &mut self,
+        id: HoldId,
+        granted: Option<Option<&EngineName>>,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
         if self.admission.asks(id) {
-            self.prompt_hold_settled(id, granted, now, out);
+            self.prompt_hold_settled(id, granted.is_some(), now, out);
         } else if self.requests.asks(id) {
-            self.block_settled(id, granted, now, out);
+            self.block_settled(id, granted.is_some(), now, out);
         } else {
-            self.item_hold_settled(id, granted, now, out);
+            match granted {
+                Some(engine) => self.item_hold_granted(id, engine, now, out),
+                None => self.item_hold_refused(id, now),
+            }
         }
     }
 }
--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -3,7 +3,7 @@
 use super::batches::Caller;
 use super::choice::Wanted;
 use super::requests::PromptPart;
-use super::{EngineUse, Out, RelayMachine, RelayReturn, RelayTask};
+use super::{EngineUse, Out, RelayMachine, RelayReturn, RelayTask, Target};
 use topazyard_spec::{LaneKind, RouteKind};
 use topazyard_types::{
     BatchId, Digest, DurationMs, EngineName, HoldId, ModelName, MonotonicMs, PoolName, RouteName,
@@ -12,7 +12,7 @@
 use topazyard_wire::Effect;
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::batch::{BatchCall, Item, LeasedItem, Progress, Run, RunEnd};
-use topazyard_wire::message::counter::HoldKind;
+use topazyard_wire::message::counter::{HoldKind, MOST_ENGINES};
 use topazyard_wire::state::FleetView;
 
 /// How long an item may run. A dark engine holds its budget no longer than this.
@@ -27,12 +27,16 @@
 const LEASE_EVERY: DurationMs = DurationMs(120);
 /// How often one that had none is asked, at the least.
 const LEASE_IDLE: DurationMs = DurationMs(600);
-/// How long no items are asked for after the counter had no room for one.
+/// How long nothing more is leased after the counter had no room for an item.
 const NO_ROOM_PAUSE: DurationMs = DurationMs(200);
+/// How often the share of waiting items is halved at most, while the counter has no room.
+const HALVE_EVERY: DurationMs = DurationMs(100);
+/// Items that ask at once when another was given room.
+const ASK_AFTER_GRANT: usize = 2;
 /// How long a leased item may wait here for room; below the shard's lease.
 const WAIT_FOR_ROOM: DurationMs = DurationMs(1_200);
-/// How often the counter is asked again for a waiting item.
-const ASK_EVERY: DurationMs = DurationMs(150);
+/// How often the counter is asked again after it had no room, for the item that waits longest.
+const ASK_EVERY: DurationMs = DurationMs(50);
 /// How long after a start was asked for the item may still be sent. With the asking's own way it
 /// stays below the 3 s within which an ended batch starts nothing more.
 const START_WITHIN: DurationMs = DurationMs(2_000);
@@ -43,8 +47,8 @@
 
 #[derive(Debug)]
 enum Stage {
-    /// Leased; it waits for room since the last asking.
-    Leased(Option<MonotonicMs>),
+    /// Leased; it waits for room.
+    Leased,
     /// It asked the counter.
     Asking(HoldId),
     /// It holds its cost and asked whether it may start.
@@ -77,7 +81,14 @@
 #[derive(Debug, Default)]
 pub(crate) struct Items {
     entries: std::collections::BTreeMap<Run, Entry>,
-    leasing: std::collections::BTreeSet<ShardId>,
+    /// Shards that were asked for items, and for how many.
+    leasing: std::collections::BTreeMap<ShardId, usize>,
+    /// How many items may wait for room here. It follows what the counter grants: one more with each
+    /// grant, half when it has no room, so that items wait at their shards and not here.
+    window: Option<usize>,
+    halved_at: MonotonicMs,
+    /// When the counter may be asked again, after it had no room.
+    ask_again_at: Option<MonotonicMs>,
     next_lease: std::collections::BTreeMap<ShardId, (MonotonicMs, DurationMs)>,
     no_room_until: MonotonicMs,
     last_spoken: MonotonicMs,
@@ -93,6 +104,36 @@
     pub(super) fn lease_over(&mut self, shard: ShardId) {
         self.leasing.remove(&shard);
     }
+
+    /// Items that wait for room.
+    fn waiting(&self) -> usize {
+        let waits = |entry: &&Entry| matches!(entry.stage, Stage::Leased | Stage::Asking(_));
+        self.entries.values().filter(waits).count()
+    }
+
+    fn refused(&mut self, now: MonotonicMs) {
+        self.no_room_until = now.plus(NO_ROOM_PAUSE);
+        self.ask_again_at = Some(now.plus(ASK_EVERY));
+        if let Some(window) = &mut self.window
+            && now.since(self.halved_at) >= HALVE_EVERY
+        {
+            *window = (*window / 2).max(1);
+            self.halved_at = now;
+        }
+    }
+
+    fn granted(&mut self) {
+        self.ask_again_at = None;
+        if let Some(window) = &mut self.window {
+            *window += 1;
+        }
+    }
+
+    /// The item that has waited longest without asking.
+    fn longest_waiting(&self) -> Option<Run> {
+        let waits = self.entries.iter().filter(|(_, e)| matches!(e.stage, Stage::Leased));
+        waits.min_by_key(|(_, entry)| entry.since).map(|(run, _)| *run)
+    }
 }
 
 impl RelayMachine {
@@ -150,17 +191,21 @@
         let routes = self.batch_routes_with_engine();
         let most_items = self.most_items();
         let most = (most_items / SLOTS_SHARE).max(MOST_LEASED);
+        let window = self.items.window.get_or_insert(most);
+        *window = (*window).min(most);
+        let (window, waiting) = (*window, self.items.waiting());
         for shard in self.shards_with_work(&models, &routes) {
-            let under_way = self.items.leasing.len() * most;
+            let under_way: usize = self.items.leasing.values().sum();
+            let room = most_items.saturating_sub(self.items.entries.len() + under_way);
+            let room = room.min(window.saturating_sub(waiting + under_way));
             let next = self.items.next_lease.get(&shard);
-            if self.items.entries.len() + under_way >= most_items
-                || self.items.leasing.contains(&shard)
+            if room == 0
+                || self.items.leasing.contains_key(&shard)
                 || next.is_some_and(|(at, _)| now < *at)
             {
                 continue;
             }
-            let room = most_items - self.items.entries.len() - under_way;
-            self.items.leasing.insert(shard);
+            self.items.leasing.insert(shard, most.min(room));
             let most = most.min(room) as u32;
             let models = models.clone();
             let call = BatchCall::Lease { most, models, routes: routes.clone() };
@@ -208,7 +253,7 @@
                 self.finish_run(run, RunEnd::NotRun, now, out);
                 continue;
             };
-            let entry = Entry { item, pool, since: now, stage: Stage::Leased(None), routed: None };
+            let entry = Entry { item, pool, since: now, stage: Stage::Leased, routed: None };
             self.items.entries.insert(run, entry);
             self.ask_for_item(run, now, out);
         }
@@ -223,10 +268,31 @@
             Some(declared) => FleetView::charge(declared, cost),
             None => cost,
         };
-        let hold = self.ask_hold(pool, cost, HoldKind::Item, now, out);
+        let engines = self.engines_for(run, now);
+        let hold = self.ask_hold_at(engines, pool, cost, HoldKind::Item, now, out);
         self.set_stage(run, Stage::Asking(hold));
     }
 
+    /// Engines that a routed item may run at, the best first.
+    fn engines_for(&mut self, run: Run, now: MonotonicMs) -> Vec<EngineName> {
+        let Some(entry) = self.items.entries.get(&run) else { return Vec::new() };
+        if entry.routed.is_none() {
+            return Vec::new();
+        }
+        let prefix = prefix_of(&entry.item);
+        let wanted = Wanted { pool: &entry.pool, prefix: &prefix, not: &[] };
+        let ranked = self.engines.ranked(&self.view, &wanted, self.node, now);
+        ranked.into_iter().take(MOST_ENGINES).map(|engine| engine.name.clone()).collect()
+    }
+
+    /// Lets items that wait ask, as many as that, those that wait longest first.
+    fn let_ask(&mut self, most: usize, now: MonotonicMs, out: &mut Out) {
+        for _ in 0..most {
+            let Some(run) = self.items.longest_waiting() else { return };
+            self.ask_for_item(run, now, out);
+        }
+    }
+
     /// The one place where an item's stage changes.
     fn set_stage(&mut self, run: Run, stage: Stage) {
         if let Some(entry) = self.items.entries.get_mut(&run) {
@@ -237,7 +303,7 @@
     /// Hands back what has not started: this relay takes nothing new, and others wait for its leases.
     /// An item whose start is being recorded is handed back once that is settled.
     fn hand_back_waiting(&mut self, now: MonotonicMs, out: &mut Out) {
-        let waits = |entry: &Entry| matches!(entry.stage, Stage::Leased(_) | Stage::Asking(_));
+        let waits = |entry: &Entry| matches!(entry.stage, Stage::Leased | Stage::Asking(_));
         let waiting = self.items.entries.iter().filter(|(_, entry)| waits(entry));
         let waiting: Vec<Run> = waiting.map(|(run, _)| *run).collect();
         for run in waiting {
@@ -247,23 +313,19 @@
     }
 
     fn ask_for_waiting(&mut self, now: MonotonicMs, out: &mut Out) {
-        let mut again = Vec::new();
-        let mut hand_back = Vec::new();
-        for (run, entry) in &self.items.entries {
-            match &entry.stage {
-                Stage::Leased(_) | Stage::Asking(_) if now.since(entry.since) >= WAIT_FOR_ROOM => {
-                    hand_back.push(*run);
-                }
-                Stage::Leased(Some(last)) if now.since(*last) >= ASK_EVERY => again.push(*run),
-                _ => {}
-            }
-        }
-        for run in hand_back {
+        let waits_too_long = |entry: &Entry| {
+            let waits = matches!(entry.stage, Stage::Leased | Stage::Asking(_));
+            waits && now.since(entry.since) >= WAIT_FOR_ROOM
+        };
+        let late = self.items.entries.iter().filter(|(_, entry)| waits_too_long(entry));
+        let late: Vec<Run> = late.map(|(run, _)| *run).collect();
+        for run in late {
             self.let_item_go(run, out);
             self.finish_run(run, RunEnd::NotRun, now, out);
         }
-        for run in again {
-            self.ask_for_item(run, now, out);
+        if self.items.ask_again_at.is_some_and(|at| now >= at) {
+            self.items.ask_again_at = Some(now.plus(ASK_EVERY));
+            self.let_ask(1, now, out);
         }
     }
 
@@ -271,7 +333,7 @@
     fn let_item_go(&mut self, run: Run, out: &mut Out) {
         let Some(entry) = self.items.entries.remove(&run) else { return };
         match entry.stage {
-            Stage::Leased(_) => {}
+            Stage::Leased => {}
             Stage::Asking(hold) | Stage::Starting(hold, _) => self.release_hold(hold, out),
             Stage::Started(hold, _, engine) => {
                 self.release_hold(hold, out);
@@ -282,27 +344,37 @@
         }
     }
 
-    pub(super) fn item_hold_settled(
+    /// The item that asked for a hold.
+    fn asked_by(&self, hold: HoldId) -> Option<Run> {
+        let asking = |entry: &Entry| matches!(entry.stage, Stage::Asking(asked) if asked == hold);
+        let found = self.items.entries.iter().find(|(_, entry)| asking(entry));
+        found.map(|(run, _)| *run)
+    }
+
+    pub(super) fn item_hold_refused(&mut self, hold: HoldId, now: MonotonicMs) {
+        self.items.refused(now);
+        if let Some(run) = self.asked_by(hold) {
+            self.set_stage(run, Stage::Leased);
+        }
+    }
+
+    pub(super) fn item_hold_granted(
         &mut self,
         hold: HoldId,
-        granted: bool,
+        engine: Option<&EngineName>,
         now: MonotonicMs,
         out: &mut Out,
     ) {
-        let asking = |entry: &Entry| matches!(entry.stage, Stage::Asking(asked) if asked == hold);
-        let found = self.items.entries.iter().find(|(_, entry)| asking(entry));
-        let Some(run) = found.map(|(run, _)| *run) else { return };
-        if !granted {
-            self.items.no_room_until = now.plus(NO_ROOM_PAUSE);
-            self.set_stage(run, Stage::Leased(Some(now)));
-            return;
-        }
+        let Some(run) = self.asked_by(hold) else { return };
+        self.items.granted();
         if self.items.entries.get(&run).is_some_and(|entry| entry.routed.is_some()) {
-            return self.start_routed(run, hold, now, out);
+            self.start_routed(run, hold, engine, now, out);
+        } else {
+            self.set_stage(run, Stage::Starting(hold, now));
+            let call = BatchCall::Start(run);
+            self.send_batch(Caller::Starting(run), run.batch.shard, call, START_WITHIN, now, out);
         }
-        self.set_stage(run, Stage::Starting(hold, now));
-        let call = BatchCall::Start(run);
-        self.send_batch(Caller::Starting(run), run.batch.shard, call, START_WITHIN, now, out);
+        self.let_ask(ASK_AFTER_GRANT, now, out);
     }
 
     pub(super) fn start_settled(&mut self, run: Run, may: bool, now: MonotonicMs, out: &mut Out) {
@@ -375,6 +447,14 @@
     }
 }
 
+/// The parts of a routed item's prompt that others share.
+fn prefix_of(item: &Item) -> Vec<PromptPart> {
+    let prefix = item.directions.as_ref().map_or(&[][..], |directions| &directions.prefix);
+    let part =
+        |(digest, tokens): &(Digest, Tokens)| PromptPart { digest: *digest, tokens: *tokens };
+    prefix.iter().map(part).collect()
+}
+
 /// What a route directs: such items need no recorded start, for they may run again.
 impl RelayMachine {
     /// How long after a lease was asked for an item may be sent under it. It was given after it
@@ -426,23 +506,26 @@
         let Some(pool) = route.and_then(|route| super::routed_items::pool_of(route, run)) else {
             return self.finish_run(run, RunEnd::NotRun, now, out);
         };
-        let stage = Stage::Leased(None);
+        let stage = Stage::Leased;
         let entry = Entry { item, pool, since: now, stage, routed: Some(routed) };
         self.items.entries.insert(run, entry);
         self.ask_for_item(run, now, out);
     }
 
-    /// Starts a routed item that holds its cost.
-    fn start_routed(&mut self, run: Run, hold: HoldId, now: MonotonicMs, out: &mut Out) {
+    /// Starts a routed item that holds its cost, at the engine that came with it.
+    fn start_routed(
+        &mut self,
+        run: Run,
+        hold: HoldId,
+        engine: Option<&EngineName>,
+        now: MonotonicMs,
+        out: &mut Out,
+    ) {
         let Some(entry) = self.items.entries.get(&run) else { return };
         let Some(routed) = &entry.routed else { return };
-        let prefix = entry.item.directions.as_ref().map_or(&[][..], |d| &d.prefix);
-        let part =
-            |(digest, tokens): &(Digest, Tokens)| PromptPart { digest: *digest, tokens: *tokens };
-        let prefix: Vec<PromptPart> = prefix.iter().map(part).collect();
-        let wanted = Wanted { pool: &entry.pool, prefix: &prefix, not: &[] };
-        let chosen = self.engines.choose(&self.view, &wanted, self.node, now);
-        let target = chosen.map(|(target, _)| target);
+        let prefix = prefix_of(&entry.item);
+        let listed = engine.and_then(|name| self.view.engines.get(name));
+        let target = listed.map(|e| Target { engine: e.name.clone(), address: e.address });
         let terms = self.view.routes.named(&routed.route);
         let directed = (target, entry.item.directions.clone(), terms);
         let (Some(target), Some(directions), Some(route)) = directed else {
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod counting;
 mod engine_failures;
+mod engine_index;
 mod engines;
 pub mod items;
 pub mod requests;
@@ -67,6 +68,17 @@
     pub address: std::net::SocketAddr,
 }
 
+/// What an engine says of its load with a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineLoad {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it can work on at once.
+    pub slots: u32,
+}
+
 /// How a prompt's use of an engine ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EngineUse {
@@ -103,6 +115,8 @@
     Doubt(EngineName),
     /// A request failed at that engine.
     EngineFailed(EngineName, Failure),
+    /// An engine said how loaded it is.
+    EngineLoad(EngineName, EngineLoad),
     /// The request has ended, whichever way.
     RequestEnded(PromptId, EngineUse),
     /// Whether an engine that was left alone took a connection.
@@ -388,7 +402,11 @@
             return;
         }
         let before = self.view.spec.as_ref().map(|(version, _)| *version);
+        let engines = std::mem::take(&mut self.view.engines);
         self.view = FleetView::read(self.follower.copy().rows());
+        if self.view.engines != engines {
+            self.engines.index = engine_index::EngineIndex::of(self.view.engines.values());
+        }
         let version = self.view.spec.as_ref().map(|(version, _)| *version);
         if let Some(version) = version.filter(|version| before != Some(*version)) {
             let engines = self.view.engines.len();
@@ -425,6 +443,10 @@
                 self.count_failure(engine, failure);
                 RelayReturn::Noted
             }
+            RelayCall::EngineLoad(engine, load) => {
+                self.engines.told_load(&engine, load, now);
+                RelayReturn::Noted
+            }
             RelayCall::RequestEnded(id, engine_use) => {
                 self.end_request(id, engine_use, now, out);
                 RelayReturn::Noted
--- a/programs/topazyard-relay/src/metrics.rs
+++ b/programs/topazyard-relay/src/metrics.rs
@@ -1,6 +1,6 @@
 //! What a relay tells of itself to whoever fetches its metrics.
 
-use crate::front::{Handle, ended};
+use crate::front::{Handle, ended, loads};
 use crate::machine::RelayHealth;
 use crate::{RelayCall, RelayReturn};
 use topazyard_wire::http::inward::{Drain, Stage};
@@ -12,6 +12,7 @@
     health: RelayHealth,
     stage: Stage,
     ended: Vec<(&'static str, u64)>,
+    malformed_loads: u64,
 }
 
 /// Serves them, if the settings say where.
@@ -32,7 +33,7 @@
 impl RelayFigures {
     /// The figures of a relay that fares so.
     pub fn new(health: RelayHealth, stage: Stage) -> Self {
-        Self { health, stage, ended: ended::counts() }
+        Self { health, stage, ended: ended::counts(), malformed_loads: loads::malformed() }
     }
 }
 
@@ -70,7 +71,9 @@
         to.counters("relay_requests_refused", "Requests refused, by code", "code", refused)?;
         let help =
             "Requests that ended after they were let in; cut and dropped: without a whole answer";
-        to.counters("relay_requests_ended", help, "outcome", self.ended.iter().copied())
+        to.counters("relay_requests_ended", help, "outcome", self.ended.iter().copied())?;
+        let help = "What engines said of their load and could not be read";
+        to.counter("relay_engine_loads_malformed", help, self.malformed_loads)
     }
 
     fn write_drain(&self, to: &mut Writer<'_>) -> std::fmt::Result {
--- a/programs/topazyard-relay/tests/admission.rs
+++ b/programs/topazyard-relay/tests/admission.rs
@@ -172,7 +172,7 @@
 
     fn settle(&mut self, granted: bool) {
         let id = *self.asked_holds().last().expect("an asking");
-        self.counter_says(CounterBody::Added { id, granted });
+        self.counter_says(CounterBody::Added { id, granted, engine: None });
     }
 }
 
@@ -296,7 +296,7 @@
     let mut relay = Relay::ready();
     let call = relay.allow(1, 60_000);
     for id in 0..50 {
-        relay.counter_says(CounterBody::Added { id: HoldId(id), granted: true });
+        relay.counter_says(CounterBody::Added { id: HoldId(id), granted: true, engine: None });
     }
     assert!(relay.returned(call).is_none());
 }
--- a/programs/topazyard-relay/tests/edge.rs
+++ b/programs/topazyard-relay/tests/edge.rs
@@ -217,7 +217,7 @@
             let body = match body {
                 CounterBody::Add(hold) => {
                     let _ = tell.send(Saw::Added(hold.id));
-                    CounterBody::Added { id: hold.id, granted: true }
+                    CounterBody::Added { id: hold.id, granted: true, engine: None }
                 }
                 CounterBody::Release(id) => {
                     let _ = tell.send(Saw::Released(id));
--- a/programs/topazyard-relay/tests/loopback/core.rs
+++ b/programs/topazyard-relay/tests/loopback/core.rs
@@ -91,7 +91,10 @@
             }
             Message::Counter(CounterMessage { epoch, body }) => {
                 let body = match body {
-                    CounterBody::Add(hold) => CounterBody::Added { id: hold.id, granted: true },
+                    CounterBody::Add(hold) => {
+                        let engine = hold.engines.first().cloned();
+                        CounterBody::Added { id: hold.id, granted: true, engine }
+                    }
                     CounterBody::Renew { number, .. } => CounterBody::Renewed { number },
                     _ => continue,
                 };
--- a/programs/topazyard-relay/tests/requests.rs
+++ b/programs/topazyard-relay/tests/requests.rs
@@ -121,7 +121,8 @@
                         if !self.asked.contains(&(hold.id, hold.cost)) {
                             self.asked.push((hold.id, hold.cost));
                         }
-                        let body = |granted| CounterBody::Added { id: hold.id, granted };
+                        let body =
+                            |granted| CounterBody::Added { id: hold.id, granted, engine: None };
                         answers.extend(self.grants.map(body));
                     }
                     CounterBody::Release(id) => self.released.push(id),
@@ -157,7 +158,7 @@
     /// The counter answers the asking that was sent last.
     fn settle(&mut self, granted: bool) {
         let (id, _) = *self.asked.last().expect("an asking");
-        self.hear_counter(CounterBody::Added { id, granted });
+        self.hear_counter(CounterBody::Added { id, granted, engine: None });
     }
 
     fn tick(&mut self, ms: u64) {
--- a/programs/topazyard-relay/tests/routed.rs
+++ b/programs/topazyard-relay/tests/routed.rs
@@ -6,7 +6,8 @@
 use loopback::{Adapter, Edge, Then, read_all, runtime};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use topazyard_relay::front::connections::{self, SendError};
-use topazyard_relay::front::dialect::{Addressed, Dialect, RequestFacts, Verdict};
+use topazyard_relay::front::dialect::{Addressed, Dialect, MalformedLoad, RequestFacts, Verdict};
+use topazyard_relay::machine::EngineLoad;
 use topazyard_relay::machine::Target;
 use topazyard_types::{DurationMs, EngineName, RouteName, Tokens};
 use topazyard_wire::api::{ApiError, Ran};
@@ -58,6 +59,10 @@
         }
     }
 
+    fn load(&self, _: &hyper::HeaderMap) -> Result<Option<EngineLoad>, MalformedLoad> {
+        Ok(None)
+    }
+
     fn refuse(&self, error: &ApiError) -> hyper::Response<Body> {
         topazyard_wire::http::error(error)
     }
--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -220,7 +220,7 @@
         let leased = LeasedItem { run, item: item(), route, progress };
         self.hear_shard(call, BatchReturn::Leased(vec![leased]));
         if let Some(id) = self.holds.last().copied() {
-            self.hear_counter(CounterBody::Added { id, granted: true });
+            self.hear_counter(CounterBody::Added { id, granted: true, engine: Some("e1".into()) });
         }
         run
     }
--- a/programs/topazyard-storage/src/counter/mod.rs
+++ b/programs/topazyard-storage/src/counter/mod.rs
@@ -6,7 +6,7 @@
 mod rows;
 
 use topazyard_types::{
-    DurationMs, Epoch, HoldId, Life, MonotonicMs, NodeId, PoolName, ShardId, Tokens,
+    DurationMs, EngineName, Epoch, HoldId, Life, MonotonicMs, NodeId, PoolName, ShardId, Tokens,
 };
 use topazyard_wire::RowChange;
 use topazyard_wire::message::counter::{Hold, HoldKind};
@@ -116,7 +116,7 @@
         let taken = self.taken.entry(hold.pool.clone()).or_default();
         match hold.kind {
             HoldKind::Live => taken.add_live(charge),
-            HoldKind::Item => taken.add_item(charge),
+            HoldKind::Item => taken.add_item(hold.engines.first(), charge),
             HoldKind::Block => taken.add_block(relay, charge),
         }
         self.held.insert((relay, hold.id), Held { hold, charge, expires });
@@ -128,7 +128,7 @@
         if let Some(taken) = self.taken.get_mut(&hold.pool) {
             match hold.kind {
                 HoldKind::Live => taken.end_live(charge),
-                HoldKind::Item => taken.end_item(charge),
+                HoldKind::Item => taken.end_item(hold.engines.first(), charge),
                 HoldKind::Block => taken.end_block(relay, charge),
             }
             if taken.is_empty() {
@@ -171,9 +171,18 @@
         if !fits || !within_part {
             return Checked::Refused;
         }
+        // Of the engines that it may use it gets the one with the least items: no relay sees them all.
+        let engine = taken.least_held(&hold.engines).cloned();
+        let hold = Hold { engines: engine.into_iter().collect(), ..hold.clone() };
         self.leases.insert(relay, now.plus(LEASE));
-        self.hold(relay, hold.clone(), now);
-        Checked::Added(vec![rows::hold(relay, hold)])
+        let change = rows::hold(relay, &hold);
+        self.hold(relay, hold, now);
+        Checked::Added(vec![change])
+    }
+
+    /// The engine that a granted hold was given, if its engine was chosen with it.
+    pub fn engine_of(&self, relay: NodeId, id: HoldId) -> Option<EngineName> {
+        self.held.get(&(relay, id))?.hold.engines.first().cloned()
     }
 
     /// Lets a hold go; once is enough.
--- a/programs/topazyard-storage/src/counter/rooms.rs
+++ b/programs/topazyard-storage/src/counter/rooms.rs
@@ -6,7 +6,7 @@
 //! grows as independent swings add up, with the root of the sum of their squares
 //! (statistical multiplexing).
 
-use topazyard_types::{NodeId, Tokens};
+use topazyard_types::{EngineName, NodeId, Tokens};
 
 /// The reserve is so many halves of what independent swings come to. With it few relays' spare
 /// room is counted whole, that of six relays alike just so.
@@ -40,6 +40,8 @@
 pub(super) struct Taken {
     live: u64,
     items: u64,
+    /// What items hold of each engine.
+    items_at: std::collections::BTreeMap<EngineName, u64>,
     rooms: std::collections::BTreeMap<NodeId, Room>,
     /// Sums over all rooms: of what they hold, of what is used, and of their spare parts' squares.
     granted: u64,
@@ -56,12 +58,27 @@
         self.live -= charge.0;
     }
 
-    pub(super) fn add_item(&mut self, charge: Tokens) {
+    pub(super) fn add_item(&mut self, engine: Option<&EngineName>, charge: Tokens) {
         self.items += charge.0;
+        if let Some(engine) = engine {
+            *self.items_at.entry(engine.clone()).or_default() += charge.0;
+        }
     }
 
-    pub(super) fn end_item(&mut self, charge: Tokens) {
+    pub(super) fn end_item(&mut self, engine: Option<&EngineName>, charge: Tokens) {
         self.items -= charge.0;
+        let Some(engine) = engine else { return };
+        if let Some(held) = self.items_at.get_mut(engine) {
+            *held -= charge.0;
+            if *held == 0 {
+                self.items_at.remove(engine);
+            }
+        }
+    }
+
+    /// Of engines, the one of which items hold least; the first of equals.
+    pub(super) fn least_held<'a>(&self, engines: &'a [EngineName]) -> Option<&'a EngineName> {
+        engines.iter().min_by_key(|engine| self.items_at.get(*engine).copied().unwrap_or(0))
     }
 
     /// A relay has one block more. It asked since what it had was used up, so this one counts as
--- a/programs/topazyard-storage/src/machine/counting.rs
+++ b/programs/topazyard-storage/src/machine/counting.rs
@@ -74,7 +74,8 @@
                         return;
                     }
                 };
-                let answer = CounterBody::Added { id: hold.id, granted };
+                let engine = counter.engine_of(sender, hold.id);
+                let answer = CounterBody::Added { id: hold.id, granted, engine };
                 hosted.submit(changes, Waiting::Counter(from, answer));
             }
             CounterBody::Release(id) => {
--- a/programs/topazyard-storage/tests/counter.rs
+++ b/programs/topazyard-storage/tests/counter.rs
@@ -21,7 +21,14 @@
 fn hold(id: u64, cost: u64, kind: HoldKind) -> Hold {
     let part = if kind == HoldKind::Live { 1_000 } else { 300 };
     let terms = Terms { limit: Tokens(1_000), part: Tokens(part), expiry: DurationMs(60_000) };
-    Hold { id: HoldId(id), pool: "main".into(), cost: Tokens(cost), kind, terms }
+    Hold {
+        id: HoldId(id),
+        pool: "main".into(),
+        cost: Tokens(cost),
+        kind,
+        engines: Vec::new(),
+        terms,
+    }
 }
 
 fn is_added(checked: &Checked) -> bool {
@@ -263,3 +270,30 @@
         }
     });
 }
+
+// Else items of many relays heap up on one engine, each of which sees its own items alone.
+#[test]
+fn an_item_gets_the_engine_with_the_least_items_of_those_that_it_may_use() {
+    let mut counter = counter();
+    let item = |id, cost, engines: &[&str]| {
+        let engines = engines.iter().map(|name| (*name).into()).collect();
+        Hold { engines, ..hold(id, cost, HoldKind::Item) }
+    };
+    let mut given = |relay: u64, hold: Hold| {
+        assert!(is_added(&counter.add(NodeId(relay), &hold, NOW)));
+        counter.engine_of(NodeId(relay), hold.id).map(|engine| engine.0)
+    };
+    assert_eq!(given(1, item(1, 10, &["a", "b"])).as_deref(), Some("a"), "the best of equals");
+    assert_eq!(given(2, item(1, 20, &["a", "b"])).as_deref(), Some("b"));
+    assert_eq!(given(3, item(1, 5, &["b", "a"])).as_deref(), Some("a"));
+    assert_eq!(
+        given(3, item(1, 5, &["b"])).as_deref(),
+        Some("a"),
+        "asked again: as it was granted"
+    );
+    assert_eq!(given(4, item(2, 1, &[])), None);
+    counter.release(NodeId(2), HoldId(1));
+    let last = item(7, 1, &["a", "b"]);
+    assert!(is_added(&counter.add(RELAY, &last, NOW)));
+    assert_eq!(counter.engine_of(RELAY, last.id), Some("b".into()));
+}
