--- a/programs/topazyard-relay/src/machine/choice.rs
+++ b/programs/topazyard-relay/src/machine/choice.rs
@@ -33,13 +33,6 @@
 const RECENT_MS: f64 = 400.0;
 /// What a request that is still open adds, against one that was just sent.
 const OPEN_WEIGHT: f64 = 0.15;
-/// Up to so many engines of a pool are all compared; of more only the keepers and a few that are
-/// drawn: the best of a few drawn at random is nearly as good, and relays don't all find the same.
-const FEW_ENGINES: usize = 16;
-/// Engines that are drawn beside the keepers.
-const DRAWN: usize = 4;
-/// How many engines are passed over that can't be used, before a place goes empty.
-const PASSED_OVER: usize = 16;
 /// What an engine's first words told counts less and less within this span.
 const FIRST_WORDS_MS: f64 = 4_000.0;
 /// What an engine said of its load counts less and less within this span.
@@ -62,14 +55,6 @@
     pub(super) not: &'a [EngineName],
 }
 
-/// An engine that is compared for a request.
-#[derive(Debug)]
-struct Candidate<'a> {
-    engine: &'a Engine,
-    /// Whether it keeps the request's shared parts.
-    keeps: bool,
-}
-
 /// What requests on routes taught of an engine.
 #[derive(Debug, Default)]
 pub(super) struct Learned {
@@ -140,7 +125,7 @@
 
     /// Chooses an engine, and says after how long without a word it is to be doubted.
     pub(super) fn choose(
-        &mut self,
+        &self,
         view: &FleetView,
         wanted: &Wanted<'_>,
         own: NodeId,
@@ -152,120 +137,58 @@
     }
 
     /// Engines that a request may go to, the best first: the cheapest keeper of its shared parts,
-    /// unless another engine costs much less, and then the others by what they cost. Of a large pool
-    /// only a few are compared.
+    /// unless another engine costs much less, and then the others by what they cost.
     pub(super) fn ranked<'a>(
-        &mut self,
+        &self,
         view: &'a FleetView,
         wanted: &Wanted<'_>,
         own: NodeId,
         now: MonotonicMs,
     ) -> Vec<&'a Engine> {
         let key = shared_key(wanted.prefix).unwrap_or(Digest(u128::from(own.0)));
-        let mut found = self.candidates(view, wanted, key, own);
+        let mut ranked = self.candidates(view, wanted, key, true);
+        if ranked.is_empty() {
+            // Rather one that failed lately than none.
+            ranked = self.candidates(view, wanted, key, false);
+        }
         let is_front = |engine: &Engine| {
             let behind = self.learned(&engine.name).and_then(|learned| learned.behind_until);
             behind.is_none_or(|until| now >= until)
         };
-        if found.iter().any(|candidate| is_front(candidate.engine)) {
-            found.retain(|candidate| is_front(candidate.engine));
+        if ranked.iter().any(|(_, engine)| is_front(engine)) {
+            ranked.retain(|(_, engine)| is_front(engine));
         }
-        // The first ones keep its parts, or would if those before them could be used.
-        let keepers = if self.is_small(wanted.pool) { KEEPERS } else { 0 };
-        let mut ranked: Vec<(bool, f64, &Engine)> = found
-            .iter()
+        ranked.sort_by(|(one, _), (other, _)| other.cmp(one));
+        let mut by_cost: Vec<(bool, f64, &Engine)> = ranked
+            .into_iter()
             .enumerate()
-            .map(|(place, candidate)| {
-                let keeps = candidate.keeps || place < keepers;
-                (keeps, self.cost(candidate.engine, now), candidate.engine)
-            })
+            .map(|(place, (_, engine))| (place < KEEPERS, self.cost(engine, now), engine))
             .collect();
-        ranked.sort_by(|(_, one, _), (_, other, _)| one.total_cmp(other));
-        let cheapest = ranked.first().map_or(0.0, |(_, cost, _)| *cost);
+        by_cost.sort_by(|(_, one, _), (_, other, _)| one.total_cmp(other));
+        let cheapest = by_cost.first().map_or(0.0, |(_, cost, _)| *cost);
         let is_preferred =
             |(keeps, cost, _): &(bool, f64, &Engine)| *keeps && *cost <= cheapest * KEEPER_PREMIUM;
-        let preferred = ranked.iter().position(is_preferred);
         // The others stay in the order of their costs.
-        if let Some(preferred) = preferred {
-            ranked[..=preferred].rotate_right(1);
+        if let Some(preferred) = by_cost.iter().position(is_preferred) {
+            by_cost[..=preferred].rotate_right(1);
         }
-        ranked.into_iter().map(|(_, _, engine)| engine).collect()
+        by_cost.into_iter().map(|(_, _, engine)| engine).collect()
     }
 
-    /// Whether all engines of a pool are compared.
-    fn is_small(&self, pool: &PoolName) -> bool {
-        self.index.len(pool) <= FEW_ENGINES
-    }
-
-    /// The engines that are compared for a request, without those that can't be used.
+    /// The engines that a request may go to, each with its rank for these parts.
     fn candidates<'a>(
-        &mut self,
-        view: &'a FleetView,
-        wanted: &Wanted<'_>,
-        key: Digest,
-        own: NodeId,
-    ) -> Vec<Candidate<'a>> {
-        let candidates = match self.is_small(wanted.pool) {
-            true => self.all_by_rank(view, wanted, key, true),
-            false => self.a_few(view, wanted, key, own),
-        };
-        match candidates.is_empty() {
-            // Rather one that failed lately than none.
-            true => self.all_by_rank(view, wanted, key, false),
-            false => candidates,
-        }
-    }
-
-    /// All engines of a pool, in the order in which they keep these parts.
-    fn all_by_rank<'a>(
         &self,
         view: &'a FleetView,
         wanted: &Wanted<'_>,
         key: Digest,
         only_usable: bool,
-    ) -> Vec<Candidate<'a>> {
-        let rank = |engine: &Engine| Digest::of(&[&key.0.to_be_bytes(), engine.name.0.as_bytes()]);
-        let may_be_asked = |engine: &&Engine| {
-            let is_new = !wanted.not.contains(&engine.name);
-            is_new && (!only_usable || self.is_usable(engine))
-        };
-        let listed = self.index.from(wanted.pool, Digest::default());
-        let engines = listed.filter_map(|name| view.engines.get(name)).filter(may_be_asked);
-        let mut ranked: Vec<(Digest, &Engine)> = engines.map(|e| (rank(e), e)).collect();
-        ranked.sort_by(|(one, _), (other, _)| other.cmp(one));
-        ranked.into_iter().map(|(_, engine)| Candidate { engine, keeps: false }).collect()
-    }
-
-    /// The keepers of these parts, each the next engine from a point of its own, and a few drawn.
-    fn a_few<'a>(
-        &mut self,
-        view: &'a FleetView,
-        wanted: &Wanted<'_>,
-        key: Digest,
-        own: NodeId,
-    ) -> Vec<Candidate<'a>> {
-        let mut found: Vec<Candidate<'a>> = Vec::with_capacity(KEEPERS + DRAWN);
-        for place in 0..KEEPERS + DRAWN {
-            let keeps = place < KEEPERS;
-            let point = match keeps {
-                true => Digest::of(&[&key.0.to_be_bytes(), &place.to_be_bytes()]),
-                false => self.draw(own),
-            };
-            let from = self.index.from(wanted.pool, point).take(PASSED_OVER);
-            let next = from.filter_map(|name| view.engines.get(name)).find(|engine| {
-                let is_new = !wanted.not.contains(&engine.name);
-                let is_found = found.iter().any(|candidate| candidate.engine.name == engine.name);
-                is_new && !is_found && self.is_usable(engine)
-            });
-            found.extend(next.map(|engine| Candidate { engine, keeps }));
-        }
-        found
-    }
-
-    /// A point that no other relay draws in the same order.
-    fn draw(&mut self, own: NodeId) -> Digest {
-        self.draws += 1;
-        Digest(u128::from(mixed(own.0 ^ mixed(self.draws))) << 64)
+    ) -> Vec<(u64, &'a Engine)> {
+        let listed = self.index.ranked(wanted.pool, key);
+        let listed = listed.filter_map(|(rank, name)| Some((rank, view.engines.get(name)?)));
+        listed
+            .filter(|(_, engine)| !wanted.not.contains(&engine.name))
+            .filter(|(_, engine)| !only_usable || self.is_usable(engine))
+            .collect()
     }
 
     /// An engine said how many requests it runs, how many wait there, and of how many slots.
@@ -401,14 +324,6 @@
     }
 }
 
-/// Spreads a number over all 64 bits (the finalizer of SplitMix64).
-fn mixed(number: u64) -> u64 {
-    let number = number.wrapping_add(0x9E37_79B9_7F4A_7C15);
-    let number = (number ^ (number >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    let number = (number ^ (number >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    number ^ (number >> 31)
-}
-
 /// What tells the parts that a prompt shares with others: all but its last, or that one where it
 /// stands alone.
 fn shared_key(prefix: &[PromptPart]) -> Option<Digest> {
--- a/programs/topazyard-relay/src/machine/engine_index.rs
+++ b/programs/topazyard-relay/src/machine/engine_index.rs
@@ -1,13 +1,12 @@
-//! The engines of each pool in the order of their digests, so that a few of many are found without
-//! looking at all.
+//! The engines of each pool with what ranks them for a prompt's shared parts, kept between choices.
 
 use topazyard_spec::{Engine, EngineState};
 use topazyard_types::{Digest, EngineName, PoolName};
 
-/// The engines that may be listed as ready, by pool, on a ring of digests.
+/// The ready engines of each pool.
 #[derive(Debug, Default)]
 pub(super) struct EngineIndex {
-    rings: std::collections::BTreeMap<PoolName, Vec<(Digest, EngineName)>>,
+    pools: std::collections::BTreeMap<PoolName, Vec<(u64, EngineName)>>,
 }
 
 impl EngineIndex {
@@ -15,23 +14,30 @@
     pub(super) fn of<'a>(engines: impl Iterator<Item = &'a Engine>) -> Self {
         let mut index = Self::default();
         for engine in engines.filter(|engine| engine.state == EngineState::Ready) {
-            let point = Digest::of(&[engine.name.0.as_bytes()]);
-            let ring = index.rings.entry(engine.pool.clone()).or_default();
-            ring.push((point, engine.name.clone()));
+            let own = Digest::of(&[engine.name.0.as_bytes()]).0 as u64;
+            let pool = index.pools.entry(engine.pool.clone()).or_default();
+            pool.push((own, engine.name.clone()));
         }
-        index.rings.values_mut().for_each(|ring| ring.sort());
         index
     }
 
-    /// All engines of a pool, from that point of its ring on.
-    pub(super) fn from(&self, pool: &PoolName, point: Digest) -> impl Iterator<Item = &EngineName> {
-        let ring = self.rings.get(pool).map_or(&[][..], Vec::as_slice);
-        let first = ring.partition_point(|(other, _)| *other < point);
-        ring[first..].iter().chain(&ring[..first]).map(|(_, name)| name)
+    /// The engines of a pool, each with its rank for that key. All relays rank alike (rendezvous
+    /// hashing), and no engine's rank depends on which others there are.
+    pub(super) fn ranked(
+        &self,
+        pool: &PoolName,
+        key: Digest,
+    ) -> impl Iterator<Item = (u64, &EngineName)> {
+        let engines = self.pools.get(pool).map_or(&[][..], Vec::as_slice);
+        let key = mixed(key.0 as u64 ^ (key.0 >> 64) as u64);
+        engines.iter().map(move |(own, name)| (mixed(own ^ key), name))
     }
+}
 
-    /// How many engines a pool has.
-    pub(super) fn len(&self, pool: &PoolName) -> usize {
-        self.rings.get(pool).map_or(0, Vec::len)
-    }
+/// Spreads a number over all 64 bits (the finalizer of SplitMix64).
+fn mixed(number: u64) -> u64 {
+    let number = number.wrapping_add(0x9E37_79B9_7F4A_7C15);
+    let number = (number ^ (number >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    number ^ (number >> 31)
 }
--- a/programs/topazyard-relay/src/machine/engines.rs
+++ b/programs/topazyard-relay/src/machine/engines.rs
@@ -31,8 +31,6 @@
     /// Moving average of the time to a first word, by pool.
     pub(super) usual_first_ms: std::collections::BTreeMap<PoolName, f64>,
     pub(super) index: super::engine_index::EngineIndex,
-    /// How many engines were drawn at random.
-    pub(super) draws: u64,
     pub(super) best_first_ms: std::collections::BTreeMap<PoolName, f64>,
     /// Where a prefix was last sent, the oldest first.
     prefixes: indexmap::IndexMap<Digest, EngineName>,
--- a/programs/topazyard-storage/src/counter/mod.rs
+++ b/programs/topazyard-storage/src/counter/mod.rs
@@ -93,7 +93,7 @@
         self.taken.get(pool).map_or(Tokens(0), rooms::Taken::held)
     }
 
-    /// Tokens that live requests hold or likely need, in all pools.
+    /// Tokens that live prompts hold and requests of routes use, in all pools.
     pub fn live_tokens(&self) -> Tokens {
         self.taken.values().map(rooms::Taken::live).sum()
     }
--- a/programs/topazyard-storage/src/counter/rooms.rs
+++ b/programs/topazyard-storage/src/counter/rooms.rs
@@ -8,9 +8,11 @@
 
 use topazyard_types::{EngineName, NodeId, Tokens};
 
-/// The reserve is so many halves of what independent swings come to. With it few relays' spare
-/// room is counted whole, that of six relays alike just so.
-const HALVES_OF_SWING: u64 = 5;
+/// The reserve beside which blocks are granted, in halves of what independent swings come to. With
+/// it few relays' spare room is counted whole, that of six relays alike just so.
+const HALVES_BESIDE_BLOCKS: u64 = 5;
+/// The reserve beside which items are granted, likewise: blocks may go above the limit beside items.
+const HALVES_BESIDE_ITEMS: u64 = 3;
 /// Blocks are granted up to so many times the limit, whatever is used of them: the bound on what
 /// all relays could use before a renewal tells it.
 const ROOM_OF_LIMIT: u64 = 2;
@@ -120,10 +122,15 @@
         self.live == 0 && self.items == 0 && self.rooms.is_empty()
     }
 
-    /// What live prompts hold and what the requests of routes likely need.
+    /// What live prompts hold and the requests of routes use.
     pub(super) fn live(&self) -> Tokens {
-        let swing = self.spare_squares.isqrt() as u64 * HALVES_OF_SWING / 2;
-        Tokens(self.live + self.used + swing.min(self.granted - self.used))
+        Tokens(self.live + self.used)
+    }
+
+    /// That and a reserve of so many halves of a swing.
+    fn likely_live(&self, halves: u64) -> u64 {
+        let swing = self.spare_squares.isqrt() as u64 * halves / 2;
+        self.live + self.used + swing.min(self.granted - self.used)
     }
 
     /// What is held, with blocks counted whole.
@@ -137,12 +144,13 @@
 
     /// Whether a prompt or an item of that charge fits.
     pub(super) fn fits(&self, charge: Tokens, limit: Tokens) -> bool {
-        limit > Tokens(0) && self.live().plus(charge).0 + self.items <= limit.0
+        let likely = self.likely_live(HALVES_BESIDE_ITEMS) + charge.0;
+        limit > Tokens(0) && likely + self.items <= limit.0
     }
 
     /// Whether a block of that charge fits.
     pub(super) fn fits_block(&self, charge: Tokens, limit: Tokens) -> bool {
-        let likely = self.live().plus(charge).0;
+        let likely = self.likely_live(HALVES_BESIDE_BLOCKS) + charge.0;
         let most = limit.0 * BESIDE_ITEMS_PERCENT / 100;
         limit > Tokens(0)
             && likely <= limit.0
@@ -153,7 +161,7 @@
     /// One line for the log.
     pub(super) fn line(&self) -> String {
         let (used, granted, relays) = (self.used, self.granted, self.rooms.len());
-        let (live, items) = (self.live(), self.items);
+        let (live, items) = (self.likely_live(HALVES_BESIDE_BLOCKS), self.items);
         format!(
             "{live} live, of which {used} used of {granted} in rooms of {relays} relays; {items} items"
         )
