Let a storage node that came back blank go at once

Change: who is asked as a backup and holds no copy says so; if its id is another than that of the backup at its address, the primary lets that one go by the usual wish. Control takes an id as down as soon as another is heard at its address. Both go by the record's epoch and the usual rules, so a wrong word costs a copy that is filled again, and no data.

--- a/fleet-simulator/src/model/network.rs
+++ b/fleet-simulator/src/model/network.rs
@@ -83,6 +83,7 @@
             ReplicaBody::Append { .. } => "Append",
             ReplicaBody::Appended { .. } => "Appended",
             ReplicaBody::OutOfStep => "OutOfStep",
+            ReplicaBody::NotHeld => "NotHeld",
             ReplicaBody::Digests { .. } => "Digests",
             ReplicaBody::Differ { .. } => "Differ",
             ReplicaBody::Range { .. } => "Range",
--- a/libraries/topazyard-wire/src/message/replica.rs
+++ b/libraries/topazyard-wire/src/message/replica.rs
@@ -105,4 +105,6 @@
         /// Which round.
         round: u64,
     },
+    /// I hold no copy of this group.
+    NotHeld,
 }
--- a/programs/topazyard-control/src/machine/health.rs
+++ b/programs/topazyard-control/src/machine/health.rs
@@ -75,7 +75,9 @@
             let alone = self.last_alone.unwrap_or(serving_since);
             let silence = now.since(heard.max(serving_since).max(alone));
             let doubted = self.membership.standing(*id) != Some(Standing::Alive);
-            if silence >= self.timeouts.surely_down || (silence >= self.timeouts.down && doubted) {
+            let is_silent =
+                silence >= self.timeouts.surely_down || (silence >= self.timeouts.down && doubted);
+            if is_silent || self.is_displaced(known, *id) {
                 standings.down.insert(*id);
             }
             if self.seen.nodes.get(id).is_some_and(|seen| now < seen.slow_until) {
@@ -89,6 +91,20 @@
         standings
     }
 
+    /// Whether another node was heard at a storage node's address after it: its disk is gone, and
+    /// its id with it.
+    fn is_displaced(&self, known: &FleetView, id: NodeId) -> bool {
+        let Some(row) = known.storage.get(&id) else { return false };
+        let heard = self.seen.nodes.get(&id).map(|seen| seen.at);
+        self.seen.nodes.iter().any(|(other, seen)| match &seen.health {
+            Health::Storage { member, .. } => {
+                let is_at_its_address = *other != id && member.address == row.member.address;
+                is_at_its_address && Some(seen.at) > heard
+            }
+            Health::Edge { .. } => false,
+        })
+    }
+
     /// Probes storage nodes that have gone silent on the feed, so that a doubt which is right is
     /// confirmed soon and one which is wrong does no harm.
     pub(super) fn probe_the_silent(&mut self, now: MonotonicMs) {
--- a/programs/topazyard-control/tests/wishes.rs
+++ b/programs/topazyard-control/tests/wishes.rs
@@ -78,3 +78,19 @@
     fleet.run(TICK.0);
     assert_eq!(records(&mut fleet), before);
 }
+
+// Else all that a blank machine led waits until its former id has been silent for long enough.
+#[test]
+fn shards_whose_primary_lost_its_disk_move_as_soon_as_its_machine_is_heard_under_another_id() {
+    let mut fleet = Fleet::new(3, 3);
+    fleet.storage = (1..=3).map(storage).collect();
+    fleet.run(4_000);
+    let lost = fleet.storage[0].id;
+    let before = records(&mut fleet);
+    assert!(before.values().any(|record| record.primary.id == lost));
+    fleet.storage[0].id = topazyard_types::NodeId(77);
+    fleet.run(500);
+    let after = records(&mut fleet);
+    let still: Vec<_> = after.iter().filter(|(_, record)| record.primary.id == lost).collect();
+    assert!(still.is_empty(), "{still:?}");
+}
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -3,6 +3,7 @@
 mod aside;
 mod confirm;
 mod counting;
+mod displaced;
 mod hosted;
 mod roles;
 mod serving;
@@ -17,6 +18,7 @@
 use topazyard_wire::message::control::{ShardWish, Wish};
 use topazyard_wire::message::feed::Health;
 use topazyard_wire::message::membership::{Duty, Member};
+use topazyard_wire::message::replica::{ReplicaBody, ReplicaMessage};
 use topazyard_wire::state::FleetView;
 use topazyard_wire::{Effect, Group, Input, Machine, RowChange, WriteToken};
 
@@ -313,14 +315,18 @@
         &mut self,
         sender: NodeId,
         from: std::net::SocketAddr,
-        message: topazyard_wire::message::replica::ReplicaMessage,
+        message: ReplicaMessage,
         now: MonotonicMs,
         out: &mut Out,
     ) {
         let Group::Shard(shard) = message.group else { return };
+        if message.body == ReplicaBody::NotHeld {
+            return self.drop_displaced(shard, sender, from, message.epoch, out);
+        }
         let hosted = self.hosted.get_mut(&shard);
         if hosted.as_ref().is_none_or(|hosted| hosted.replica.epoch() < message.epoch) {
             self.behind_since.get_or_insert(now);
+            self.answer_for_copy_not_held(shard, from, &message, out);
         } else if let Some(hosted) = hosted {
             self.behind_since = None;
             let from = topazyard_replication::replica::From { id: sender, address: from };
