--- a/libraries/topazyard-spec/src/bundle.rs
+++ b/libraries/topazyard-spec/src/bundle.rs
@@ -155,7 +155,7 @@
 
 impl Default for WeightBounds {
     fn default() -> Self {
-        Self { live_floor_percent: 30, live_start_percent: 50, live_ceiling_percent: 80 }
+        Self { live_floor_percent: 30, live_start_percent: 50, live_ceiling_percent: 65 }
     }
 }
 
