--- a/programs/topazyard-relay/tests/requests.rs
+++ b/programs/topazyard-relay/tests/requests.rs
@@ -2,7 +2,7 @@
 
 use topazyard_relay::drain::DrainTimes;
 use topazyard_relay::machine::requests::{Admitted, Arrival, PromptPart};
-use topazyard_relay::machine::{EngineUse, PromptId};
+use topazyard_relay::machine::{EngineLoad, EngineUse, PromptId};
 use topazyard_relay::prompt::Failure;
 use topazyard_relay::{RelayCall, RelayMachine, RelayReturn, RelayTask, Start};
 use topazyard_spec::EngineState;
@@ -69,6 +69,8 @@
     grants: Option<bool>,
     asked: Vec<(HoldId, Tokens)>,
     released: Vec<HoldId>,
+    /// What each renewal told to be used of the main pool.
+    told_used: Vec<u64>,
     health: Vec<Health>,
     reached_for: Vec<EngineName>,
     notes: Vec<String>,
@@ -95,6 +97,7 @@
             grants: None,
             asked: Vec::new(),
             released: Vec::new(),
+            told_used: Vec::new(),
             health: Vec::new(),
             reached_for: Vec::new(),
             notes: Vec::new(),
@@ -126,7 +129,9 @@
                         answers.extend(self.grants.map(body));
                     }
                     CounterBody::Release(id) => self.released.push(id),
-                    CounterBody::Renew { number, .. } if self.grants.is_some() => {
+                    CounterBody::Renew { number, used, .. } if self.grants.is_some() => {
+                        let of_main = used.iter().filter(|(pool, _)| pool.0 == "main");
+                        self.told_used.extend(of_main.map(|(_, used)| used.0));
                         answers.push(CounterBody::Renewed { number });
                     }
                     _ => {}
@@ -698,3 +703,41 @@
     let call = relay.call(RelayCall::Retry(PromptId(request.0), EngineUse::TurnedAway));
     assert_eq!(relay.code(call), Some(Code::NoEngine), "it had all");
 }
+
+// Else the counter lends to items what this relay's requests hold, or keeps what they don't.
+#[test]
+fn each_renewal_tells_what_requests_held_in_the_mean_since_the_one_before() {
+    let mut relay = Relay::granted();
+    let request = relay.ask(40);
+    assert!(relay.admitted(request).is_some());
+    relay.pass(1_200);
+    assert_eq!(relay.told_used.last(), Some(&40));
+    relay.end(request, EngineUse::Whole(DurationMs(9)));
+    relay.pass(1_200);
+    assert_eq!(relay.told_used.last(), Some(&0));
+    assert!(relay.told_used.iter().all(|used| *used <= 40), "{:?}", relay.told_used);
+    assert!(relay.told_used.iter().any(|used| (1..40).contains(used)), "{:?}", relay.told_used);
+}
+
+// Else an engine that says that it is full is sent as much as an idle one.
+#[test]
+fn an_engine_that_says_it_is_full_goes_behind_others_until_its_word_is_old() {
+    let chosen_of_ten = |load: Option<EngineLoad>, wait_ms: u64| {
+        let mut relay = Relay::granted();
+        let first = relay.arrive("/x", 40, 10_000, &parts(1, 0));
+        let engine = relay.engine(first);
+        relay.end(first, EngineUse::Whole(DurationMs(50)));
+        if let Some(load) = load {
+            relay.call(RelayCall::EngineLoad(engine.clone(), load));
+        }
+        relay.pass(wait_ms);
+        let requests: Vec<CallId> =
+            (1..=10).map(|own| relay.arrive("/x", 40, 10_000, &parts(1, own))).collect();
+        requests.into_iter().filter(|request| relay.engine(*request) == engine).count()
+    };
+    let full = EngineLoad { running: 9, waiting: 3, slots: 9 };
+    let idle = EngineLoad { running: 0, waiting: 0, slots: 9 };
+    assert_eq!(chosen_of_ten(Some(full), 25), 0);
+    assert!(chosen_of_ten(Some(idle), 25) > 0);
+    assert_eq!(chosen_of_ten(Some(full), 10_000), chosen_of_ten(None, 10_000));
+}
--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -555,3 +555,33 @@
     assert_eq!(events(&["id: 1\ndata: a\n\n"], so_far()), Err(OutOfOrder));
     assert_eq!(events(&["id: 4\ndata: d\n\n"], so_far()), Err(OutOfOrder));
 }
+
+// Else a relay keeps items from others, and asks for each in a loop, while there is no room.
+#[test]
+fn while_there_is_no_room_fewer_items_are_leased_and_one_at_a_time_asks() {
+    let mut relay = Relay::ready();
+    relay.tick(25);
+    let (call, most) = relay.asked_lease();
+    assert_eq!(most, 6);
+    let leased = |number| LeasedItem {
+        run: Run { batch: batch(), item: ItemNumber(number), lease: u64::from(number) },
+        item: item(),
+        route: Some(("r".into(), HOST.to_owned())),
+        progress: Progress::default(),
+    };
+    relay.hear_shard(call, BatchReturn::Leased((0..6).map(leased).collect()));
+    let asked = relay.holds.clone();
+    assert_eq!(asked.len(), 6, "what is leased asks at once");
+    for id in asked {
+        relay.hear_counter(CounterBody::Added { id, granted: false, engine: None });
+    }
+    relay.tick(25);
+    assert_eq!(relay.holds.len(), 6);
+    relay.tick(25);
+    assert_eq!(relay.holds.len(), 7, "the one that waits longest asks again");
+    let id = *relay.holds.last().expect("it asked");
+    relay.hear_counter(CounterBody::Added { id, granted: true, engine: Some("e1".into()) });
+    assert_eq!(relay.runs.len(), 1);
+    assert_eq!(relay.holds.len(), 9, "a grant lets two more ask");
+    assert_eq!(relay.asked_lease().0, call, "those that wait are as many as may");
+}
