Give three tests of storage nodes one harness for what control tells them

disks.rs, letting_go.rs and displaced.rs each made a member, a blank node and control's news of a record. They share tests/storage_node now; no check changed.

--- a/programs/topazyard-storage/tests/disks.rs
+++ b/programs/topazyard-storage/tests/disks.rs
@@ -1,15 +1,16 @@
 //! A storage node whose disk is full takes no more work, says so, and goes on once there is room.
 
+mod storage_node;
+
+use storage_node::{CONTROL, asked, blank, news_of, node};
 use topazyard_storage::{StorageCall, StorageHealth, StorageMachine};
-use topazyard_types::{BatchId, CallId, Digest, DurationMs, Epoch, MonotonicMs, NodeId, Place};
+use topazyard_types::{BatchId, CallId, Digest, DurationMs, Epoch, MonotonicMs, NodeId};
 use topazyard_types::{Sequence, ShardId};
 use topazyard_wire::disk::DiskState;
-use topazyard_wire::driver::DiskStart;
 use topazyard_wire::message::Message;
 use topazyard_wire::message::batch::{BatchBody, BatchCall, BatchMessage, BatchReturn};
-use topazyard_wire::message::control::{CoreNode, ShardRecord};
-use topazyard_wire::message::feed::{FeedMessage, Health, Matter};
-use topazyard_wire::message::membership::{Duty, Member};
+use topazyard_wire::message::control::ShardRecord;
+use topazyard_wire::message::feed::{FeedMessage, Health};
 use topazyard_wire::message::replica::{ReplicaBody, ReplicaMessage};
 use topazyard_wire::{Effect, Group, Input, Machine as _, WriteToken};
 
@@ -18,14 +19,6 @@
 const BACKUP: NodeId = NodeId(2);
 const EPOCH: Epoch = Epoch(1);
 
-fn at(port: u16) -> std::net::SocketAddr {
-    ([127, 0, 0, 1], port).into()
-}
-
-fn node(id: NodeId) -> CoreNode {
-    CoreNode { id, address: at(id.0 as u16) }
-}
-
 /// A storage node with what it said and wrote; control and the backup are played by the test.
 struct Node {
     machine: StorageMachine,
@@ -38,25 +31,8 @@
 
 impl Node {
     fn new() -> Self {
-        let member = Member {
-            id: ME,
-            name: None,
-            address: at(1),
-            http: None,
-            duty: Duty::Storage,
-            zone: "north".into(),
-        };
-        let start = DiskStart {
-            member,
-            seeds: vec![at(9)],
-            chance: 5 << 40,
-            loaded: Default::default(),
-            bounds: Default::default(),
-            resources: Default::default(),
-            may_found: false,
-        };
         Self {
-            machine: StorageMachine::new(start),
+            machine: blank(ME.0),
             now: MonotonicMs(86_400_000),
             sent: Vec::new(),
             notes: Vec::new(),
@@ -78,7 +54,7 @@
     }
 
     fn hear(&mut self, sender: NodeId, message: Message) {
-        self.step(Input::Frame { sender, from: at(sender.0 as u16), message });
+        self.step(Input::Frame { sender, from: node(sender.0).address, message });
     }
 
     fn run(&mut self, for_ms: u64) {
@@ -94,17 +70,13 @@
         let record = ShardRecord {
             epoch: EPOCH,
             copies: 2,
-            primary: node(ME),
-            backups: vec![node(BACKUP)],
+            primary: node(ME.0),
+            backups: vec![node(BACKUP.0)],
             fallbacks: Vec::new(),
             learners: Vec::new(),
         };
-        let key = topazyard_wire::state::shard_key(SHARD);
-        let rows = vec![(key, topazyard_wire::rows::encode(&record))];
-        let nonce = self.asked().expect("it asks control").0;
-        let place = Place { epoch: EPOCH, sequence: Sequence(1) };
-        let news = FeedMessage::News { nonce, place, matter: Matter::View(rows) };
-        self.hear(NodeId(9), Message::Feed(news));
+        let nonce = asked(&self.sent).expect("it asks control");
+        self.hear(NodeId(CONTROL), news_of(nonce, SHARD, 1, &record));
         self.confirm();
         assert!(self.machine.is_serving(SHARD));
     }
@@ -125,10 +97,10 @@
         }
     }
 
-    /// What it asked control last.
-    fn asked(&self) -> Option<(u64, Health)> {
+    /// How it told control last that it fares.
+    fn told_health(&self) -> Option<Health> {
         self.sent.iter().rev().find_map(|message| match message {
-            Message::Feed(FeedMessage::Ask { nonce, health, .. }) => Some((*nonce, health.clone())),
+            Message::Feed(FeedMessage::Ask { health, .. }) => Some(health.clone()),
             _ => None,
         })
     }
@@ -175,7 +147,7 @@
     node.lead();
     node.step(Input::Disk(DiskState::Full));
     node.run(500);
-    let Some((_, Health::Storage { disk, .. })) = node.asked() else { panic!("no word") };
+    let Some(Health::Storage { disk, .. }) = node.told_health() else { panic!("no word") };
     assert_eq!(disk, DiskState::Full);
     node.step(Input::Call { call: CallId(1), request: StorageCall::Health });
     assert_eq!(node.health.take().map(|health| health.disk), Some(DiskState::Full));
@@ -192,17 +164,13 @@
     let record = ShardRecord {
         epoch: EPOCH,
         copies: 2,
-        primary: self::node(BACKUP),
-        backups: vec![self::node(ME)],
+        primary: storage_node::node(BACKUP.0),
+        backups: vec![storage_node::node(ME.0)],
         fallbacks: Vec::new(),
         learners: Vec::new(),
     };
-    let key = topazyard_wire::state::shard_key(SHARD);
-    let rows = vec![(key, topazyard_wire::rows::encode(&record))];
-    let nonce = node.asked().expect("it asks control").0;
-    let place = Place { epoch: EPOCH, sequence: Sequence(1) };
-    let news = FeedMessage::News { nonce, place, matter: Matter::View(rows) };
-    node.hear(NodeId(9), Message::Feed(news));
+    let nonce = asked(&node.sent).expect("it asks control");
+    node.hear(NodeId(CONTROL), news_of(nonce, SHARD, 1, &record));
     node.sent.clear();
     // Its primary compares again and again, as it does while nobody answers.
     for round in 1..=5_000 {
--- a/programs/topazyard-storage/tests/displaced.rs
+++ b/programs/topazyard-storage/tests/displaced.rs
@@ -1,24 +1,19 @@
 //! A backup whose machine came back with a blank disk, under another id at the same address.
 
+mod storage_node;
+
+use storage_node::{CONTROL, asked, blank, news_of, node};
 use topazyard_storage::{StorageCall, StorageMachine};
-use topazyard_types::{DurationMs, Epoch, MonotonicMs, NodeId, Place, Sequence, ShardId};
-use topazyard_wire::driver::DiskStart;
+use topazyard_types::{DurationMs, Epoch, MonotonicMs, NodeId, Sequence, ShardId};
 use topazyard_wire::message::Message;
-use topazyard_wire::message::control::{CoreNode, ShardRecord, ShardWish, Wish};
-use topazyard_wire::message::feed::{FeedMessage, Matter};
-use topazyard_wire::message::membership::{Duty, Member};
+use topazyard_wire::message::control::{ShardRecord, ShardWish, Wish};
 use topazyard_wire::message::replica::{ReplicaBody, ReplicaMessage};
-use topazyard_wire::{Effect, Group, Input, Machine as _, RowChange};
+use topazyard_wire::{Effect, Group, Input, Machine as _};
 
 const SHARD: ShardId = ShardId(1);
 const ME: u64 = 1;
 const BACKUP: u64 = 2;
 const BLANK: u64 = 77;
-const CONTROL: u64 = 9;
-
-fn node(id: u64) -> CoreNode {
-    CoreNode { id: NodeId(id), address: ([127, 0, 0, 1], id as u16).into() }
-}
 
 /// A storage node whose writes are synced at once.
 struct Storage {
@@ -30,28 +25,8 @@
 impl Storage {
     /// One that control has told of a record with this primary, and of its backup.
     fn told_of(primary: u64) -> Self {
-        let member = Member {
-            id: NodeId(ME),
-            name: None,
-            address: node(ME).address,
-            http: None,
-            duty: Duty::Storage,
-            zone: "north".into(),
-        };
-        let start = DiskStart {
-            member,
-            seeds: vec![node(CONTROL).address],
-            chance: 5 << 40,
-            loaded: Default::default(),
-            bounds: Default::default(),
-            resources: Default::default(),
-            may_found: false,
-        };
-        let mut storage = Self {
-            machine: StorageMachine::new(start),
-            now: MonotonicMs(86_400_000),
-            sent: Vec::new(),
-        };
+        let mut storage =
+            Self { machine: blank(ME), now: MonotonicMs(86_400_000), sent: Vec::new() };
         storage.hear_record(primary);
         storage.pass(50);
         storage
@@ -84,14 +59,10 @@
     }
 
     fn hear_record(&mut self, primary: u64) {
-        let asked = |message: &Message| match message {
-            Message::Feed(FeedMessage::Ask { nonce, .. }) => Some(*nonce),
-            _ => None,
-        };
-        while !self.sent.iter().any(|message| asked(message).is_some()) {
+        while asked(&self.sent).is_none() {
             self.pass(25);
         }
-        let nonce = self.sent.iter().rev().find_map(asked).expect("it asks the feed");
+        let nonce = asked(&self.sent).expect("it asks the feed");
         let record = ShardRecord {
             epoch: Epoch(1),
             copies: 2,
@@ -100,10 +71,7 @@
             fallbacks: Vec::new(),
             learners: Vec::new(),
         };
-        let row = RowChange::put(topazyard_wire::state::shard_key(SHARD), &record);
-        let matter = Matter::View(vec![(row.key, row.value.expect("a value"))]);
-        let place = Place { epoch: Epoch(1), sequence: Sequence(1) };
-        self.hear(CONTROL, CONTROL, Message::Feed(FeedMessage::News { nonce, place, matter }));
+        self.hear(CONTROL, CONTROL, news_of(nonce, SHARD, 1, &record));
     }
 
     fn hear_not_held(&mut self, sender: u64, from: u64, epoch: u64) {
--- a/programs/topazyard-storage/tests/letting_go.rs
+++ b/programs/topazyard-storage/tests/letting_go.rs
@@ -1,25 +1,20 @@
 //! A copy that was let go and is taken up again: what its disk still does for the old one counts for
 //! nothing in the new one.
 
+mod storage_node;
+
+use storage_node::{CONTROL, asked, blank, news_of, node};
 use topazyard_storage::{StorageCall, StorageMachine};
-use topazyard_types::{DurationMs, Epoch, MonotonicMs, NodeId, Place, Sequence, ShardId};
-use topazyard_wire::driver::DiskStart;
+use topazyard_types::{DurationMs, Epoch, MonotonicMs, NodeId, Sequence, ShardId};
 use topazyard_wire::message::Message;
 use topazyard_wire::message::control::{CoreNode, ShardRecord};
-use topazyard_wire::message::feed::{FeedMessage, Matter};
-use topazyard_wire::message::membership::{Duty, Member};
 use topazyard_wire::message::replica::{Follows, ReplicaBody, ReplicaMessage};
-use topazyard_wire::{Effect, Group, Input, Machine as _, RowChange, WriteToken};
+use topazyard_wire::{Effect, Group, Input, Machine as _, WriteToken};
 
 const SHARD: ShardId = ShardId(1);
 const ME: u64 = 1;
 const PRIMARY: u64 = 2;
 const OTHER: u64 = 3;
-const CONTROL: u64 = 9;
-
-fn node(id: u64) -> CoreNode {
-    CoreNode { id: NodeId(id), address: ([127, 0, 0, 1], id as u16).into() }
-}
 
 /// A storage node whose writes are synced when the test says so.
 struct Storage {
@@ -31,24 +26,8 @@
 
 impl Storage {
     fn new() -> Self {
-        let start = DiskStart {
-            member: Member {
-                id: NodeId(ME),
-                name: None,
-                address: node(ME).address,
-                http: None,
-                duty: Duty::Storage,
-                zone: "north".into(),
-            },
-            seeds: vec![node(CONTROL).address],
-            chance: 5 << 40,
-            loaded: Default::default(),
-            bounds: Default::default(),
-            resources: Default::default(),
-            may_found: false,
-        };
         Self {
-            machine: StorageMachine::new(start),
+            machine: blank(ME),
             now: MonotonicMs(86_400_000),
             sent: Vec::new(),
             unsynced: Default::default(),
@@ -76,7 +55,7 @@
     /// Control tells of a record in which this node is a learner, or nothing.
     fn learn(&mut self, epoch: u64, learners: Vec<CoreNode>) {
         self.sent.clear();
-        while self.asked().is_none() {
+        while asked(&self.sent).is_none() {
             self.now = self.now.plus(DurationMs(25));
             self.step(Input::Tick);
         }
@@ -88,18 +67,8 @@
             fallbacks: Vec::new(),
             learners,
         };
-        let row = RowChange::put(topazyard_wire::state::shard_key(SHARD), &record);
-        let matter = Matter::View(vec![(row.key, row.value.expect("a value"))]);
-        let place = Place { epoch: Epoch(1), sequence: Sequence(epoch) };
-        let nonce = self.asked().expect("it asks the feed");
-        self.hear(CONTROL, Message::Feed(FeedMessage::News { nonce, place, matter }));
-    }
-
-    fn asked(&self) -> Option<u64> {
-        self.sent.iter().rev().find_map(|message| match message {
-            Message::Feed(FeedMessage::Ask { nonce, .. }) => Some(*nonce),
-            _ => None,
-        })
+        let nonce = asked(&self.sent).expect("it asks the feed");
+        self.hear(CONTROL, news_of(nonce, SHARD, epoch, &record));
     }
 
     /// The primary compares, with a copy that is as empty as this one.
--- /dev/null
+++ b/programs/topazyard-storage/tests/storage_node/mod.rs
@@ -0,0 +1,54 @@
+//! A storage node's machine, and what control tells it, as several tests play them.
+
+use topazyard_storage::StorageMachine;
+use topazyard_types::{Epoch, NodeId, Place, Sequence, ShardId};
+use topazyard_wire::driver::DiskStart;
+use topazyard_wire::message::Message;
+use topazyard_wire::message::control::{CoreNode, ShardRecord};
+use topazyard_wire::message::feed::{FeedMessage, Matter};
+use topazyard_wire::message::membership::{Duty, Member};
+
+/// The control node that tells of records.
+pub const CONTROL: u64 = 9;
+
+/// A node at an address of its own.
+pub fn node(id: u64) -> CoreNode {
+    CoreNode { id: NodeId(id), address: ([127, 0, 0, 1], id as u16).into() }
+}
+
+/// A storage node that starts with an empty disk.
+pub fn blank(id: u64) -> StorageMachine {
+    let member = Member {
+        id: NodeId(id),
+        name: None,
+        address: node(id).address,
+        http: None,
+        duty: Duty::Storage,
+        zone: "north".into(),
+    };
+    StorageMachine::new(DiskStart {
+        member,
+        seeds: vec![node(CONTROL).address],
+        chance: 5 << 40,
+        loaded: Default::default(),
+        bounds: Default::default(),
+        resources: Default::default(),
+        may_found: false,
+    })
+}
+
+/// Which asking of the feed was sent last.
+pub fn asked(sent: &[Message]) -> Option<u64> {
+    sent.iter().rev().find_map(|message| match message {
+        Message::Feed(FeedMessage::Ask { nonce, .. }) => Some(*nonce),
+        _ => None,
+    })
+}
+
+/// Control's answer to an asking: everything, which is that record.
+pub fn news_of(nonce: u64, shard: ShardId, sequence: u64, record: &ShardRecord) -> Message {
+    let key = topazyard_wire::state::shard_key(shard);
+    let matter = Matter::View(vec![(key, topazyard_wire::rows::encode(record))]);
+    let place = Place { epoch: Epoch(1), sequence: Sequence(sequence) };
+    Message::Feed(FeedMessage::News { nonce, place, matter })
+}
