--- a/programs/topazyard-storage/tests/counter.rs
+++ b/programs/topazyard-storage/tests/counter.rs
@@ -193,8 +193,8 @@
     assert!(is_added(&counter.add(RELAY, &hold(3, 500, HoldKind::Block), later)));
 }
 
-fn block(relay: u64, id: u64, cost: u64) -> (NodeId, Hold) {
-    (NodeId(relay), hold(id, cost, HoldKind::Block))
+fn ask_for_block(counter: &mut Counter, relay: u64, id: u64, cost: u64) -> Checked {
+    counter.add(NodeId(relay), &hold(id, cost, HoldKind::Block), NOW)
 }
 
 fn tell(counter: &mut Counter, relay: u64, used: u64) {
@@ -206,8 +206,7 @@
 fn of_many_rooms_the_use_counts_and_a_reserve_that_grows_with_their_root() {
     let mut counter = counter();
     for relay in 1..=100 {
-        let (relay, block) = block(relay, 1, 10);
-        assert!(is_added(&counter.add(relay, &block, NOW)), "{relay:?}");
+        assert!(is_added(&ask_for_block(&mut counter, relay, 1, 10)), "{relay}");
     }
     assert_eq!(counter.live_tokens(), Tokens(1_000), "a new block counts whole");
     (1..=100).for_each(|relay| tell(&mut counter, relay, 2));
@@ -221,10 +220,8 @@
     assert!(is_added(&counter.add(RELAY, &item(8, 680), NOW)));
     assert_eq!(counter.add(RELAY, &item(9, 1), NOW), Checked::Refused);
     // Blocks have a reserve of 2.5 times that root, up to 115 % of the limit: 1,150 - 400 - 680.
-    let (relay, fits) = block(1, 2, 70);
-    assert!(is_added(&counter.add(relay, &fits, NOW)));
-    let (relay, more) = block(1, 3, 2);
-    assert_eq!(counter.add(relay, &more, NOW), Checked::Refused);
+    assert!(is_added(&ask_for_block(&mut counter, 1, 2, 70)));
+    assert_eq!(ask_for_block(&mut counter, 1, 3, 2), Checked::Refused);
 }
 
 // Else a fleet of few relays lets items into room that its live requests need in a moment.
@@ -232,9 +229,8 @@
 fn the_spare_room_of_few_relays_counts_whole() {
     let mut counter = counter();
     for relay in 1..=2 {
-        let (relay, block) = block(relay, 1, 400);
-        counter.add(relay, &block, NOW);
-        tell(&mut counter, relay.0, 0);
+        ask_for_block(&mut counter, relay, 1, 400);
+        tell(&mut counter, relay, 0);
     }
     assert!(is_added(&counter.add(RELAY, &hold(8, 200, HoldKind::Item), NOW)));
     assert_eq!(counter.add(RELAY, &hold(9, 1, HoldKind::Item), NOW), Checked::Refused);
@@ -245,15 +241,11 @@
 fn beside_items_blocks_may_go_above_the_limit_and_without_them_not() {
     let mut counter = counter();
     assert!(is_added(&counter.add(RELAY, &hold(1, 300, HoldKind::Item), NOW)));
-    let (relay, all) = block(1, 1, 850);
-    assert!(is_added(&counter.add(relay, &all, NOW)));
-    let (relay, more) = block(1, 2, 1);
-    assert_eq!(counter.add(relay, &more, NOW), Checked::Refused);
+    assert!(is_added(&ask_for_block(&mut counter, 1, 1, 850)));
+    assert_eq!(ask_for_block(&mut counter, 1, 2, 1), Checked::Refused);
     counter.release(RELAY, HoldId(1));
-    let (relay, up_to_limit) = block(1, 3, 150);
-    assert!(is_added(&counter.add(relay, &up_to_limit, NOW)));
-    let (relay, above) = block(1, 4, 1);
-    assert_eq!(counter.add(relay, &above, NOW), Checked::Refused);
+    assert!(is_added(&ask_for_block(&mut counter, 1, 3, 150)));
+    assert_eq!(ask_for_block(&mut counter, 1, 4, 1), Checked::Refused);
 }
 
 #[test]
@@ -266,10 +258,7 @@
             match what % 4 {
                 0 => tell(&mut counter, relay, cost),
                 1 => drop(counter.release(NodeId(relay), HoldId(u64::from(*id)))),
-                2 => {
-                    let (relay, block) = block(relay, u64::from(*id), cost);
-                    counter.add(relay, &block, NOW);
-                }
+                2 => drop(ask_for_block(&mut counter, relay, u64::from(*id), cost)),
                 _ => {
                     let item = hold(1_000 + u64::from(*id), cost, HoldKind::Item);
                     let is_new = is_added(&counter.add(RELAY, &item, NOW));
