--- a/review/stand-ins/tests/fleet.rs
+++ b/review/stand-ins/tests/fleet.rs
@@ -2,6 +2,9 @@
 //! list of engines, stand-in engines, and the calls of a client and of an operator.
 #![allow(dead_code)]
 
+#[path = "narrow_links.rs"]
+mod narrow_links;
+
 use base64::Engine as _;
 use fleet_soak::http::{CallEnd, Message, call};
 use fleet_soak::layout::{Class, Layout, Role, Size};
@@ -148,6 +151,15 @@
 impl Fleet {
     /// Starts three machines of each class and one engine of each of these services.
     pub async fn start(program: std::path::PathBuf, services: &[&str]) -> Result<Self, String> {
+        Self::start_on(program, services, None).await
+    }
+
+    /// The same where the link of each storage machine takes so many megabits a second.
+    pub async fn start_on(
+        program: std::path::PathBuf,
+        services: &[&str],
+        megabits: Option<f64>,
+    ) -> Result<Self, String> {
         let network = free_network().ok_or("no free network")?;
         let layout = Layout::new(Size::Small, network);
         let folder = std::env::temp_dir().join(format!("review-{}-{network}", std::process::id()));
@@ -169,11 +181,17 @@
         let list = tokio::net::TcpListener::bind(layout.list()).await;
         let list = list.map_err(|error| error.to_string())?;
         tokio::spawn(serve_list(list, world.clone()));
-        let cuts = fleet_soak::links::Cuts::default();
-        let (cuts, receiver) = tokio::sync::watch::channel(cuts);
-        fleet_soak::links::start(layout, receiver).await.map_err(|error| error.to_string())?;
-        // Links stay as they are as long as the program runs.
-        std::mem::forget(cuts);
+        match megabits {
+            Some(megabits) => narrow_links::start(layout, megabits),
+            None => {
+                let cuts = fleet_soak::links::Cuts::default();
+                let (cuts, receiver) = tokio::sync::watch::channel(cuts);
+                // Links stay as they are as long as the program runs.
+                std::mem::forget(cuts);
+                fleet_soak::links::start(layout, receiver).await
+            }
+        }
+        .map_err(|error| error.to_string())?;
         let (recorder, _) = tokio::sync::mpsc::unbounded_channel();
         let clock = fleet_soak::history::Clock::start();
         let places = Places {
