Move the harness of the routed items' tests into a module of its own

The coming tests of changing routes use the same relay with injected messages. The feed now takes any routes and has an engine in each of two pools; the slots are halved, so that their sum and with it the sizes of leases stay as they were. The item's path lies under its route's prefix, as the users' page says of items.

--- /dev/null
+++ b/programs/topazyard-relay/tests/item_relay/mod.rs
@@ -0,0 +1,286 @@
+//! A relay's state machine with the messages of the other nodes injected by the test: a host's batch
+//! routes, an engine in each of two pools, the counter and the primary of the host's shard.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use topazyard_relay::machine::routed_items::RoutedRun;
+use topazyard_relay::{RelayCall, RelayMachine, RelayResponse, RelayTask, Start};
+use topazyard_types::{
+    BatchId, CallId, DurationMs, Epoch, HoldId, ItemNumber, LogPosition, MonotonicMs, NodeId,
+    Sequence, ShardId, Tokens,
+};
+use topazyard_wire::api::{ApiError, Code};
+use topazyard_wire::message::Message;
+use topazyard_wire::message::batch::{
+    BatchBody, BatchCall, BatchMessage, BatchResponse, Item, ItemRouting, LeasedItem, Progress,
+    Run, RunEnd,
+};
+use topazyard_wire::message::control::{CoreNode, ShardRecord};
+use topazyard_wire::message::counter::{CounterBody, CounterMessage};
+use topazyard_wire::message::feed::{FeedMessage, UpdateContent};
+use topazyard_wire::state::{IN_FORCE, InForceRow, engine_key, route_key, shard_key};
+use topazyard_wire::{Effect, Input, Machine as _, RowChange};
+
+pub fn at(port: u16) -> std::net::SocketAddr {
+    std::net::SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+pub const AGENT: u16 = 1;
+pub const COUNTER: u16 = 2;
+pub const SHARD: u16 = 4;
+pub const HOST: &str = "a.example";
+pub const CANCEL: DurationMs = DurationMs(1_500);
+
+pub struct Relay {
+    pub machine: RelayMachine,
+    pub now: MonotonicMs,
+    pub last_call: u64,
+    pub feed_nonce: u64,
+    pub holds: Vec<HoldId>,
+    pub released: Vec<HoldId>,
+    pub renewals: Vec<u64>,
+    pub calls: Vec<(u64, BatchCall)>,
+    pub responses: Vec<(CallId, RelayResponse)>,
+    pub runs: Vec<RoutedRun>,
+    /// The primary of the batch's shard and its epoch, according to the feed.
+    pub shard: u16,
+    pub epoch: Epoch,
+}
+
+impl Relay {
+    /// A relay that has just become ready.
+    pub fn ready() -> Self {
+        let bounds = topazyard_spec::Bounds { cancel: CANCEL, ..Default::default() };
+        let start = Start { node: NodeId(99), agent: at(AGENT), bounds };
+        let mut relay = Self {
+            machine: RelayMachine::new(&start),
+            now: MonotonicMs(86_400_000),
+            last_call: 0,
+            feed_nonce: 0,
+            holds: Vec::new(),
+            released: Vec::new(),
+            renewals: Vec::new(),
+            calls: Vec::new(),
+            responses: Vec::new(),
+            runs: Vec::new(),
+            shard: SHARD,
+            epoch: Epoch(1),
+        };
+        relay.tick(0);
+        relay.receive_feed(1, true);
+        relay.tick(25);
+        relay.receive_renewal();
+        relay
+    }
+
+    pub fn step(&mut self, input: Input<RelayCall>) {
+        for effect in self.machine.step(input, self.now) {
+            match effect {
+                Effect::Send { message: Message::Counter(message), .. } => match message.body {
+                    CounterBody::Add(hold) => self.holds.push(hold.id),
+                    CounterBody::Release(id) => self.released.push(id),
+                    CounterBody::Renew { number, .. } => self.renewals.push(number),
+                    _ => {}
+                },
+                Effect::Send {
+                    message: Message::Feed(FeedMessage::Request { nonce, .. }), ..
+                } => {
+                    self.feed_nonce = nonce;
+                }
+                Effect::Send { to, message: Message::Batch(message) } => {
+                    assert_eq!(to, at(self.shard));
+                    if let BatchBody::Call(call) = message.body {
+                        self.calls.push((message.call, call));
+                    }
+                }
+                Effect::Respond { call, value } => self.responses.push((call, value)),
+                Effect::StartTask(RelayTask::RunRoutedItem(run)) => self.runs.push(*run),
+                _ => {}
+            }
+        }
+    }
+
+    pub fn tick(&mut self, ms: u64) {
+        self.now.0 += ms;
+        self.step(Input::Tick);
+    }
+
+    pub fn receive(&mut self, port: u16, message: Message) {
+        self.step(Input::Frame { sender: NodeId(u64::from(port)), from: at(port), message });
+    }
+
+    /// Receives the engines, the shards and, with `with_route`, the route.
+    pub fn receive_feed(&mut self, sequence: u64, with_route: bool) {
+        let routes = [batch_route("r", "/b/", "main")];
+        self.receive_routes(sequence, if with_route { &routes } else { &[] });
+    }
+
+    /// Receives a configuration with these routes, the engines and the shards.
+    pub fn receive_routes(&mut self, sequence: u64, routes: &[topazyard_spec::Route]) {
+        let text = r#"{"pools":[{"name":"main","limit_tokens":1000},
+            {"name":"other","limit_tokens":1000}],"lanes":[
+            {"name":"usual","kind":"live","models":["m"],"pool":"main"}]}"#;
+        let node = |port| CoreNode { id: NodeId(u64::from(port)), address: at(port) };
+        let record = |port| ShardRecord {
+            epoch: self.epoch,
+            primary: node(port),
+            copies: 2,
+            backups: Vec::new(),
+            fallbacks: Vec::new(),
+            learners: Vec::new(),
+        };
+        let engine = |name: &str, port, pool: &str| topazyard_spec::Engine {
+            name: name.into(),
+            address: at(port),
+            pool: pool.into(),
+            models: vec!["m".into()],
+            state: topazyard_spec::EngineState::Ready,
+            zone: None,
+            slots: 32,
+        };
+        let version = topazyard_types::ConfigurationVersion(sequence);
+        let mut rows = vec![
+            RowChange::put(IN_FORCE, &InForceRow { version, text: text.to_owned() }),
+            RowChange::put(shard_key(ShardId::COUNTER), &record(COUNTER)),
+            RowChange::put(shard_key(batch().shard), &record(self.shard)),
+        ];
+        for engine in [engine("e1", 9, "main"), engine("e2", 10, "other")] {
+            rows.push(RowChange::put(engine_key(&engine.name), &engine));
+        }
+        rows.extend(routes.iter().map(|route| RowChange::put(route_key(&route.name), route)));
+        let rows = rows.into_iter().filter_map(|row| Some((row.key, row.value?))).collect();
+        let position = LogPosition { epoch: Epoch(1), sequence: Sequence(sequence) };
+        let update = FeedMessage::Update {
+            nonce: self.feed_nonce,
+            position,
+            content: UpdateContent::Snapshot(rows),
+        };
+        self.receive(AGENT, Message::Feed(update));
+    }
+
+    pub fn receive_counter(&mut self, body: CounterBody) {
+        self.receive(COUNTER, Message::Counter(CounterMessage { epoch: Epoch(1), body }));
+    }
+
+    pub fn receive_renewal(&mut self) {
+        let number = *self.renewals.last().expect("a renewal was sent");
+        self.receive_counter(CounterBody::Renewed { number });
+    }
+
+    pub fn receive_shard(&mut self, call: u64, value: BatchResponse) {
+        self.receive_shard_in_epoch(self.epoch, call, value);
+    }
+
+    pub fn receive_shard_in_epoch(&mut self, epoch: Epoch, call: u64, value: BatchResponse) {
+        let body = BatchBody::Response(value);
+        let message = BatchMessage { shard: batch().shard, epoch, call, body };
+        self.receive(SHARD, Message::Batch(message));
+    }
+
+    /// The batch's shard gets another primary.
+    pub fn move_shard(&mut self) {
+        self.tick(200);
+        (self.shard, self.epoch) = (SHARD + 1, Epoch(2));
+        self.receive_feed(2, true);
+    }
+
+    pub fn call(&mut self, request: RelayCall) {
+        self.last_call += 1;
+        self.step(Input::Call { call: CallId(self.last_call), request });
+    }
+
+    pub fn submit(&mut self) {
+        let (items, timeout) = (vec![item()], DurationMs(1_000));
+        self.call(RelayCall::SubmitRoutedBatch(batch(), "r".into(), items, timeout));
+    }
+
+    pub fn last_response(&self) -> &RelayResponse {
+        &self.responses.last().expect("a response").1
+    }
+
+    pub fn last_code(&self) -> Option<Code> {
+        match self.last_response() {
+            RelayResponse::Refused(ApiError { code, .. }) => Some(*code),
+            _ => None,
+        }
+    }
+
+    /// The last lease request: its call id and its maximum number of items.
+    pub fn last_lease_request(&self) -> (u64, u32) {
+        let lease = self.calls.iter().rev().find_map(|(call, body)| match body {
+            BatchCall::Lease { max_items, models, routes } => {
+                assert!(models.is_empty() && *routes == ["r".into()]);
+                Some((*call, *max_items))
+            }
+            _ => None,
+        });
+        lease.expect("a lease request")
+    }
+
+    /// Leases an item with this progress to the relay.
+    pub fn lease_item(&mut self, progress: Progress) -> Run {
+        let run = Run { batch: batch(), item: ItemNumber(0), lease: 5 };
+        let (call, _) = self.last_lease_request();
+        let route = Some(("r".into(), HOST.to_owned()));
+        let leased = LeasedItem { run, item: item(), route, progress };
+        self.receive_shard(call, BatchResponse::Leased(vec![leased]));
+        run
+    }
+
+    /// Grants the last hold that was requested, at this engine.
+    pub fn grant_hold(&mut self, engine: &str) {
+        if let Some(id) = self.holds.last().copied() {
+            let engine = Some(engine.into());
+            self.receive_counter(CounterBody::Added { id, granted: true, engine });
+        }
+    }
+
+    /// Leases an item to the relay and grants its hold.
+    pub fn start_item(&mut self) -> Run {
+        let run = self.lease_item(Progress { last_event: Some(3), text: "so far".to_owned() });
+        self.grant_hold("e1");
+        run
+    }
+
+    pub fn finished(&self) -> Option<&RunEnd> {
+        self.calls.iter().rev().find_map(|(_, call)| match call {
+            BatchCall::Finish(_, end) => Some(end),
+            _ => None,
+        })
+    }
+}
+
+/// A batch route of the host.
+pub fn batch_route(name: &str, path_prefix: &str, pool: &str) -> topazyard_spec::Route {
+    let text = format!(
+        r#"{{"name":"{name}","host":"{HOST}","path_prefix":"{path_prefix}","kind":"batch",
+        "timeout_ms":1000,"max_attempts":2,"pools":[{{"pool":"{pool}","weight":1}}],"batch":
+        {{"ceiling_tokens":700,"run_target_ms":8000,"retention_ms":40000}}}}"#
+    );
+    serde_json::from_str(&text).expect("a route")
+}
+
+/// A route of the host for live requests.
+pub fn live_route(name: &str, path_prefix: &str, pool: &str) -> topazyard_spec::Route {
+    let route = batch_route(name, path_prefix, pool);
+    topazyard_spec::Route { kind: topazyard_spec::RouteKind::Safe, batch: None, ..route }
+}
+
+pub fn batch() -> BatchId {
+    BatchId::of_host(HOST, "7c41")
+}
+
+pub fn item() -> Item {
+    Item {
+        model: "m".into(),
+        body: bytes::Bytes::from_static(b"prompt"),
+        repeatable: true,
+        cost: Tokens(10),
+        routing: Some(ItemRouting {
+            id: "e5".to_owned(),
+            path: "/b/1".to_owned(),
+            headers: Vec::new(),
+            prefix: Vec::new(),
+        }),
+    }
+}
--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -1,266 +1,19 @@
 //! Batches of routed items as the relay's state machine submits and runs them, with the messages of
 //! the other nodes injected by the test.
 
+mod item_relay;
+
+use item_relay::{CANCEL, HOST, Relay, batch, item};
 use topazyard_relay::drain::DrainTimes;
 use topazyard_relay::front::items::{InvalidStream, ItemEvents};
 use topazyard_relay::machine::EngineOutcome;
-use topazyard_relay::machine::routed_items::RoutedRun;
-use topazyard_relay::{RelayCall, RelayMachine, RelayResponse, RelayTask, Start};
-use topazyard_types::{
-    BatchId, CallId, DurationMs, EngineName, Epoch, HoldId, ItemNumber, LogPosition, MonotonicMs,
-    NodeId, Sequence, ShardId, Tokens,
-};
-use topazyard_wire::api::{ApiError, Code};
-use topazyard_wire::message::Message;
+use topazyard_relay::{RelayCall, RelayResponse};
+use topazyard_types::{DurationMs, EngineName, Epoch, ItemNumber, Tokens};
+use topazyard_wire::api::Code;
 use topazyard_wire::message::batch::{
-    BatchBody, BatchCall, BatchMessage, BatchResponse, BatchStatus, Item, ItemRouting, LeasedItem,
-    Progress, Run, RunEnd,
+    BatchCall, BatchResponse, BatchStatus, LeasedItem, Progress, Run, RunEnd,
 };
-use topazyard_wire::message::control::{CoreNode, ShardRecord};
-use topazyard_wire::message::counter::{CounterBody, CounterMessage};
-use topazyard_wire::message::feed::{FeedMessage, UpdateContent};
-use topazyard_wire::state::{IN_FORCE, InForceRow, engine_key, route_key, shard_key};
-use topazyard_wire::{Effect, Input, Machine as _, RowChange};
-
-fn at(port: u16) -> std::net::SocketAddr {
-    std::net::SocketAddr::from(([127, 0, 0, 1], port))
-}
-
-const AGENT: u16 = 1;
-const COUNTER: u16 = 2;
-const SHARD: u16 = 4;
-const HOST: &str = "a.example";
-const CANCEL: DurationMs = DurationMs(1_500);
-
-struct Relay {
-    machine: RelayMachine,
-    now: MonotonicMs,
-    last_call: u64,
-    feed_nonce: u64,
-    holds: Vec<HoldId>,
-    released: Vec<HoldId>,
-    renewals: Vec<u64>,
-    calls: Vec<(u64, BatchCall)>,
-    responses: Vec<(CallId, RelayResponse)>,
-    runs: Vec<RoutedRun>,
-    /// The primary of the batch's shard and its epoch, according to the feed.
-    shard: u16,
-    epoch: Epoch,
-}
-
-impl Relay {
-    /// A relay that has just become ready.
-    fn ready() -> Self {
-        let bounds = topazyard_spec::Bounds { cancel: CANCEL, ..Default::default() };
-        let start = Start { node: NodeId(99), agent: at(AGENT), bounds };
-        let mut relay = Self {
-            machine: RelayMachine::new(&start),
-            now: MonotonicMs(86_400_000),
-            last_call: 0,
-            feed_nonce: 0,
-            holds: Vec::new(),
-            released: Vec::new(),
-            renewals: Vec::new(),
-            calls: Vec::new(),
-            responses: Vec::new(),
-            runs: Vec::new(),
-            shard: SHARD,
-            epoch: Epoch(1),
-        };
-        relay.tick(0);
-        relay.receive_feed(1, true);
-        relay.tick(25);
-        relay.receive_renewal();
-        relay
-    }
-
-    fn step(&mut self, input: Input<RelayCall>) {
-        for effect in self.machine.step(input, self.now) {
-            match effect {
-                Effect::Send { message: Message::Counter(message), .. } => match message.body {
-                    CounterBody::Add(hold) => self.holds.push(hold.id),
-                    CounterBody::Release(id) => self.released.push(id),
-                    CounterBody::Renew { number, .. } => self.renewals.push(number),
-                    _ => {}
-                },
-                Effect::Send {
-                    message: Message::Feed(FeedMessage::Request { nonce, .. }), ..
-                } => {
-                    self.feed_nonce = nonce;
-                }
-                Effect::Send { to, message: Message::Batch(message) } => {
-                    assert_eq!(to, at(self.shard));
-                    if let BatchBody::Call(call) = message.body {
-                        self.calls.push((message.call, call));
-                    }
-                }
-                Effect::Respond { call, value } => self.responses.push((call, value)),
-                Effect::StartTask(RelayTask::RunRoutedItem(run)) => self.runs.push(*run),
-                _ => {}
-            }
-        }
-    }
-
-    fn tick(&mut self, ms: u64) {
-        self.now.0 += ms;
-        self.step(Input::Tick);
-    }
-
-    fn receive(&mut self, port: u16, message: Message) {
-        self.step(Input::Frame { sender: NodeId(u64::from(port)), from: at(port), message });
-    }
-
-    /// Receives the engine, the shards and, with `with_route`, the route.
-    fn receive_feed(&mut self, sequence: u64, with_route: bool) {
-        let text = r#"{"pools":[{"name":"main","limit_tokens":1000}],"lanes":[
-            {"name":"usual","kind":"live","models":["m"],"pool":"main"}]}"#;
-        let route = format!(
-            r#"{{"name":"r","host":"{HOST}","path_prefix":"/b/","kind":"batch","timeout_ms":1000,
-            "max_attempts":2,"pools":[{{"pool":"main","weight":1}}],"batch":
-            {{"ceiling_tokens":700,"run_target_ms":8000,"retention_ms":40000}}}}"#
-        );
-        let route: topazyard_spec::Route = serde_json::from_str(&route).expect("a route");
-        let node = |port| CoreNode { id: NodeId(u64::from(port)), address: at(port) };
-        let record = |port| ShardRecord {
-            epoch: self.epoch,
-            primary: node(port),
-            copies: 2,
-            backups: Vec::new(),
-            fallbacks: Vec::new(),
-            learners: Vec::new(),
-        };
-        let engine = topazyard_spec::Engine {
-            name: "e1".into(),
-            address: at(9),
-            pool: "main".into(),
-            models: vec!["m".into()],
-            state: topazyard_spec::EngineState::Ready,
-            zone: None,
-            slots: 64,
-        };
-        let version = topazyard_types::ConfigurationVersion(sequence);
-        let mut rows = vec![
-            RowChange::put(IN_FORCE, &InForceRow { version, text: text.to_owned() }),
-            RowChange::put(shard_key(ShardId::COUNTER), &record(COUNTER)),
-            RowChange::put(shard_key(batch().shard), &record(self.shard)),
-            RowChange::put(engine_key(&engine.name), &engine),
-        ];
-        if with_route {
-            rows.push(RowChange::put(route_key(&route.name), &route));
-        }
-        let rows = rows.into_iter().filter_map(|row| Some((row.key, row.value?))).collect();
-        let position = LogPosition { epoch: Epoch(1), sequence: Sequence(sequence) };
-        let update = FeedMessage::Update {
-            nonce: self.feed_nonce,
-            position,
-            content: UpdateContent::Snapshot(rows),
-        };
-        self.receive(AGENT, Message::Feed(update));
-    }
-
-    fn receive_counter(&mut self, body: CounterBody) {
-        self.receive(COUNTER, Message::Counter(CounterMessage { epoch: Epoch(1), body }));
-    }
-
-    fn receive_renewal(&mut self) {
-        let number = *self.renewals.last().expect("a renewal was sent");
-        self.receive_counter(CounterBody::Renewed { number });
-    }
-
-    fn receive_shard(&mut self, call: u64, value: BatchResponse) {
-        self.receive_shard_in_epoch(self.epoch, call, value);
-    }
-
-    fn receive_shard_in_epoch(&mut self, epoch: Epoch, call: u64, value: BatchResponse) {
-        let body = BatchBody::Response(value);
-        let message = BatchMessage { shard: batch().shard, epoch, call, body };
-        self.receive(SHARD, Message::Batch(message));
-    }
-
-    /// The batch's shard gets another primary.
-    fn move_shard(&mut self) {
-        self.tick(200);
-        (self.shard, self.epoch) = (SHARD + 1, Epoch(2));
-        self.receive_feed(2, true);
-    }
-
-    fn call(&mut self, request: RelayCall) {
-        self.last_call += 1;
-        self.step(Input::Call { call: CallId(self.last_call), request });
-    }
-
-    fn submit(&mut self) {
-        let (items, timeout) = (vec![item()], DurationMs(1_000));
-        self.call(RelayCall::SubmitRoutedBatch(batch(), "r".into(), items, timeout));
-    }
-
-    fn last_response(&self) -> &RelayResponse {
-        &self.responses.last().expect("a response").1
-    }
-
-    fn last_code(&self) -> Option<Code> {
-        match self.last_response() {
-            RelayResponse::Refused(ApiError { code, .. }) => Some(*code),
-            _ => None,
-        }
-    }
-
-    /// The last lease request: its call id and its maximum number of items.
-    fn last_lease_request(&self) -> (u64, u32) {
-        let lease = self.calls.iter().rev().find_map(|(call, body)| match body {
-            BatchCall::Lease { max_items, models, routes } => {
-                assert!(models.is_empty() && *routes == ["r".into()]);
-                Some((*call, *max_items))
-            }
-            _ => None,
-        });
-        lease.expect("a lease request")
-    }
-
-    /// Leases an item to the relay and grants its hold.
-    fn start_item(&mut self) -> Run {
-        let run = Run { batch: batch(), item: ItemNumber(0), lease: 5 };
-        let (call, _) = self.last_lease_request();
-        let route = Some(("r".into(), HOST.to_owned()));
-        let progress = Progress { last_event: Some(3), text: "so far".to_owned() };
-        let leased = LeasedItem { run, item: item(), route, progress };
-        self.receive_shard(call, BatchResponse::Leased(vec![leased]));
-        if let Some(id) = self.holds.last().copied() {
-            self.receive_counter(CounterBody::Added {
-                id,
-                granted: true,
-                engine: Some("e1".into()),
-            });
-        }
-        run
-    }
-
-    fn finished(&self) -> Option<&RunEnd> {
-        self.calls.iter().rev().find_map(|(_, call)| match call {
-            BatchCall::Finish(_, end) => Some(end),
-            _ => None,
-        })
-    }
-}
-
-fn batch() -> BatchId {
-    BatchId::of_host(HOST, "7c41")
-}
-
-fn item() -> Item {
-    Item {
-        model: "m".into(),
-        body: bytes::Bytes::from_static(b"prompt"),
-        repeatable: true,
-        cost: Tokens(10),
-        routing: Some(ItemRouting {
-            id: "e5".to_owned(),
-            path: "/p/1".to_owned(),
-            headers: Vec::new(),
-            prefix: Vec::new(),
-        }),
-    }
-}
+use topazyard_wire::message::counter::CounterBody;
 
 #[test]
 fn leased_item_runs_with_its_hold_and_without_a_recorded_start() {
@@ -421,15 +174,6 @@
             }
         }
     }
-
-    fn lease_without_grant(&mut self) -> Run {
-        let run = Run { batch: batch(), item: ItemNumber(0), lease: 5 };
-        let (call, _) = self.last_lease_request();
-        let route = Some(("r".into(), HOST.to_owned()));
-        let leased = LeasedItem { run, item: item(), route, progress: Progress::default() };
-        self.receive_shard(call, BatchResponse::Leased(vec![leased]));
-        run
-    }
 }
 
 // Guards against items leased to a relay that has exited, which wait for their leases to expire.
@@ -449,7 +193,7 @@
 fn item_waiting_for_budget_is_handed_back_on_drain() {
     let mut relay = Relay::ready();
     relay.tick(25);
-    relay.lease_without_grant();
+    relay.lease_item(Progress::default());
     assert_eq!((relay.holds.len(), relay.finished()), (1, None));
     relay.drain();
     assert_eq!(relay.finished(), Some(&RunEnd::NotRun));
@@ -461,7 +205,7 @@
     let mut relay = Relay::ready();
     relay.tick(25);
     relay.drain();
-    relay.lease_without_grant();
+    relay.lease_item(Progress::default());
     assert_eq!(relay.finished(), Some(&RunEnd::NotRun));
     assert!(relay.runs.is_empty() && relay.released == relay.holds);
 }
