Find an item's route by its host and path, not by its route's name

What callers saw: items accepted below /pule252/ (service lm-digest) ran at lm-summary, and were read as completed with its text, after a new version gave the name of their route to another route.

Cause: a leased item named its route, and the relay looked that name up in the configuration in force when it accepted the lease, started the item and checked it a last time. A route follows from host and path; a later version may give its name to anything.

Change: RouteTable::find_batch by the item's host and path at all three places, in the configuration in force at that moment.

--- a/libraries/topazyard-wire/src/state.rs
+++ b/libraries/topazyard-wire/src/state.rs
@@ -300,6 +300,21 @@
         routes.iter().find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// The batch route of an item: the route of a request with its host and path, if that is a
+    /// batch route.
+    ///
+    /// ```
+    /// # let text = r#"{"name":"r","host":"a.example","path_prefix":"/x/","kind":"safe",
+    /// #   "timeout_ms":1,"max_attempts":1,"pools":[{"pool":"p","weight":1}]}"#;
+    /// let mut table = topazyard_wire::state::RouteTable::default();
+    /// table.insert(serde_json::from_str(text).unwrap());
+    /// assert!(table.find("a.example", "/x/1").is_some());
+    /// assert!(table.find_batch("a.example", "/x/1").is_none());
+    /// ```
+    pub fn find_batch(&self, host: &str, path: &str) -> Option<&topazyard_spec::Route> {
+        self.find(host, path).filter(|route| route.kind == topazyard_spec::RouteKind::Batch)
+    }
+
     /// The route with this name.
     pub fn named(&self, name: &topazyard_types::RouteName) -> Option<&topazyard_spec::Route> {
         self.iter().find(|route| route.name == *name)
--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -5,7 +5,7 @@
 use super::engine_selection::EngineQuery;
 use super::requests::PromptPart;
 use super::{EngineOutcome, Outputs, RelayMachine, RelayResponse, RelayTask, Target};
-use topazyard_spec::{ModelRouteKind, RouteKind};
+use topazyard_spec::{ModelRouteKind, Route, RouteKind};
 use topazyard_types::{
     BatchId, Digest, DurationMs, EngineName, HoldId, ModelName, MonotonicMs, PoolName, RouteName,
     ShardId, Tokens,
@@ -71,7 +71,7 @@
 /// The data of a leased item whose run is governed by a route.
 #[derive(Debug)]
 struct RoutedItem {
-    route: RouteName,
+    /// The host that it is addressed to. Together with the item's path it decides the route.
     host: String,
     progress: Progress,
     /// Until when it may be sent under its lease.
@@ -244,9 +244,9 @@
             return;
         }
         for LeasedItem { run, item, route, progress } in leased {
-            if let Some((route, host)) = route {
+            if let Some((_, host)) = route {
                 let start_deadline = requested_at.plus(self.max_start_delay());
-                let routed = RoutedItem { route, host, progress, start_deadline };
+                let routed = RoutedItem { host, progress, start_deadline };
                 self.accept_routed(run, item, routed, now, effects);
                 continue;
             }
@@ -448,7 +448,8 @@
             return refused(Code::Draining);
         }
         if let Some(routed) = &entry.routed {
-            return match self.routed_send_deadline(engine, &entry.pool, &routed.route, now) {
+            let route = self.route_of(&entry.item, &routed.host);
+            return match self.routed_send_deadline(engine, &entry.pool, route, now) {
                 Err(code) => refused(code),
                 Ok(until) => RelayResponse::SendBefore(until.min(*start_deadline)),
             };
@@ -501,9 +502,15 @@
         DurationMs(self.bounds.cancel.0 * 2 / 3)
     }
 
+    /// The route of a routed item under the configuration in force. It follows from the item's host
+    /// and path: a route's name may belong to another route in the next configuration.
+    fn route_of(&self, item: &Item, host: &str) -> Option<&Route> {
+        self.fleet.routes.find_batch(host, &item.routing.as_ref()?.path)
+    }
+
     /// Batch routes that have an engine.
     fn batch_routes_with_engine(&self) -> Vec<RouteName> {
-        let is_batch = |route: &&topazyard_spec::Route| route.kind == RouteKind::Batch;
+        let is_batch = |route: &&Route| route.kind == RouteKind::Batch;
         let routes = self.fleet.routes.iter().filter(is_batch);
         let ready = routes.filter(|route| {
             let pool_of = |engine: &topazyard_spec::Engine| {
@@ -531,7 +538,7 @@
         DEFAULT_MAX_ITEMS.max(slots / SLOTS_DIVISOR)
     }
 
-    /// Accepts a leased routed item if its route still exists.
+    /// Accepts a leased routed item if a route takes it.
     fn accept_routed(
         &mut self,
         run: Run,
@@ -540,7 +547,7 @@
         now: MonotonicMs,
         effects: &mut Outputs,
     ) {
-        let route = self.fleet.routes.named(&routed.route);
+        let route = self.route_of(&item, &routed.host);
         let Some(pool) = route.and_then(|route| super::routed_items::pool_of(route, run)) else {
             return self.finish_run(run, RunEnd::NotRun, now, effects);
         };
@@ -564,8 +571,8 @@
         let prefix = prompt_prefix(&entry.item);
         let listed = engine.and_then(|name| self.fleet.engines.get(name));
         let target = listed.map(|e| Target { engine: e.name.clone(), address: e.address });
-        let terms = self.fleet.routes.named(&routed.route);
-        let run_parts = (target, entry.item.routing.clone(), terms);
+        let route = self.route_of(&entry.item, &routed.host);
+        let run_parts = (target, entry.item.routing.clone(), route);
         let (Some(target), Some(routing), Some(route)) = run_parts else {
             self.set_stage(run, Stage::Requesting(hold));
             self.release_item(run, effects);
@@ -586,12 +593,12 @@
         effects.push(Effect::StartTask(RelayTask::RunRoutedItem(Box::new(routed_run))));
     }
 
-    /// Until when a routed item may be sent to an engine.
+    /// Until when a routed item may be sent to an engine by its route in force.
     fn routed_send_deadline(
         &self,
         engine: &EngineName,
         pool: &PoolName,
-        route: &RouteName,
+        route: Option<&Route>,
         now: MonotonicMs,
     ) -> Result<MonotonicMs, Code> {
         if now >= self.routes_fresh_until() || self.fleet.configuration.is_none() {
@@ -599,7 +606,7 @@
         }
         // Its hold was granted within the time in which a run may start, so no counter lease is
         // needed. The routes may have changed while it waited.
-        let route = self.fleet.routes.named(route).ok_or(Code::NoLane)?;
+        let route = route.ok_or(Code::NoLane)?;
         if !route.pools.iter().any(|share| share.pool == *pool && share.weight > 0) {
             return Err(Code::NoLane);
         }
--- a/programs/topazyard-relay/tests/item_relay/mod.rs
+++ b/programs/topazyard-relay/tests/item_relay/mod.rs
@@ -6,8 +6,8 @@
 use topazyard_relay::machine::routed_items::RoutedRun;
 use topazyard_relay::{RelayCall, RelayMachine, RelayResponse, RelayTask, Start};
 use topazyard_types::{
-    BatchId, CallId, DurationMs, Epoch, HoldId, ItemNumber, LogPosition, MonotonicMs, NodeId,
-    Sequence, ShardId, Tokens,
+    BatchId, CallId, DurationMs, EngineName, Epoch, HoldId, ItemNumber, LogPosition, MonotonicMs,
+    NodeId, Sequence, ShardId, Tokens,
 };
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::Message;
@@ -37,6 +37,8 @@
     pub last_call: u64,
     pub feed_nonce: u64,
     pub holds: Vec<HoldId>,
+    /// The engines at which the last hold may be granted, best first.
+    pub hold_engines: Vec<EngineName>,
     pub released: Vec<HoldId>,
     pub renewals: Vec<u64>,
     pub calls: Vec<(u64, BatchCall)>,
@@ -58,6 +60,7 @@
             last_call: 0,
             feed_nonce: 0,
             holds: Vec::new(),
+            hold_engines: Vec::new(),
             released: Vec::new(),
             renewals: Vec::new(),
             calls: Vec::new(),
@@ -77,7 +80,10 @@
         for effect in self.machine.step(input, self.now) {
             match effect {
                 Effect::Send { message: Message::Counter(message), .. } => match message.body {
-                    CounterBody::Add(hold) => self.holds.push(hold.id),
+                    CounterBody::Add(hold) => {
+                        self.holds.push(hold.id);
+                        self.hold_engines = hold.engines;
+                    }
                     CounterBody::Release(id) => self.released.push(id),
                     CounterBody::Renew { number, .. } => self.renewals.push(number),
                     _ => {}
@@ -227,10 +233,10 @@
         run
     }
 
-    /// Grants the last hold that was requested, at this engine.
-    pub fn grant_hold(&mut self, engine: &str) {
+    /// Grants the last hold that was requested, at the best of its engines.
+    pub fn grant_hold(&mut self) {
         if let Some(id) = self.holds.last().copied() {
-            let engine = Some(engine.into());
+            let engine = self.hold_engines.first().cloned();
             self.receive_counter(CounterBody::Added { id, granted: true, engine });
         }
     }
@@ -238,7 +244,7 @@
     /// Leases an item to the relay and grants its hold.
     pub fn start_item(&mut self) -> Run {
         let run = self.lease_item(Progress { last_event: Some(3), text: "so far".to_owned() });
-        self.grant_hold("e1");
+        self.grant_hold();
         run
     }
 
@@ -278,7 +284,7 @@
         cost: Tokens(10),
         routing: Some(ItemRouting {
             id: "e5".to_owned(),
-            path: "/b/1".to_owned(),
+            path: "/b/3/1".to_owned(),
             headers: Vec::new(),
             prefix: Vec::new(),
         }),
--- /dev/null
+++ b/programs/topazyard-relay/tests/item_routes.rs
@@ -0,0 +1,166 @@
+//! Items of accepted batches while the configuration changes: an item's route follows from its host
+//! and path under the configuration in force, whatever the routes are named.
+
+mod item_relay;
+
+use item_relay::{Relay, batch_route, live_route};
+use topazyard_relay::{RelayCall, RelayResponse};
+use topazyard_spec::Route;
+use topazyard_types::EngineName;
+use topazyard_wire::api::Code;
+use topazyard_wire::message::batch::{Progress, Run, RunEnd};
+
+/// The route under which the batch was accepted.
+fn original() -> Route {
+    batch_route("r", "/b/", "main")
+}
+
+/// A ready relay that has requested a lease under the original route.
+fn leasing_relay() -> Relay {
+    let mut relay = Relay::ready();
+    relay.tick(25);
+    relay.last_lease_request();
+    relay.tick(500);
+    relay
+}
+
+/// A relay that leases an item under the original route and whose configuration then changes.
+fn changed_after_lease(routes: &[Route]) -> Relay {
+    let mut relay = leasing_relay();
+    relay.lease_item(Progress::default());
+    relay.receive_routes(2, routes);
+    relay
+}
+
+/// A relay that is about to send an item when its configuration changes.
+fn changed_before_dispatch(routes: &[Route]) -> (Relay, Run) {
+    let mut relay = Relay::ready();
+    relay.tick(25);
+    let run = relay.start_item();
+    relay.tick(500);
+    relay.receive_routes(2, routes);
+    (relay, run)
+}
+
+/// The response to the last check before an item is sent to engine e1.
+fn dispatch(relay: &mut Relay, run: Run) -> &RelayResponse {
+    relay.call(RelayCall::DispatchItem(run, EngineName("e1".to_owned())));
+    relay.last_response()
+}
+
+fn engines_of_runs(relay: &Relay) -> Vec<&str> {
+    relay.runs.iter().map(|run| run.target.engine.0.as_str()).collect()
+}
+
+/// Configurations in which the original route's name means something else, and its prefix has no
+/// batch route.
+fn name_given_away() -> Vec<(&'static str, Vec<Route>)> {
+    let other_host = Route { host: "b.example".to_owned(), ..batch_route("r", "/b/", "other") };
+    vec![
+        ("to another prefix", vec![batch_route("r", "/c/", "other")]),
+        ("to another prefix with the same pool", vec![batch_route("r", "/c/", "main")]),
+        ("to another host", vec![other_host]),
+        ("to a live route", vec![live_route("r", "/c/", "other")]),
+        ("to a live route of the same prefix", vec![live_route("r", "/b/", "main")]),
+    ]
+}
+
+// Guards against an item that runs at a service that its path never went to, once the name of its
+// route was given to another route (ROUTE).
+#[test]
+fn item_never_runs_by_a_route_that_only_has_its_routes_name() {
+    for (change, routes) in name_given_away() {
+        let mut relay = leasing_relay();
+        relay.receive_routes(2, &routes);
+        relay.lease_item(Progress::default());
+        relay.grant_hold();
+        assert_eq!(engines_of_runs(&relay), Vec::<&str>::new(), "{change}");
+        assert_eq!(relay.finished(), Some(&RunEnd::NotRun), "{change}");
+    }
+}
+
+// Guards against the same between the lease of an item and the grant of its hold.
+#[test]
+fn item_whose_routes_name_is_given_away_while_it_waits_for_its_hold_is_not_started() {
+    for (change, routes) in name_given_away() {
+        let mut relay = changed_after_lease(&routes);
+        relay.grant_hold();
+        assert_eq!(engines_of_runs(&relay), Vec::<&str>::new(), "{change}");
+        assert_eq!(relay.finished(), Some(&RunEnd::NotRun), "{change}");
+        assert_eq!(relay.released, relay.holds, "{change}");
+    }
+}
+
+// Guards against the same in the last check before an item is sent.
+#[test]
+fn item_whose_routes_name_is_given_away_while_it_connects_is_not_sent() {
+    for (change, routes) in name_given_away() {
+        let (mut relay, run) = changed_before_dispatch(&routes);
+        dispatch(&mut relay, run);
+        assert_eq!(relay.last_code(), Some(Code::NoLane), "{change}");
+    }
+}
+
+// Guards against items that are handed back again and again, once their route has another name.
+#[test]
+fn item_runs_on_under_its_routes_new_name() {
+    let renamed = [batch_route("renamed", "/b/", "main")];
+    let mut relay = leasing_relay();
+    relay.receive_routes(2, &renamed);
+    relay.lease_item(Progress::default());
+    relay.grant_hold();
+    assert_eq!(engines_of_runs(&relay), ["e1"]);
+
+    let mut relay = changed_after_lease(&renamed);
+    relay.grant_hold();
+    assert_eq!(engines_of_runs(&relay), ["e1"]);
+
+    let (mut relay, run) = changed_before_dispatch(&renamed);
+    assert!(matches!(dispatch(&mut relay, run), RelayResponse::SendBefore(_)));
+}
+
+// Guards against items that change places when two routes swap their names in one version.
+#[test]
+fn item_stays_on_its_path_when_two_routes_swap_names() {
+    let swapped = [batch_route("r", "/c/", "other"), batch_route("s", "/b/", "main")];
+    let mut relay = leasing_relay();
+    relay.receive_routes(2, &swapped);
+    relay.lease_item(Progress::default());
+    relay.grant_hold();
+    assert_eq!(engines_of_runs(&relay), ["e1"]);
+}
+
+// Guards against an item that runs by a shorter prefix than the longest that begins its path.
+#[test]
+fn item_follows_a_longer_prefix_that_takes_its_path() {
+    let taken = [original(), batch_route("longer", "/b/3/", "other")];
+    let mut relay = leasing_relay();
+    relay.receive_routes(2, &taken);
+    relay.lease_item(Progress::default());
+    relay.grant_hold();
+    assert_eq!(engines_of_runs(&relay), ["e2"]);
+
+    let (mut relay, run) = changed_before_dispatch(&taken);
+    dispatch(&mut relay, run);
+    assert_eq!(relay.last_code(), Some(Code::NoLane), "it was started for another pool");
+}
+
+// Guards against an item that runs as a batch item where its path has become a live route's.
+#[test]
+fn item_whose_path_a_live_route_takes_is_handed_back() {
+    let taken = [original(), live_route("longer", "/b/3/", "main")];
+    let mut relay = leasing_relay();
+    relay.receive_routes(2, &taken);
+    relay.lease_item(Progress::default());
+    relay.grant_hold();
+    assert_eq!(engines_of_runs(&relay), Vec::<&str>::new());
+    assert_eq!(relay.finished(), Some(&RunEnd::NotRun));
+}
+
+// Guards against an item that is sent to the old service of its route.
+#[test]
+fn item_is_not_sent_to_a_service_that_its_route_left() {
+    let (mut relay, run) = changed_before_dispatch(&[batch_route("r", "/b/", "other")]);
+    dispatch(&mut relay, run);
+    assert_eq!(relay.last_code(), Some(Code::NoLane));
+}
