Move the route table into a module of its own

state.rs holds the rows of the control state; the table by host and path gets more to do with the leases of items.

--- a/libraries/topazyard-wire/src/lib.rs
+++ b/libraries/topazyard-wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod machine;
 pub mod message;
 pub mod metrics;
+pub mod routes;
 pub mod rows;
 pub mod state;
 
