Lease items by host and path, so that those of a renamed route run

What callers saw: items of an accepted batch were neither run nor listed while all engines were idle, once a new version had given their route another name; at the retention time they were abandoned.

Cause: lease requests named the batch routes in force, and the shard compared these names with the one that the batch had stored at its submission.

Change: a lease request tells the paths of each route with an engine (host, prefix, longer prefixes of other routes), and the shard compares the item's host and path. It works because only the relay's configuration gives meaning to the request, and items keep their host and path for ever. Rows keep their layout: batch_written_by_the_former_release_is_leased_by_host_and_path reads bytes that the code before this wrote.

--- a/libraries/topazyard-wire/src/message/batch.rs
+++ b/libraries/topazyard-wire/src/message/batch.rs
@@ -1,5 +1,6 @@
 //! Batches: requests of relays to the primary of a batch shard, and the responses.
 
+use crate::routes::RoutePaths;
 use topazyard_types::{
     BatchId, Digest, DurationMs, Epoch, ItemNumber, ModelName, RouteName, ShardId, Tokens,
 };
@@ -61,9 +62,11 @@
 /// The terms of a batch of routed items at the time of its submission.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct RoutedBatchTerms {
-    /// The route of its items.
-    pub route: RouteName,
-    /// The host that its requests are addressed to.
+    /// The name of its route when it was submitted, for people who read the rows. A later
+    /// configuration may give the name to another route, so nothing is looked up by it.
+    pub submitted_route: RouteName,
+    /// The host that its items are addressed to. Together with an item's path it decides the route
+    /// of the item under the configuration in force.
     pub host: String,
     /// The time from its submission until it is due.
     pub run_target: DurationMs,
@@ -185,8 +188,8 @@
         max_items: u32,
         /// The models that have a ready engine.
         models: Vec<ModelName>,
-        /// The batch routes that have a ready engine.
-        routes: Vec<RouteName>,
+        /// The paths of the batch routes that have a ready engine.
+        routes: Vec<RoutePaths>,
     },
     /// Asks whether a run may start.
     Start(Run),
@@ -255,8 +258,8 @@
     pub run: Run,
     /// The item.
     pub item: Item,
-    /// The route and host of a routed item.
-    pub route: Option<(RouteName, String)>,
+    /// The host that a routed item is addressed to.
+    pub host: Option<String>,
     /// The output of an earlier, interrupted run.
     pub progress: Progress,
 }
--- a/programs/topazyard-relay/src/machine/batches.rs
+++ b/programs/topazyard-relay/src/machine/batches.rs
@@ -214,7 +214,7 @@
         let routed = RoutedBatch {
             batch,
             terms: RoutedBatchTerms {
-                route: route.name.clone(),
+                submitted_route: route.name.clone(),
                 host: route.host.clone(),
                 run_target: DurationMs(terms.run_target_ms),
                 retention: DurationMs(terms.retention_ms),
@@ -294,7 +294,12 @@
         if let BatchCall::SubmitRouted(routed) = &mut pending.call {
             // Each attempt carries the ceiling in force; a route that was removed accepts no more
             // batches.
-            match self.fleet.routes.named(&routed.terms.route).and_then(|r| r.batch.as_ref()) {
+            match self
+                .fleet
+                .routes
+                .named(&routed.terms.submitted_route)
+                .and_then(|r| r.batch.as_ref())
+            {
                 Some(terms) if is_feed_recent => routed.ceiling = terms.ceiling_tokens,
                 _ => return pending.send_at = now.plus(REFUSED_RETRY_INTERVAL),
             }
--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -7,13 +7,13 @@
 use super::{EngineOutcome, Outputs, RelayMachine, RelayResponse, RelayTask, Target};
 use topazyard_spec::{ModelRouteKind, Route, RouteKind};
 use topazyard_types::{
-    BatchId, Digest, DurationMs, EngineName, HoldId, ModelName, MonotonicMs, PoolName, RouteName,
-    ShardId, Tokens,
+    BatchId, Digest, DurationMs, EngineName, HoldId, MonotonicMs, PoolName, ShardId, Tokens,
 };
 use topazyard_wire::Effect;
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::batch::{BatchCall, Item, LeasedItem, Progress, Run, RunEnd};
 use topazyard_wire::message::counter::{HoldKind, MAX_ENGINES};
+use topazyard_wire::routes::RoutePaths;
 use topazyard_wire::state::FleetSnapshot;
 
 /// Timeout of an item's run. An unresponsive engine holds its budget no longer than this.
@@ -190,13 +190,18 @@
             return;
         }
         let models = self.models_with_engine();
-        let routes = self.batch_routes_with_engine();
+        let mut routes = self.batch_routes_with_engine();
         let max_items = self.max_items();
         let max_lease = (max_items / SLOTS_DIVISOR).max(MIN_LEASE_ITEMS);
         let window = self.items.window.get_or_insert(max_lease);
         *window = (*window).min(max_lease);
         let (window, waiting) = (*window, self.items.waiting());
-        for shard in self.shards_with_work(&models, &routes) {
+        let shards = self.fleet.shards.keys().copied().filter(|shard| !shard.is_counter());
+        for shard in shards.collect::<Vec<ShardId>>() {
+            let routes = routes.remove(&shard).unwrap_or_default();
+            if models.is_empty() && routes.is_empty() {
+                continue;
+            }
             let requested: usize = self.items.pending_leases.values().sum();
             let capacity = max_items.saturating_sub(self.items.entries.len() + requested);
             let capacity = capacity.min(window.saturating_sub(waiting + requested));
@@ -210,7 +215,7 @@
             self.items.pending_leases.insert(shard, max_lease.min(capacity));
             let lease_items = max_lease.min(capacity) as u32;
             let models = models.clone();
-            let call = BatchCall::Lease { max_items: lease_items, models, routes: routes.clone() };
+            let call = BatchCall::Lease { max_items: lease_items, models, routes };
             let timeout = DurationMs(1_000);
             self.send_batch(Caller::Leasing(now), shard, call, timeout, now, effects);
         }
@@ -243,8 +248,8 @@
             }
             return;
         }
-        for LeasedItem { run, item, route, progress } in leased {
-            if let Some((_, host)) = route {
+        for LeasedItem { run, item, host, progress } in leased {
+            if let Some(host) = host {
                 let start_deadline = requested_at.plus(self.max_start_delay());
                 let routed = RoutedItem { host, progress, start_deadline };
                 self.accept_routed(run, item, routed, now, effects);
@@ -508,8 +513,8 @@
         self.fleet.routes.find_batch(host, &item.routing.as_ref()?.path)
     }
 
-    /// Batch routes that have an engine.
-    fn batch_routes_with_engine(&self) -> Vec<RouteName> {
+    /// The paths of the batch routes that have an engine, by the shard of their host's batches.
+    fn batch_routes_with_engine(&self) -> std::collections::BTreeMap<ShardId, Vec<RoutePaths>> {
         let is_batch = |route: &&Route| route.kind == RouteKind::Batch;
         let routes = self.fleet.routes.iter().filter(is_batch);
         let ready = routes.filter(|route| {
@@ -519,16 +524,12 @@
             let mut engines = self.fleet.engines.values();
             engines.any(|engine| pool_of(engine) && self.engines.is_usable(engine))
         });
-        ready.map(|route| route.name.clone()).collect()
-    }
-
-    /// Shards that may have items of these models or routes.
-    fn shards_with_work(&self, models: &[ModelName], routes: &[RouteName]) -> Vec<ShardId> {
-        let hosts = routes.iter().filter_map(|name| self.fleet.routes.named(name));
-        let host_shards: std::collections::BTreeSet<ShardId> =
-            hosts.map(|route| BatchId::of_host(&route.host, "").shard).collect();
-        let shards = self.fleet.shards.keys().copied().filter(|shard| !shard.is_counter());
-        shards.filter(|shard| !models.is_empty() || host_shards.contains(shard)).collect()
+        let mut by_shard: std::collections::BTreeMap<ShardId, Vec<RoutePaths>> = Default::default();
+        for route in ready {
+            let shard = BatchId::of_host(&route.host, "").shard;
+            by_shard.entry(shard).or_default().push(self.fleet.routes.paths_of(route));
+        }
+        by_shard
     }
 
     /// Items that this relay may lease or run at a time.
--- a/programs/topazyard-relay/tests/item_relay/mod.rs
+++ b/programs/topazyard-relay/tests/item_relay/mod.rs
@@ -18,6 +18,7 @@
 use topazyard_wire::message::control::{CoreNode, ShardRecord};
 use topazyard_wire::message::counter::{CounterBody, CounterMessage};
 use topazyard_wire::message::feed::{FeedMessage, UpdateContent};
+use topazyard_wire::routes::RoutePaths;
 use topazyard_wire::state::{IN_FORCE, InForceRow, engine_key, route_key, shard_key};
 use topazyard_wire::{Effect, Input, Machine as _, RowChange};
 
@@ -211,24 +212,32 @@
         }
     }
 
-    /// The last lease request: its call id and its maximum number of items.
-    pub fn last_lease_request(&self) -> (u64, u32) {
+    /// The last lease request: its call id, its maximum number of items and its routes.
+    pub fn last_lease(&self) -> (u64, u32, &[RoutePaths]) {
         let lease = self.calls.iter().rev().find_map(|(call, body)| match body {
             BatchCall::Lease { max_items, models, routes } => {
-                assert!(models.is_empty() && *routes == ["r".into()]);
-                Some((*call, *max_items))
+                assert!(models.is_empty());
+                Some((*call, *max_items, &routes[..]))
             }
             _ => None,
         });
         lease.expect("a lease request")
     }
 
+    /// The last lease request, for items of the route `r`: its call id and its maximum number of
+    /// items.
+    pub fn last_lease_request(&self) -> (u64, u32) {
+        let (call, max_items, routes) = self.last_lease();
+        assert_eq!(routes, [original_paths()]);
+        (call, max_items)
+    }
+
     /// Leases an item with this progress to the relay.
     pub fn lease_item(&mut self, progress: Progress) -> Run {
         let run = Run { batch: batch(), item: ItemNumber(0), lease: 5 };
         let (call, _) = self.last_lease_request();
-        let route = Some(("r".into(), HOST.to_owned()));
-        let leased = LeasedItem { run, item: item(), route, progress };
+        let host = Some(HOST.to_owned());
+        let leased = LeasedItem { run, item: item(), host, progress };
         self.receive_shard(call, BatchResponse::Leased(vec![leased]));
         run
     }
@@ -272,6 +281,11 @@
     topazyard_spec::Route { kind: topazyard_spec::RouteKind::Safe, batch: None, ..route }
 }
 
+/// The paths of the route `r`.
+pub fn original_paths() -> RoutePaths {
+    RoutePaths { host: HOST.to_owned(), prefix: "/b/".to_owned(), excluded: Vec::new() }
+}
+
 pub fn batch() -> BatchId {
     BatchId::of_host(HOST, "7c41")
 }
--- a/programs/topazyard-relay/tests/item_routes.rs
+++ b/programs/topazyard-relay/tests/item_routes.rs
@@ -3,12 +3,13 @@
 
 mod item_relay;
 
-use item_relay::{Relay, batch_route, live_route};
+use item_relay::{Relay, batch_route, live_route, original_paths};
 use topazyard_relay::{RelayCall, RelayResponse};
 use topazyard_spec::Route;
 use topazyard_types::EngineName;
 use topazyard_wire::api::Code;
-use topazyard_wire::message::batch::{Progress, Run, RunEnd};
+use topazyard_wire::message::batch::{BatchResponse, Progress, Run, RunEnd};
+use topazyard_wire::routes::RoutePaths;
 
 /// The route under which the batch was accepted.
 fn original() -> Route {
@@ -24,6 +25,18 @@
     relay
 }
 
+/// The routes of a lease request after a change of the configuration.
+fn lease_routes_after(routes: &[Route]) -> Vec<RoutePaths> {
+    let mut relay = leasing_relay();
+    let (call, _) = relay.last_lease_request();
+    relay.receive_shard(call, BatchResponse::Leased(Vec::new()));
+    relay.receive_routes(2, routes);
+    relay.tick(500);
+    let (next, _, routes) = relay.last_lease();
+    assert_ne!(next, call, "no lease request after the change");
+    routes.to_vec()
+}
+
 /// A relay that leases an item under the original route and whose configuration then changes.
 fn changed_after_lease(routes: &[Route]) -> Relay {
     let mut relay = leasing_relay();
@@ -164,3 +177,38 @@
     dispatch(&mut relay, run);
     assert_eq!(relay.last_code(), Some(Code::NoLane));
 }
+
+// Guards against items that wait for a lease that no relay requests, once their route has another
+// name (LOST).
+#[test]
+fn leases_are_requested_for_the_same_paths_under_any_name() {
+    for name in ["r", "renamed"] {
+        let routes = lease_routes_after(&[batch_route(name, "/b/", "main")]);
+        assert_eq!(routes, [original_paths()], "{name}");
+    }
+}
+
+// Guards against leases of items whose paths belong to a longer prefix of another route.
+#[test]
+fn leases_leave_out_longer_prefixes_of_other_routes() {
+    let routes = lease_routes_after(&[
+        original(),
+        batch_route("x", "/b/x/", "other"),
+        live_route("y", "/b/long/", "other"),
+        live_route("z", "/z/", "main"),
+    ]);
+    let excluded = vec!["/b/long/".to_owned(), "/b/x/".to_owned()];
+    let inner = RoutePaths { prefix: "/b/x/".to_owned(), ..original_paths() };
+    assert_eq!(routes, [inner, RoutePaths { excluded, ..original_paths() }]);
+}
+
+// Guards against a relay that still requests leases for a route that is gone.
+#[test]
+fn no_lease_is_requested_without_a_batch_route() {
+    let mut relay = leasing_relay();
+    let (call, _) = relay.last_lease_request();
+    relay.receive_shard(call, BatchResponse::Leased(Vec::new()));
+    relay.receive_routes(2, &[live_route("r", "/b/", "main")]);
+    relay.tick(500);
+    assert_eq!(relay.last_lease().0, call);
+}
--- a/programs/topazyard-relay/tests/loopback/core.rs
+++ b/programs/topazyard-relay/tests/loopback/core.rs
@@ -69,8 +69,8 @@
             routing: Some(routing),
         };
         let run = Run { batch: batch(), item: ItemNumber(0), lease: self.last_lease };
-        let route = Some(("batch".into(), HOST.to_owned()));
-        LeasedItem { run, item, route, progress: Progress::default() }
+        let host = Some(HOST.to_owned());
+        LeasedItem { run, item, host, progress: Progress::default() }
     }
 }
 
--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -318,7 +318,7 @@
     let leased = |number| LeasedItem {
         run: Run { batch: batch(), item: ItemNumber(number), lease: u64::from(number) },
         item: item(),
-        route: Some(("r".into(), HOST.to_owned())),
+        host: Some(HOST.to_owned()),
         progress: Progress::default(),
     };
     relay.receive_shard(call, BatchResponse::Leased((0..6).map(leased).collect()));
--- a/programs/topazyard-storage/src/batches/changes.rs
+++ b/programs/topazyard-storage/src/batches/changes.rs
@@ -119,7 +119,7 @@
             let run = Run { batch, item, lease: self.last_lease };
             self.leases.insert(run, Lease { relay, expires_at: now.plus(ITEM_LEASE) });
             let progress = Progress::default();
-            leased.push(LeasedItem { run, item: stored_item, route: None, progress });
+            leased.push(LeasedItem { run, item: stored_item, host: None, progress });
         }
         for entry in skipped_entries.into_iter().rev() {
             self.queue.push_front(entry);
--- a/programs/topazyard-storage/src/batches/routed/changes.rs
+++ b/programs/topazyard-storage/src/batches/routed/changes.rs
@@ -3,11 +3,12 @@
 
 use super::{BatchEntry, Lease, OpenItem, QueueKey, RoutedBatchRow, RoutedBatches, rows};
 use crate::batches::ITEM_LEASE;
-use topazyard_types::{BatchId, DurationMs, ItemNumber, MonotonicMs, NodeId, RouteName, Tokens};
+use topazyard_types::{BatchId, DurationMs, ItemNumber, MonotonicMs, NodeId, Tokens};
 use topazyard_wire::RowChange;
 use topazyard_wire::message::batch::{
     Item, ItemEnd, ItemResult, LeasedItem, Progress, RoutedBatch, Run, RunEnd,
 };
+use topazyard_wire::routes::RoutePaths;
 
 /// Storage accounted for an item or a result in addition to its body, in bytes.
 const OVERHEAD_BYTES: u64 = 256;
@@ -32,14 +33,25 @@
     }
 }
 
+/// Groups routes by host.
+fn by_host(routes: &[RoutePaths]) -> std::collections::BTreeMap<&str, Vec<&RoutePaths>> {
+    let mut grouped: std::collections::BTreeMap<&str, Vec<&RoutePaths>> = Default::default();
+    for route in routes {
+        grouped.entry(&route.host).or_default().push(route);
+    }
+    grouped
+}
+
 impl OpenItem {
     pub(super) fn new(item: &Item) -> Self {
         let directions_bytes = item.routing.as_ref().map_or(0, |routing| {
             let headers = routing.headers.iter().map(|(name, value)| name.len() + value.len());
             headers.sum::<usize>() + routing.path.len()
         });
+        let routing = item.routing.as_ref();
         Self {
-            id: item.routing.as_ref().map(|d| d.id.clone()).unwrap_or_default(),
+            id: routing.map(|routing| routing.id.clone()).unwrap_or_default(),
+            path: routing.map(|routing| routing.path.clone()).unwrap_or_default(),
             cost: item.cost,
             bytes: OVERHEAD_BYTES + (item.body.len() + directions_bytes) as u64,
             failed_attempts: 0,
@@ -61,7 +73,7 @@
             return SubmitOutcome::Accepted(Vec::new());
         }
         let requested: Tokens = routed.items.iter().map(|item| item.cost).sum();
-        let waiting = self.waiting_cost_of(&routed.terms.route);
+        let waiting = self.waiting_cost_of(&routed.terms.submitted_route);
         if routed.ceiling > Tokens(0) && waiting.plus(requested) > routed.ceiling {
             return SubmitOutcome::CeilingReached;
         }
@@ -95,39 +107,39 @@
         Some((entry.reaches_age_at(entry.row.terms.run_target), batch.number, item))
     }
 
-    /// Leases items of the given routes, earliest due time first. Items past their due time come
+    /// Leases items whose paths belong to the given routes, earliest due time first. Items past their due time come
     /// last.
     pub fn lease(
         &mut self,
         relay: NodeId,
         max_items: u32,
-        routes: &[RouteName],
+        routes: &[RoutePaths],
         copy: &topazyard_replication::Copy,
         now: MonotonicMs,
     ) -> Vec<LeasedItem> {
+        let routes = by_host(routes);
         let first_due = (now, 0, ItemNumber(0));
         let in_order = self.queue.range(first_due..).chain(self.queue.range(..first_due));
         let eligible = in_order.filter_map(|key| {
             let entry = self.batches.get(&key.1)?;
             let open = entry.open_items.get(&key.2)?;
-            let terms = &entry.row.terms;
-            if !routes.contains(&terms.route) {
+            let host = &entry.row.terms.host;
+            if !routes.get(host.as_str())?.iter().any(|route| route.contains(host, &open.path)) {
                 return None;
             }
             // Not in the committed copy yet: the submission is still being replicated.
             let item = rows::item_of(copy, key.1, key.2)?;
-            let route = Some((terms.route.clone(), terms.host.clone()));
-            Some((*key, item, route, open.progress.clone()))
+            Some((*key, item, Some(host.clone()), open.progress.clone()))
         });
         let chosen: Vec<_> = eligible.take(max_items as usize).collect();
         let mut leased = Vec::new();
-        for (key, item, route, progress) in chosen {
+        for (key, item, host, progress) in chosen {
             self.queue.remove(&key);
             self.last_lease += 1;
             let batch = BatchId { shard: self.shard, number: key.1 };
             let run = Run { batch, item: key.2, lease: self.last_lease };
             self.leases.insert(run, Lease { relay, expires_at: now.plus(ITEM_LEASE) });
-            leased.push(LeasedItem { run, item, route, progress });
+            leased.push(LeasedItem { run, item, host, progress });
         }
         leased
     }
@@ -216,7 +228,7 @@
         let entry = self.batches.get_mut(&batch.number)?;
         let open = entry.open_items.remove(&item)?;
         self.queue.remove(&key);
-        if let Some(waiting) = self.waiting_cost.get_mut(&entry.row.terms.route) {
+        if let Some(waiting) = self.waiting_cost.get_mut(&entry.row.terms.submitted_route) {
             *waiting = Tokens(waiting.0.saturating_sub(open.cost.0));
         }
         self.bytes = self.bytes.saturating_sub(open.bytes);
--- a/programs/topazyard-storage/src/batches/routed/mod.rs
+++ b/programs/topazyard-storage/src/batches/routed/mod.rs
@@ -29,6 +29,8 @@
 #[derive(Debug, Clone)]
 struct OpenItem {
     id: String,
+    /// Decides its route, together with the host of the batch.
+    path: String,
     cost: Tokens,
     bytes: u64,
     failed_attempts: u32,
@@ -137,7 +139,7 @@
     /// Adds a batch to the maps, the queue and all sums.
     fn insert(&mut self, number: u64, entry: BatchEntry) {
         let due = entry.reaches_age_at(entry.row.terms.run_target);
-        let route = self.waiting_cost.entry(entry.row.terms.route.clone()).or_default();
+        let route = self.waiting_cost.entry(entry.row.terms.submitted_route.clone()).or_default();
         for (item, open) in &entry.open_items {
             *route = route.plus(open.cost);
             self.queue.insert((due, number, *item));
--- /dev/null
+++ b/programs/topazyard-storage/tests/item_routes.rs
@@ -0,0 +1,96 @@
+//! Accepted batches while the configuration changes: which items are leased follows from their host
+//! and paths, whatever the routes are named.
+
+mod routed_shard;
+
+use routed_shard::{A, B, Shard, done, item, paths, routed_batch};
+use topazyard_replication::Copy;
+use topazyard_wire::message::batch::{Item, ItemRouting, LeasedItem, RoutedBatch};
+use topazyard_wire::routes::RoutePaths;
+
+/// An item with this path.
+fn item_at(id: &str, path: &str) -> Item {
+    let item = item(id);
+    let routing = item.routing.expect("a routed item");
+    Item { routing: Some(ItemRouting { path: path.to_owned(), ..routing }), ..item }
+}
+
+/// The caller's id of a leased item.
+fn id(leased: &LeasedItem) -> &str {
+    leased.item.routing.as_ref().map_or("", |routing| &routing.id)
+}
+
+/// The callers' ids of leased items.
+fn ids(leased: &[LeasedItem]) -> Vec<&str> {
+    leased.iter().map(id).collect()
+}
+
+// Guards against accepted items that never run because their route has another name (LOST).
+#[test]
+fn items_of_a_renamed_route_are_leased() {
+    let mut shard = Shard::new();
+    assert!(shard.submit(&routed_batch("1", 2), 0));
+    // A relay names the paths of a route alone, so that another name of it changes nothing.
+    assert_eq!(shard.lease_on(&[paths("/b/")], A, 9, 1).len(), 2);
+}
+
+// Guards against items that are leased by a route that has their route's name and other paths.
+#[test]
+fn items_are_leased_only_on_their_paths() {
+    let mut shard = Shard::new();
+    assert!(shard.submit(&routed_batch("1", 2), 0));
+    let other_host = RoutePaths { host: "b.example".to_owned(), ..paths("/b/") };
+    for routes in [vec![], vec![paths("/c/")], vec![paths("/b/3/1/")], vec![other_host]] {
+        assert_eq!(shard.lease_on(&routes, A, 9, 1), [], "{routes:?}");
+    }
+    assert_eq!(shard.lease_on(&[paths("/c/"), paths("/b/3/")], A, 9, 2).len(), 2);
+}
+
+// Guards against items that are leased by a shorter prefix than the longest that begins their path.
+#[test]
+fn items_below_a_longer_prefix_are_left_to_its_route() {
+    let mut shard = Shard::new();
+    let items = vec![item_at("x", "/b/1"), item_at("y", "/b/3/1"), item_at("z", "/b/3/2")];
+    assert!(shard.submit(&RoutedBatch { items, ..routed_batch("1", 0) }, 0));
+    let outer = RoutePaths { excluded: vec!["/b/3/".to_owned()], ..paths("/b/") };
+    assert_eq!(ids(&shard.lease_on(std::slice::from_ref(&outer), A, 9, 1)), ["x"]);
+    assert_eq!(shard.lease_on(&[outer], A, 9, 2), []);
+    assert_eq!(ids(&shard.lease_on(&[paths("/b/3/")], A, 9, 3)), ["y", "z"]);
+}
+
+// Guards against accepted items that no longer run once their route was gone and is back.
+#[test]
+fn items_wait_while_their_route_is_gone_and_are_leased_when_it_is_back() {
+    let mut shard = Shard::new();
+    assert!(shard.submit(&routed_batch("1", 2), 0));
+    assert_eq!(shard.lease_on(&[], A, 9, 1), []);
+    shard.tick(20_000);
+    assert_eq!(shard.results("1"), [], "they wait");
+    shard.fail_over(7, 100);
+    assert_eq!(shard.lease_on(&[paths("/b/")], A, 9, 101).len(), 2);
+}
+
+/// The rows of a batch of one item as frame version 7 wrote them: key and value in hex.
+const FORMER_ROWS: [(&str, &str); 2] = [
+    ("batch/0000000000000001", "017209612e6578616d706c65c03ec0b8020201000000"),
+    ("work/0000000000000001/0000", "016d0670726f6d7074010a01026535062f622f332f310101780179010709"),
+];
+
+fn from_hex(hex: &str) -> bytes::Bytes {
+    let byte = |at| u8::from_str_radix(&hex[at..at + 2], 16).expect("a hex digit");
+    (0..hex.len()).step_by(2).map(byte).collect()
+}
+
+// Guards against losing batches that were accepted before an update of the software.
+#[test]
+fn batch_written_by_the_former_release_is_leased_by_host_and_path() {
+    let mut shard = Shard::new();
+    let rows = FORMER_ROWS.map(|(key, value)| (key.to_owned(), from_hex(value)));
+    shard.copy = Copy::from_rows(rows.into());
+    shard.fail_over(7, 100);
+    let leased = shard.lease_on(&[paths("/b/")], A, 9, 101);
+    assert_eq!(ids(&leased), ["e5"]);
+    assert_eq!(leased[0].host.as_deref(), Some("a.example"));
+    shard.finish(B, leased[0].run, done("out"), 102);
+    assert_eq!(shard.results("1").len(), 1);
+}
--- a/programs/topazyard-storage/tests/routed_batches.rs
+++ b/programs/topazyard-storage/tests/routed_batches.rs
@@ -1,124 +1,14 @@
 //! Batches of routed items: the ceiling is exact, recorded results never change, and an item is
 //! abandoned only for a reason.
 
+mod routed_shard;
+
+use routed_shard::{A, B, CAPACITY_BYTES, HOST, Shard, at, done, routed_batch};
 use topazyard_replication::Copy;
-use topazyard_storage::batches::{Batches, ITEM_LEASE, routed};
-use topazyard_types::{
-    BatchId, BootId, DurationMs, Epoch, ItemNumber, MonotonicMs, NodeId, RouteName, Sequence,
-    Tokens,
-};
-use topazyard_wire::RowChange;
+use topazyard_storage::batches::{ITEM_LEASE, routed};
+use topazyard_types::{BatchId, DurationMs, ItemNumber, Tokens};
 use topazyard_wire::invariants::{Invariant, violations};
-use topazyard_wire::message::batch::{
-    Item, ItemEnd, ItemResult, ItemRouting, LeasedItem, Progress, RoutedBatch, RoutedBatchTerms,
-    Run, RunEnd,
-};
-
-const A: NodeId = NodeId(11);
-const B: NodeId = NodeId(13);
-const HOST: &str = "a.example";
-const CAPACITY_BYTES: u64 = 1 << 20;
-
-fn at(ms: u64) -> MonotonicMs {
-    MonotonicMs(ms)
-}
-
-fn item(id: &str) -> Item {
-    Item {
-        model: "m".into(),
-        body: bytes::Bytes::from(format!("body of {id}")),
-        repeatable: true,
-        cost: Tokens(10),
-        routing: Some(ItemRouting {
-            id: id.to_owned(),
-            path: "/p/1".to_owned(),
-            headers: Vec::new(),
-            prefix: Vec::new(),
-        }),
-    }
-}
-
-fn routed_batch(id: &str, items: u32) -> RoutedBatch {
-    RoutedBatch {
-        batch: BatchId::of_host(HOST, id),
-        terms: RoutedBatchTerms {
-            route: "r".into(),
-            host: HOST.to_owned(),
-            run_target: DurationMs(8_000),
-            retention: DurationMs(40_000),
-            max_attempts: 2,
-        },
-        items: (0..items).map(|n| item(&format!("{id}-{n}"))).collect(),
-        ceiling: Tokens(100),
-    }
-}
-
-struct Shard {
-    copy: Copy,
-    batches: Batches,
-}
-
-impl Shard {
-    fn new() -> Self {
-        let copy = Copy::default();
-        let batches = Self::of(&copy, 3, 0);
-        Self { copy, batches }
-    }
-
-    fn of(copy: &Copy, boot_id: u64, now_ms: u64) -> Batches {
-        let shard = BatchId::of_host(HOST, "").shard;
-        Batches::from_copy(shard, copy, BootId(boot_id << 40), at(now_ms))
-    }
-
-    /// Another node takes over from the committed copy; its clock has another origin.
-    fn fail_over(&mut self, boot_id: u64, now_ms: u64) {
-        self.copy = Copy::from_rows(self.copy.rows().clone());
-        self.batches = Self::of(&self.copy, boot_id, now_ms);
-    }
-
-    fn commit(&mut self, changes: Vec<RowChange>) {
-        let sequence = Sequence(self.copy.position().sequence.0 + 1);
-        self.copy.apply(Epoch(1), sequence, changes);
-    }
-
-    fn submit(&mut self, routed: &RoutedBatch, now_ms: u64) -> bool {
-        match self.batches.routed.submit(routed, CAPACITY_BYTES, at(now_ms)) {
-            routed::SubmitOutcome::Accepted(changes) => {
-                self.commit(changes);
-                true
-            }
-            routed::SubmitOutcome::CeilingReached | routed::SubmitOutcome::OverCapacity => false,
-        }
-    }
-
-    fn lease(&mut self, relay: NodeId, max_items: u32, now_ms: u64) -> Vec<LeasedItem> {
-        let routes: [RouteName; 1] = ["r".into()];
-        self.batches.routed.lease(relay, max_items, &routes, &self.copy, at(now_ms))
-    }
-
-    fn lease_one(&mut self, relay: NodeId, now_ms: u64) -> Run {
-        self.lease(relay, 1, now_ms).first().expect("no item is waiting").run
-    }
-
-    fn finish(&mut self, relay: NodeId, run: Run, end: RunEnd, now_ms: u64) {
-        let changes = self.batches.routed.finish(relay, run, end, at(now_ms));
-        self.commit(changes);
-    }
-
-    fn tick(&mut self, now_ms: u64) {
-        let changes = self.batches.routed.tick(at(now_ms));
-        self.commit(changes);
-    }
-
-    fn results(&self, id: &str) -> Vec<ItemResult> {
-        let found = routed::results(&self.copy, BatchId::of_host(HOST, id), 0);
-        found.expect("the batch exists").1
-    }
-}
-
-fn done(text: &str) -> RunEnd {
-    RunEnd::StreamComplete { text: text.to_owned() }
-}
+use topazyard_wire::message::batch::{ItemEnd, Progress, RoutedBatch, Run, RunEnd};
 
 #[test]
 fn ceiling_is_exact_and_results_free_capacity() {
