Count what waits on a route by the items' hosts and paths

What callers would see: after a route was renamed, as many tokens as its ceiling allows could wait once more; a route that got the name was refused batches for what waited on the other. Nobody has reported it; the review had it from reading.

Cause: the shard kept a sum of waiting tokens for each route name.

Evidence: two new tests failed before: 110 of 100 tokens were accepted under another name, and a batch on free paths was refused.

Change: a submission carries the ceiling and the paths of each route that its items take, and the shard adds up the waiting items on those paths. It works because paths don't change with the configuration, and the relay sends those of the configuration in force with each attempt.

--- a/libraries/topazyard-wire/src/message/batch.rs
+++ b/libraries/topazyard-wire/src/message/batch.rs
@@ -85,9 +85,17 @@
     pub terms: RoutedBatchTerms,
     /// Its items, each with its routing.
     pub items: Vec<Item>,
-    /// The ceiling on the route's waiting tokens in the configuration in force at the relay; 0 for
-    /// no ceiling.
-    pub ceiling: Tokens,
+    /// The ceilings that its items come under in the configuration in force at the relay.
+    pub ceilings: Vec<WaitingCeiling>,
+}
+
+/// The ceiling on the tokens of the items that wait on a route.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct WaitingCeiling {
+    /// The paths of the route.
+    pub paths: RoutePaths,
+    /// The maximum total tokens.
+    pub tokens: Tokens,
 }
 
 /// The output received so far from a run that was interrupted.
--- a/programs/topazyard-relay/src/machine/batches.rs
+++ b/programs/topazyard-relay/src/machine/batches.rs
@@ -11,7 +11,9 @@
 use topazyard_wire::message::Message;
 use topazyard_wire::message::batch::{
     BatchBody, BatchCall, BatchMessage, BatchResponse, Item, RoutedBatch, RoutedBatchTerms,
+    WaitingCeiling,
 };
+use topazyard_wire::routes::RouteTable;
 
 /// Time without a response after which a call is sent again.
 const RETRY_INTERVAL: DurationMs = DurationMs(400);
@@ -125,6 +127,21 @@
     )
 }
 
+/// The ceilings that a batch's items come under; none if an item has no batch route.
+fn ceilings_of(routed: &RoutedBatch, routes: &RouteTable) -> Option<Vec<WaitingCeiling>> {
+    let mut ceilings: Vec<WaitingCeiling> = Vec::new();
+    for item in &routed.items {
+        let (host, path) = (&routed.terms.host, &item.routing.as_ref()?.path);
+        let route = routes.find_batch(host, path)?;
+        let tokens = route.batch.as_ref()?.ceiling_tokens;
+        let is_listed = ceilings.iter().any(|ceiling| ceiling.paths.contains(host, path));
+        if tokens > Tokens(0) && !is_listed {
+            ceilings.push(WaitingCeiling { paths: routes.paths_of(route), tokens });
+        }
+    }
+    Some(ceilings)
+}
+
 impl PendingCall {
     /// Whether a refusal by the primary of that epoch is final: a later primary may still accept
     /// the call.
@@ -221,7 +238,8 @@
                 max_attempts: route.max_attempts,
             },
             items,
-            ceiling: terms.ceiling_tokens,
+            // Each attempt carries the ceilings in force when it is sent.
+            ceilings: Vec::new(),
         };
         self.call_batch(call, BatchCall::SubmitRouted(routed), timeout, now, effects);
     }
@@ -292,16 +310,11 @@
             }
         }
         if let BatchCall::SubmitRouted(routed) = &mut pending.call {
-            // Each attempt carries the ceiling in force; a route that was removed accepts no more
+            // Each attempt carries the ceilings in force; a route that was removed accepts no more
             // batches.
-            match self
-                .fleet
-                .routes
-                .named(&routed.terms.submitted_route)
-                .and_then(|r| r.batch.as_ref())
-            {
-                Some(terms) if is_feed_recent => routed.ceiling = terms.ceiling_tokens,
-                _ => return pending.send_at = now.plus(REFUSED_RETRY_INTERVAL),
+            match ceilings_of(routed, &self.fleet.routes).filter(|_| is_feed_recent) {
+                Some(ceilings) => routed.ceilings = ceilings,
+                None => return pending.send_at = now.plus(REFUSED_RETRY_INTERVAL),
             }
         }
         let Some(pending) = self.batches.pending.get(&id) else { return };
--- a/programs/topazyard-relay/tests/item_routes.rs
+++ b/programs/topazyard-relay/tests/item_routes.rs
@@ -6,9 +6,11 @@
 use item_relay::{Relay, batch_route, live_route, original_paths};
 use topazyard_relay::{RelayCall, RelayResponse};
 use topazyard_spec::Route;
-use topazyard_types::EngineName;
+use topazyard_types::{EngineName, Tokens};
 use topazyard_wire::api::Code;
-use topazyard_wire::message::batch::{BatchResponse, Progress, Run, RunEnd};
+use topazyard_wire::message::batch::{
+    BatchCall, BatchResponse, Progress, Run, RunEnd, WaitingCeiling,
+};
 use topazyard_wire::routes::RoutePaths;
 
 /// The route under which the batch was accepted.
@@ -212,3 +214,33 @@
     relay.tick(500);
     assert_eq!(relay.last_lease().0, call);
 }
+
+/// The ceilings that a submission of an item below `/b/3/` carries under these routes.
+fn submitted_ceilings(routes: &[Route]) -> Vec<WaitingCeiling> {
+    let mut relay = leasing_relay();
+    relay.receive_routes(2, routes);
+    relay.submit();
+    let submitted = relay.calls.iter().find_map(|(_, call)| match call {
+        BatchCall::SubmitRouted(routed) => Some(routed.ceilings.clone()),
+        _ => None,
+    });
+    submitted.expect("the batch is sent")
+}
+
+// Guards against a ceiling that counts other items than those of the route in force.
+#[test]
+fn submission_carries_the_ceiling_of_the_route_that_takes_its_items() {
+    let longer = Route { name: "longer".into(), ..batch_route("x", "/b/3/", "main") };
+    let inner = RoutePaths { prefix: "/b/3/".to_owned(), ..original_paths() };
+    let ceiling = |paths| WaitingCeiling { paths, tokens: Tokens(700) };
+    assert_eq!(submitted_ceilings(&[original()]), [ceiling(original_paths())]);
+    assert_eq!(submitted_ceilings(&[original(), longer]), [ceiling(inner)]);
+}
+
+// Guards against a limit of no tokens where the route has no limit.
+#[test]
+fn submission_carries_no_ceiling_where_the_route_has_none() {
+    let mut unlimited = original();
+    unlimited.batch.as_mut().expect("batch terms").ceiling_tokens = Tokens(0);
+    assert_eq!(submitted_ceilings(&[unlimited]), []);
+}
--- a/programs/topazyard-storage/src/batches/routed/changes.rs
+++ b/programs/topazyard-storage/src/batches/routed/changes.rs
@@ -6,7 +6,7 @@
 use topazyard_types::{BatchId, DurationMs, ItemNumber, MonotonicMs, NodeId, Tokens};
 use topazyard_wire::RowChange;
 use topazyard_wire::message::batch::{
-    Item, ItemEnd, ItemResult, LeasedItem, Progress, RoutedBatch, Run, RunEnd,
+    Item, ItemEnd, ItemResult, LeasedItem, Progress, RoutedBatch, Run, RunEnd, WaitingCeiling,
 };
 use topazyard_wire::routes::RoutePaths;
 
@@ -20,7 +20,7 @@
 pub enum SubmitOutcome {
     /// The batch is accepted, by this call or by an earlier one.
     Accepted(Vec<RowChange>),
-    /// Its cost would exceed the route's ceiling.
+    /// Its cost would exceed the ceiling of a route.
     CeilingReached,
     /// Its rows would exceed the storage capacity for batches.
     OverCapacity,
@@ -72,11 +72,6 @@
         if self.contains(routed.batch) {
             return SubmitOutcome::Accepted(Vec::new());
         }
-        let requested: Tokens = routed.items.iter().map(|item| item.cost).sum();
-        let waiting = self.waiting_cost_of(&routed.terms.submitted_route);
-        if routed.ceiling > Tokens(0) && waiting.plus(requested) > routed.ceiling {
-            return SubmitOutcome::CeilingReached;
-        }
         let items = (0..).map(ItemNumber).zip(&routed.items);
         let open_items: std::collections::BTreeMap<ItemNumber, OpenItem> =
             items.clone().map(|(number, item)| (number, OpenItem::new(item))).collect();
@@ -92,16 +87,23 @@
             ended: false,
             age: DurationMs(0),
         };
-        let mut changes = vec![rows::batch(number, &row)];
-        changes.extend(items.map(|(at, item)| rows::item(number, at, item)));
         let initial_age = DurationMs(0);
-        self.insert(
-            number,
-            BatchEntry { row, known_since: now, initial_age, open_items, result_bytes: 0 },
-        );
+        let entry = BatchEntry { row, known_since: now, initial_age, open_items, result_bytes: 0 };
+        if routed.ceilings.iter().any(|ceiling| self.exceeds(ceiling, &entry)) {
+            return SubmitOutcome::CeilingReached;
+        }
+        let mut changes = vec![rows::batch(number, &entry.row)];
+        changes.extend(items.map(|(at, item)| rows::item(number, at, item)));
+        self.insert(number, entry);
         SubmitOutcome::Accepted(changes)
     }
 
+    /// Whether more would wait on a route than its ceiling allows if a batch were added.
+    fn exceeds(&self, ceiling: &WaitingCeiling, added: &BatchEntry) -> bool {
+        let requested = added.waiting_cost_on(&ceiling.paths);
+        self.waiting_cost_on(&ceiling.paths).plus(requested) > ceiling.tokens
+    }
+
     fn queue_key(&self, batch: BatchId, item: ItemNumber) -> Option<QueueKey> {
         let entry = self.batches.get(&batch.number)?;
         Some((entry.reaches_age_at(entry.row.terms.run_target), batch.number, item))
@@ -228,9 +230,7 @@
         let entry = self.batches.get_mut(&batch.number)?;
         let open = entry.open_items.remove(&item)?;
         self.queue.remove(&key);
-        if let Some(waiting) = self.waiting_cost.get_mut(&entry.row.terms.submitted_route) {
-            *waiting = Tokens(waiting.0.saturating_sub(open.cost.0));
-        }
+        self.waiting_cost = Tokens(self.waiting_cost.0.saturating_sub(open.cost.0));
         self.bytes = self.bytes.saturating_sub(open.bytes);
         self.leases.retain(|run, _| (run.batch, run.item) != (batch, item));
         Some(open)
--- a/programs/topazyard-storage/src/batches/routed/mod.rs
+++ b/programs/topazyard-storage/src/batches/routed/mod.rs
@@ -6,10 +6,11 @@
 mod rows;
 
 use topazyard_types::{
-    BatchId, BootId, DurationMs, ItemNumber, MonotonicMs, NodeId, RouteName, ShardId, Tokens,
+    BatchId, BootId, DurationMs, ItemNumber, MonotonicMs, NodeId, ShardId, Tokens,
 };
 use topazyard_wire::invariants::{self, Invariant};
 use topazyard_wire::message::batch::{Progress, RoutedBatchTerms, Run};
+use topazyard_wire::routes::RoutePaths;
 
 pub use changes::SubmitOutcome;
 pub use read::{body, results, status};
@@ -53,6 +54,13 @@
         DurationMs(self.initial_age.0 + now.since(self.known_since).0)
     }
 
+    /// Cost of the items without a result that take a route.
+    fn waiting_cost_on(&self, route: &RoutePaths) -> Tokens {
+        let host = &self.row.terms.host;
+        let items = self.open_items.values();
+        items.filter(|item| route.contains(host, &item.path)).map(|item| item.cost).sum()
+    }
+
     /// When the batch reaches an age. Computed from the known age, because its submission may lie
     /// before the start of this process's clock.
     fn reaches_age_at(&self, age: DurationMs) -> MonotonicMs {
@@ -77,8 +85,8 @@
     /// Items that may be leased, ordered by due time.
     queue: std::collections::BTreeSet<QueueKey>,
     leases: std::collections::BTreeMap<Run, Lease>,
-    /// Cost of the items without a result, by route.
-    waiting_cost: std::collections::BTreeMap<RouteName, Tokens>,
+    /// Cost of all items without a result.
+    waiting_cost: Tokens,
     /// Batches with open items, by the time at which the items are abandoned.
     abandon_deadlines: std::collections::BTreeSet<(MonotonicMs, u64)>,
     /// Batches that have ended or have all their results, in that order.
@@ -110,7 +118,7 @@
             batches: std::collections::BTreeMap::new(),
             queue: std::collections::BTreeSet::new(),
             leases: std::collections::BTreeMap::new(),
-            waiting_cost: std::collections::BTreeMap::new(),
+            waiting_cost: Tokens(0),
             abandon_deadlines: std::collections::BTreeSet::new(),
             finished: std::collections::VecDeque::new(),
             bytes: 0,
@@ -139,9 +147,8 @@
     /// Adds a batch to the maps, the queue and all sums.
     fn insert(&mut self, number: u64, entry: BatchEntry) {
         let due = entry.reaches_age_at(entry.row.terms.run_target);
-        let route = self.waiting_cost.entry(entry.row.terms.submitted_route.clone()).or_default();
         for (item, open) in &entry.open_items {
-            *route = route.plus(open.cost);
+            self.waiting_cost = self.waiting_cost.plus(open.cost);
             self.queue.insert((due, number, *item));
             self.bytes += open.bytes;
         }
@@ -157,12 +164,17 @@
 
     /// Cost of all items without a result.
     pub fn waiting_cost(&self) -> Tokens {
-        self.waiting_cost.values().copied().sum()
+        self.waiting_cost
     }
 
-    /// Cost of a route's items without a result.
-    pub fn waiting_cost_of(&self, route: &RouteName) -> Tokens {
-        self.waiting_cost.get(route).copied().unwrap_or_default()
+    /// Cost of the items without a result that take a route, whatever it was named when they were
+    /// submitted.
+    pub fn waiting_cost_on(&self, route: &RoutePaths) -> Tokens {
+        let waits_on_host = |entry: &&BatchEntry| {
+            !entry.open_items.is_empty() && entry.row.terms.host == route.host
+        };
+        let batches = self.batches.values().filter(waits_on_host);
+        batches.map(|entry| entry.waiting_cost_on(route)).sum()
     }
 
     /// Number of batches, including finished ones.
--- a/programs/topazyard-storage/tests/item_routes.rs
+++ b/programs/topazyard-storage/tests/item_routes.rs
@@ -3,9 +3,10 @@
 
 mod routed_shard;
 
-use routed_shard::{A, B, Shard, done, item, paths, routed_batch};
+use routed_shard::{A, B, Shard, ceiling, done, item, paths, routed_batch};
 use topazyard_replication::Copy;
-use topazyard_wire::message::batch::{Item, ItemRouting, LeasedItem, RoutedBatch};
+use topazyard_types::Tokens;
+use topazyard_wire::message::batch::{Item, ItemRouting, LeasedItem, RoutedBatch, WaitingCeiling};
 use topazyard_wire::routes::RoutePaths;
 
 /// An item with this path.
@@ -70,6 +71,51 @@
     assert_eq!(shard.lease_on(&[paths("/b/")], A, 9, 101).len(), 2);
 }
 
+// Guards against a renamed route that takes its ceiling once more (QUOTA).
+#[test]
+fn waiting_items_count_against_the_ceiling_of_their_route_under_any_name() {
+    let mut shard = Shard::new();
+    assert!(shard.submit(&routed_batch("1", 9), 0));
+    let mut second = routed_batch("2", 2);
+    second.terms.submitted_route = "renamed".into();
+    assert!(!shard.submit(&second, 1), "110 of 100 tokens");
+}
+
+// Guards against a batch that is refused for what waits on another route, which had its route's
+// name before.
+#[test]
+fn waiting_items_of_other_paths_leave_the_ceiling_free() {
+    let mut shard = Shard::new();
+    assert!(shard.submit(&routed_batch("1", 9), 0));
+    let items = vec![item_at("x", "/c/1"), item_at("y", "/c/2")];
+    let ceilings = vec![ceiling("/c/", 100)];
+    assert!(shard.submit(&RoutedBatch { items, ceilings, ..routed_batch("2", 0) }, 1));
+}
+
+// Guards against a batch that passes the ceiling of a route because others of its items take
+// another route.
+#[test]
+fn each_route_of_a_batch_has_its_own_ceiling() {
+    let mut shard = Shard::new();
+    let outer = WaitingCeiling {
+        paths: RoutePaths { excluded: vec!["/b/3/".to_owned()], ..paths("/b/") },
+        tokens: Tokens(20),
+    };
+    let batch = |id: &str, outer_items: u32, inner_items: u32| {
+        let outer_items = (0..outer_items).map(|n| item_at(&format!("{id}-o{n}"), "/b/1"));
+        let inner_items = (0..inner_items).map(|n| item_at(&format!("{id}-i{n}"), "/b/3/1"));
+        let ceilings = vec![outer.clone(), ceiling("/b/3/", 30)];
+        let items = outer_items.chain(inner_items).collect();
+        RoutedBatch { items, ceilings, ..routed_batch(id, 0) }
+    };
+    assert!(shard.submit(&batch("1", 1, 3), 0));
+    assert!(!shard.submit(&batch("2", 1, 1), 1), "40 of 30 tokens below /b/3/");
+    assert!(!shard.submit(&batch("3", 2, 0), 2), "30 of 20 tokens elsewhere below /b/");
+    assert!(shard.submit(&batch("4", 1, 0), 3));
+    shard.fail_over(7, 4);
+    assert!(!shard.submit(&batch("5", 1, 0), 5), "a new primary counts the same");
+}
+
 /// The rows of a batch of one item as frame version 7 wrote them: key and value in hex.
 const FORMER_ROWS: [(&str, &str); 2] = [
     ("batch/0000000000000001", "017209612e6578616d706c65c03ec0b8020201000000"),
