Submit a batch on the route of its path, not on a route named before

What callers would see: a batch refused with 404 though its route is there, or accepted under the terms and the host of another route, if the configuration changes while it is being submitted.

Cause: the relay's machine answered the admission of a request with the name of its batch route, and the submission looked that name up in the configuration in force by then.

Evidence: batch_is_submitted_on_the_route_that_has_its_path_under_any_name failed before: the batch was sent with the 9 attempts of the route that got the name, and not with the 2 of its own.

Change: a submission carries its host and path, and the route is found by them. RouteTable::named is gone: nothing looks a route up by name.

--- a/libraries/topazyard-wire/src/routes.rs
+++ b/libraries/topazyard-wire/src/routes.rs
@@ -87,11 +87,6 @@
         }
     }
 
-    /// The route with this name.
-    pub fn named(&self, name: &topazyard_types::RouteName) -> Option<&Route> {
-        self.iter().find(|route| route.name == *name)
-    }
-
     /// All routes.
     pub fn iter(&self) -> impl Iterator<Item = &Route> {
         self.by_host.values().flatten()
--- a/programs/topazyard-relay/src/front/adapter.rs
+++ b/programs/topazyard-relay/src/front/adapter.rs
@@ -50,6 +50,15 @@
 
 impl std::error::Error for MalformedLoad {}
 
+/// What a batch call does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BatchCallKind {
+    /// Its path belongs to a batch route: it submits a batch.
+    Submission,
+    /// Its path is one of the adapter's own: it reads or ends a batch.
+    OnSubmitted,
+}
+
 /// An outer adapter's header names and formats for requests on routes. It only translates; all
 /// decisions are made in the relay.
 pub trait HttpAdapter: Send + Sync + 'static {
@@ -96,12 +105,11 @@
         error: &topazyard_wire::ApiError,
     ) -> hyper::Response<topazyard_wire::http::Body>;
 
-    /// Serves batch calls: submissions, and calls on submitted batches. `route` is set if the
-    /// call's path belongs to a batch route.
+    /// Serves a batch call.
     fn serve_batch_call<'a>(
         &'a self,
         handle: &'a super::Handle,
-        route: Option<topazyard_types::RouteName>,
+        kind: BatchCallKind,
         head: &'a hyper::http::request::Parts,
         body: bytes::Bytes,
     ) -> std::pin::Pin<
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -1,6 +1,6 @@
 //! Serves one request on a route, from arrival to end, driven by its state machine.
 
-use super::adapter::{EngineHeaders, HttpAdapter, RequestMetadata, ResponseKind};
+use super::adapter::{BatchCallKind, EngineHeaders, HttpAdapter, RequestMetadata, ResponseKind};
 use super::connections::{self, EngineConnection, SendError};
 use super::engine::std_duration;
 use super::outcomes::UnansweredRequest;
@@ -120,7 +120,7 @@
     body: hyper::body::Incoming,
 ) -> Result<hyper::Response<Body>, ApiError> {
     let body = inbound::read_body(body, MAX_BODY_BYTES).await?;
-    Ok(adapter.serve_batch_call(handle, None, head, body).await)
+    Ok(adapter.serve_batch_call(handle, BatchCallKind::OnSubmitted, head, body).await)
 }
 
 /// An admitted request.
@@ -134,14 +134,15 @@
 /// A batch submitted by a client.
 struct Submission {
     guard: RequestGuard,
-    route: topazyard_types::RouteName,
     head: hyper::http::request::Parts,
     body: bytes::Bytes,
 }
 
 impl Submission {
     async fn submit(self, adapter: &SharedAdapter) -> hyper::Response<Body> {
-        adapter.serve_batch_call(&self.guard.handle, Some(self.route), &self.head, self.body).await
+        adapter
+            .serve_batch_call(&self.guard.handle, BatchCallKind::Submission, &self.head, self.body)
+            .await
     }
 }
 
@@ -170,8 +171,8 @@
             let session = Session::new(guard, adapter.clone(), metadata, *terms, head, body);
             Ok(Admission::Live(Box::new(session)))
         }
-        Ok(RelayResponse::OnBatchRoute(route)) => {
-            Ok(Admission::Batch(Box::new(Submission { guard, route, head, body })))
+        Ok(RelayResponse::OnBatchRoute) => {
+            Ok(Admission::Batch(Box::new(Submission { guard, head, body })))
         }
         Ok(RelayResponse::Refused(error)) => Err(error),
         _ => Err(ApiError::not_run(Code::StaleFeed)),
@@ -189,7 +190,7 @@
 }
 
 /// The requested host, without a port.
-fn request_host(head: &hyper::http::request::Parts) -> &str {
+pub fn request_host(head: &hyper::http::request::Parts) -> &str {
     let host_header = head.headers.get(hyper::header::HOST).and_then(|value| value.to_str().ok());
     let host = host_header.or(head.uri.host()).unwrap_or("");
     host.split(':').next().unwrap_or(host)
--- a/programs/topazyard-relay/src/machine/batches.rs
+++ b/programs/topazyard-relay/src/machine/batches.rs
@@ -3,9 +3,7 @@
 
 use super::{MAX_FEED_AGE, Outputs, RelayMachine, RelayResponse};
 use topazyard_spec::ModelRouteKind;
-use topazyard_types::{
-    BatchId, BootId, CallId, DurationMs, Epoch, MonotonicMs, RouteName, ShardId, Tokens,
-};
+use topazyard_types::{BatchId, BootId, CallId, DurationMs, Epoch, MonotonicMs, ShardId, Tokens};
 use topazyard_wire::Effect;
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::Message;
@@ -30,6 +28,22 @@
 /// Maximum number of calls under way.
 const MAX_PENDING_CALLS: usize = 2_048;
 
+/// A client's submission of a batch of routed items.
+#[derive(Debug)]
+pub struct RoutedSubmission {
+    /// The batch.
+    pub batch: BatchId,
+    /// The host that it was submitted to.
+    pub host: String,
+    /// The path that it was submitted to. Together with the host it decides the route whose terms
+    /// the batch is accepted under.
+    pub path: String,
+    /// Its items.
+    pub items: Vec<Item>,
+    /// The timeout of the call.
+    pub timeout: DurationMs,
+}
+
 /// Who waits for the response.
 #[derive(Debug)]
 pub(super) enum Caller {
@@ -215,13 +229,12 @@
     pub(super) fn submit_routed(
         &mut self,
         call: CallId,
-        (batch, route): (BatchId, &RouteName),
-        items: Vec<Item>,
-        timeout: DurationMs,
+        submission: RoutedSubmission,
         now: MonotonicMs,
         effects: &mut Outputs,
     ) {
-        let route = self.fleet.routes.named(route);
+        let RoutedSubmission { batch, host, path, items, timeout } = submission;
+        let route = self.fleet.routes.find_batch(&host, &path);
         let batch_route = route.and_then(|route| Some((route, route.batch.as_ref()?)));
         let Some((route, terms)) = batch_route else {
             self.record_refusal(Code::NoLane);
@@ -232,7 +245,7 @@
             batch,
             terms: RoutedBatchTerms {
                 submitted_route: route.name.clone(),
-                host: route.host.clone(),
+                host,
                 run_target: DurationMs(terms.run_target_ms),
                 retention: DurationMs(terms.retention_ms),
                 max_attempts: route.max_attempts,
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -16,7 +16,7 @@
 use topazyard_replication::{FeedFollower, follower::FollowOutcome};
 use topazyard_types::{
     BatchId, BootId, ConfigurationVersion, DurationMs, EngineName, ModelName, MonotonicMs, NodeId,
-    RouteName, ShardId, Tokens,
+    ShardId, Tokens,
 };
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::Message;
@@ -128,8 +128,8 @@
     Batch(BatchCall, DurationMs),
     /// Submits a batch.
     SubmitBatch(BatchId, Vec<Item>),
-    /// Submits a batch of routed items, with the call's timeout.
-    SubmitRoutedBatch(BatchId, RouteName, Vec<Item>, DurationMs),
+    /// Submits a batch of routed items.
+    SubmitRoutedBatch(batches::RoutedSubmission),
     /// Checks whether this item's run may be sent to that engine now.
     DispatchItem(Run, EngineName),
     /// The run of an item ended.
@@ -155,8 +155,8 @@
     Admitted(Box<requests::Admitted>),
     /// Another engine for the request.
     Chosen(Box<requests::Chosen>),
-    /// The request is for this batch route.
-    OnBatchRoute(topazyard_types::RouteName),
+    /// The request submits a batch: its route is a batch route.
+    OnBatchRoute,
     /// It may be sent before this time.
     SendBefore(MonotonicMs),
     /// The result of a batch call.
@@ -443,8 +443,8 @@
             RelayCall::SubmitBatch(batch, items) => {
                 return self.submit_batch(call, batch, items, now, effects);
             }
-            RelayCall::SubmitRoutedBatch(batch, route, items, timeout) => {
-                return self.submit_routed(call, (batch, &route), items, timeout, now, effects);
+            RelayCall::SubmitRoutedBatch(submission) => {
+                return self.submit_routed(call, submission, now, effects);
             }
             RelayCall::AdmitRequest(arrival) => {
                 return self.admit_request(call, arrival, now, effects);
--- a/programs/topazyard-relay/src/machine/requests.rs
+++ b/programs/topazyard-relay/src/machine/requests.rs
@@ -299,7 +299,7 @@
             return Err(refused(Code::NoRoute));
         };
         if route.kind == RouteKind::Batch {
-            return Err(RelayResponse::OnBatchRoute(route.name.clone()));
+            return Err(RelayResponse::OnBatchRoute);
         }
         let pool = choose_pool(route, arrival.id).and_then(|name| configuration.pool(name));
         let Some(pool) = pool else { return Err(refused(Code::NoEngine)) };
--- a/programs/topazyard-relay/tests/item_routes.rs
+++ b/programs/topazyard-relay/tests/item_routes.rs
@@ -244,3 +244,18 @@
     unlimited.batch.as_mut().expect("batch terms").ceiling_tokens = Tokens(0);
     assert_eq!(submitted_ceilings(&[unlimited]), []);
 }
+
+// Guards against a batch that is refused with 404, or accepted under the terms of another route,
+// because its route's name changed between its admission and its submission.
+#[test]
+fn batch_is_submitted_on_the_route_that_has_its_path_under_any_name() {
+    let other_terms = Route { max_attempts: 9, ..batch_route("r", "/c/", "other") };
+    let mut relay = leasing_relay();
+    relay.receive_routes(2, &[other_terms, batch_route("renamed", "/b/", "main")]);
+    relay.submit();
+    let submitted = relay.calls.iter().find_map(|(_, call)| match call {
+        BatchCall::SubmitRouted(routed) => Some(&routed.terms),
+        _ => None,
+    });
+    assert_eq!(submitted.map(|terms| terms.max_attempts), Some(2));
+}
