Refuse a batch with an item that no batch route takes, unless it is known

Cause: a submission only looked at the route of its own path.

Change: each attempt of a submission names the first item without a batch route. The shard refuses such a batch (404 with the item), but answers 202 again for one that it accepted before, when a later configuration has taken an item's path. The shard decides, since only it knows which batches it has.

Evidence: the two new tests fail with the check taken out at the relay and at the shard (seen, then put back); with it, the tests of topazyard-relay, -storage, -wire and -platform pass.

--- a/libraries/topazyard-wire/src/message/batch.rs
+++ b/libraries/topazyard-wire/src/message/batch.rs
@@ -87,6 +87,9 @@
     pub items: Vec<Item>,
     /// The ceilings that its items come under in the configuration in force at the relay.
     pub ceilings: Vec<WaitingCeiling>,
+    /// The first item whose path has no batch route in that configuration. With such an item, the
+    /// batch is accepted only if it was accepted before.
+    pub unrouted_item: Option<ItemNumber>,
 }
 
 /// The ceiling on the tokens of the items that wait on a route.
@@ -279,6 +282,8 @@
     Accepted(BatchStatus),
     /// The ceiling on waiting work is reached; the caller should retry later.
     CeilingReached,
+    /// The path of this item has no batch route, so none of the submitted batch will run.
+    Unrouted(ItemNumber),
     /// The status of the batch.
     Status(BatchStatus),
     /// Results in order.
--- a/programs/topazyard-relay/src/front/batches.rs
+++ b/programs/topazyard-relay/src/front/batches.rs
@@ -146,6 +146,7 @@
         }
         BatchResponse::Unknown => Err(ApiError::not_run(Code::NotFound).at("batch")),
         BatchResponse::CeilingReached => Err(ApiError::not_run(Code::BatchCeiling)),
+        BatchResponse::Unrouted(_) => Err(ApiError::not_run(Code::NoRoute)),
         BatchResponse::Leased(_)
         | BatchResponse::RoutedResults { .. }
         | BatchResponse::Body(_)
--- a/programs/topazyard-relay/src/machine/batches.rs
+++ b/programs/topazyard-relay/src/machine/batches.rs
@@ -3,7 +3,9 @@
 
 use super::{MAX_FEED_AGE, Outputs, RelayMachine, RelayResponse};
 use topazyard_spec::ModelRouteKind;
-use topazyard_types::{BatchId, BootId, CallId, DurationMs, Epoch, MonotonicMs, ShardId, Tokens};
+use topazyard_types::{
+    BatchId, BootId, CallId, DurationMs, Epoch, ItemNumber, MonotonicMs, ShardId, Tokens,
+};
 use topazyard_wire::Effect;
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::Message;
@@ -141,19 +143,25 @@
     )
 }
 
-/// The ceilings that a batch's items come under; none if an item has no batch route.
-fn ceilings_of(routed: &RoutedBatch, routes: &RouteTable) -> Option<Vec<WaitingCeiling>> {
-    let mut ceilings: Vec<WaitingCeiling> = Vec::new();
-    for item in &routed.items {
-        let (host, path) = (&routed.terms.host, &item.routing.as_ref()?.path);
-        let route = routes.find_batch(host, path)?;
-        let tokens = route.batch.as_ref()?.ceiling_tokens;
-        let is_listed = ceilings.iter().any(|ceiling| ceiling.paths.contains(host, path));
+/// Sets the ceilings that a batch's items come under, and the first item without a batch route.
+fn set_ceilings(routed: &mut RoutedBatch, routes: &RouteTable) {
+    routed.ceilings.clear();
+    routed.unrouted_item = None;
+    let host = &routed.terms.host;
+    for (number, item) in (0..).map(ItemNumber).zip(&routed.items) {
+        let path = item.routing.as_ref().map_or("", |routing| &routing.path);
+        let route = routes.find_batch(host, path);
+        let Some((route, terms)) = route.and_then(|route| Some((route, route.batch.as_ref()?)))
+        else {
+            routed.unrouted_item.get_or_insert(number);
+            continue;
+        };
+        let tokens = terms.ceiling_tokens;
+        let is_listed = routed.ceilings.iter().any(|ceiling| ceiling.paths.contains(host, path));
         if tokens > Tokens(0) && !is_listed {
-            ceilings.push(WaitingCeiling { paths: routes.paths_of(route), tokens });
+            routed.ceilings.push(WaitingCeiling { paths: routes.paths_of(route), tokens });
         }
     }
-    Some(ceilings)
 }
 
 impl PendingCall {
@@ -253,6 +261,7 @@
             items,
             // Each attempt carries the ceilings in force when it is sent.
             ceilings: Vec::new(),
+            unrouted_item: None,
         };
         self.call_batch(call, BatchCall::SubmitRouted(routed), timeout, now, effects);
     }
@@ -325,10 +334,10 @@
         if let BatchCall::SubmitRouted(routed) = &mut pending.call {
             // Each attempt carries the ceilings in force; a route that was removed accepts no more
             // batches.
-            match ceilings_of(routed, &self.fleet.routes).filter(|_| is_feed_recent) {
-                Some(ceilings) => routed.ceilings = ceilings,
-                None => return pending.send_at = now.plus(REFUSED_RETRY_INTERVAL),
+            if !is_feed_recent {
+                return pending.send_at = now.plus(REFUSED_RETRY_INTERVAL);
             }
+            set_ceilings(routed, &self.fleet.routes);
         }
         let Some(pending) = self.batches.pending.get(&id) else { return };
         let Some((to, epoch)) = self.primary_of(pending.shard) else { return };
@@ -365,7 +374,7 @@
             }
             return;
         }
-        if value == BatchResponse::CeilingReached
+        if matches!(value, BatchResponse::CeilingReached | BatchResponse::Unrouted(_))
             && let Some(pending) = self.batches.pending.get(&message.call)
             && !pending.is_refusal_final(message.epoch)
         {
@@ -378,6 +387,11 @@
                 let error = ApiError::not_run(Code::BatchCeiling);
                 effects.push(Effect::Respond { call, value: RelayResponse::Refused(error) });
             }
+            (Caller::Client(call), BatchResponse::Unrouted(item)) => {
+                self.record_refusal(Code::NoRoute);
+                let error = ApiError::not_run(Code::NoRoute).at(format!("items[{item}].path"));
+                effects.push(Effect::Respond { call, value: RelayResponse::Refused(error) });
+            }
             (Caller::Client(call), value) => {
                 effects.push(Effect::Respond { call, value: RelayResponse::Batch(value) });
             }
--- a/programs/topazyard-relay/tests/item_relay/mod.rs
+++ b/programs/topazyard-relay/tests/item_relay/mod.rs
@@ -13,8 +13,8 @@
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::message::Message;
 use topazyard_wire::message::batch::{
-    BatchBody, BatchCall, BatchMessage, BatchResponse, Item, ItemRouting, LeasedItem, Progress,
-    Run, RunEnd,
+    BatchBody, BatchCall, BatchMessage, BatchResponse, BatchStatus, Item, ItemRouting, LeasedItem,
+    Progress, Run, RunEnd,
 };
 use topazyard_wire::message::control::{CoreNode, ShardRecord};
 use topazyard_wire::message::counter::{CounterBody, CounterMessage};
@@ -301,6 +301,11 @@
     BatchId::of_host(HOST, "7c41")
 }
 
+/// The status of the batch when it has just been accepted.
+pub fn status() -> BatchStatus {
+    BatchStatus { batch: batch(), items: 1, returned: 0, waiting: 1, running: 0, ended: false }
+}
+
 pub fn item() -> Item {
     Item {
         model: "m".into(),
--- a/programs/topazyard-relay/tests/item_routes.rs
+++ b/programs/topazyard-relay/tests/item_routes.rs
@@ -3,10 +3,10 @@
 
 mod item_relay;
 
-use item_relay::{Relay, batch_route, live_route, original_paths};
+use item_relay::{Relay, batch_route, live_route, original_paths, status};
 use topazyard_relay::{RelayCall, RelayResponse};
 use topazyard_spec::Route;
-use topazyard_types::{EngineName, Tokens};
+use topazyard_types::{EngineName, ItemNumber, Tokens};
 use topazyard_wire::api::Code;
 use topazyard_wire::message::batch::{
     BatchCall, BatchResponse, Progress, Run, RunEnd, WaitingCeiling,
@@ -259,3 +259,24 @@
     });
     assert_eq!(submitted.map(|terms| terms.max_attempts), Some(2));
 }
+
+// Guards against a batch that is kept until its client gives up, or accepted and never run, because
+// an item's path has no batch route.
+#[test]
+fn batch_with_an_item_without_a_batch_route_is_refused_unless_it_is_known() {
+    let taken = [original(), live_route("longer", "/b/3/", "main")];
+    let refused = BatchResponse::Unrouted(ItemNumber(0));
+    for (response, status) in [(refused, Some(404)), (BatchResponse::Accepted(status()), None)] {
+        let mut relay = leasing_relay();
+        relay.receive_routes(2, &taken);
+        relay.submit();
+        let submitted = relay.calls.iter().find_map(|(call, body)| match body {
+            BatchCall::SubmitRouted(routed) => Some((*call, routed.unrouted_item)),
+            _ => None,
+        });
+        let (call, unrouted_item) = submitted.expect("the shard decides whether it is known");
+        assert_eq!(unrouted_item, Some(ItemNumber(0)));
+        relay.receive_shard(call, response);
+        assert_eq!(relay.last_code().map(Code::status), status);
+    }
+}
--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -3,7 +3,7 @@
 
 mod item_relay;
 
-use item_relay::{CANCEL, HOST, Relay, batch, item, original_paths};
+use item_relay::{CANCEL, HOST, Relay, batch, item, original_paths, status};
 use topazyard_relay::drain::DrainTimes;
 use topazyard_relay::front::items::{InvalidStream, ItemEvents};
 use topazyard_relay::machine::EngineOutcome;
@@ -11,7 +11,7 @@
 use topazyard_types::{DurationMs, EngineName, Epoch, ItemNumber, Tokens};
 use topazyard_wire::api::Code;
 use topazyard_wire::message::batch::{
-    BatchCall, BatchResponse, BatchStatus, LeasedItem, Progress, Run, RunEnd, WaitingCeiling,
+    BatchCall, BatchResponse, LeasedItem, Progress, Run, RunEnd, WaitingCeiling,
 };
 use topazyard_wire::message::counter::CounterBody;
 
@@ -77,9 +77,7 @@
     let BatchCall::SubmitRouted(routed) = body else { panic!("{body:?}") };
     let ceiling = WaitingCeiling { paths: original_paths(), tokens: Tokens(700) };
     assert_eq!((routed.ceilings, routed.terms.max_attempts), (vec![ceiling], 2));
-    let status =
-        BatchStatus { batch: batch(), items: 1, returned: 0, waiting: 1, running: 0, ended: false };
-    relay.receive_shard(call, BatchResponse::Accepted(status));
+    relay.receive_shard(call, BatchResponse::Accepted(status()));
     assert!(matches!(relay.last_response(), RelayResponse::Batch(BatchResponse::Accepted(_))));
 }
 
@@ -106,9 +104,7 @@
     relay.tick(400);
     let again = relay.calls.last().expect("the batch is sent again").clone();
     assert_eq!(again, first, "the same call, to the new primary");
-    let status =
-        BatchStatus { batch: batch(), items: 1, returned: 0, waiting: 1, running: 0, ended: false };
-    relay.receive_shard(again.0, BatchResponse::Accepted(status));
+    relay.receive_shard(again.0, BatchResponse::Accepted(status()));
     assert!(matches!(relay.last_response(), RelayResponse::Batch(BatchResponse::Accepted(_))));
 }
 
--- a/programs/topazyard-storage/src/batches/routed/changes.rs
+++ b/programs/topazyard-storage/src/batches/routed/changes.rs
@@ -20,6 +20,8 @@
 pub enum SubmitOutcome {
     /// The batch is accepted, by this call or by an earlier one.
     Accepted(Vec<RowChange>),
+    /// The path of this item has no batch route.
+    Unrouted(ItemNumber),
     /// Its cost would exceed the ceiling of a route.
     CeilingReached,
     /// Its rows would exceed the storage capacity for batches.
@@ -72,6 +74,9 @@
         if self.contains(routed.batch) {
             return SubmitOutcome::Accepted(Vec::new());
         }
+        if let Some(item) = routed.unrouted_item {
+            return SubmitOutcome::Unrouted(item);
+        }
         let items = (0..).map(ItemNumber).zip(&routed.items);
         let open_items: std::collections::BTreeMap<ItemNumber, OpenItem> =
             items.clone().map(|(number, item)| (number, OpenItem::new(item))).collect();
--- a/programs/topazyard-storage/src/machine/serving.rs
+++ b/programs/topazyard-storage/src/machine/serving.rs
@@ -84,18 +84,22 @@
                     true => SubmitOutcome::CeilingReached,
                     false => batches.routed.submit(&routed, capacity_bytes, now),
                 };
-                match outcome {
+                let refusal = match outcome {
                     SubmitOutcome::Accepted(changes) => {
-                        (changes, PendingResponse::Status(routed.batch, true))
+                        let response = PendingResponse::Status(routed.batch, true);
+                        hosted.submit(changes, CommitWaiter::Batch(caller, response));
+                        return true;
                     }
+                    SubmitOutcome::Unrouted(item) => BatchResponse::Unrouted(item),
                     SubmitOutcome::CeilingReached | SubmitOutcome::OverCapacity => {
-                        if hosted.refused_submissions.len() >= MAX_REFUSED_SUBMISSIONS {
-                            hosted.refused_submissions.pop_front();
-                        }
-                        hosted.refused_submissions.push_back(submission);
-                        (Vec::new(), PendingResponse::Ready(BatchResponse::CeilingReached))
+                        BatchResponse::CeilingReached
                     }
+                };
+                if hosted.refused_submissions.len() >= MAX_REFUSED_SUBMISSIONS {
+                    hosted.refused_submissions.pop_front();
                 }
+                hosted.refused_submissions.push_back(submission);
+                (Vec::new(), PendingResponse::Ready(refusal))
             }
             BatchCall::Read(_)
             | BatchCall::ItemResults { .. }
--- a/programs/topazyard-storage/tests/item_routes.rs
+++ b/programs/topazyard-storage/tests/item_routes.rs
@@ -3,9 +3,10 @@
 
 mod routed_shard;
 
-use routed_shard::{A, B, Shard, ceiling, done, item, paths, routed_batch};
+use routed_shard::{A, B, CAPACITY_BYTES, Shard, at, ceiling, done, item, paths, routed_batch};
 use topazyard_replication::Copy;
-use topazyard_types::Tokens;
+use topazyard_storage::batches::routed::SubmitOutcome;
+use topazyard_types::{ItemNumber, Tokens};
 use topazyard_wire::message::batch::{Item, ItemRouting, LeasedItem, RoutedBatch, WaitingCeiling};
 use topazyard_wire::routes::RoutePaths;
 
@@ -116,6 +117,19 @@
     assert!(!shard.submit(&batch("5", 1, 0), 5), "a new primary counts the same");
 }
 
+// Guards against accepting a batch that can't run, and against refusing one that was accepted
+// before a configuration took an item's path.
+#[test]
+fn batch_with_an_unrouted_item_is_accepted_only_if_it_is_known() {
+    let unrouted = |id| RoutedBatch { unrouted_item: Some(ItemNumber(1)), ..routed_batch(id, 2) };
+    let mut shard = Shard::new();
+    assert!(shard.submit(&routed_batch("1", 2), 0));
+    assert!(shard.submit(&unrouted("1"), 1));
+    let refused = shard.batches.routed.submit(&unrouted("2"), CAPACITY_BYTES, at(2));
+    assert_eq!(refused, SubmitOutcome::Unrouted(ItemNumber(1)));
+    assert_eq!(shard.lease_on(&[paths("/b/")], A, 9, 3).len(), 2);
+}
+
 /// The rows of a batch of one item as frame version 7 wrote them: key and value in hex.
 const FORMER_ROWS: [(&str, &str); 2] = [
     ("batch/0000000000000001", "017209612e6578616d706c65c03ec0b8020201000000"),
--- a/programs/topazyard-storage/tests/routed_shard/mod.rs
+++ b/programs/topazyard-storage/tests/routed_shard/mod.rs
@@ -48,6 +48,7 @@
         },
         items: (0..items).map(|n| item(&format!("{id}-{n}"))).collect(),
         ceilings: vec![ceiling("/b/", 100)],
+        unrouted_item: None,
     }
 }
 
@@ -95,7 +96,9 @@
                 self.commit(changes);
                 true
             }
-            routed::SubmitOutcome::CeilingReached | routed::SubmitOutcome::OverCapacity => false,
+            routed::SubmitOutcome::Unrouted(_)
+            | routed::SubmitOutcome::CeilingReached
+            | routed::SubmitOutcome::OverCapacity => false,
         }
     }
 
