Resume an interrupted item only in the pool that produced its output

What callers would see: a result whose first events are of one service and the rest of another, if the item's route moves while the item waits for its next run. Not reported.

Cause: the progress of an interrupted run said nothing of the pool that it came from, so the next run went on after its last event wherever the route pointed by then.

Evidence: item_resumes_only_in_the_pool_in_which_it_was_interrupted and progress_in_the_pool_of_the_last_run_replaces_that_of_another failed before.

Change: progress names its pool. A relay whose route leads to another pool starts the item anew, and the shard keeps the output of the last run's pool. run_that_outlasts_a_drain_is_returned_with_its_progress now expects the pool too. Progress is kept in memory only, so no row changes. Tests of topazyard-relay and -storage pass.

--- a/libraries/topazyard-wire/src/message/batch.rs
+++ b/libraries/topazyard-wire/src/message/batch.rs
@@ -2,7 +2,7 @@
 
 use crate::routes::RoutePaths;
 use topazyard_types::{
-    BatchId, Digest, DurationMs, Epoch, ItemNumber, ModelName, RouteName, ShardId, Tokens,
+    BatchId, Digest, DurationMs, Epoch, ItemNumber, ModelName, PoolName, RouteName, ShardId, Tokens,
 };
 
 /// A message to or from the primary of a batch shard.
@@ -108,6 +108,8 @@
     pub last_event: Option<u64>,
     /// The data of the events received so far, separated by line feeds.
     pub text: String,
+    /// The pool whose engines produced it. Another pool may produce other events.
+    pub pool: Option<PoolName>,
 }
 
 /// One run of an item.
--- a/programs/topazyard-relay/src/machine/items.rs
+++ b/programs/topazyard-relay/src/machine/items.rs
@@ -544,7 +544,7 @@
         &mut self,
         run: Run,
         item: Item,
-        routed: RoutedItem,
+        mut routed: RoutedItem,
         now: MonotonicMs,
         effects: &mut Outputs,
     ) {
@@ -552,6 +552,10 @@
         let Some(pool) = route.and_then(|route| super::routed_items::pool_of(route, run)) else {
             return self.finish_run(run, RunEnd::NotRun, now, effects);
         };
+        // A result never joins the output of two pools: in another pool the item starts anew.
+        if routed.progress.pool.as_ref() != Some(&pool) {
+            routed.progress = Progress::default();
+        }
         let stage = Stage::Leased;
         let entry = ItemEntry { item, pool, leased_at: now, stage, routed: Some(routed) };
         self.items.entries.insert(run, entry);
@@ -622,14 +626,17 @@
     pub(super) fn routed_ended(
         &mut self,
         run: Run,
-        end: RunEnd,
+        mut end: RunEnd,
         engine_outcome: EngineOutcome,
         now: MonotonicMs,
         effects: &mut Outputs,
     ) {
-        if let Some(ItemEntry { stage: Stage::Started(_, _, engine), .. }) =
+        if let Some(ItemEntry { stage: Stage::Started(_, _, engine), pool, .. }) =
             self.items.entries.get(&run)
         {
+            if let RunEnd::Interrupted(progress) = &mut end {
+                progress.pool = Some(pool.clone());
+            }
             let engine = engine.clone();
             self.engines.request_ended(&engine, engine_outcome, now);
         }
--- a/programs/topazyard-relay/tests/item_relay/mod.rs
+++ b/programs/topazyard-relay/tests/item_relay/mod.rs
@@ -263,7 +263,7 @@
 
     /// Leases an item to the relay and grants its hold.
     pub fn start_item(&mut self) -> Run {
-        let run = self.lease_item(Progress { last_event: Some(3), text: "so far".to_owned() });
+        let run = self.lease_item(progress());
         self.grant_hold();
         run
     }
@@ -306,6 +306,11 @@
     BatchStatus { batch: batch(), items: 1, returned: 0, waiting: 1, running: 0, ended: false }
 }
 
+/// The output of an interrupted run in the pool `main`.
+pub fn progress() -> Progress {
+    Progress { last_event: Some(3), text: "so far".to_owned(), pool: Some("main".into()) }
+}
+
 pub fn item() -> Item {
     Item {
         model: "m".into(),
--- a/programs/topazyard-relay/tests/item_routes.rs
+++ b/programs/topazyard-relay/tests/item_routes.rs
@@ -4,6 +4,7 @@
 mod item_relay;
 
 use item_relay::{Relay, batch_route, live_route, original_paths, status};
+use topazyard_relay::machine::EngineOutcome;
 use topazyard_relay::{RelayCall, RelayResponse};
 use topazyard_spec::Route;
 use topazyard_types::{EngineName, ItemNumber, Tokens};
@@ -280,3 +281,28 @@
         assert_eq!(relay.last_code().map(Code::status), status);
     }
 }
+
+// Guards against a result that joins the output of two services, because the route moved while an
+// interrupted item waited for its next run.
+#[test]
+fn item_resumes_only_in_the_pool_in_which_it_was_interrupted() {
+    for (pool, resumes) in [("main", true), ("other", false)] {
+        let mut relay = Relay::ready();
+        relay.tick(25);
+        let run = relay.start_item();
+        let progress = Progress { last_event: Some(7), text: "more".to_owned(), pool: None };
+        let end = RunEnd::Interrupted(progress.clone());
+        relay.call(RelayCall::RoutedItemEnded(run, end, EngineOutcome::Aborted));
+        let Some(RunEnd::Interrupted(reported)) = relay.finished().cloned() else {
+            panic!("{:?}", relay.finished());
+        };
+        assert_eq!(reported, Progress { pool: Some("main".into()), ..progress });
+
+        let mut relay = leasing_relay();
+        relay.receive_routes(2, &[batch_route("r", "/b/", pool)]);
+        relay.lease_item(reported.clone());
+        relay.grant_hold();
+        let started = relay.runs.first().map(|run| run.progress.clone());
+        assert_eq!(started, Some(if resumes { reported } else { Progress::default() }), "{pool}");
+    }
+}
--- a/programs/topazyard-relay/tests/routed.rs
+++ b/programs/topazyard-relay/tests/routed.rs
@@ -616,7 +616,11 @@
         let end = tokio::time::timeout(limit, relay.next_run_end())
             .await
             .expect("an end within the grace period");
-        let so_far = Progress { last_event: Some(2), text: "word 1\nword 2".to_owned() };
+        let so_far = Progress {
+            last_event: Some(2),
+            text: "word 1\nword 2".to_owned(),
+            pool: Some("main".into()),
+        };
         assert_eq!(end, RunEnd::Interrupted(so_far));
         // The run had most of the grace period to finish by itself.
         assert!(started.elapsed() * 2 > limit, "{:?}", started.elapsed());
--- a/programs/topazyard-relay/tests/routed_items.rs
+++ b/programs/topazyard-relay/tests/routed_items.rs
@@ -298,7 +298,7 @@
 
 #[test]
 fn resumed_text_continues_at_the_event_after_the_last() {
-    let so_far = || Progress { last_event: Some(2), text: "a\nb".to_owned() };
+    let so_far = || Progress { last_event: Some(2), text: "a\nb".to_owned(), pool: None };
     assert_eq!(events(&["id: 3\ndata: c\n\n"], so_far()), Ok(Some("a\nb\nc".to_owned())));
     assert_eq!(events(&["id: 1\ndata: a\n\n"], so_far()), Err(InvalidStream));
     assert_eq!(events(&["id: 4\ndata: d\n\n"], so_far()), Err(InvalidStream));
--- a/programs/topazyard-storage/src/batches/routed/changes.rs
+++ b/programs/topazyard-storage/src/batches/routed/changes.rs
@@ -186,8 +186,14 @@
                 (open.failed_attempts >= max_attempts).then_some(ItemEnd::Abandoned)
             }
             RunEnd::Interrupted(progress) => {
-                let is_further = progress.last_event > open.progress.last_event;
-                if is_further && progress.text.len() <= MAX_PROGRESS_BYTES {
+                // Only the pool that produced an output can go on from it.
+                let kept = &open.progress;
+                let is_useful = if kept.pool.is_none() || kept.pool == progress.pool {
+                    progress.last_event > kept.last_event
+                } else {
+                    owns_lease
+                };
+                if is_useful && progress.text.len() <= MAX_PROGRESS_BYTES {
                     open.progress = progress;
                 }
                 None
--- a/programs/topazyard-storage/tests/item_routes.rs
+++ b/programs/topazyard-storage/tests/item_routes.rs
@@ -7,7 +7,9 @@
 use topazyard_replication::Copy;
 use topazyard_storage::batches::routed::SubmitOutcome;
 use topazyard_types::{ItemNumber, Tokens};
-use topazyard_wire::message::batch::{Item, ItemRouting, LeasedItem, RoutedBatch, WaitingCeiling};
+use topazyard_wire::message::batch::{
+    Item, ItemRouting, LeasedItem, Progress, RoutedBatch, RunEnd, WaitingCeiling,
+};
 use topazyard_wire::routes::RoutePaths;
 
 /// An item with this path.
@@ -130,6 +132,26 @@
     assert_eq!(shard.lease_on(&[paths("/b/")], A, 9, 3).len(), 2);
 }
 
+// Guards against an item that never gets further in the pool that its route moved to, because the
+// output of its former pool is kept for the next run.
+#[test]
+fn progress_in_the_pool_of_the_last_run_replaces_that_of_another() {
+    let progress = |pool: &str, last_event| Progress {
+        last_event: Some(last_event),
+        text: format!("to {last_event} in {pool}"),
+        pool: Some(pool.into()),
+    };
+    let mut shard = Shard::new();
+    assert!(shard.submit(&routed_batch("1", 1), 0));
+    let former = shard.lease_one(A, 1);
+    shard.finish(A, former, RunEnd::Interrupted(progress("main", 7)), 2);
+    let run = shard.lease_one(B, 3);
+    shard.finish(B, run, RunEnd::Interrupted(progress("other", 2)), 4);
+    // A late report of a run without a lease changes nothing.
+    shard.finish(A, former, RunEnd::Interrupted(progress("main", 9)), 5);
+    assert_eq!(shard.lease_on(&[paths("/b/")], A, 1, 6)[0].progress, progress("other", 2));
+}
+
 /// The rows of a batch of one item as frame version 7 wrote them: key and value in hex.
 const FORMER_ROWS: [(&str, &str); 2] = [
     ("batch/0000000000000001", "017209612e6578616d706c65c03ec0b8020201000000"),
--- a/programs/topazyard-storage/tests/routed_batches.rs
+++ b/programs/topazyard-storage/tests/routed_batches.rs
@@ -197,8 +197,8 @@
 fn interrupted_run_resumes_from_the_furthest_progress() {
     let mut shard = Shard::new();
     assert!(shard.submit(&routed_batch("1", 1), 0));
-    let far = Progress { last_event: Some(5), text: "to five".to_owned() };
-    let near = Progress { last_event: Some(2), text: "to two".to_owned() };
+    let far = Progress { last_event: Some(5), text: "to five".to_owned(), pool: None };
+    let near = Progress { last_event: Some(2), text: "to two".to_owned(), pool: None };
     for progress in [&far, &near] {
         let run = shard.lease_one(A, 1);
         shard.finish(A, run, RunEnd::Interrupted(progress.clone()), 2);
