--- a/programs/topazyard-storage/src/batches/routed/changes.rs
+++ b/programs/topazyard-storage/src/batches/routed/changes.rs
@@ -114,8 +114,8 @@
         Some((entry.reaches_age_at(entry.row.terms.run_target), batch.number, item))
     }
 
-    /// Leases items whose paths belong to the given routes, earliest due time first. Items past their due time come
-    /// last.
+    /// Leases items whose paths belong to the given routes, earliest due time first. Items past
+    /// their due time come last.
     pub fn lease(
         &mut self,
         relay: NodeId,
