Count received frames and bytes by kind of message, and lost frames by reason

Each process now counts what it receives by kind of message and what its links lose by reason, as metrics and as a line in the log every 2 s. Links behave as before.

--- a/libraries/topazyard-wire/src/driver/spawn.rs
+++ b/libraries/topazyard-wire/src/driver/spawn.rs
@@ -186,6 +186,7 @@
             let _ = tick_actor.tell(super::actor::Signal::Tick).try_send();
         }
     });
+    tokio::spawn(crate::traffic::log_at_intervals());
     let frame_actor = actor.clone();
     match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => {
--- a/libraries/topazyard-wire/src/lib.rs
+++ b/libraries/topazyard-wire/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod routes;
 pub mod rows;
 pub mod state;
+pub mod traffic;
 
 pub use api::{ApiError, Execution};
 pub use machine::{Effect, Input, Machine, WriteToken};
--- a/libraries/topazyard-wire/src/link/inbound.rs
+++ b/libraries/topazyard-wire/src/link/inbound.rs
@@ -36,7 +36,10 @@
     let idle_timeout = std::time::Duration::from_millis(IDLE_TIMEOUT_MS);
     while let Ok(Some(Ok(bytes))) = tokio::time::timeout(idle_timeout, link.next()).await {
         match crate::Frame::decode(&bytes, fleet) {
-            Ok(frame) => receive(frame),
+            Ok(frame) => {
+                crate::traffic::record_received(&frame.message, bytes.len());
+                receive(frame);
+            }
             Err(error) => {
                 refused += 1;
                 spdlog::warn!("frame refused ({refused} on this link): {error}");
--- a/libraries/topazyard-wire/src/link/outbound.rs
+++ b/libraries/topazyard-wire/src/link/outbound.rs
@@ -1,6 +1,7 @@
 //! Outbound links: one task with a bounded queue per address. Frames that don't fit into the queue
 //! or can't be sent are dropped, because every protocol retries.
 
+use crate::traffic::{LinkLoss, record_lost};
 use futures_util::{SinkExt as _, StreamExt as _};
 
 /// Maximum number of frames queued for one address.
@@ -26,7 +27,10 @@
     pub fn send(&mut self, to: std::net::SocketAddr, frame: bytes::Bytes) {
         let frame = match self.senders.get(&to) {
             Some(sender) => match sender.try_send(frame) {
-                Ok(()) | Err(tokio::sync::mpsc::error::TrySendError::Full(_)) => return,
+                Ok(()) => return,
+                Err(tokio::sync::mpsc::error::TrySendError::Full(_)) => {
+                    return record_lost(LinkLoss::QueueFull, 1);
+                }
                 Err(tokio::sync::mpsc::error::TrySendError::Closed(frame)) => frame,
             },
             None => frame,
@@ -63,7 +67,9 @@
 /// Writes frames until the link fails or its sender is dropped.
 async fn run(to: std::net::SocketAddr, mut queue: tokio::sync::mpsc::Receiver<bytes::Bytes>) {
     let connected = race_staggered_attempts(|| tokio::net::TcpStream::connect(to)).await;
-    let Some(stream) = connected else { return };
+    let Some(stream) = connected else {
+        return record_lost(LinkLoss::NotConnected, queue.len());
+    };
     let _ = stream.set_nodelay(true);
     let _ = rustix::net::sockopt::set_tcp_user_timeout(&stream, UNACKNOWLEDGED_TIMEOUT_MS);
     let mut link = tokio_util::codec::FramedWrite::new(stream, super::codec());
@@ -76,8 +82,12 @@
             }
             futures_util::SinkExt::<bytes::Bytes>::flush(&mut link).await
         };
-        if !matches!(tokio::time::timeout(timeout, batch).await, Ok(Ok(()))) {
-            return;
-        }
+        let reason = match tokio::time::timeout(timeout, batch).await {
+            Ok(Ok(())) => continue,
+            Ok(Err(_)) => LinkLoss::Failed,
+            Err(_) => LinkLoss::Stalled,
+        };
+        // The frame being written is lost too.
+        return record_lost(reason, queue.len() + 1);
     }
 }
--- a/libraries/topazyard-wire/src/metrics.rs
+++ b/libraries/topazyard-wire/src/metrics.rs
@@ -126,6 +126,22 @@
     }
 }
 
+/// The traffic of a process.
+#[derive(Debug)]
+struct Traffic;
+
+impl MetricSource for Traffic {
+    fn write(&self, to: &mut Writer<'_>) -> std::fmt::Result {
+        let frames = crate::traffic::received().map(|one| (one.kind.name(), one.frames));
+        to.counters("frames_received", "Frames received, by kind of message", "kind", frames)?;
+        let bytes = crate::traffic::received().map(|one| (one.kind.name(), one.bytes));
+        to.counters("received_bytes", "Bytes received, by kind of message", "kind", bytes)?;
+        let lost = crate::traffic::lost().map(|(reason, frames)| (reason.name(), frames));
+        let help = "Frames that were lost on the way out, by reason";
+        to.counters("frames_lost", help, "reason", lost)
+    }
+}
+
 /// The metrics of the process itself, under their conventional names.
 #[derive(Debug)]
 struct Process;
@@ -166,6 +182,7 @@
     registry.register_collector(Box::new(SourceCollector(Process)));
     let prefixed = registry.sub_registry_with_prefix(PREFIX);
     prefixed.register_collector(Box::new(SourceCollector(Invariants)));
+    prefixed.register_collector(Box::new(SourceCollector(Traffic)));
     if let Some(source) = source {
         prefixed.register_collector(Box::new(SourceCollector(source)));
     }
