Reproduce SHORT: retries toward a shard that doesn't serve, refills over slow links (red)

A relay whose calls are told NotPrimary sends 7.6 MB in 4 s for one waiting batch of 190 kB, and 4.0 MB for one result of 100 kB; a read that is slow goes to the replicas 16 times in 2.5 s. Over links with a one-way delay of 120 ms neither a learner nor a backup is ever in sync, as each answer comes after the next round began. The bound is 1 % of the link of a storage machine, shared by the nodes of the size to design for.

--- a/programs/topazyard-relay/tests/item_relay/mod.rs
+++ b/programs/topazyard-relay/tests/item_relay/mod.rs
@@ -44,6 +44,10 @@
     pub released: Vec<HoldId>,
     pub renewals: Vec<u64>,
     pub calls: Vec<(u64, BatchCall)>,
+    /// Total size of the messages sent to the batch's shard.
+    pub bytes_to_shard: usize,
+    /// Number of replica reads sent.
+    pub replica_reads: usize,
     pub responses: Vec<(CallId, RelayResponse)>,
     pub runs: Vec<RoutedRun>,
     /// The primary of the batch's shard and its epoch, according to the feed.
@@ -66,6 +70,8 @@
             released: Vec::new(),
             renewals: Vec::new(),
             calls: Vec::new(),
+            bytes_to_shard: 0,
+            replica_reads: 0,
             responses: Vec::new(),
             runs: Vec::new(),
             shard: SHARD,
@@ -97,8 +103,11 @@
                 }
                 Effect::Send { to, message: Message::Batch(message) } => {
                     assert_eq!(to, at(self.shard));
-                    if let BatchBody::Call(call) = message.body {
-                        self.calls.push((message.call, call));
+                    self.bytes_to_shard += topazyard_wire::rows::encode(&message).len();
+                    match message.body {
+                        BatchBody::Call(call) => self.calls.push((message.call, call)),
+                        BatchBody::ReplicaRead(_) => self.replica_reads += 1,
+                        BatchBody::Response(_) => {}
                     }
                 }
                 Effect::Respond { call, value } => self.responses.push((call, value)),
