Send a call only to a primary that has said, in this epoch, that it serves

What callers saw: after the primary of the shard of a host's batches was replaced, no batch was accepted, no item leased and no result kept for ten seconds.

Cause: a relay that was told NotPrimary sent the same call again after 100 ms with its whole body, and an unanswered one every 400 ms.

Change: calls wait at the relay until the shard's primary has reported that it serves in the epoch in force. A new record is asked at once. An unanswered call goes again only after its primary has confirmed that it serves, and less often each time; so do reads from replicas (150 ms, 300 ms, ...). The harness of the relay's tests and the loopback core answer the new question; no expectation was changed.

Evidence: bodies_are_not_sent_to_a_shard_that_does_not_serve sent 7.6 MB in 4 s for one batch and results_are_not_sent_to_a_shard_that_does_not_serve 4.0 MB; both are now below 1 % of the link, shared by 410 nodes. slow_read_is_sent_to_the_replicas_a_few_times_only sent 16, now at most 6.

--- a/libraries/topazyard-wire/src/message/batch.rs
+++ b/libraries/topazyard-wire/src/message/batch.rs
@@ -12,7 +12,7 @@
     pub shard: ShardId,
     /// The epoch of the shard. Messages of a lower epoch are rejected.
     pub epoch: Epoch,
-    /// Identifies the response.
+    /// Identifies the response; 0 if the message is about the shard as a whole.
     pub call: u64,
     /// The content of the message.
     pub body: BatchBody,
@@ -28,6 +28,11 @@
     /// A replica read: a read to which the primary doesn't respond, sent to every node with a copy.
     /// Nodes that can't confirm their copy don't respond.
     ReplicaRead(BatchCall),
+    /// Asks the primary whether it serves. A primary that doesn't responds with
+    /// [`BatchResponse::NotPrimary`], and reports once it does.
+    CheckServing,
+    /// The sender serves the shard as its primary in the message's epoch.
+    Serving,
 }
 
 /// An item as submitted.
--- a/programs/topazyard-relay/src/machine/batches.rs
+++ b/programs/topazyard-relay/src/machine/batches.rs
@@ -1,10 +1,11 @@
 //! Batch calls: sent to the shard's primary until a response arrives or the call times out. All of
 //! them are idempotent and may be sent twice.
 
+use super::shard_primaries::ShardPrimaries;
 use super::{MAX_FEED_AGE, Outputs, RelayMachine, RelayResponse};
 use topazyard_spec::ModelRouteKind;
 use topazyard_types::{
-    BatchId, BootId, CallId, DurationMs, Epoch, ItemNumber, MonotonicMs, ShardId, Tokens,
+    BatchId, BootId, CallId, DurationMs, Epoch, ItemNumber, MonotonicMs, NodeId, ShardId, Tokens,
 };
 use topazyard_wire::Effect;
 use topazyard_wire::api::{ApiError, Code};
@@ -15,11 +16,15 @@
 };
 use topazyard_wire::routes::RouteTable;
 
-/// Time without a response after which a call is sent again.
+/// Time without a response after which a call is sent again, once its receiver has confirmed that
+/// it serves. It doubles with each attempt.
 const RETRY_INTERVAL: DurationMs = DurationMs(400);
-/// Time after which a call is sent again when its receiver could not handle it.
+/// Maximum time between two attempts of a call.
+const MAX_RETRY_INTERVAL: DurationMs = DurationMs(3_200);
+/// Minimum time after which a call is sent again when its receiver could not handle it.
 const REFUSED_RETRY_INTERVAL: DurationMs = DurationMs(100);
-/// Time without a response after which a read is also sent to every node that holds a replica.
+/// Time without a response after which a read is also sent to every node that holds a replica. It
+/// doubles with each attempt.
 const REPLICA_READ_DELAY: DurationMs = DurationMs(150);
 /// Maximum age of the last update from control when a batch is submitted to its shard. Together
 /// with the second that it may wait there, it stays below the 2 s within which a configuration
@@ -66,22 +71,35 @@
     call: BatchCall,
     deadline: MonotonicMs,
     send_at: MonotonicMs,
+    retry_interval: DurationMs,
     replica_read_at: MonotonicMs,
+    replica_read_interval: DurationMs,
     /// The epoch of the primary that the call was last sent to; it may have applied the call
     /// without responding.
     last_sent_epoch: Option<Epoch>,
 }
 
 /// Batch calls under way.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct BatchCalls {
     pending: std::collections::BTreeMap<u64, PendingCall>,
+    primaries: ShardPrimaries,
     last_id: u64,
 }
 
 impl BatchCalls {
-    pub(super) fn new(boot_id: BootId) -> Self {
-        Self { last_id: boot_id.first_number(), ..Self::default() }
+    pub(super) fn new(relay: NodeId, boot_id: BootId) -> Self {
+        Self {
+            pending: std::collections::BTreeMap::new(),
+            primaries: ShardPrimaries::new(relay),
+            last_id: boot_id.first_number(),
+        }
+    }
+
+    /// The calls to a shard, oldest first.
+    fn calls_to(&self, shard: ShardId) -> Vec<u64> {
+        let to_shard = self.pending.iter().filter(|(_, pending)| pending.shard == shard);
+        to_shard.map(|(id, _)| *id).collect()
     }
 
     /// Clients' calls under way.
@@ -171,6 +189,26 @@
         self.last_sent_epoch.is_none_or(|last_sent_epoch| epoch >= last_sent_epoch)
     }
 
+    /// Whether the call is to be sent to the primary of the epoch, if that serves.
+    fn is_due(&self, epoch: Epoch, now: MonotonicMs) -> bool {
+        now >= self.send_at || self.last_sent_epoch.is_some_and(|last_sent| last_sent != epoch)
+    }
+
+    /// Whether the primary of the epoch has left the call unanswered for too long.
+    fn is_overdue(&self, epoch: Epoch, now: MonotonicMs) -> bool {
+        self.last_sent_epoch == Some(epoch) && now >= self.send_at
+    }
+
+    /// Records that the call was sent to the primary of the epoch.
+    fn sent(&mut self, epoch: Epoch, now: MonotonicMs) {
+        self.send_at = now.plus(self.retry_interval);
+        self.last_sent_epoch = Some(epoch);
+        // A submission that waits for the ceiling is kept only while its relay repeats it.
+        if !matches!(self.call, BatchCall::Submit { .. }) {
+            self.retry_interval = DurationMs((self.retry_interval.0 * 2).min(MAX_RETRY_INTERVAL.0));
+        }
+    }
+
     /// Limits the deadline of a client's call to this time.
     fn limit_deadline(&mut self, deadline: MonotonicMs) {
         if matches!(self.caller, Caller::Client(_)) {
@@ -306,14 +344,60 @@
             call,
             deadline,
             send_at: now,
+            retry_interval: RETRY_INTERVAL,
             replica_read_at,
+            replica_read_interval: REPLICA_READ_DELAY,
             last_sent_epoch: None,
         };
         if let Some(draining) = &self.draining {
             pending.limit_deadline(draining.batch_call_deadline());
         }
         self.batches.pending.insert(id, pending);
-        self.send_pending(id, now, effects);
+        self.send_or_query(shard, &[id], now, effects);
+    }
+
+    /// Sends those of the calls that are due if the shard's primary is known to serve, or else
+    /// queries the primary when that is due.
+    fn send_or_query(
+        &mut self,
+        shard: ShardId,
+        calls: &[u64],
+        now: MonotonicMs,
+        effects: &mut Outputs,
+    ) {
+        let Some((to, epoch)) = self.primary_of(shard) else { return };
+        if self.batches.primaries.is_serving(shard, epoch) {
+            let due = |id: &&u64| {
+                self.batches.pending.get(id).is_some_and(|pending| pending.is_due(epoch, now))
+            };
+            let due: Vec<u64> = calls.iter().filter(due).copied().collect();
+            due.into_iter().for_each(|id| self.send_pending(id, now, effects));
+        } else if self.batches.primaries.start_query(shard, epoch, now) {
+            let message = BatchMessage { shard, epoch, call: 0, body: BatchBody::CheckServing };
+            effects.push(Effect::Send { to, message: Message::Batch(message) });
+        }
+    }
+
+    /// Sends the calls that are due to each shard, after a change of its primary or as time passes.
+    pub(super) fn send_due_batch_calls(&mut self, now: MonotonicMs, effects: &mut Outputs) {
+        let shards: std::collections::BTreeSet<ShardId> =
+            self.batches.pending.values().map(|pending| pending.shard).collect();
+        for shard in shards {
+            let calls = self.batches.calls_to(shard);
+            self.send_or_query(shard, &calls, now, effects);
+        }
+    }
+
+    /// Doubts each primary that has left a call unanswered for too long.
+    fn doubt_silent_primaries(&mut self, now: MonotonicMs) {
+        let records = &self.fleet.shards;
+        let is_overdue = |pending: &&PendingCall| {
+            let record = records.get(&pending.shard);
+            record.is_some_and(|record| pending.is_overdue(record.epoch, now))
+        };
+        let silent: std::collections::BTreeSet<ShardId> =
+            self.batches.pending.values().filter(is_overdue).map(|pending| pending.shard).collect();
+        silent.into_iter().for_each(|shard| self.batches.primaries.doubt(shard));
     }
 
     fn send_pending(&mut self, id: u64, now: MonotonicMs, effects: &mut Outputs) {
@@ -346,14 +430,15 @@
         let message = BatchMessage { shard, epoch, call: id, body };
         effects.push(Effect::Send { to, message: Message::Batch(message) });
         if let Some(pending) = self.batches.pending.get_mut(&id) {
-            pending.send_at = now.plus(RETRY_INTERVAL);
-            pending.last_sent_epoch = Some(epoch);
+            pending.sent(epoch, now);
         }
     }
 
-    /// Sends a shard a call that needs no response.
+    /// Sends a shard that serves a call that needs no response.
     pub(super) fn notify_shard(&self, shard: ShardId, call: BatchCall, effects: &mut Outputs) {
-        if let Some((to, epoch)) = self.primary_of(shard) {
+        if let Some((to, epoch)) = self.primary_of(shard)
+            && self.batches.primaries.is_serving(shard, epoch)
+        {
             let body = BatchBody::Call(call);
             let message = BatchMessage { shard, epoch, call: 0, body };
             effects.push(Effect::Send { to, message: Message::Batch(message) });
@@ -366,9 +451,19 @@
         now: MonotonicMs,
         effects: &mut Outputs,
     ) {
-        let BatchBody::Response(value) = message.body else { return };
+        let (shard, epoch) = (message.shard, message.epoch);
+        let value = match message.body {
+            BatchBody::Response(value) => value,
+            BatchBody::Serving => {
+                self.batches.primaries.reported_serving(shard, epoch);
+                let calls = self.batches.calls_to(shard);
+                return self.send_or_query(shard, &calls, now, effects);
+            }
+            _ => return,
+        };
         if value == BatchResponse::NotPrimary {
-            self.forward_record(message.shard, message.epoch, effects);
+            self.forward_record(shard, epoch, effects);
+            self.batches.primaries.reported_not_serving(shard, epoch, now);
             if let Some(pending) = self.batches.pending.get_mut(&message.call) {
                 pending.send_at = now.plus(REFUSED_RETRY_INTERVAL);
             }
@@ -434,16 +529,8 @@
                 Caller::Finishing => {}
             }
         }
-        let due: Vec<u64> = self
-            .batches
-            .pending
-            .iter()
-            .filter(|(_, pending)| now >= pending.send_at)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in due {
-            self.send_pending(id, now, effects);
-        }
+        self.doubt_silent_primaries(now);
+        self.send_due_batch_calls(now, effects);
         self.send_replica_reads(now, effects);
     }
 
@@ -454,7 +541,8 @@
             if now < pending.replica_read_at || !is_read(&pending.call) {
                 continue;
             }
-            pending.replica_read_at = now.plus(REPLICA_READ_DELAY);
+            pending.replica_read_interval = DurationMs(pending.replica_read_interval.0 * 2);
+            pending.replica_read_at = now.plus(pending.replica_read_interval);
             for member in record.members() {
                 let body = BatchBody::ReplicaRead(pending.call.clone());
                 let (shard, epoch) = (pending.shard, record.epoch);
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -11,6 +11,7 @@
 pub mod items;
 pub mod requests;
 pub mod routed_items;
+mod shard_primaries;
 
 use crate::prompt::Failure;
 use topazyard_replication::{FeedFollower, follower::FollowOutcome};
@@ -299,7 +300,7 @@
             block_expiry: DurationMs(start.bounds.contact.0 * BLOCK_EXPIRY_MULTIPLE),
             engines: engines::Engines::default(),
             items: items::Items::default(),
-            batches: batches::BatchCalls::new(boot_id),
+            batches: batches::BatchCalls::new(start.node, boot_id),
             admitted: 0,
             refused: std::collections::BTreeMap::new(),
             refused_for_capacity: 0,
@@ -409,6 +410,7 @@
         &mut self,
         from: std::net::SocketAddr,
         message: FeedMessage,
+        now: MonotonicMs,
         effects: &mut Outputs,
     ) {
         if self.follower.receive(from, message) != FollowOutcome::Changed {
@@ -426,6 +428,7 @@
             let text = format!("configuration {version} in force, {engines} engines listed");
             effects.push(Effect::Log { is_error: false, text });
         }
+        self.send_due_batch_calls(now, effects);
     }
 
     fn handle_call(
@@ -555,7 +558,7 @@
             Input::Frame { from, message, .. } => match message {
                 // Only the local agent is trusted to report what is in force.
                 Message::Feed(message) if from == self.agent => {
-                    self.apply_feed_update(from, message, &mut effects);
+                    self.apply_feed_update(from, message, now, &mut effects);
                     if self.follower.is_fetching() {
                         self.poll_feed(now, &mut effects);
                     }
--- a/programs/topazyard-relay/tests/item_relay/mod.rs
+++ b/programs/topazyard-relay/tests/item_relay/mod.rs
@@ -48,6 +48,8 @@
     pub bytes_to_shard: usize,
     /// Number of replica reads sent.
     pub replica_reads: usize,
+    /// Whether the batch's shard reports that it serves when it is asked.
+    pub shard_serves: bool,
     pub responses: Vec<(CallId, RelayResponse)>,
     pub runs: Vec<RoutedRun>,
     /// The primary of the batch's shard and its epoch, according to the feed.
@@ -72,6 +74,7 @@
             calls: Vec::new(),
             bytes_to_shard: 0,
             replica_reads: 0,
+            shard_serves: true,
             responses: Vec::new(),
             runs: Vec::new(),
             shard: SHARD,
@@ -85,6 +88,7 @@
     }
 
     pub fn step(&mut self, input: Input<RelayCall>) {
+        let mut serving_checks = 0;
         for effect in self.machine.step(input, self.now) {
             match effect {
                 Effect::Send { message: Message::Counter(message), .. } => match message.body {
@@ -107,7 +111,8 @@
                     match message.body {
                         BatchBody::Call(call) => self.calls.push((message.call, call)),
                         BatchBody::ReplicaRead(_) => self.replica_reads += 1,
-                        BatchBody::Response(_) => {}
+                        BatchBody::CheckServing => serving_checks += 1,
+                        BatchBody::Response(_) | BatchBody::Serving => {}
                     }
                 }
                 Effect::Respond { call, value } => self.responses.push((call, value)),
@@ -115,6 +120,17 @@
                 _ => {}
             }
         }
+        (0..serving_checks).for_each(|_| self.answer_serving_check());
+    }
+
+    /// The batch's shard answers whether it serves.
+    pub fn answer_serving_check(&mut self) {
+        let body = match self.shard_serves {
+            true => BatchBody::Serving,
+            false => BatchBody::Response(BatchResponse::NotPrimary),
+        };
+        let (shard, epoch) = (batch().shard, self.epoch);
+        self.receive(self.shard, Message::Batch(BatchMessage { shard, epoch, call: 0, body }));
     }
 
     pub fn tick(&mut self, ms: u64) {
--- a/programs/topazyard-relay/tests/loopback/core.rs
+++ b/programs/topazyard-relay/tests/loopback/core.rs
@@ -111,6 +111,9 @@
                 let shard = batch().shard;
                 Message::Batch(BatchMessage { shard, epoch: Epoch(1), call: number, body })
             }
+            Message::Batch(BatchMessage {
+                shard, epoch, body: BatchBody::CheckServing, ..
+            }) => Message::Batch(BatchMessage { shard, epoch, call: 0, body: BatchBody::Serving }),
             _ => continue,
         };
         let frame =
--- a/programs/topazyard-relay/tests/unserved_shard.rs
+++ b/programs/topazyard-relay/tests/unserved_shard.rs
@@ -29,6 +29,7 @@
 
     /// Lets time pass while the feed stays fresh and the shard refuses everything it is sent.
     fn refuse_for(&mut self, ms: u64) {
+        self.shard_serves = false;
         for step in 0..ms / 25 {
             if step % 8 == 0 {
                 self.receive_feed(10 + self.now.0, true);
@@ -97,3 +98,44 @@
         relay.replica_reads
     );
 }
+
+#[test]
+fn waiting_calls_are_sent_once_the_shard_reports_that_it_serves() {
+    let mut relay = Relay::ready();
+    relay.refuse_for(200);
+    (0..3).for_each(|number| relay.submit_large(number));
+    relay.refuse_for(1_000);
+    relay.shard_serves = true;
+    relay.answer_serving_check();
+    let sent = relay.calls.iter().filter(|(_, call)| matches!(call, BatchCall::SubmitRouted(_)));
+    assert_eq!(sent.count(), 3);
+}
+
+// Guards against a call that waits for its retry although its shard has another primary.
+#[test]
+fn call_to_a_silent_primary_is_sent_to_the_next_as_soon_as_that_serves() {
+    let mut relay = Relay::ready();
+    relay.submit();
+    relay.calls.clear();
+    relay.shard_serves = false;
+    relay.move_shard();
+    relay.shard_serves = true;
+    relay.answer_serving_check();
+    assert!(relay.calls.iter().any(|(_, call)| matches!(call, BatchCall::SubmitRouted(_))));
+}
+
+// Guards against copies of one body that pile up at a shard whose responses are slow.
+#[test]
+fn unanswered_body_is_sent_less_and_less_often() {
+    let mut relay = Relay::ready();
+    relay.submit_large(1);
+    for step in 0..180 {
+        if step % 8 == 0 {
+            relay.receive_feed(10 + relay.now.0, true);
+        }
+        relay.tick(25);
+    }
+    let sent = relay.calls.iter().filter(|(_, call)| matches!(call, BatchCall::SubmitRouted(_)));
+    let sent = sent.count();
+    assert!((2..=5).contains(&sent), "{sent} times in 4.5 s");
+}
--- a/programs/topazyard-storage/src/machine/hosted.rs
+++ b/programs/topazyard-storage/src/machine/hosted.rs
@@ -35,6 +35,8 @@
     pub(crate) pending_submissions: PendingSubmissions,
     /// Submissions that were refused here: a delayed frame of one must not be accepted later.
     pub(crate) refused_submissions: std::collections::VecDeque<(NodeId, u64)>,
+    /// Callers that were refused, to be told once this node serves the shard.
+    pub(crate) waiting_callers: std::collections::BTreeSet<std::net::SocketAddr>,
     /// Reads that wait for control to confirm that this copy's record is current.
     pub(crate) replica_reads: Vec<ReplicaRead>,
     /// The epoch that a quorum read of control last confirmed, and when that was requested.
@@ -115,6 +117,7 @@
             change_request: None,
             pending_submissions: PendingSubmissions::default(),
             refused_submissions: std::collections::VecDeque::new(),
+            waiting_callers: std::collections::BTreeSet::new(),
             replica_reads: Vec::new(),
             record_confirmed: None,
             synced_by: std::collections::BTreeMap::new(),
--- a/programs/topazyard-storage/src/machine/roles.rs
+++ b/programs/topazyard-storage/src/machine/roles.rs
@@ -239,5 +239,6 @@
         }
         let text = format!("shard {shard} serves in epoch {}", hosted.replica.epoch());
         effects.push(Effect::Log { is_error: false, text });
+        self.notify_waiting_callers(shard, effects);
     }
 }
--- a/programs/topazyard-storage/src/machine/serving.rs
+++ b/programs/topazyard-storage/src/machine/serving.rs
@@ -13,6 +13,8 @@
 const MAX_REFUSED_SUBMISSIONS: usize = 256;
 /// Maximum number of submissions that may wait for capacity below the ceiling.
 const MAX_PENDING_SUBMISSIONS: usize = 256;
+/// Maximum number of refused callers that a shard remembers. Others ask again by themselves.
+const MAX_WAITING_CALLERS: usize = 4_096;
 
 impl StorageMachine {
     pub(super) fn receive_batch(
@@ -29,9 +31,11 @@
             BatchBody::ReplicaRead(call) => {
                 return self.queue_replica_read(shard, caller, &call, now);
             }
-            BatchBody::Response(_) => return,
+            BatchBody::CheckServing => {
+                return self.answer_serving_check(shard, message.epoch, caller, effects);
+            }
+            BatchBody::Response(_) | BatchBody::Serving => return,
         };
-        let epoch = self.hosted.get(&shard).map_or(message.epoch, |hosted| hosted.replica.epoch());
         let is_full = self.disk.is_full();
         let served = match self.hosted.get_mut(&shard) {
             Some(hosted) if hosted.is_serving_in(message.epoch) && !is_full => {
@@ -42,7 +46,50 @@
         if served {
             self.report_waiting(shard, now, effects);
         } else {
-            send(shard, epoch, caller, BatchResponse::NotPrimary, effects);
+            self.refuse_call(shard, message.epoch, caller, effects);
+        }
+    }
+
+    /// Answers whether this node serves the shard as its primary in the epoch.
+    fn answer_serving_check(
+        &mut self,
+        shard: ShardId,
+        epoch: Epoch,
+        caller: BatchCaller,
+        effects: &mut Effects,
+    ) {
+        let hosted = self.hosted.get(&shard);
+        if hosted.is_some_and(|hosted| hosted.is_serving_in(epoch)) && !self.disk.is_full() {
+            send_serving(shard, epoch, caller.to, effects);
+        } else {
+            self.refuse_call(shard, epoch, caller, effects);
+        }
+    }
+
+    /// Refuses a call that this node can't handle now. The caller is told once it can.
+    fn refuse_call(
+        &mut self,
+        shard: ShardId,
+        epoch: Epoch,
+        caller: BatchCaller,
+        effects: &mut Effects,
+    ) {
+        let hosted = self.hosted.get_mut(&shard);
+        let own_epoch = hosted.as_ref().map_or(epoch, |hosted| hosted.replica.epoch());
+        if let Some(hosted) = hosted
+            && hosted.waiting_callers.len() < MAX_WAITING_CALLERS
+        {
+            hosted.waiting_callers.insert(caller.to);
+        }
+        send(shard, own_epoch, caller, BatchResponse::NotPrimary, effects);
+    }
+
+    /// Tells the callers that were refused that this node now serves the shard.
+    pub(super) fn notify_waiting_callers(&mut self, shard: ShardId, effects: &mut Effects) {
+        let Some(hosted) = self.hosted.get_mut(&shard) else { return };
+        let epoch = hosted.replica.epoch();
+        for to in std::mem::take(&mut hosted.waiting_callers) {
+            send_serving(shard, epoch, to, effects);
         }
     }
 
@@ -238,6 +285,11 @@
     }
 }
 
+fn send_serving(shard: ShardId, epoch: Epoch, to: std::net::SocketAddr, effects: &mut Effects) {
+    let message = BatchMessage { shard, epoch, call: 0, body: BatchBody::Serving };
+    effects.push(Effect::Send { to, message: Message::Batch(message) });
+}
+
 pub(super) fn send(
     shard: ShardId,
     epoch: Epoch,
