Fill a follower with a bounded number of bytes in flight, and take late responses

What callers saw: a shard whose new backup is being filled answers nothing for as long as a round trip takes over 40 ms, whatever delays it.

Cause: a comparison without a response for 40 ms began again under a new round, and a response to the former one was ignored; so no response ever counted while each took longer. All ranges went out at once, megabytes in one flush, which the link's time-out for writes ends after 2 s with all that is queued. Each range cost a pass over all rows.

Change: a comparison goes on over its rounds, and a response to any of them counts; of an in-sync report the sequence must still be the primary's. Ranges go in parts of 64 KiB, at most 512 KiB in flight, each acknowledged; a transfer counts as stalled when no part was acknowledged for 300 ms, not by its age. What is under way isn't sent again: links keep the order, so only a request that answers digests sent after the last part shows what was lost. A follower keeps parts and pending writes over repeated digests. All requested ranges are read in one pass.

--- a/fleet-simulator/src/model/network.rs
+++ b/fleet-simulator/src/model/network.rs
@@ -86,6 +86,7 @@
             ReplicaBody::NotHeld => "NotHeld",
             ReplicaBody::Digests { .. } => "Digests",
             ReplicaBody::Differ { .. } => "Differ",
+            ReplicaBody::RangeReceived { .. } => "RangeReceived",
             ReplicaBody::Range { .. } => "Range",
             ReplicaBody::InSync { .. } => "InStep",
             ReplicaBody::Synced { .. } => "Synced",
--- a/libraries/topazyard-replication/src/copy.rs
+++ b/libraries/topazyard-replication/src/copy.rs
@@ -12,6 +12,9 @@
 /// Key of the row that stores the log position; it is not part of the compared rows.
 const POSITION_KEY: &str = "\u{0}place";
 
+/// The rows of a range, by key.
+pub type RangeRows = Vec<(String, bytes::Bytes)>;
+
 /// One copy of a group's rows at a log position.
 #[derive(Clone)]
 pub struct Copy {
@@ -187,10 +190,18 @@
         &self.digests
     }
 
-    /// The rows of a range.
-    pub fn range(&self, range: usize) -> Vec<(String, bytes::Bytes)> {
-        let in_range = self.rows.iter().filter(|(key, _)| range_index(key) == range);
-        in_range.map(|(key, value)| (key.clone(), value.clone())).collect()
+    /// The rows of each of these ranges, in one pass over all rows. Numbers that are no range are
+    /// left out.
+    pub fn ranges(&self, ranges: &[u16]) -> std::collections::BTreeMap<u16, RangeRows> {
+        let known = ranges.iter().filter(|range| usize::from(**range) < RANGE_COUNT);
+        let mut found: std::collections::BTreeMap<u16, RangeRows> =
+            known.map(|range| (*range, RangeRows::new())).collect();
+        for (key, value) in &self.rows {
+            if let Some(rows) = found.get_mut(&(range_index(key) as u16)) {
+                rows.push((key.clone(), value.clone()));
+            }
+        }
+        found
     }
 
     /// All keys that this copy has on disk, including that of the log position.
--- a/libraries/topazyard-replication/src/replica/follower.rs
+++ b/libraries/topazyard-replication/src/replica/follower.rs
@@ -39,9 +39,10 @@
     fetched: std::collections::BTreeMap<u16, FetchedRange>,
 }
 
-/// The parts of one range that have arrived.
+/// The parts of one range that have arrived, all sent in the same round.
 #[derive(Debug, Clone, Default)]
 struct PartialRange {
+    round: u64,
     parts: std::collections::BTreeMap<u32, Vec<(String, bytes::Bytes)>>,
 }
 
@@ -86,17 +87,19 @@
 
 impl FollowerState {
     /// Handles the primary's digests. Ranges fetched for an earlier comparison are kept if they
-    /// still match the primary's digests.
+    /// still match the primary's digests, and so are the parts of others: once a range is complete,
+    /// its digest shows whether it is the one that is missing.
     fn start_comparison(&mut self, round: u64, sequence: Sequence, digests: Vec<Digest>) {
-        let mut fetched = self.comparison.take().map(|old| old.fetched).unwrap_or_default();
+        let previous = self.comparison.take();
+        let (mut fetched, partial_ranges) =
+            previous.map(|old| (old.fetched, old.partial_ranges)).unwrap_or_default();
         fetched.retain(|range, fetched| digests.get(usize::from(*range)) == Some(&fetched.digest));
-        self.pending_in_sync = None;
         self.comparison = Some(FollowerComparison {
             round,
             sequence,
             digests,
             missing: std::collections::BTreeSet::new(),
-            partial_ranges: std::collections::BTreeMap::new(),
+            partial_ranges,
             fetched,
         });
     }
@@ -116,10 +119,16 @@
     /// Adds a part of a range and returns the rows of the range once all its parts have arrived.
     fn add_part(&mut self, part: RangePart) -> Option<Vec<(String, bytes::Bytes)>> {
         let RangePart { round, range, part, rows } = part;
-        if self.round != round || !self.missing.contains(&range) {
+        if !self.missing.contains(&range) {
             return None;
         }
         let partial = self.partial_ranges.entry(range).or_default();
+        if round < partial.round {
+            return None;
+        }
+        if round > partial.round {
+            *partial = PartialRange { round, ..PartialRange::default() };
+        }
         partial.parts.insert(part.number, rows);
         if partial.parts.len() < part.of as usize {
             return None;
@@ -197,6 +206,8 @@
             return;
         }
         follower.last_append_round = Some(round);
+        // The primary has taken this copy as in sync already.
+        follower.pending_in_sync = None;
         // A primary starts a round only once the previous one is committed.
         if !is_repeated {
             self.uncommitted =
@@ -232,6 +243,7 @@
         let Some(comparison) = &mut follower.comparison else { return };
         comparison.missing = comparison.differing(own_digests);
         if !comparison.missing.is_empty() {
+            follower.pending_in_sync = None;
             let ranges = comparison.missing.iter().copied().collect();
             let round = comparison.round;
             self.send(primary, ReplicaBody::Differ { round, ranges }, outputs);
@@ -239,13 +251,18 @@
         }
         let Some(comparison) = follower.comparison.take() else { return };
         let (round, sequence) = (comparison.round, comparison.sequence);
+        let position = LogPosition { epoch: self.epoch, sequence };
+        // The disk syncs in order, so a repeated comparison need not wait for its own write.
+        let is_repeated = comparison.fetched.is_empty() && self.copy.position() == position;
+        let earlier = follower.pending_in_sync.take().filter(|_| is_repeated);
         let changes = comparison.fetched.into_values().flat_map(|range| range.changes).collect();
         self.check_keeps_committed(sequence);
         // Written even if nothing changed: the disk syncs in order, so everything before is synced
         // too.
-        let rows = self.copy.replace(LogPosition { epoch: self.epoch, sequence }, changes);
+        let rows = self.copy.replace(position, changes);
         match self.write(rows, now, outputs) {
             Some(write) => {
+                let write = earlier.map_or(write, |(earlier, _, _)| earlier);
                 if let Role::Follower(follower) = &mut self.role {
                     follower.pending_in_sync = Some((write, primary, round));
                 }
@@ -261,9 +278,11 @@
         now: MonotonicMs,
         outputs: &mut Vec<ReplicaOutput>,
     ) {
+        let range = part.range;
+        let received = ReplicaBody::RangeReceived { range, part: part.part.number };
+        self.send(from.address, received, outputs);
         let Role::Follower(follower) = &mut self.role else { return };
         let Some(comparison) = &mut follower.comparison else { return };
-        let range = part.range;
         let Some(rows) = comparison.add_part(part) else { return };
         let digest = crate::copy::digest_of_rows(&rows);
         let changes = self.copy.difference(usize::from(range), rows);
--- a/libraries/topazyard-replication/src/replica/mod.rs
+++ b/libraries/topazyard-replication/src/replica/mod.rs
@@ -9,6 +9,7 @@
 mod parts;
 mod primary;
 mod progress;
+mod transfer;
 
 use topazyard_types::{BootId, Epoch, MonotonicMs, NodeId, Sequence};
 use topazyard_wire::message::control::CoreNode;
--- a/libraries/topazyard-replication/src/replica/parts.rs
+++ b/libraries/topazyard-replication/src/replica/parts.rs
@@ -1,7 +1,7 @@
 //! Ranges are sent in parts, so that none exceeds a frame.
 
-/// Maximum size of the rows in one part; a single larger row is a part of its own.
-const MAX_PART_BYTES: u64 = 1024 * 1024;
+/// Maximum size of the rows in one part, in bytes; a single larger row is a part of its own.
+const MAX_PART_BYTES: u64 = 64 * 1024;
 
 /// Total size of keys and values.
 pub(super) fn size_of_rows(rows: &[(String, bytes::Bytes)]) -> u64 {
--- a/libraries/topazyard-replication/src/replica/primary.rs
+++ b/libraries/topazyard-replication/src/replica/primary.rs
@@ -1,6 +1,5 @@
 //! The primary role: batches, the comparisons that synchronize backups, and the learners.
 
-use super::parts::{size_of_rows, split_into_parts};
 use super::progress::{
     Backup, BackupState, ChangeBatch, Comparison, Learner, LearnerState, is_due,
 };
@@ -8,7 +7,7 @@
 use topazyard_types::{DurationMs, MonotonicMs, NodeId, Sequence};
 use topazyard_wire::RowChange;
 use topazyard_wire::message::control::CoreNode;
-use topazyard_wire::message::replica::{FollowerRole, Part, RangePart, ReplicaBody};
+use topazyard_wire::message::replica::{FollowerRole, ReplicaBody};
 
 /// Interval after which an unconfirmed append is sent again.
 const APPEND_RETRY_INTERVAL: DurationMs = DurationMs(100);
@@ -195,13 +194,15 @@
         }
     }
 
-    fn start_comparison(
+    /// Sends the digests in a new round, which starts a comparison or continues the previous one.
+    fn send_digests(
         &mut self,
         node: CoreNode,
         of: FollowerRole,
+        previous: Option<Comparison>,
         now: MonotonicMs,
         outputs: &mut Vec<ReplicaOutput>,
-    ) -> Option<Comparison> {
+    ) -> Comparison {
         self.last_round += 1;
         let round = self.last_round;
         let body = ReplicaBody::Digests {
@@ -211,25 +212,27 @@
             of,
         };
         self.send(node.address, body, outputs);
-        Some(Comparison { round, started_at: now, requested_bytes: None })
+        Comparison::next(previous, round, now)
     }
 
     pub(super) fn primary_tick(&mut self, now: MonotonicMs, outputs: &mut Vec<ReplicaOutput>) {
         let Role::Primary(primary) = &mut self.role else { return };
         if primary.phase != Phase::Stopped {
-            let due: Vec<(usize, CoreNode)> = primary
-                .backups
-                .iter()
-                .enumerate()
-                .filter(|(_, b)| matches!(&b.state, BackupState::Comparing(c, _) if is_due(c, now)))
-                .map(|(index, backup)| (index, backup.node))
-                .collect();
-            for (index, node) in due {
-                let started = self.start_comparison(node, FollowerRole::Backup, now, outputs);
+            let mut due = Vec::new();
+            for (index, backup) in primary.backups.iter_mut().enumerate() {
+                if let BackupState::Comparing(comparison, _) = &mut backup.state
+                    && is_due(comparison, now)
+                {
+                    due.push((index, backup.node, comparison.take()));
+                }
+            }
+            for (index, node, previous) in due {
+                let of = FollowerRole::Backup;
+                let continued = self.send_digests(node, of, previous, now, outputs);
                 if let Role::Primary(primary) = &mut self.role
                     && let BackupState::Comparing(comparison, _) = &mut primary.backups[index].state
                 {
-                    *comparison = started;
+                    *comparison = Some(continued);
                 }
             }
             self.resend_batch(now, outputs);
@@ -257,7 +260,7 @@
         let stopped = primary.phase == Phase::Stopped;
         let mut due = Vec::new();
         for (index, learner) in primary.learners.iter_mut().enumerate() {
-            match &learner.state {
+            match &mut learner.state {
                 LearnerState::FinalComparison(_, since) | LearnerState::Ready(since)
                     if !stopped && now.since(*since) >= MAX_WRITE_PAUSE =>
                 {
@@ -267,19 +270,19 @@
                 | LearnerState::FinalComparison(comparison, _)
                     if is_due(comparison, now) =>
                 {
-                    due.push((index, learner.node));
+                    due.push((index, learner.node, comparison.take()));
                 }
                 _ => {}
             }
         }
-        for (index, node) in due {
-            let started = self.start_comparison(node, FollowerRole::Learner, now, outputs);
+        for (index, node, previous) in due {
+            let continued = self.send_digests(node, FollowerRole::Learner, previous, now, outputs);
             if let Role::Primary(primary) = &mut self.role
                 && let LearnerState::Fetching(comparison)
                 | LearnerState::FinalComparison(comparison, _) =
                     &mut primary.learners[index].state
             {
-                *comparison = started;
+                *comparison = Some(continued);
             }
         }
     }
@@ -309,17 +312,18 @@
                 primary.phase = Phase::Comparing;
                 self.primary_tick(now, outputs);
             }
-            (ReplicaBody::Differ { round, ranges }, _, _) if backup.or(learner).is_some() => {
-                let requested =
-                    ranges.into_iter().filter(|r| usize::from(*r) < crate::copy::RANGE_COUNT);
-                let requested: Vec<_> =
-                    requested.map(|range| (range, self.copy.range(usize::from(range)))).collect();
-                let Some(comparison) = primary.comparison_of(round) else { return };
-                comparison.requested_bytes =
-                    Some(requested.iter().map(|(_, rows)| size_of_rows(rows)).sum());
-                for (range, rows) in requested {
-                    self.send_range(from.address, round, range, rows, outputs);
+            (ReplicaBody::Differ { round, ranges }, _, _) => {
+                let copy = &self.copy;
+                let Some(comparison) = primary.comparison_with(from.id) else { return };
+                if comparison.includes(round) {
+                    comparison.transfer.start(round, || copy.ranges(&ranges), now);
                 }
+                self.send_ranges(from, outputs);
+            }
+            (ReplicaBody::RangeReceived { range, part }, _, _) => {
+                let Some(comparison) = primary.comparison_with(from.id) else { return };
+                comparison.transfer.acknowledged(range, part, now);
+                self.send_ranges(from, outputs);
             }
             (ReplicaBody::InSync { round, sequence }, Some(index), _) => {
                 self.backup_in_sync(index, round, sequence, outputs);
@@ -331,20 +335,12 @@
         }
     }
 
-    /// Sends a range, in several parts if it is large.
-    fn send_range(
-        &self,
-        to: std::net::SocketAddr,
-        round: u64,
-        range: u16,
-        rows: Vec<(String, bytes::Bytes)>,
-        outputs: &mut Vec<ReplicaOutput>,
-    ) {
-        let parts = split_into_parts(rows);
-        let of = u32::try_from(parts.len()).unwrap_or(u32::MAX);
-        for (number, rows) in (0..).zip(parts) {
-            let part = Part { number, of };
-            self.send(to, ReplicaBody::Range(RangePart { round, range, part, rows }), outputs);
+    /// Sends a follower as many parts of the ranges that it requested as may be in flight.
+    fn send_ranges(&mut self, to: Sender, outputs: &mut Vec<ReplicaOutput>) {
+        let Role::Primary(primary) = &mut self.role else { return };
+        let Some(comparison) = primary.comparison_with(to.id) else { return };
+        for part in comparison.next_parts() {
+            self.send(to.address, ReplicaBody::Range(part), outputs);
         }
     }
 
@@ -359,7 +355,7 @@
         let Role::Primary(primary) = &mut self.role else { return };
         let backup = &mut primary.backups[index];
         let is_expected =
-            matches!(&backup.state, BackupState::Comparing(Some(c), _) if c.round == round);
+            matches!(&backup.state, BackupState::Comparing(Some(c), _) if c.includes(round));
         if primary.phase == Phase::Stopped || !is_expected || sequence != own_sequence {
             return;
         }
@@ -401,7 +397,7 @@
         let own_sequence = self.copy.position().sequence;
         let Role::Primary(primary) = &mut self.role else { return };
         match &primary.learners[index].state {
-            LearnerState::Fetching(Some(c)) if c.round == round => {
+            LearnerState::Fetching(Some(c)) if c.includes(round) => {
                 if self.learner_promotion_paused && primary.may_serve {
                     return;
                 }
@@ -411,7 +407,7 @@
             // A batch may be in flight. It is part of the copy, and from here on it is not
             // acknowledged before the next epoch.
             LearnerState::FinalComparison(Some(c), since)
-                if c.round == round && sequence == own_sequence =>
+                if c.includes(round) && sequence == own_sequence =>
             {
                 primary.learners[index].state = LearnerState::Ready(*since);
                 if primary.ready_learners().count() == primary.learners.len() {
@@ -468,18 +464,10 @@
 }
 
 impl PrimaryState {
-    /// The comparison of the given round, if it is still in progress.
-    fn comparison_of(&mut self, round: u64) -> Option<&mut Comparison> {
-        let backups = self.backups.iter_mut().filter_map(|backup| match &mut backup.state {
-            BackupState::Comparing(comparison, _) => comparison.as_mut(),
-            BackupState::InSync => None,
-        });
-        let learners = self.learners.iter_mut().filter_map(|learner| match &mut learner.state {
-            LearnerState::Fetching(comparison) | LearnerState::FinalComparison(comparison, _) => {
-                comparison.as_mut()
-            }
-            LearnerState::Ready(_) => None,
-        });
-        backups.chain(learners).find(|comparison| comparison.round == round)
+    /// The comparison in progress with a follower.
+    fn comparison_with(&mut self, id: NodeId) -> Option<&mut Comparison> {
+        let backup = self.backups.iter_mut().find(|backup| backup.node.id == id);
+        let learner = self.learners.iter_mut().find(|learner| learner.node.id == id);
+        backup.and_then(Backup::comparison).or_else(|| learner.and_then(Learner::comparison))
     }
 }
--- a/libraries/topazyard-replication/src/replica/progress.rs
+++ b/libraries/topazyard-replication/src/replica/progress.rs
@@ -1,35 +1,60 @@
 //! The progress of a primary's backups and learners.
 
 use super::WriteTicket;
+use super::transfer::Transfer;
 use topazyard_types::{DurationMs, MonotonicMs, Sequence};
 use topazyard_wire::RowChange;
 use topazyard_wire::message::control::CoreNode;
+use topazyard_wire::message::replica::RangePart;
 
-/// Time without a response after which a comparison starts again: the other node may not have
+/// Time without a response after which the digests are sent again: the other node may not have
 /// learned of the epoch yet.
 const COMPARISON_RETRY_INTERVAL: DurationMs = DurationMs(40);
-/// Time after which a comparison whose ranges are being fetched starts again, in addition to the
-/// transfer time of the ranges.
-const FETCH_RETRY_INTERVAL: DurationMs = DurationMs(300);
-/// Minimum assumed throughput of a link, in bytes per millisecond: 10 MB/s.
-const MIN_BYTES_PER_MS: u64 = 10_000;
+/// Time without progress after which a transfer counts as stalled, and the digests are sent again.
+const TRANSFER_STALL_TIMEOUT: DurationMs = DurationMs(300);
 
 /// A comparison in progress.
+///
+/// Each transmission of the digests has a round of its own. A response to any of them counts: it may
+/// be under way for longer than the retry interval, and then none would ever answer the newest.
 #[derive(Debug, Clone)]
 pub(super) struct Comparison {
-    pub(super) round: u64,
-    pub(super) started_at: MonotonicMs,
-    /// Size of the ranges that the other node requested, once it has.
-    pub(super) requested_bytes: Option<u64>,
+    first_round: u64,
+    last_round: u64,
+    sent_at: MonotonicMs,
+    pub(super) transfer: Transfer,
 }
 
 impl Comparison {
-    pub(super) fn is_retry_due(&self, now: MonotonicMs) -> bool {
-        let timeout = match self.requested_bytes {
-            Some(bytes) => DurationMs(FETCH_RETRY_INTERVAL.0 + bytes / MIN_BYTES_PER_MS),
-            None => COMPARISON_RETRY_INTERVAL,
-        };
-        now.since(self.started_at) >= timeout
+    /// Starts a comparison with its first round, or continues one with its next round.
+    pub(super) fn next(previous: Option<Self>, round: u64, now: MonotonicMs) -> Self {
+        match previous {
+            Some(previous) => Self { last_round: round, sent_at: now, ..previous },
+            None => Self {
+                first_round: round,
+                last_round: round,
+                sent_at: now,
+                transfer: Transfer::default(),
+            },
+        }
+    }
+
+    /// Whether a response with this round belongs to the comparison.
+    pub(super) fn includes(&self, round: u64) -> bool {
+        (self.first_round..=self.last_round).contains(&round)
+    }
+
+    /// The parts that may be sent now.
+    pub(super) fn next_parts(&mut self) -> Vec<RangePart> {
+        std::iter::from_fn(|| self.transfer.next_part(self.last_round)).collect()
+    }
+
+    fn is_retry_due(&self, now: MonotonicMs) -> bool {
+        if self.transfer.is_active() {
+            return now.since(self.transfer.last_progress().max(self.sent_at))
+                >= TRANSFER_STALL_TIMEOUT;
+        }
+        now.since(self.sent_at) >= COMPARISON_RETRY_INTERVAL
     }
 }
 
@@ -57,6 +82,14 @@
 }
 
 impl Backup {
+    /// Its comparison in progress.
+    pub(super) fn comparison(&mut self) -> Option<&mut Comparison> {
+        match &mut self.state {
+            BackupState::Comparing(comparison, _) => comparison.as_mut(),
+            BackupState::InSync => None,
+        }
+    }
+
     pub(super) fn is_in_sync(&self) -> bool {
         matches!(self.state, BackupState::InSync)
     }
@@ -97,6 +130,18 @@
     Ready(MonotonicMs),
 }
 
+impl Learner {
+    /// Its comparison in progress.
+    pub(super) fn comparison(&mut self) -> Option<&mut Comparison> {
+        match &mut self.state {
+            LearnerState::Fetching(comparison) | LearnerState::FinalComparison(comparison, _) => {
+                comparison.as_mut()
+            }
+            LearnerState::Ready(_) => None,
+        }
+    }
+}
+
 /// A batch that is being synced on all copies.
 #[derive(Debug, Clone)]
 pub(super) struct ChangeBatch {
--- /dev/null
+++ b/libraries/topazyard-replication/src/replica/transfer.rs
@@ -0,0 +1,92 @@
+//! The transfer of ranges to one follower, with a bounded number of bytes in flight.
+
+use super::parts::{size_of_rows, split_into_parts};
+use crate::copy::RangeRows;
+use std::collections::{BTreeMap, VecDeque};
+use topazyard_types::MonotonicMs;
+use topazyard_wire::message::replica::{Part, RangePart};
+
+/// Maximum size of the parts in flight to one follower, in bytes. Heartbeats and appends queue
+/// behind no more than this.
+const MAX_BYTES_IN_FLIGHT: u64 = 512 * 1024;
+
+/// A part that waits to be sent.
+#[derive(Debug, Clone)]
+struct QueuedPart {
+    range: u16,
+    part: Part,
+    rows: RangeRows,
+}
+
+/// Ranges on their way to a follower.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Transfer {
+    queue: VecDeque<QueuedPart>,
+    /// The size of each part that the follower has not acknowledged, by range and part number.
+    in_flight: BTreeMap<(u16, u32), u64>,
+    /// The round in which the ranges were requested; all parts of a range have the same.
+    round: u64,
+    /// The newest round when a part was last sent.
+    last_sent_round: u64,
+    /// When the follower last requested ranges or acknowledged a part.
+    last_progress: MonotonicMs,
+}
+
+impl Transfer {
+    /// Whether the follower has not received everything yet.
+    pub(super) fn is_active(&self) -> bool {
+        !self.queue.is_empty() || !self.in_flight.is_empty()
+    }
+
+    /// When the follower last requested ranges or acknowledged a part.
+    pub(super) fn last_progress(&self) -> MonotonicMs {
+        self.last_progress
+    }
+
+    /// Starts to transfer these ranges, unless the request was made before the last part arrived:
+    /// frames arrive in order, so only a follower that has seen a later round knows which parts
+    /// were lost.
+    pub(super) fn start(
+        &mut self,
+        requested_in: u64,
+        ranges: impl FnOnce() -> BTreeMap<u16, RangeRows>,
+        now: MonotonicMs,
+    ) {
+        if requested_in <= self.last_sent_round {
+            return;
+        }
+        self.round = requested_in;
+        self.in_flight.clear();
+        self.queue = ranges().into_iter().flat_map(|(range, rows)| parts_of(range, rows)).collect();
+        self.last_progress = now;
+    }
+
+    /// Records that a part arrived.
+    pub(super) fn acknowledged(&mut self, range: u16, part: u32, now: MonotonicMs) {
+        if self.in_flight.remove(&(range, part)).is_some() {
+            self.last_progress = now;
+        }
+    }
+
+    /// The next part to send, if it may be sent now.
+    pub(super) fn next_part(&mut self, newest_round: u64) -> Option<RangePart> {
+        let bytes_in_flight: u64 = self.in_flight.values().sum();
+        let size = size_of_rows(&self.queue.front()?.rows);
+        if bytes_in_flight > 0 && bytes_in_flight + size > MAX_BYTES_IN_FLIGHT {
+            return None;
+        }
+        let QueuedPart { range, part, rows } = self.queue.pop_front()?;
+        self.in_flight.insert((range, part.number), size);
+        self.last_sent_round = newest_round;
+        Some(RangePart { round: self.round, range, part, rows })
+    }
+}
+
+fn parts_of(range: u16, rows: RangeRows) -> impl Iterator<Item = QueuedPart> {
+    let parts = split_into_parts(rows);
+    let of = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+    (0..).zip(parts).map(move |(number, rows)| {
+        let part = Part { number, of };
+        QueuedPart { range, part, rows }
+    })
+}
--- a/libraries/topazyard-replication/tests/slow_links.rs
+++ b/libraries/topazyard-replication/tests/slow_links.rs
@@ -163,3 +163,13 @@
     assert!(pair.is_learner_ready);
     assert_eq!(pair.range_bytes, rows as usize * 1024);
 }
+
+// Guards against heartbeats and appends that wait behind a whole copy on the same link.
+#[test]
+fn bytes_in_flight_to_a_learner_are_bounded() {
+    let max_bytes = 512 * 1024;
+    let mut pair = SlowPair::with_learner(4_000, 1_000);
+    pair.run_for(2_200);
+    assert!(pair.range_bytes > max_bytes / 2, "{} bytes", pair.range_bytes);
+    assert!(pair.range_bytes <= max_bytes, "{} bytes before any is acknowledged", pair.range_bytes);
+}
--- a/libraries/topazyard-wire/src/message/replica.rs
+++ b/libraries/topazyard-wire/src/message/replica.rs
@@ -34,7 +34,8 @@
 /// The rows of a range, or a part of them if the range is large.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct RangePart {
-    /// The round of the comparison.
+    /// The round of the comparison in which the range was requested. Parts of one range belong
+    /// together only if they have the same.
     pub round: u64,
     /// The range.
     pub range: u16,
@@ -110,4 +111,11 @@
     },
     /// The sender has no copy of this group.
     NotHeld,
+    /// A part of a range arrived.
+    RangeReceived {
+        /// The range.
+        range: u16,
+        /// The number of the part.
+        part: u32,
+    },
 }
