Confirm a heap of submissions in bounded batches, and send an append again only if lost

Cause: all that waited became one batch, 4.75 MB for 25 batches of 190 kB, to be sent to each backup; unconfirmed, the whole of it was sent again every 100 ms over the same link. A backup that confirms nothing for 500 ms is dropped, and both were.

Change: a batch takes submissions in order up to 512 KiB, a larger one alone, so that backups confirm step by step. A primary asks a silent backup with a small message whether the append arrived; the links keep the order, so a backup that has not seen it says that it is lost, and only then it is sent again.

--- a/fleet-simulator/src/model/network.rs
+++ b/fleet-simulator/src/model/network.rs
@@ -86,6 +86,8 @@
             ReplicaBody::NotHeld => "NotHeld",
             ReplicaBody::Digests { .. } => "Digests",
             ReplicaBody::Differ { .. } => "Differ",
+            ReplicaBody::CheckAppended { .. } => "CheckAppended",
+            ReplicaBody::AppendMissing { .. } => "AppendMissing",
             ReplicaBody::RangeReceived { .. } => "RangeReceived",
             ReplicaBody::Range { .. } => "Range",
             ReplicaBody::InSync { .. } => "InStep",
--- a/libraries/topazyard-replication/src/copy.rs
+++ b/libraries/topazyard-replication/src/copy.rs
@@ -39,7 +39,8 @@
     }
 }
 
-fn size_of_changes(changes: &[RowChange]) -> usize {
+/// Total size of keys and values.
+pub(crate) fn size_of_changes(changes: &[RowChange]) -> usize {
     let value = |change: &RowChange| change.value.as_ref().map_or(0, |value| value.len());
     changes.iter().map(|change| change.key.len() + value(change)).sum()
 }
--- a/libraries/topazyard-replication/src/replica/follower.rs
+++ b/libraries/topazyard-replication/src/replica/follower.rs
@@ -74,6 +74,14 @@
         self.last_append_round.is_some() && self.last_append_round == self.primary_synced_round
     }
 
+    /// Whether a comparison in progress is later than the append of the given round.
+    fn is_compared_after(&self, round: u64) -> bool {
+        let comparing = self.comparison.as_ref().map(|comparison| comparison.round);
+        let pending = self.pending_in_sync.map(|(_, _, pending)| pending);
+        let mut rounds = comparing.into_iter().chain(pending);
+        rounds.any(|comparison| is_later_round_of_same_boot(round, comparison))
+    }
+
     /// Whether a round belongs to the boot of the primary that this copy was last in sync with.
     fn is_round_of_synced_boot(&self, round: u64) -> bool {
         self.sync_round.is_some_and(|comparison| is_later_round_of_same_boot(comparison, round))
@@ -165,6 +173,7 @@
                 self.compare(from.address, now, outputs);
             }
             ReplicaBody::Range(part) => self.receive_range(from, part, now, outputs),
+            ReplicaBody::CheckAppended { round } => self.answer_append_check(from, round, outputs),
             ReplicaBody::Synced { round } => follower.primary_synced_round = Some(round),
             _ => {}
         }
@@ -229,6 +238,29 @@
         }
     }
 
+    /// Answers whether the append of a round arrived. One that waits for the disk is confirmed once
+    /// it is synced.
+    fn answer_append_check(&mut self, from: Sender, round: u64, outputs: &mut Vec<ReplicaOutput>) {
+        let Role::Follower(follower) = &mut self.role else { return };
+        if follower.is_compared_after(round) {
+            // The comparison covers the append too.
+            return;
+        }
+        follower.comparison = None;
+        let Role::Follower(follower) = &self.role else { return };
+        let arrived = follower.last_append_round == Some(round);
+        let waits = follower.appends.iter().any(|(_, _, waiting)| *waiting == round);
+        let answer = match (arrived, waits) {
+            (true, true) => return,
+            (true, false) => ReplicaBody::Appended { round },
+            (false, _) if !self.was_in_sync() || !follower.is_round_of_synced_boot(round) => {
+                ReplicaBody::OutOfSync
+            }
+            (false, _) => ReplicaBody::AppendMissing { round },
+        };
+        self.send(from.address, answer, outputs);
+    }
+
     /// Compares with the primary's digests. Requests the ranges that differ; if none do, applies
     /// everything that was fetched in one step and reports that the copy is in sync.
     fn compare(
--- a/libraries/topazyard-replication/src/replica/mod.rs
+++ b/libraries/topazyard-replication/src/replica/mod.rs
@@ -9,6 +9,7 @@
 mod parts;
 mod primary;
 mod progress;
+mod queue;
 mod transfer;
 
 use topazyard_types::{BootId, Epoch, MonotonicMs, NodeId, Sequence};
--- a/libraries/topazyard-replication/src/replica/primary.rs
+++ b/libraries/topazyard-replication/src/replica/primary.rs
@@ -3,14 +3,18 @@
 use super::progress::{
     Backup, BackupState, ChangeBatch, Comparison, Learner, LearnerState, is_due,
 };
+use super::queue::SubmissionQueue;
 use super::{Followers, Replica, ReplicaOutput, Role, Sender, Uncommitted, WriteTicket};
 use topazyard_types::{DurationMs, MonotonicMs, NodeId, Sequence};
 use topazyard_wire::RowChange;
 use topazyard_wire::message::control::CoreNode;
 use topazyard_wire::message::replica::{FollowerRole, ReplicaBody};
 
-/// Interval after which an unconfirmed append is sent again.
-const APPEND_RETRY_INTERVAL: DurationMs = DurationMs(100);
+/// Interval at which backups that have not confirmed an append are asked whether it arrived.
+const APPEND_CHECK_INTERVAL: DurationMs = DurationMs(100);
+/// Size of a batch, in bytes of changes, at which no further submission joins it. Each batch is
+/// confirmed on its own, so that backups show progress however much waits.
+const BATCH_BYTES: usize = 512 * 1024;
 /// Interval between messages to the backups while there is nothing to commit.
 const HEARTBEAT_INTERVAL: DurationMs = DurationMs(200);
 /// Maximum time for which new batches wait for a learner's final comparison.
@@ -36,16 +40,15 @@
     may_serve: bool,
     phase: Phase,
     in_flight: Option<ChangeBatch>,
-    queued_tickets: Vec<WriteTicket>,
-    queued_changes: Vec<RowChange>,
+    queue: SubmissionQueue,
     last_batch_at: MonotonicMs,
 }
 
 impl PrimaryState {
     pub(super) fn new(followers: Followers, previous: Option<Box<Self>>, now: MonotonicMs) -> Self {
-        let (in_flight, queued_tickets, queued_changes) = match previous {
-            None => (None, Vec::new(), Vec::new()),
-            Some(old) => (old.in_flight, old.queued_tickets, old.queued_changes),
+        let (in_flight, queue) = match previous {
+            None => (None, SubmissionQueue::default()),
+            Some(old) => (old.in_flight, old.queue),
         };
         let state = || BackupState::Comparing(None, now);
         let backup = |node| Backup { node, state: state(), confirmed_round: None };
@@ -56,8 +59,7 @@
             may_serve: followers.may_serve,
             phase: Phase::Comparing,
             in_flight,
-            queued_tickets,
-            queued_changes,
+            queue,
             last_batch_at: now,
         }
     }
@@ -68,7 +70,7 @@
 
     pub(super) fn all_tickets(&self) -> Vec<WriteTicket> {
         let in_flight = self.in_flight.iter().flat_map(|batch| batch.tickets.iter());
-        in_flight.chain(&self.queued_tickets).copied().collect()
+        in_flight.copied().chain(self.queue.tickets()).collect()
     }
 
     /// The backups that have yet to confirm, each with the time since when.
@@ -92,6 +94,13 @@
         self.learners.iter().position(|learner| learner.node.id == id)
     }
 
+    /// The backups in sync that have not confirmed the given round.
+    fn unconfirmed_in_sync(&self, round: u64) -> impl Iterator<Item = CoreNode> {
+        let unconfirmed =
+            move |backup: &&Backup| backup.is_in_sync() && backup.confirmed_round != Some(round);
+        self.backups.iter().filter(unconfirmed).map(|backup| backup.node)
+    }
+
     fn all_in_sync(&self) -> bool {
         self.backups.iter().all(Backup::is_in_sync)
     }
@@ -108,8 +117,7 @@
     /// Returns false and does nothing if this node is not the primary.
     pub fn submit(&mut self, ticket: WriteTicket, changes: Vec<RowChange>) -> bool {
         let Role::Primary(primary) = &mut self.role else { return false };
-        primary.queued_tickets.push(ticket);
-        primary.queued_changes.extend(changes);
+        primary.queue.push(ticket, changes);
         true
     }
 
@@ -118,7 +126,7 @@
         match &self.role {
             Role::Primary(primary) => {
                 let in_flight = primary.in_flight.as_ref();
-                !primary.queued_changes.is_empty()
+                primary.queue.has_changes()
                     || in_flight.is_some_and(|batch| !batch.changes.is_empty())
             }
             _ => false,
@@ -137,18 +145,17 @@
     pub fn start_next_batch(&mut self, now: MonotonicMs) -> Vec<ReplicaOutput> {
         let mut outputs = Vec::new();
         let Role::Primary(primary) = &mut self.role else { return outputs };
-        let idle = primary.queued_tickets.is_empty()
-            && now.since(primary.last_batch_at) < HEARTBEAT_INTERVAL;
+        let idle =
+            primary.queue.is_empty() && now.since(primary.last_batch_at) < HEARTBEAT_INTERVAL;
         if !primary.is_serving() || primary.in_flight.is_some() || idle {
             return outputs;
         }
         // During the final comparison of a learner only reads are confirmed, as they change
         // nothing.
-        if primary.are_writes_paused() && !primary.queued_changes.is_empty() {
+        if primary.are_writes_paused() && primary.queue.has_changes() {
             return outputs;
         }
-        let tickets = std::mem::take(&mut primary.queued_tickets);
-        let changes = std::mem::take(&mut primary.queued_changes);
+        let (tickets, changes) = primary.queue.take_batch(BATCH_BYTES);
         primary.last_batch_at = now;
         self.last_round += 1;
         let round = self.last_round;
@@ -169,7 +176,7 @@
                 tickets,
                 write,
                 started_at: now,
-                sent_at: now,
+                checked_at: now,
             });
         }
         self.send_append(&mut outputs);
@@ -182,15 +189,32 @@
     fn send_append(&self, outputs: &mut Vec<ReplicaOutput>) {
         let Role::Primary(primary) = &self.role else { return };
         let Some(batch) = &primary.in_flight else { return };
-        let unconfirmed =
-            |backup: &&Backup| backup.is_in_sync() && backup.confirmed_round != Some(batch.round);
-        for backup in primary.backups.iter().filter(unconfirmed) {
-            let body = ReplicaBody::Append {
-                round: batch.round,
-                sequence: batch.sequence,
-                changes: batch.changes.clone(),
-            };
-            self.send(backup.node.address, body, outputs);
+        for backup in primary.unconfirmed_in_sync(batch.round) {
+            self.send_append_to(backup, batch, outputs);
+        }
+    }
+
+    fn send_append_to(
+        &self,
+        backup: CoreNode,
+        batch: &ChangeBatch,
+        outputs: &mut Vec<ReplicaOutput>,
+    ) {
+        let body = ReplicaBody::Append {
+            round: batch.round,
+            sequence: batch.sequence,
+            changes: batch.changes.clone(),
+        };
+        self.send(backup.address, body, outputs);
+    }
+
+    /// Sends the batch in flight again to a backup that it did not reach.
+    fn resend_append(&self, index: usize, round: u64, outputs: &mut Vec<ReplicaOutput>) {
+        let Role::Primary(primary) = &self.role else { return };
+        let Some(batch) = &primary.in_flight else { return };
+        let backup = &primary.backups[index];
+        if batch.round == round && backup.is_in_sync() && !backup.has_synced(round) {
+            self.send_append_to(backup.node, batch, outputs);
         }
     }
 
@@ -235,19 +259,25 @@
                     *comparison = Some(continued);
                 }
             }
-            self.resend_batch(now, outputs);
+            self.check_appended(now, outputs);
             self.serve_if_in_sync(outputs);
         }
         self.learners_tick(now, outputs);
     }
 
-    fn resend_batch(&mut self, now: MonotonicMs, outputs: &mut Vec<ReplicaOutput>) {
+    /// Asks the backups that have not confirmed the batch in flight whether it arrived. The batch
+    /// itself is sent again only to one that reports it as missing.
+    fn check_appended(&mut self, now: MonotonicMs, outputs: &mut Vec<ReplicaOutput>) {
         let Role::Primary(primary) = &mut self.role else { return };
-        if let Some(batch) = &mut primary.in_flight
-            && now.since(batch.sent_at) >= APPEND_RETRY_INTERVAL
-        {
-            batch.sent_at = now;
-            self.send_append(outputs);
+        let Some(batch) = &mut primary.in_flight else { return };
+        if now.since(batch.checked_at) < APPEND_CHECK_INTERVAL {
+            return;
+        }
+        batch.checked_at = now;
+        let round = batch.round;
+        let unconfirmed: Vec<CoreNode> = primary.unconfirmed_in_sync(round).collect();
+        for backup in unconfirmed {
+            self.send(backup.address, ReplicaBody::CheckAppended { round }, outputs);
         }
     }
 
@@ -304,6 +334,9 @@
                 }
                 self.commit_batch(outputs);
             }
+            (ReplicaBody::AppendMissing { round }, Some(index), _) => {
+                self.resend_append(index, round, outputs);
+            }
             (ReplicaBody::OutOfSync, Some(index), _)
                 if primary.phase != Phase::Stopped && primary.backups[index].is_in_sync() =>
             {
--- a/libraries/topazyard-replication/src/replica/progress.rs
+++ b/libraries/topazyard-replication/src/replica/progress.rs
@@ -151,5 +151,5 @@
     pub(super) tickets: Vec<WriteTicket>,
     pub(super) write: Option<u64>,
     pub(super) started_at: MonotonicMs,
-    pub(super) sent_at: MonotonicMs,
+    pub(super) checked_at: MonotonicMs,
 }
--- a/libraries/topazyard-wire/src/message/replica.rs
+++ b/libraries/topazyard-wire/src/message/replica.rs
@@ -52,6 +52,7 @@
             self,
             Self::Append { .. }
                 | Self::Synced { .. }
+                | Self::CheckAppended { .. }
                 | Self::Digests { of: FollowerRole::Backup, .. }
         )
     }
@@ -111,6 +112,16 @@
     },
     /// The sender has no copy of this group.
     NotHeld,
+    /// Asks whether an append arrived that has not been confirmed.
+    CheckAppended {
+        /// The round of the append.
+        round: u64,
+    },
+    /// An append did not arrive. Frames arrive in order, so it is lost.
+    AppendMissing {
+        /// The round of the append.
+        round: u64,
+    },
     /// A part of a range arrived.
     RangeReceived {
         /// The range.
