Close a link when a write makes no progress, not when much is queued on it

Cause: the time-out of 2 s was on writing all that is queued, so a link that is merely slow, or has more than 2 s of bytes queued, loses all of it and begins again.

Change: the time-out is on progress: any byte that is taken resets it (tokio-io-timeout). A link that takes nothing is closed after 2 s as before.

--- a/libraries/topazyard-wire/src/link/outbound.rs
+++ b/libraries/topazyard-wire/src/link/outbound.rs
@@ -10,7 +10,8 @@
 /// Delay between parallel connection attempts. The kernel retransmits a lost SYN only after a
 /// second, and a host that was off may be up again before.
 const CONNECT_STAGGER_MS: u64 = 100;
-const WRITE_TIMEOUT_MS: u64 = 2_000;
+/// Time without progress after which a write fails, however much is queued behind it.
+const WRITE_STALL_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(2_000);
 /// Time without TCP acknowledgements after which a link is closed and opened again. Its queued data
 /// would arrive late, and after a network partition only at the kernel's next retransmission.
 const UNACKNOWLEDGED_TIMEOUT_MS: u32 = 1_000;
@@ -72,22 +73,33 @@
     };
     let _ = stream.set_nodelay(true);
     let _ = rustix::net::sockopt::set_tcp_user_timeout(&stream, UNACKNOWLEDGED_TIMEOUT_MS);
-    let mut link = tokio_util::codec::FramedWrite::new(stream, super::codec());
-    let timeout = std::time::Duration::from_millis(WRITE_TIMEOUT_MS);
-    while let Some(frame) = queue.recv().await {
-        let batch = async {
-            link.feed(frame).await?;
-            while let Ok(frame) = queue.try_recv() {
-                link.feed(frame).await?;
-            }
-            futures_util::SinkExt::<bytes::Bytes>::flush(&mut link).await
-        };
-        let reason = match tokio::time::timeout(timeout, batch).await {
-            Ok(Ok(())) => continue,
-            Ok(Err(_)) => LinkLoss::Failed,
-            Err(_) => LinkLoss::Stalled,
+    if let Err(error) = write_frames(stream, &mut queue).await {
+        let reason = match error.kind() {
+            std::io::ErrorKind::TimedOut => LinkLoss::Stalled,
+            _ => LinkLoss::Failed,
         };
         // The frame being written is lost too.
-        return record_lost(reason, queue.len() + 1);
+        record_lost(reason, queue.len() + 1);
+    }
+}
+
+/// Writes frames until the sender of the queue is dropped.
+///
+/// # Errors
+/// A write failed, or made no progress for too long.
+pub async fn write_frames(
+    stream: impl tokio::io::AsyncWrite,
+    queue: &mut tokio::sync::mpsc::Receiver<bytes::Bytes>,
+) -> std::io::Result<()> {
+    let mut stream = tokio_io_timeout::TimeoutWriter::new(stream);
+    stream.set_timeout(Some(WRITE_STALL_TIMEOUT));
+    let mut link = tokio_util::codec::FramedWrite::new(Box::pin(stream), super::codec());
+    while let Some(frame) = queue.recv().await {
+        link.feed(frame).await?;
+        while let Ok(frame) = queue.try_recv() {
+            link.feed(frame).await?;
+        }
+        futures_util::SinkExt::<bytes::Bytes>::flush(&mut link).await?;
     }
+    Ok(())
 }
