Don't send a body again that the shard has and only waits to commit

A relay whose call was unanswered for 400 ms sent the body again, once the shard's primary had confirmed that it serves. While a heap of batches is being committed that doubles what is on the link. The answer to the question now names the relay's calls that wait for a commit, and their retries are put off. Tests: body_that_the_shard_has_received_is_not_sent_again, check_names_the_calls_that_wait_for_a_commit; without the names the body is sent two to five times in 4.5 s, as unanswered_body_is_sent_less_and_less_often shows.

--- a/libraries/topazyard-wire/src/message/batch.rs
+++ b/libraries/topazyard-wire/src/message/batch.rs
@@ -32,7 +32,10 @@
     /// [`BatchResponse::NotPrimary`], and reports once it does.
     CheckServing,
     /// The sender serves the shard as its primary in the message's epoch.
-    Serving,
+    Serving {
+        /// The receiver's calls that the sender has received and not answered yet.
+        pending_calls: Vec<u64>,
+    },
 }
 
 /// An item as submitted.
--- a/programs/topazyard-relay/src/machine/batches.rs
+++ b/programs/topazyard-relay/src/machine/batches.rs
@@ -96,6 +96,15 @@
         }
     }
 
+    /// Postpones the retries of calls that the primary of the epoch has received.
+    fn postpone_retries(&mut self, received: &[u64], epoch: Epoch, now: MonotonicMs) {
+        for id in received {
+            if let Some(pending) = self.pending.get_mut(id) {
+                pending.sent(epoch, now);
+            }
+        }
+    }
+
     /// The calls to a shard, oldest first.
     fn calls_to(&self, shard: ShardId) -> Vec<u64> {
         let to_shard = self.pending.iter().filter(|(_, pending)| pending.shard == shard);
@@ -454,8 +463,9 @@
         let (shard, epoch) = (message.shard, message.epoch);
         let value = match message.body {
             BatchBody::Response(value) => value,
-            BatchBody::Serving => {
+            BatchBody::Serving { pending_calls } => {
                 self.batches.primaries.reported_serving(shard, epoch);
+                self.batches.postpone_retries(&pending_calls, epoch, now);
                 let calls = self.batches.calls_to(shard);
                 return self.send_or_query(shard, &calls, now, effects);
             }
--- a/programs/topazyard-relay/tests/item_relay/mod.rs
+++ b/programs/topazyard-relay/tests/item_relay/mod.rs
@@ -48,6 +48,8 @@
     pub bytes_to_shard: usize,
     /// Number of replica reads sent.
     pub replica_reads: usize,
+    /// The calls that the batch's shard reports as received.
+    pub received_calls: Vec<u64>,
     /// Whether the batch's shard reports that it serves when it is asked.
     pub shard_serves: bool,
     pub responses: Vec<(CallId, RelayResponse)>,
@@ -74,6 +76,7 @@
             calls: Vec::new(),
             bytes_to_shard: 0,
             replica_reads: 0,
+            received_calls: Vec::new(),
             shard_serves: true,
             responses: Vec::new(),
             runs: Vec::new(),
@@ -112,7 +115,7 @@
                         BatchBody::Call(call) => self.calls.push((message.call, call)),
                         BatchBody::ReplicaRead(_) => self.replica_reads += 1,
                         BatchBody::CheckServing => serving_checks += 1,
-                        BatchBody::Response(_) | BatchBody::Serving => {}
+                        BatchBody::Response(_) | BatchBody::Serving { .. } => {}
                     }
                 }
                 Effect::Respond { call, value } => self.responses.push((call, value)),
@@ -126,7 +129,7 @@
     /// The batch's shard answers whether it serves.
     pub fn answer_serving_check(&mut self) {
         let body = match self.shard_serves {
-            true => BatchBody::Serving,
+            true => BatchBody::Serving { pending_calls: self.received_calls.clone() },
             false => BatchBody::Response(BatchResponse::NotPrimary),
         };
         let (shard, epoch) = (batch().shard, self.epoch);
--- a/programs/topazyard-relay/tests/loopback/core.rs
+++ b/programs/topazyard-relay/tests/loopback/core.rs
@@ -113,7 +113,10 @@
             }
             Message::Batch(BatchMessage {
                 shard, epoch, body: BatchBody::CheckServing, ..
-            }) => Message::Batch(BatchMessage { shard, epoch, call: 0, body: BatchBody::Serving }),
+            }) => {
+                let body = BatchBody::Serving { pending_calls: Vec::new() };
+                Message::Batch(BatchMessage { shard, epoch, call: 0, body })
+            }
             _ => continue,
         };
         let frame =
--- a/programs/topazyard-relay/tests/unserved_shard.rs
+++ b/programs/topazyard-relay/tests/unserved_shard.rs
@@ -139,3 +139,18 @@
     let sent = sent.count();
     assert!((2..=5).contains(&sent), "{sent} times in 4.5 s");
 }
+
+#[test]
+fn body_that_the_shard_has_received_is_not_sent_again() {
+    let mut relay = Relay::ready();
+    relay.submit_large(1);
+    relay.received_calls = relay.calls.iter().map(|(call, _)| *call).collect();
+    for step in 0..180 {
+        if step % 8 == 0 {
+            relay.receive_feed(10 + relay.now.0, true);
+        }
+        relay.tick(25);
+    }
+    let sent = relay.calls.iter().filter(|(_, call)| matches!(call, BatchCall::SubmitRouted(_)));
+    assert_eq!(sent.count(), 1);
+}
--- a/programs/topazyard-storage/src/machine/hosted.rs
+++ b/programs/topazyard-storage/src/machine/hosted.rs
@@ -129,6 +129,15 @@
         self.waiters.values().filter(|waiter| !matches!(waiter, CommitWaiter::Nobody)).count()
     }
 
+    /// The calls from an address that await a commit.
+    pub(crate) fn pending_calls_of(&self, from: std::net::SocketAddr) -> Vec<u64> {
+        let call_of = |waiter: &CommitWaiter| match waiter {
+            CommitWaiter::Batch(caller, _) if caller.to == from => Some(caller.call),
+            _ => None,
+        };
+        self.waiters.values().filter_map(call_of).collect()
+    }
+
     pub(crate) fn counter(&self) -> Option<&Counter> {
         match &self.serving_state {
             ServingState::Counter(counter) => Some(counter),
--- a/programs/topazyard-storage/src/machine/serving.rs
+++ b/programs/topazyard-storage/src/machine/serving.rs
@@ -34,7 +34,7 @@
             BatchBody::CheckServing => {
                 return self.answer_serving_check(shard, message.epoch, caller, effects);
             }
-            BatchBody::Response(_) | BatchBody::Serving => return,
+            BatchBody::Response(_) | BatchBody::Serving { .. } => return,
         };
         let is_full = self.disk.is_full();
         let served = match self.hosted.get_mut(&shard) {
@@ -58,11 +58,13 @@
         caller: BatchCaller,
         effects: &mut Effects,
     ) {
-        let hosted = self.hosted.get(&shard);
-        if hosted.is_some_and(|hosted| hosted.is_serving_in(epoch)) && !self.disk.is_full() {
-            send_serving(shard, epoch, caller.to, effects);
-        } else {
-            self.refuse_call(shard, epoch, caller, effects);
+        let serving = self.hosted.get(&shard).filter(|hosted| hosted.is_serving_in(epoch));
+        match serving.filter(|_| !self.disk.is_full()) {
+            Some(hosted) => {
+                let pending_calls = hosted.pending_calls_of(caller.to);
+                send_serving(shard, epoch, caller.to, pending_calls, effects);
+            }
+            None => self.refuse_call(shard, epoch, caller, effects),
         }
     }
 
@@ -89,7 +91,7 @@
         let Some(hosted) = self.hosted.get_mut(&shard) else { return };
         let epoch = hosted.replica.epoch();
         for to in std::mem::take(&mut hosted.waiting_callers) {
-            send_serving(shard, epoch, to, effects);
+            send_serving(shard, epoch, to, Vec::new(), effects);
         }
     }
 
@@ -285,8 +287,15 @@
     }
 }
 
-fn send_serving(shard: ShardId, epoch: Epoch, to: std::net::SocketAddr, effects: &mut Effects) {
-    let message = BatchMessage { shard, epoch, call: 0, body: BatchBody::Serving };
+fn send_serving(
+    shard: ShardId,
+    epoch: Epoch,
+    to: std::net::SocketAddr,
+    pending_calls: Vec<u64>,
+    effects: &mut Effects,
+) {
+    let body = BatchBody::Serving { pending_calls };
+    let message = BatchMessage { shard, epoch, call: 0, body };
     effects.push(Effect::Send { to, message: Message::Batch(message) });
 }
 
--- a/programs/topazyard-storage/tests/waiting_callers.rs
+++ b/programs/topazyard-storage/tests/waiting_callers.rs
@@ -4,9 +4,9 @@
 
 use storage_node::{CONTROL, feed_update, last_feed_nonce, node, storage_node};
 use topazyard_storage::StorageMachine;
-use topazyard_types::{DurationMs, Epoch, MonotonicMs, NodeId, ShardId};
+use topazyard_types::{BatchId, DurationMs, Epoch, MonotonicMs, NodeId, ShardId};
 use topazyard_wire::message::Message;
-use topazyard_wire::message::batch::{BatchBody, BatchMessage, BatchResponse};
+use topazyard_wire::message::batch::{BatchBody, BatchCall, BatchMessage, BatchResponse};
 use topazyard_wire::message::control::ShardRecord;
 use topazyard_wire::message::replica::{ReplicaBody, ReplicaMessage};
 use topazyard_wire::{Effect, Group, Input, Machine as _};
@@ -106,6 +106,10 @@
     }
 }
 
+fn serving() -> BatchBody {
+    BatchBody::Serving { pending_calls: Vec::new() }
+}
+
 // Guards against callers that learn only by their retries that a shard serves again.
 #[test]
 fn refused_caller_is_told_once_the_shard_serves() {
@@ -114,7 +118,7 @@
     let refused = BatchBody::Response(BatchResponse::NotPrimary);
     assert_eq!(primary.sent_to_relay(), [&refused]);
     primary.backup_in_sync();
-    assert_eq!(primary.sent_to_relay(), [&refused, &BatchBody::Serving]);
+    assert_eq!(primary.sent_to_relay(), [&refused, &serving()]);
     primary.run_for(1_000);
     assert_eq!(primary.sent_to_relay().len(), 2, "it is told once");
 }
@@ -124,5 +128,18 @@
     let mut primary = Primary::comparing();
     primary.backup_in_sync();
     primary.check_serving();
-    assert_eq!(primary.sent_to_relay(), [&BatchBody::Serving]);
+    assert_eq!(primary.sent_to_relay(), [&serving()]);
+}
+
+// Guards against a body that is sent again although its shard has it and only waits for a commit.
+#[test]
+fn check_names_the_calls_that_wait_for_a_commit() {
+    let mut primary = Primary::comparing();
+    primary.backup_in_sync();
+    let call = BatchCall::Read(BatchId { shard: SHARD, number: 7 });
+    let body = BatchBody::Call(call);
+    let message = BatchMessage { shard: SHARD, epoch: Epoch(1), call: 3, body };
+    primary.receive(RELAY, Message::Batch(message));
+    primary.check_serving();
+    assert_eq!(primary.sent_to_relay(), [&BatchBody::Serving { pending_calls: vec![3] }]);
 }
