Limit the head of a request to 16 KB at every HTTP server

Callers saw: a head, or empty lines before one, could go on to 408 KB, and a process held all of it for each connection; 200 such clients took a relay, a control node or a storage node with 64 MB of memory to 84 to 120 MB. A head of 100 KB was answered as if it were allowed.

Cause: the HTTP library's read buffer grows to 408 KB by default, and no server set a limit. Every server goes through http::inbound, so that is where it belongs: a head may have the 16,384 bytes of the default client limits, and the read buffer grows no further, for a body neither. The library answers a larger head with 431 and closes.

--- a/libraries/topazyard-wire/src/http/inbound.rs
+++ b/libraries/topazyard-wire/src/http/inbound.rs
@@ -4,6 +4,8 @@
 
 /// Maximum number of connections served at once.
 const MAX_CONNECTIONS: usize = 8_192;
+/// The smallest read buffer that the HTTP library allows.
+const MIN_READ_BUFFER_BYTES: usize = 8 * 1_024;
 const HEADERS_TIMEOUT_MS: u64 = 10_000;
 const BODY_TIMEOUT_MS: u64 = 30_000;
 /// Time after which a connection is closed if the client acknowledges none of the data sent to it.
@@ -98,7 +100,10 @@
             Ok::<_, std::convert::Infallible>(response)
         }
     });
+    let max_header_bytes = topazyard_spec::ClientLimits::default().max_header_bytes as usize;
     let served = hyper::server::conn::http1::Builder::new()
+        .max_header_size(max_header_bytes)
+        .max_buf_size(max_header_bytes.max(MIN_READ_BUFFER_BYTES))
         .timer(hyper_util::rt::TokioTimer::new())
         .header_read_timeout(std::time::Duration::from_millis(HEADERS_TIMEOUT_MS))
         .serve_connection(hyper_util::rt::TokioIo::new(stream), service);
