Charge bodies to one account of a process's memory as they arrive

Callers saw: processes that ran out of memory. 24 bodies of 4 MB held open took a relay with 64 MB to 124 MB, control to 93 MB; four bodies of 2 MB in chunks of one byte took either to 233 MB and more.

Cause: each body was limited, their sum was not, and the memory of the settings bounded nothing but batches and orders. A body was also collected as a list of its chunks, each of which kept the read buffer that it pointed into, and then copied whole.

Change: http::memory is an account of a quarter of the memory that the settings tell (of the machine, if they tell none). http::body copies each chunk into one buffer and charges for it as it arrives, not as it is announced; the charge lives in the bytes and is given back with their last clone. Half of the account is out of reach for large bodies and a quarter for the first 64 KB of each, so small requests find room beside large ones. Who finds none gets 503 with Retry-After, before anything has run; nobody waits for room, as half-read bodies would wait for each other. Bodies above 64 KB live in pages of their own (memmap2), which go back to the system at once.

--- a/libraries/topazyard-wire/src/api.rs
+++ b/libraries/topazyard-wire/src/api.rs
@@ -30,6 +30,8 @@
     Malformed,
     /// the request's body is too large
     BodyTooLarge,
+    /// the node has no memory or connection to spare for it
+    Overloaded,
     /// there is no such path
     NoSuchPath,
     /// no lane takes this model
@@ -100,6 +102,7 @@
             | Self::NoShard
             | Self::NoPrimary
             | Self::DiskFull
+            | Self::Overloaded
             | Self::Draining => 503,
             Self::EngineFailed => 502,
             Self::EngineTimeout | Self::OutcomeUnknown => 504,
--- a/libraries/topazyard-wire/src/driver/spawn.rs
+++ b/libraries/topazyard-wire/src/driver/spawn.rs
@@ -61,11 +61,15 @@
 const MAX_QUEUED: usize = 8_192;
 const TICK_INTERVAL_MS: u64 = 25;
 
-/// Runs the work of a process on its runtime until it ends.
+/// Runs the work of a process on its runtime until it ends. Its servers stay within the resources.
 ///
 /// # Errors
 /// The error of `work`, or the runtime can't be created.
-pub fn run_process(work: impl Future<Output = Result<(), StartError>>) -> Result<(), StartError> {
+pub fn run_process(
+    resources: &topazyard_spec::Resources,
+    work: impl Future<Output = Result<(), StartError>>,
+) -> Result<(), StartError> {
+    crate::http::server_limits::set_resources(resources);
     // On a single processor further threads would only add context switches.
     let is_single_processor =
         std::thread::available_parallelism().is_ok_and(|processors| processors.get() == 1);
--- a/libraries/topazyard-wire/src/http/inbound.rs
+++ b/libraries/topazyard-wire/src/http/inbound.rs
@@ -1,13 +1,10 @@
 //! Serving HTTP requests.
 
-use http_body_util::BodyExt as _;
-
 /// Maximum number of connections served at once.
 const MAX_CONNECTIONS: usize = 8_192;
 /// The smallest read buffer that the HTTP library allows.
 const MIN_READ_BUFFER_BYTES: usize = 8 * 1_024;
 const HEADERS_TIMEOUT_MS: u64 = 10_000;
-const BODY_TIMEOUT_MS: u64 = 30_000;
 /// Time after which a connection is closed if the client acknowledges none of the data sent to it.
 const UNACKNOWLEDGED_TIMEOUT_MS: u32 = 30_000;
 
@@ -128,25 +125,3 @@
         std::future::pending().await
     }
 }
-
-/// Reads a complete body of at most `max_bytes`.
-///
-/// # Errors
-/// The body is too large, ended early, or took too long.
-pub async fn read_body(
-    body: hyper::body::Incoming,
-    max_bytes: usize,
-) -> Result<bytes::Bytes, crate::ApiError> {
-    let timeout = std::time::Duration::from_millis(BODY_TIMEOUT_MS);
-    let limited = http_body_util::Limited::new(body, max_bytes);
-    let Ok(collected) = tokio::time::timeout(timeout, limited.collect()).await else {
-        return Err(crate::ApiError::not_run(crate::api::Code::Malformed).at("body"));
-    };
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(crate::ApiError::not_run(crate::api::Code::BodyTooLarge).at("body"))
-        }
-        Err(_) => Err(crate::ApiError::not_run(crate::api::Code::Malformed).at("body")),
-    }
-}
--- a/libraries/topazyard-wire/src/http/mod.rs
+++ b/libraries/topazyard-wire/src/http/mod.rs
@@ -1,8 +1,13 @@
 //! HTTP helpers shared by the programs.
 
+pub mod body;
+mod clock;
 pub mod inbound;
+pub mod memory;
 pub mod outbound;
+pub mod overload;
 pub mod server;
+pub mod server_limits;
 
 /// The body of a request or a response.
 pub type Body = http_body_util::combinators::UnsyncBoxBody<bytes::Bytes, BodyError>;
--- a/programs/topazyard-control/src/run.rs
+++ b/programs/topazyard-control/src/run.rs
@@ -29,7 +29,8 @@
     terminated: impl Future<Output = ()>,
 ) -> Result<(), StartError> {
     let http = settings.require_http()?;
-    topazyard_wire::driver::run_process(async move {
+    let resources = settings.resources.clone();
+    topazyard_wire::driver::run_process(&resources, async move {
         let (start, identity, disk) = start_with_disk(&settings, MemberRole::Control).await?;
         let listener = topazyard_wire::http::inbound::bind(http).await?;
         let (tasks, task_receiver) = tokio::sync::mpsc::channel(64);
--- a/programs/topazyard-edge-agent/src/run.rs
+++ b/programs/topazyard-edge-agent/src/run.rs
@@ -51,7 +51,8 @@
         node,
         address: settings.address,
     };
-    topazyard_wire::driver::run_process(async move {
+    let resources = settings.resources.clone();
+    topazyard_wire::driver::run_process(&resources, async move {
         let (tasks, _no_tasks) = tokio::sync::mpsc::channel(1);
         let new_machine = |_| (crate::AgentMachine::new(start), Vec::new());
         let handle = topazyard_wire::driver::spawn_at(
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -14,7 +14,7 @@
 use hyper::body::Body as _;
 use topazyard_types::{DurationMs, MonotonicMs};
 use topazyard_wire::api::{ApiError, Code};
-use topazyard_wire::http::{Body, inbound};
+use topazyard_wire::http::{Body, body, inbound};
 
 /// The timeout of a request that states none.
 const DEFAULT_TIMEOUT: DurationMs = DurationMs(30_000);
@@ -119,7 +119,7 @@
     head: &hyper::http::request::Parts,
     body: hyper::body::Incoming,
 ) -> Result<hyper::Response<Body>, ApiError> {
-    let body = inbound::read_body(body, MAX_BODY_BYTES).await?;
+    let body = body::read_body(body, MAX_BODY_BYTES).await?;
     Ok(adapter.serve_batch_call(handle, BatchCallKind::OnSubmitted, head, body).await)
 }
 
@@ -155,7 +155,7 @@
 ) -> Result<Admission, ApiError> {
     let arrived_at = handle.clock().now();
     let metadata = adapter.request_metadata(&head)?;
-    let body = inbound::read_body(body, MAX_BODY_BYTES).await?;
+    let body = body::read_body(body, MAX_BODY_BYTES).await?;
     let guard = RequestGuard::new(handle, RelayCall::RequestEnded);
     let arrival = Arrival {
         id: guard.id,
--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -45,7 +45,8 @@
         node,
         address: settings.address,
     };
-    topazyard_wire::driver::run_process(async move {
+    let resources = settings.resources.clone();
+    topazyard_wire::driver::run_process(&resources, async move {
         let listener = inbound::bind(http).await?;
         let ready = match settings.ready {
             Some(address) => Some(inbound::bind(address).await?),
--- a/programs/topazyard-storage/src/run.rs
+++ b/programs/topazyard-storage/src/run.rs
@@ -8,7 +8,8 @@
 /// # Errors
 /// A setting is missing, an address is in use, or the disk can't be used.
 pub fn run(settings: topazyard_spec::NodeSettings) -> Result<(), StartError> {
-    topazyard_wire::driver::run_process(async move {
+    let resources = settings.resources.clone();
+    topazyard_wire::driver::run_process(&resources, async move {
         let (start, place, disk) = start_with_disk(&settings, MemberRole::Storage).await?;
         let (tasks, _no_tasks) = tokio::sync::mpsc::channel(1);
         let new_machine = |_| (crate::StorageMachine::new(start), Vec::new());
