Bound the connections of each server, and close those that are needed least

Callers saw: 450 connections that say nothing took all 400 descriptors of a relay or a control node; links, engines and other callers got none. The accept loop went round at once when accept failed, at full processor time. A crowd at the readiness address or the metrics port did the same to all.

Cause: 8,192 connections were allowed whatever the settings said of descriptors and memory, and a failed accept was retried without a pause.

Change: a server for clients has at most half of the descriptors that the platform doesn't keep for files, and no more than fit half of the memory at 64 KB each (read and write buffers, task, what is unread in the kernel, whose receive buffer is now 32 KB). Servers for probes and metrics have 16 of their own, so no crowd at one door shuts another. Each connection's phase is followed (http::connection, client_io, sent_body). A new connection that finds no place has a sixteenth of the others closed: lingering ones, then those idle for longest, then those whose request arrives for longest. When memory is short, bodies and responses that have been held up for longest (over a second) are closed, a body's client gets 503 first. A failed accept pauses and makes place. A connection that ends with an unread request is half closed and reads a bounded rest for 2 s, so that a refusal arrives.

Counts by reason are in the metrics, and a log line a second at most.

--- a/libraries/topazyard-wire/src/http/body.rs
+++ b/libraries/topazyard-wire/src/http/body.rs
@@ -1,10 +1,12 @@
 //! Reading bodies whole, within limits on each and on all of them together.
 
+use super::connection::Connection;
 use super::memory::{Account, Purpose, Reservation, SMALL_BODY_BYTES, with_reservation};
 use crate::ApiError;
 use crate::api::Code;
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
+use std::sync::Arc;
 
 /// The time within which a body must arrive.
 const BODY_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(30_000);
@@ -31,17 +33,40 @@
 ///
 /// # Errors
 /// The body is too large, ended early, took too long, or there is no memory for it.
-pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<bytes::Bytes, ApiError> {
+pub async fn read_body(
+    head: &hyper::http::request::Parts,
+    body: Incoming,
+    max_bytes: usize,
+) -> Result<bytes::Bytes, ApiError> {
     let refused = |code| Err(ApiError::not_run(code).at("body"));
+    let connection = head.extensions.get::<Arc<Connection>>();
+    let closed = async {
+        match connection {
+            Some(connection) => connection.closed().await,
+            None => std::future::pending().await,
+        }
+    };
     let reading = collect(body, max_bytes);
-    let Ok(collected) = tokio::time::timeout(BODY_TIMEOUT, reading).await else {
-        return refused(Code::Malformed);
+    let collected = tokio::select! {
+        biased;
+        collected = tokio::time::timeout(BODY_TIMEOUT, reading) => collected,
+        () = closed => return refused(Code::Overloaded),
     };
-    collected.or_else(|error| match error {
-        CollectError::TooLarge => refused(Code::BodyTooLarge),
-        CollectError::NoMemory => refused(Code::Overloaded),
-        CollectError::Incomplete => refused(Code::Malformed),
-    })
+    match collected {
+        Ok(Ok(bytes)) => {
+            if let Some(connection) = connection {
+                connection.body_was_read();
+            }
+            Ok(bytes)
+        }
+        Ok(Err(CollectError::TooLarge)) => refused(Code::BodyTooLarge),
+        Ok(Err(CollectError::NoMemory)) => refused(Code::Overloaded),
+        Ok(Err(CollectError::Incomplete)) => refused(Code::Malformed),
+        Err(_) => {
+            super::overload::record_closed(super::overload::CloseReason::SlowBody);
+            refused(Code::Malformed)
+        }
+    }
 }
 
 async fn collect(mut body: Incoming, max_bytes: usize) -> Result<bytes::Bytes, CollectError> {
--- a/libraries/topazyard-wire/src/http/mod.rs
+++ b/libraries/topazyard-wire/src/http/mod.rs
@@ -1,11 +1,15 @@
 //! HTTP helpers shared by the programs.
 
 pub mod body;
+mod client_io;
 mod clock;
+pub mod connection;
+mod connection_table;
 pub mod inbound;
 pub mod memory;
 pub mod outbound;
 pub mod overload;
+mod sent_body;
 pub mod server;
 pub mod server_limits;
 
--- a/libraries/topazyard-wire/src/http/server.rs
+++ b/libraries/topazyard-wire/src/http/server.rs
@@ -1,6 +1,7 @@
 //! An HTTP server with graceful shutdown: every request that was read gets its response.
 
-use super::inbound::{Stage, serve_draining};
+use super::inbound::{ServerOptions, Stage, serve_with};
+use super::server_limits::Callers;
 
 /// A server that runs until it is shut down.
 #[derive(Debug)]
@@ -17,7 +18,8 @@
         R: Future<Output = hyper::Response<super::Body>> + Send + 'static,
     {
         let (stage, drain) = tokio::sync::watch::channel(Stage::Serving);
-        let served = tokio::spawn(serve_draining(listener, handle, drain));
+        let options = ServerOptions { drain, ..ServerOptions::of(Callers::Clients) };
+        let served = tokio::spawn(serve_with(listener, handle, options));
         Self { stage, served }
     }
 
--- a/libraries/topazyard-wire/src/metrics.rs
+++ b/libraries/topazyard-wire/src/metrics.rs
@@ -3,6 +3,9 @@
 //! No samples are stored: each scrape requests the machine's current state and encodes it. The
 //! operators' page of metrics documents the meaning of each metric.
 
+use crate::http::inbound::ServerOptions;
+use crate::http::overload;
+use crate::http::server_limits::Callers;
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
 use prometheus_client::metrics::counter::ConstCounter;
@@ -142,6 +145,24 @@
     }
 }
 
+/// What the servers of a process hold for clients, and what they refused or closed.
+#[derive(Debug)]
+struct Clients;
+
+impl MetricSource for Clients {
+    fn write(&self, to: &mut Writer<'_>) -> std::fmt::Result {
+        let account = crate::http::memory::Account::of_process();
+        let help = "Bytes that are held for clients";
+        to.gauge("client_held_bytes", help, account.held_bytes())?;
+        let help = "Bytes that may be held for clients at most";
+        to.gauge("client_limit_bytes", help, account.limit_bytes())?;
+        let help = "Requests for memory for a client that were refused";
+        to.counter("client_memory_shortages", help, overload::shortages())?;
+        let help = "Connections of clients that were closed, by reason";
+        to.counters("client_connections_closed", help, "reason", overload::closed())
+    }
+}
+
 /// The metrics of the process itself, under their conventional names.
 #[derive(Debug)]
 struct Process;
@@ -183,6 +204,7 @@
     let prefixed = registry.sub_registry_with_prefix(PREFIX);
     prefixed.register_collector(Box::new(SourceCollector(Invariants)));
     prefixed.register_collector(Box::new(SourceCollector(Traffic)));
+    prefixed.register_collector(Box::new(SourceCollector(Clients)));
     if let Some(source) = source {
         prefixed.register_collector(Box::new(SourceCollector(source)));
     }
@@ -219,7 +241,8 @@
             }
         }
     };
-    tokio::spawn(crate::http::inbound::serve(listener, respond));
+    let options = ServerOptions::of(Callers::Probes);
+    tokio::spawn(crate::http::inbound::serve_with(listener, respond, options));
 }
 
 fn response(source: Option<impl MetricSource>) -> hyper::Response<crate::http::Body> {
--- a/programs/topazyard-control/src/http.rs
+++ b/programs/topazyard-control/src/http.rs
@@ -39,7 +39,7 @@
     if head.method == hyper::Method::GET && head.uri.path() == "/health" {
         return outcome_response(handle.call(crate::ControlCall::Health).await);
     }
-    let operation = match topazyard_wire::http::body::read_body(body, MAX_BODY_BYTES).await {
+    let operation = match topazyard_wire::http::body::read_body(&head, body, MAX_BODY_BYTES).await {
         Ok(body) => parse_request(&head.method, head.uri.path(), &body),
         Err(error) => Err(error),
     };
--- a/programs/topazyard-relay/src/front/batches.rs
+++ b/programs/topazyard-relay/src/front/batches.rs
@@ -42,7 +42,7 @@
     head: &hyper::http::request::Parts,
     body: hyper::body::Incoming,
 ) -> Result<hyper::Response<Body>, ApiError> {
-    let body = topazyard_wire::http::body::read_body(body, MAX_BATCH_BYTES).await?;
+    let body = topazyard_wire::http::body::read_body(head, body, MAX_BATCH_BYTES).await?;
     let segments: Vec<&str> = head.uri.path().trim_matches('/').split('/').collect();
     let call = match (head.method.as_str(), &segments[1..]) {
         ("POST", []) => {
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -119,7 +119,7 @@
     head: &hyper::http::request::Parts,
     body: hyper::body::Incoming,
 ) -> Result<hyper::Response<Body>, ApiError> {
-    let body = body::read_body(body, MAX_BODY_BYTES).await?;
+    let body = body::read_body(head, body, MAX_BODY_BYTES).await?;
     Ok(adapter.serve_batch_call(handle, BatchCallKind::OnSubmitted, head, body).await)
 }
 
@@ -155,7 +155,7 @@
 ) -> Result<Admission, ApiError> {
     let arrived_at = handle.clock().now();
     let metadata = adapter.request_metadata(&head)?;
-    let body = body::read_body(body, MAX_BODY_BYTES).await?;
+    let body = body::read_body(&head, body, MAX_BODY_BYTES).await?;
     let guard = RequestGuard::new(handle, RelayCall::RequestEnded);
     let arrival = Arrival {
         id: guard.id,
--- a/programs/topazyard-relay/src/front/session.rs
+++ b/programs/topazyard-relay/src/front/session.rs
@@ -43,7 +43,8 @@
     stream: bool,
 ) -> Result<hyper::Response<Body>, ApiError> {
     let arrived_at = handle.clock().now();
-    let body = topazyard_wire::http::body::read_body(body, prompt_request::MAX_BODY_BYTES).await?;
+    let body =
+        topazyard_wire::http::body::read_body(head, body, prompt_request::MAX_BODY_BYTES).await?;
     let metadata = prompt_request::parse(&head.headers, &body)?;
     let deadline = arrived_at.plus(metadata.timeout);
     let guard = RequestGuard::new(handle, RelayCall::PromptEnded);
--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -6,7 +6,8 @@
 use crate::{RelayCall, RelayResponse};
 use topazyard_types::DurationMs;
 use topazyard_wire::driver::StartError;
-use topazyard_wire::http::inbound;
+use topazyard_wire::http::inbound::{self, ServerOptions};
+use topazyard_wire::http::server_limits::Callers;
 
 /// Interval at which expired idle connections to engines are closed.
 const IDLE_SWEEP_INTERVAL_MS: u64 = 500;
@@ -74,9 +75,12 @@
             Front::Routes { deregistration_delay, .. } => *deregistration_delay,
         };
         if let Some(ready) = ready {
-            tokio::spawn(serve(ready, handle.clone(), front.clone(), drain_stage.clone()));
+            let options =
+                ServerOptions { drain: drain_stage.clone(), ..ServerOptions::of(Callers::Probes) };
+            tokio::spawn(serve(ready, handle.clone(), front.clone(), options));
         }
-        let serving = serve(listener, handle.clone(), front, drain_stage);
+        let options = ServerOptions { drain: drain_stage, ..ServerOptions::of(Callers::Clients) };
+        let serving = serve(listener, handle.clone(), front, options);
         let times = DrainTimes::within(settings.bounds.grace, deregistration_delay);
         tokio::select! {
             biased;
@@ -92,21 +96,20 @@
     listener: tokio::net::TcpListener,
     handle: Handle,
     front: Front,
-    drain_stage: inbound::Drain,
+    options: ServerOptions,
 ) {
+    let drain = options.drain.clone();
     match front {
         Front::Own => {
-            let drain = drain_stage.clone();
             let respond =
                 move |request| crate::front::serve_request(handle.clone(), drain.clone(), request);
-            inbound::serve_draining(listener, respond, drain_stage).await;
+            inbound::serve_with(listener, respond, options).await;
         }
         Front::Routes { adapter, .. } => {
-            let drain = drain_stage.clone();
             let respond = move |request| {
                 routed::serve_request(handle.clone(), adapter.clone(), drain.clone(), request)
             };
-            inbound::serve_draining(listener, respond, drain_stage).await;
+            inbound::serve_with(listener, respond, options).await;
         }
     }
 }
--- a/programs/topazyard-relay/tests/loopback/mod.rs
+++ b/programs/topazyard-relay/tests/loopback/mod.rs
@@ -169,7 +169,11 @@
                 request,
             )
         };
-        tokio::spawn(inbound::serve_draining(http, respond, drain));
+        let options = inbound::ServerOptions {
+            drain,
+            ..inbound::ServerOptions::of(topazyard_wire::http::server_limits::Callers::Clients)
+        };
+        tokio::spawn(inbound::serve_with(http, respond, options));
         while !matches!(
             machine.call(topazyard_relay::RelayCall::Ready).await,
             Ok(topazyard_relay::RelayResponse::Done)
--- a/programs/topazyard-storage/src/run.rs
+++ b/programs/topazyard-storage/src/run.rs
@@ -1,6 +1,8 @@
 //! Runs the storage node: its machine, its links and its HTTP endpoint.
 
 use topazyard_wire::driver::{StartError, start_with_disk};
+use topazyard_wire::http::inbound::{self, ServerOptions};
+use topazyard_wire::http::server_limits::Callers;
 use topazyard_wire::message::membership::MemberRole;
 
 /// Runs the program with the given settings until it terminates.
@@ -23,10 +25,10 @@
         crate::metrics::serve(settings.metrics, &handle).await;
         let health_handle = handle.clone();
         if let Some(http) = settings.http {
-            let listener = topazyard_wire::http::inbound::bind(http).await?;
-            tokio::spawn(topazyard_wire::http::inbound::serve(listener, move |request| {
-                handle_request(health_handle.clone(), request)
-            }));
+            let listener = inbound::bind(http).await?;
+            let respond = move |request| handle_request(health_handle.clone(), request);
+            let options = ServerOptions::of(Callers::Probes);
+            tokio::spawn(inbound::serve_with(listener, respond, options));
         }
         let shutdown_handle = handle.clone();
         let settings_updates = topazyard_wire::driver::follow_settings(settings, |settings| {
