Put the configuration's limits on clients in force at the relays

Callers saw: a head of 100 KB was answered as if it were legal, a body of 9 MB got 400, one of 5 MB was served, and an idle connection was closed after 10 s, whatever the configuration's limits said.

Cause: ClientLimits travelled to every node and was read by none; the front had constants of its own.

Change: the relay's machine hands the limits to its servers with each configuration (RelayTask::LimitClients). max_header_bytes holds for a connection from its start; one that was opened under a smaller limit is closed after its next response. A body over max_body_bytes gets 413, before it is sent if it is announced. header_timeout_ms and idle_timeout_ms count for a head and between requests, each with 2 s for the way. A body that takes over 30 s gets 408, not 400. All of these say that nothing ran.

--- a/fleet-simulator/src/world/nodes/steps.rs
+++ b/fleet-simulator/src/world/nodes/steps.rs
@@ -236,7 +236,9 @@
         match task {
             RelayTask::RunItem { run, target, body } => self.start_item(index, run, target, body),
             // No simulated client submits routed items.
-            RelayTask::RunRoutedItem(_) | RelayTask::AbortRoutedRuns => {}
+            RelayTask::RunRoutedItem(_)
+            | RelayTask::AbortRoutedRuns
+            | RelayTask::LimitClients(_) => {}
             // Only model routes are simulated: no engine is ever contacted for a route by host and
             // path.
             RelayTask::CheckHealth(target) | RelayTask::ProbeConnection(target) => {
--- a/libraries/topazyard-wire/src/api.rs
+++ b/libraries/topazyard-wire/src/api.rs
@@ -30,6 +30,8 @@
     Malformed,
     /// the request's body is too large
     BodyTooLarge,
+    /// the request's body did not arrive in time
+    BodyTimeout,
     /// the node has no memory or connection to spare for it
     Overloaded,
     /// there is no such path
@@ -90,9 +92,11 @@
     /// ```
     pub fn status(self) -> u16 {
         match self {
-            Self::Malformed | Self::BodyTooLarge => 400,
+            Self::Malformed => 400,
             Self::NoSuchPath | Self::NoLane | Self::NoRoute | Self::NotFound => 404,
+            Self::BodyTimeout => 408,
             Self::StaleBase | Self::WrongState | Self::NoRoom | Self::HoldsCopies => 409,
+            Self::BodyTooLarge => 413,
             Self::InvalidSpec => 422,
             Self::Deadline | Self::Budget | Self::QueueFull | Self::BatchCeiling => 429,
             Self::NoEngine
--- a/libraries/topazyard-wire/src/http/body.rs
+++ b/libraries/topazyard-wire/src/http/body.rs
@@ -64,11 +64,27 @@
         Ok(Err(CollectError::Incomplete)) => refused(Code::Malformed),
         Err(_) => {
             super::overload::record_closed(super::overload::CloseReason::SlowBody);
-            refused(Code::Malformed)
+            refused(Code::BodyTimeout)
         }
     }
 }
 
+/// Reads the complete body of a client's request within the limits in force on what clients send.
+///
+/// # Errors
+/// Those of [`read_body`].
+pub async fn read_body_within_limits(
+    head: &hyper::http::request::Parts,
+    body: Incoming,
+) -> Result<bytes::Bytes, ApiError> {
+    let connection = head.extensions.get::<Arc<Connection>>();
+    let max_bytes = match connection {
+        Some(connection) => connection.max_body_bytes(),
+        None => topazyard_spec::ClientLimits::default().max_body_bytes as usize,
+    };
+    read_body(head, body, max_bytes).await
+}
+
 async fn collect(mut body: Incoming, max_bytes: usize) -> Result<bytes::Bytes, CollectError> {
     let announced_bytes = body.size_hint().lower();
     if announced_bytes > max_bytes as u64 {
--- a/libraries/topazyard-wire/src/http/connection.rs
+++ b/libraries/topazyard-wire/src/http/connection.rs
@@ -1,6 +1,7 @@
 //! The state of a client's connection, as its server follows it.
 
 use super::clock::now_ms;
+use super::inbound::LimitsInForce;
 use super::overload::{CloseReason, record_closed};
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use tokio_util::sync::CancellationToken;
@@ -47,6 +48,9 @@
 /// The state of a connection, shared by its task, its requests and its server.
 #[derive(Debug)]
 pub struct Connection {
+    limits: LimitsInForce,
+    /// The limit on heads when it was opened, which holds until it is closed.
+    max_header_bytes: u32,
     phase: AtomicU8,
     phase_since_ms: AtomicU64,
     /// When a write was first blocked since the last one that was not; 0 if none is.
@@ -58,8 +62,11 @@
 
 impl Connection {
     /// A new connection.
-    pub(super) fn new() -> Self {
+    pub(super) fn new(limits: LimitsInForce) -> Self {
+        let max_header_bytes = limits.borrow().max_header_bytes;
         Self {
+            limits,
+            max_header_bytes,
             phase: AtomicU8::new(Phase::Idle as u8),
             phase_since_ms: AtomicU64::new(now_ms()),
             write_blocked_since_ms: AtomicU64::new(0),
@@ -68,6 +75,21 @@
         }
     }
 
+    /// The maximum size of a head on this connection, in bytes.
+    pub(super) fn max_header_bytes(&self) -> usize {
+        self.max_header_bytes as usize
+    }
+
+    /// The maximum size of a body, in bytes.
+    pub(super) fn max_body_bytes(&self) -> usize {
+        self.limits.borrow().max_body_bytes as usize
+    }
+
+    /// Whether larger heads are allowed now than when the connection was opened.
+    pub(super) fn has_outdated_limits(&self) -> bool {
+        self.limits.borrow().max_header_bytes > self.max_header_bytes
+    }
+
     pub(super) fn phase(&self) -> Phase {
         Phase::ALL[usize::from(self.phase.load(Ordering::Relaxed))]
     }
@@ -131,7 +153,8 @@
 
     /// When the current phase must be over, in the time of [`now_ms`], and why the connection is
     /// closed then.
-    pub(super) fn deadline(&self, limits: &topazyard_spec::ClientLimits) -> Option<Deadline> {
+    pub(super) fn deadline(&self) -> Option<Deadline> {
+        let limits = self.limits.borrow().clone();
         let since_ms = self.phase_since_ms();
         let deadline = |timeout_ms, reason| Some(Deadline { at_ms: since_ms + timeout_ms, reason });
         let phase_deadline = match self.phase() {
--- a/libraries/topazyard-wire/src/http/connection_table.rs
+++ b/libraries/topazyard-wire/src/http/connection_table.rs
@@ -2,6 +2,7 @@
 
 use super::clock::now_ms;
 use super::connection::{Connection, Phase};
+use super::inbound::LimitsInForce;
 use super::overload::CloseReason;
 use std::sync::Arc;
 
@@ -26,12 +27,12 @@
 
 impl ConnectionTable {
     /// Adds a new connection.
-    pub(super) fn open(&mut self) -> Arc<Connection> {
+    pub(super) fn open(&mut self, limits: LimitsInForce) -> Arc<Connection> {
         if self.connections.len() >= self.prune_at.max(MIN_PRUNED) {
             self.connections.retain(|connection| connection.phase() != Phase::Closed);
             self.prune_at = 2 * self.connections.len();
         }
-        let connection = Arc::new(Connection::new());
+        let connection = Arc::new(Connection::new(limits));
         self.connections.push(connection.clone());
         connection
     }
--- a/libraries/topazyard-wire/src/http/inbound.rs
+++ b/libraries/topazyard-wire/src/http/inbound.rs
@@ -124,7 +124,7 @@
             () = wait_for_stage(&mut accept_drain, Stage::Ending) => break,
         };
         let Ok(permit) = permit else { return };
-        let connection = table.open();
+        let connection = table.open(options.limits.clone());
         let (handle, options) = (handle.clone(), options.clone());
         tokio::spawn(async move {
             serve_one(stream, connection, handle, options).await;
@@ -148,7 +148,7 @@
     let _ = stream.set_nodelay(true);
     let _ = rustix::net::sockopt::set_tcp_user_timeout(&stream, UNACKNOWLEDGED_TIMEOUT_MS);
     let mut drain = options.drain;
-    let max_header_bytes = options.limits.borrow().max_header_bytes as usize;
+    let max_header_bytes = connection.max_header_bytes();
     let service = request_service(connection.clone(), handle, drain.clone());
     let served = hyper::server::conn::http1::Builder::new()
         .max_header_size(max_header_bytes)
@@ -163,7 +163,7 @@
         Stage::Serving | Stage::Closing => Stage::ClosingIdle,
         Stage::ClosingIdle | Stage::Ending | Stage::Overdue => Stage::Ending,
     };
-    let supervision = supervise(&connection, &options.limits);
+    let supervision = supervise(&connection);
     tokio::pin!(supervision);
     // An interrupted response ends as an error here, which closes the client's connection.
     let is_open = tokio::select! {
@@ -211,7 +211,10 @@
         let connection = connection.clone();
         async move {
             let mut response = response.await;
-            if *drain.borrow() > Stage::Serving || connection.is_closing() {
+            let is_last = *drain.borrow() > Stage::Serving
+                || connection.is_closing()
+                || connection.has_outdated_limits();
+            if is_last {
                 let close = hyper::header::HeaderValue::from_static("close");
                 response.headers_mut().insert(hyper::header::CONNECTION, close);
             }
@@ -226,9 +229,9 @@
 
 /// Waits until the connection must be closed: its server needs its place or memory, or its client
 /// takes too long.
-async fn supervise(connection: &Connection, limits: &LimitsInForce) {
+async fn supervise(connection: &Connection) {
     loop {
-        let deadline = connection.deadline(&limits.borrow());
+        let deadline = connection.deadline();
         let next_check_ms = match deadline {
             Some(Deadline { at_ms, reason }) if now_ms() >= at_ms => {
                 return connection.close(reason);
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -20,8 +20,6 @@
 const DEFAULT_TIMEOUT: DurationMs = DurationMs(30_000);
 /// The largest response that is buffered until it is complete.
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
-/// Maximum size of a request's body.
-const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Upper bound on the time between reading the clock and dispatching a request.
 const DISPATCH_SLACK: DurationMs = DurationMs(2);
 
@@ -119,7 +117,7 @@
     head: &hyper::http::request::Parts,
     body: hyper::body::Incoming,
 ) -> Result<hyper::Response<Body>, ApiError> {
-    let body = body::read_body(head, body, MAX_BODY_BYTES).await?;
+    let body = body::read_body_within_limits(head, body).await?;
     Ok(adapter.serve_batch_call(handle, BatchCallKind::OnSubmitted, head, body).await)
 }
 
@@ -155,7 +153,7 @@
 ) -> Result<Admission, ApiError> {
     let arrived_at = handle.clock().now();
     let metadata = adapter.request_metadata(&head)?;
-    let body = body::read_body(&head, body, MAX_BODY_BYTES).await?;
+    let body = body::read_body_within_limits(&head, body).await?;
     let guard = RequestGuard::new(handle, RelayCall::RequestEnded);
     let arrival = Arrival {
         id: guard.id,
--- a/programs/topazyard-relay/src/front/tasks.rs
+++ b/programs/topazyard-relay/src/front/tasks.rs
@@ -14,6 +14,7 @@
     handle: Handle,
     mut tasks: tokio::sync::mpsc::Receiver<RelayTask>,
     adapter: Option<super::routed::SharedAdapter>,
+    client_limits: tokio::sync::watch::Sender<topazyard_spec::ClientLimits>,
 ) {
     let (abort, abort_signal) = tokio::sync::watch::channel(false);
     while let Some(task) = tasks.recv().await {
@@ -39,6 +40,7 @@
                     handle.notify(RelayCall::RoutedItemEnded(run.run, end, engine_outcome));
                 });
             }
+            RelayTask::LimitClients(limits) => drop(client_limits.send_replace(limits)),
             RelayTask::AbortRoutedRuns => drop(abort.send_replace(true)),
             RelayTask::ProbeConnection(target) => {
                 tokio::spawn(async move {
--- a/programs/topazyard-relay/src/machine/mod.rs
+++ b/programs/topazyard-relay/src/machine/mod.rs
@@ -192,6 +192,8 @@
     CheckHealth(Target),
     /// Opens a connection to an engine, keeps it and reports the result.
     ProbeConnection(Target),
+    /// Puts limits on what clients send in force.
+    LimitClients(topazyard_spec::ClientLimits),
 }
 
 /// The health of a relay.
@@ -427,6 +429,10 @@
             let engines = self.fleet.engines.len();
             let text = format!("configuration {version} in force, {engines} engines listed");
             effects.push(Effect::Log { is_error: false, text });
+            if let Some((_, configuration)) = &self.fleet.configuration {
+                let limits = configuration.clients.clone();
+                effects.push(Effect::StartTask(RelayTask::LimitClients(limits)));
+            }
         }
         self.send_due_batch_calls(now, effects);
     }
--- a/programs/topazyard-relay/src/run.rs
+++ b/programs/topazyard-relay/src/run.rs
@@ -66,7 +66,9 @@
             Front::Own => None,
             Front::Routes { adapter, .. } => Some(adapter.clone()),
         };
-        tokio::spawn(crate::front::tasks::run(handle.clone(), task_queue, adapter));
+        let (client_limits, limits) = tokio::sync::watch::channel(Default::default());
+        let tasks = crate::front::tasks::run(handle.clone(), task_queue, adapter, client_limits);
+        tokio::spawn(tasks);
         tokio::spawn(close_expired_connections());
         let (drain, drain_stage) = tokio::sync::watch::channel(inbound::Stage::Serving);
         crate::metrics::serve(settings.metrics, &handle, &drain_stage).await;
@@ -79,7 +81,7 @@
                 ServerOptions { drain: drain_stage.clone(), ..ServerOptions::of(Callers::Probes) };
             tokio::spawn(serve(ready, handle.clone(), front.clone(), options));
         }
-        let options = ServerOptions { drain: drain_stage, ..ServerOptions::of(Callers::Clients) };
+        let options = ServerOptions { callers: Callers::Clients, limits, drain: drain_stage };
         let serving = serve(listener, handle.clone(), front, options);
         let times = DrainTimes::within(settings.bounds.grace, deregistration_delay);
         tokio::select! {
--- a/programs/topazyard-relay/tests/edge.rs
+++ b/programs/topazyard-relay/tests/edge.rs
@@ -74,7 +74,12 @@
         let new_machine = move |_| (topazyard_relay::RelayMachine::new(&start), Vec::new());
         let handle =
             topazyard_wire::driver::spawn(new_machine, identity, None, tasks).expect("a relay");
-        tokio::spawn(topazyard_relay::front::tasks::run(handle.clone(), task_queue, None));
+        tokio::spawn(topazyard_relay::front::tasks::run(
+            handle.clone(),
+            task_queue,
+            None,
+            tokio::sync::watch::channel(Default::default()).0,
+        ));
         let http = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = http.local_addr().expect("its address");
         let machine = handle.clone();
--- a/programs/topazyard-relay/tests/loopback/core.rs
+++ b/programs/topazyard-relay/tests/loopback/core.rs
@@ -74,6 +74,10 @@
     }
 }
 
+/// The limits on what clients send, as text of a configuration.
+pub const DEFAULT_CLIENT_LIMITS: &str = r#"{"max_header_bytes":16384,"max_body_bytes":4194304,
+    "header_timeout_ms":10000,"idle_timeout_ms":30000}"#;
+
 /// Runs the relay's local agent, the counter's primary, which grants everything, and a shard's
 /// primary.
 pub async fn run_core(
@@ -81,6 +85,7 @@
     address: Address,
     engines: Vec<(EngineName, Address)>,
     mut shard: ShardStub,
+    client_limits: &'static str,
 ) {
     let (sender, mut frames) = tokio::sync::mpsc::unbounded_channel();
     tokio::spawn(topazyard_wire::link::inbound::listen(listener, FLEET, move |frame| {
@@ -92,7 +97,7 @@
         let message = match message {
             Message::Feed(FeedMessage::Request { nonce, .. }) => {
                 let position = LogPosition { epoch: Epoch(1), sequence: Sequence(1) };
-                let content = UpdateContent::Snapshot(rows(address, &engines));
+                let content = UpdateContent::Snapshot(rows(address, &engines, client_limits));
                 Message::Feed(FeedMessage::Update { nonce, position, content })
             }
             Message::Counter(CounterMessage { epoch, body }) => {
@@ -125,9 +130,15 @@
     }
 }
 
-fn rows(core: Address, engines: &[(EngineName, Address)]) -> Vec<(String, bytes::Bytes)> {
+fn rows(
+    core: Address,
+    engines: &[(EngineName, Address)],
+    client_limits: &str,
+) -> Vec<(String, bytes::Bytes)> {
     use topazyard_wire::rows::encode;
-    let text = r#"{"pools":[{"name":"main","limit_tokens":100000}]}"#.to_owned();
+    let text = format!(
+        r#"{{"pools":[{{"name":"main","limit_tokens":100000}}],"clients":{client_limits}}}"#
+    );
     let in_force = InForceRow { version: ConfigurationVersion(1), text };
     let shard = ShardRecord {
         epoch: Epoch(1),
--- a/programs/topazyard-relay/tests/loopback/mod.rs
+++ b/programs/topazyard-relay/tests/loopback/mod.rs
@@ -5,7 +5,7 @@
 
 mod core;
 
-use self::core::{FLEET, HOST, ShardStub, run_core};
+use self::core::{DEFAULT_CLIENT_LIMITS, FLEET, HOST, ShardStub, run_core};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use topazyard_relay::front::routed::SharedAdapter;
 use topazyard_types::{DurationMs, EngineName, NodeId};
@@ -145,13 +145,15 @@
         let (item_sender, submitted) = tokio::sync::mpsc::unbounded_channel();
         let (run_ends, ended_runs) = tokio::sync::mpsc::unbounded_channel();
         let shard = ShardStub { submitted, run_ends, last_lease: 0 };
-        tokio::spawn(run_core(core, agent, engine_addresses, shard));
+        tokio::spawn(run_core(core, agent, engine_addresses, shard, DEFAULT_CLIENT_LIMITS));
         let (handle, task_queue) = spawn_relay(agent);
         let http_adapter = adapter.adapter.clone();
+        let (client_limits, limits) = tokio::sync::watch::channel(Default::default());
         let tasks = topazyard_relay::front::tasks::run(
             handle.clone(),
             task_queue,
             Some(http_adapter.clone()),
+            client_limits,
         );
         tokio::spawn(tasks);
         let http = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -169,10 +171,8 @@
                 request,
             )
         };
-        let options = inbound::ServerOptions {
-            drain,
-            ..inbound::ServerOptions::of(topazyard_wire::http::server_limits::Callers::Clients)
-        };
+        let callers = topazyard_wire::http::server_limits::Callers::Clients;
+        let options = inbound::ServerOptions { callers, limits, drain };
         tokio::spawn(inbound::serve_with(http, respond, options));
         while !matches!(
             machine.call(topazyard_relay::RelayCall::Ready).await,
