Charge responses to the account too, and read engines within bounds

What was seen: 48 clients that take nothing of a response of 8 MB took a relay with 64 MB to 253 MB; 48 requests at engines that answer without end took it to 68 to 154 MB.

Cause: a buffered response (8 MB a request) was charged to nothing, and it is held until its client has taken it. An engine's head could grow to 408 KB, a refusal was read to 8 MB to be thrown away, an item's output (4 MB) and an incomplete event (1 MB) counted nowhere either, and the response to a call of the process itself had no limit.

Change: engines' responses, the output of items and incomplete events are charged as they arrive, with room that bodies of requests can't take. Where there is none, the engine's response counts as lost. A connection to an engine reads 64 KB at a time, a refusal is discarded up to 64 KB, and exchange() takes 16 MB.

--- a/libraries/topazyard-wire/src/http/body.rs
+++ b/libraries/topazyard-wire/src/http/body.rs
@@ -1,7 +1,7 @@
 //! Reading bodies whole, within limits on each and on all of them together.
 
 use super::connection::Connection;
-use super::memory::{Account, Purpose, Reservation, SMALL_BODY_BYTES, with_reservation};
+use super::memory::{GrowingReservation, Purpose, SMALL_BODY_BYTES, with_reservation};
 use crate::ApiError;
 use crate::api::Code;
 use http_body_util::BodyExt as _;
@@ -46,7 +46,7 @@
             None => std::future::pending().await,
         }
     };
-    let reading = collect(body, max_bytes);
+    let reading = collect(body, max_bytes, BodyKind::Request);
     let collected = tokio::select! {
         biased;
         collected = tokio::time::timeout(BODY_TIMEOUT, reading) => collected,
@@ -85,7 +85,54 @@
     read_body(head, body, max_bytes).await
 }
 
-async fn collect(mut body: Incoming, max_bytes: usize) -> Result<bytes::Bytes, CollectError> {
+/// Collects the complete body of a response, of at most `max_bytes`. Its memory is charged like that of
+/// a request's body.
+///
+/// # Errors
+/// The body is too large, ended early, or there is no memory for it.
+pub async fn collect_response(
+    body: Incoming,
+    max_bytes: usize,
+) -> Result<bytes::Bytes, CollectError> {
+    collect(body, max_bytes, BodyKind::Response).await
+}
+
+/// Reads and discards a body. Returns whether it was complete and had at most `max_bytes`.
+pub async fn discard(mut body: Incoming, max_bytes: usize) -> bool {
+    let mut discarded_bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        discarded_bytes += frame.data_ref().map_or(0, bytes::Bytes::len);
+        if discarded_bytes > max_bytes {
+            return false;
+        }
+    }
+    true
+}
+
+/// Whose body is collected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyKind {
+    Request,
+    Response,
+}
+
+impl BodyKind {
+    /// What a body of that length is held for.
+    fn purpose(self, length: usize) -> Purpose {
+        match self {
+            Self::Response => Purpose::Response,
+            Self::Request if length <= SMALL_BODY_BYTES => Purpose::SmallBody,
+            Self::Request => Purpose::LargeBody,
+        }
+    }
+}
+
+async fn collect(
+    mut body: Incoming,
+    max_bytes: usize,
+    kind: BodyKind,
+) -> Result<bytes::Bytes, CollectError> {
     let announced_bytes = body.size_hint().lower();
     if announced_bytes > max_bytes as u64 {
         return Err(CollectError::TooLarge);
@@ -97,7 +144,7 @@
         Some(exact_bytes) => exact_bytes as usize,
         None => max_bytes,
     };
-    let mut buffer = Buffer::new(capacity_bytes);
+    let mut buffer = Buffer::new(capacity_bytes, kind);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| CollectError::Incomplete)?;
         let Some(data) = frame.data_ref() else { continue };
@@ -114,8 +161,8 @@
 struct Buffer {
     /// The largest length that the body may reach.
     capacity_bytes: usize,
-    reservation: Option<Reservation>,
-    charged_bytes: usize,
+    kind: BodyKind,
+    reservation: GrowingReservation,
     storage: Storage,
 }
 
@@ -137,11 +184,11 @@
 }
 
 impl Buffer {
-    fn new(capacity_bytes: usize) -> Self {
+    fn new(capacity_bytes: usize, kind: BodyKind) -> Self {
         Self {
             capacity_bytes,
-            reservation: None,
-            charged_bytes: FREE_BYTES,
+            kind,
+            reservation: GrowingReservation::new(FREE_BYTES, CHARGE_STEP_BYTES),
             storage: Storage::Small(Vec::new()),
         }
     }
@@ -155,7 +202,9 @@
 
     fn push(&mut self, data: &[u8]) -> Result<(), CollectError> {
         let length = self.len() + data.len();
-        self.charge(length)?;
+        if !self.reservation.cover(self.kind.purpose(length), length) {
+            return Err(CollectError::NoMemory);
+        }
         if length > SMALL_BODY_BYTES {
             self.move_to_pages()?;
         }
@@ -173,34 +222,6 @@
         Ok(())
     }
 
-    /// Charges the account, so that at least `length` bytes are charged.
-    fn charge(&mut self, length: usize) -> Result<(), CollectError> {
-        if length <= self.charged_bytes {
-            return Ok(());
-        }
-        let purpose = match length {
-            0..=SMALL_BODY_BYTES => Purpose::SmallBody,
-            _ => Purpose::LargeBody,
-        };
-        let target_bytes = match length {
-            0..=SMALL_BODY_BYTES => length.next_power_of_two(),
-            _ => length.next_multiple_of(CHARGE_STEP_BYTES),
-        };
-        let more_bytes = (target_bytes - self.charged_bytes) as u64;
-        let is_charged = match &mut self.reservation {
-            Some(reservation) => reservation.grow(purpose, more_bytes),
-            None => {
-                self.reservation = Account::of_process().reserve(purpose, more_bytes);
-                self.reservation.is_some()
-            }
-        };
-        if !is_charged {
-            return Err(CollectError::NoMemory);
-        }
-        self.charged_bytes = target_bytes;
-        Ok(())
-    }
-
     fn move_to_pages(&mut self) -> Result<(), CollectError> {
         let Storage::Small(bytes) = &mut self.storage else { return Ok(()) };
         // Pages are not taken from the system before they are written to.
@@ -214,7 +235,7 @@
     }
 
     fn into_bytes(self) -> bytes::Bytes {
-        match (self.storage, self.reservation) {
+        match (self.storage, self.reservation.into_reservation()) {
             (Storage::Small(bytes), None) => bytes.into(),
             (Storage::Small(bytes), Some(reservation)) => with_reservation(bytes, reservation),
             (Storage::Large { pages, length }, Some(reservation)) => {
--- a/libraries/topazyard-wire/src/http/memory.rs
+++ b/libraries/topazyard-wire/src/http/memory.rs
@@ -139,3 +139,59 @@
 {
     bytes::Bytes::from_owner(Charged { bytes, _reservation: reservation })
 }
+
+/// The reservation for bytes that grow: it is enlarged in steps.
+#[derive(Debug)]
+pub struct GrowingReservation {
+    reservation: Option<Reservation>,
+    covered_bytes: usize,
+    step_bytes: usize,
+}
+
+impl GrowingReservation {
+    /// A reservation in steps of `step_bytes`, of which the first `free_bytes` are not charged.
+    pub fn new(free_bytes: usize, step_bytes: usize) -> Self {
+        Self { reservation: None, covered_bytes: free_bytes, step_bytes }
+    }
+
+    /// Charges the account of the process, so that at least `bytes` are covered. Returns whether
+    /// there was room.
+    pub fn cover(&mut self, purpose: Purpose, bytes: usize) -> bool {
+        if bytes <= self.covered_bytes {
+            return true;
+        }
+        // Small buffers grow by doubling.
+        let target_bytes = match bytes < self.step_bytes {
+            true => bytes.next_power_of_two(),
+            false => bytes.next_multiple_of(self.step_bytes),
+        };
+        let more_bytes = (target_bytes - self.covered_bytes) as u64;
+        let is_covered = match &mut self.reservation {
+            Some(reservation) => reservation.grow(purpose, more_bytes),
+            None => {
+                self.reservation = Account::of_process().reserve(purpose, more_bytes);
+                self.reservation.is_some()
+            }
+        };
+        if is_covered {
+            self.covered_bytes = target_bytes;
+        }
+        is_covered
+    }
+
+    /// What was reserved, if anything was.
+    pub fn into_reservation(self) -> Option<Reservation> {
+        self.reservation
+    }
+}
+
+/// Charges the account of the process with the body of a response, or returns none if there is no
+/// room for it.
+pub fn charge_response<B>(bytes: B) -> Option<bytes::Bytes>
+where
+    B: AsRef<[u8]> + Send + 'static,
+{
+    let length = bytes.as_ref().len() as u64;
+    let reservation = Account::of_process().reserve(Purpose::Response, length)?;
+    Some(with_reservation(bytes, reservation))
+}
--- a/libraries/topazyard-wire/src/http/outbound.rs
+++ b/libraries/topazyard-wire/src/http/outbound.rs
@@ -1,7 +1,10 @@
 //! An HTTP client with one request per connection, so that a response can't be taken for that of
 //! another request.
 
-use http_body_util::BodyExt as _;
+/// The largest response of [`exchange`].
+const MAX_RESPONSE_BYTES: usize = 16 * 1_024 * 1_024;
+/// The largest read buffer of a connection to a server, which bounds the head of a response.
+pub const MAX_READ_BUFFER_BYTES: usize = 64 * 1_024;
 
 /// Why a request failed. The variants tell whether any byte may have been sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
@@ -36,8 +39,11 @@
         .ok_or(OutboundError::NotConnected)?;
     let _ = stream.set_nodelay(true);
     let io = hyper_util::rt::TokioIo::new(stream);
-    let (sender, connection) =
-        hyper::client::conn::http1::handshake(io).await.map_err(|_| OutboundError::NotConnected)?;
+    let handshake = hyper::client::conn::http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .handshake(io)
+        .await;
+    let (sender, connection) = handshake.map_err(|_| OutboundError::NotConnected)?;
     // The request itself reports any error of the connection.
     tokio::spawn(async move { drop(connection.await) });
     Ok(Connection { sender })
@@ -78,9 +84,8 @@
             .map_err(|_| OutboundError::NotConnected)?;
         let response = connection.send(request).await?;
         let status = response.status().as_u16();
-        let body =
-            response.into_body().collect().await.map_err(|_| OutboundError::ConnectionLost)?;
-        Ok((status, body.to_bytes()))
+        let body = super::body::collect_response(response.into_body(), MAX_RESPONSE_BYTES).await;
+        Ok((status, body.map_err(|_| OutboundError::ConnectionLost)?))
     };
     tokio::time::timeout(timeout, request).await.unwrap_or(Err(OutboundError::TimedOut))
 }
--- a/programs/topazyard-control/src/http.rs
+++ b/programs/topazyard-control/src/http.rs
@@ -3,6 +3,7 @@
 use topazyard_types::{ConfigurationVersion, NodeId};
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::http::Body;
+use topazyard_wire::http::memory::charge_response;
 use topazyard_wire::message::operate::{Command, OperatorOutcome, OperatorRequest, Query};
 
 /// Maximum size of a request body, in bytes.
@@ -54,12 +55,19 @@
     outcome: Result<OperatorOutcome, topazyard_wire::driver::CallError>,
 ) -> hyper::Response<Body> {
     match outcome {
-        Ok(OperatorOutcome::Done(text)) => topazyard_wire::http::json_text(200, text),
+        Ok(OperatorOutcome::Done(text)) => match charge_response(text) {
+            Some(text) => topazyard_wire::http::json_text(200, text),
+            None => unknown_outcome(),
+        },
         Ok(OperatorOutcome::Refused(error)) => topazyard_wire::http::error(&error),
-        Err(_) => topazyard_wire::http::error(&ApiError::may_have_run(Code::OutcomeUnknown)),
+        Err(_) => unknown_outcome(),
     }
 }
 
+fn unknown_outcome() -> hyper::Response<Body> {
+    topazyard_wire::http::error(&ApiError::may_have_run(Code::OutcomeUnknown))
+}
+
 /// Parses a request into a command or query.
 ///
 /// ```
--- a/programs/topazyard-relay/src/front/batches.rs
+++ b/programs/topazyard-relay/src/front/batches.rs
@@ -137,7 +137,7 @@
         BatchResponse::Status(status) => Ok(json(200, &status_json(&status))),
         BatchResponse::ItemResults(results) => {
             let results: Vec<_> = results.iter().map(result_json).collect();
-            Ok(json(200, &serde_json::json!({ "returns": results })))
+            charged_json(&serde_json::json!({ "returns": results }))
         }
         BatchResponse::Recalled => Ok(json(200, &serde_json::json!({ "recalled": true }))),
         BatchResponse::TooLate { returned } => {
@@ -156,6 +156,14 @@
     }
 }
 
+/// A response whose body is charged to the memory for clients.
+fn charged_json(value: &serde_json::Value) -> Result<hyper::Response<Body>, ApiError> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let text = topazyard_wire::http::memory::charge_response(text);
+    let text = text.ok_or_else(|| ApiError::not_run(Code::Overloaded))?;
+    Ok(topazyard_wire::http::json_text(200, text))
+}
+
 fn status_json(status: &BatchStatus) -> serde_json::Value {
     serde_json::json!({
         "batch": status.batch.to_string(),
--- a/programs/topazyard-relay/src/front/connections.rs
+++ b/programs/topazyard-relay/src/front/connections.rs
@@ -89,7 +89,10 @@
     let stream = connected.await.ok().and_then(Result::ok).ok_or(SendError::NotSent)?;
     let _ = stream.set_nodelay(true);
     let io = hyper_util::rt::TokioIo::new(stream);
-    let handshake = hyper::client::conn::http1::handshake(io).await;
+    let handshake = hyper::client::conn::http1::Builder::new()
+        .max_buf_size(topazyard_wire::http::outbound::MAX_READ_BUFFER_BYTES)
+        .handshake(io)
+        .await;
     let (sender, connection) = handshake.map_err(|_| SendError::NotSent)?;
     // A connection error is reported by the request that is using the connection.
     tokio::spawn(async move { drop(connection.await) });
--- a/programs/topazyard-relay/src/front/events.rs
+++ b/programs/topazyard-relay/src/front/events.rs
@@ -1,5 +1,7 @@
 //! Splits a chunked event stream into complete events and tracks their ids.
 
+use topazyard_wire::http::memory::{GrowingReservation, Purpose};
+
 /// Finds the ends of events in a body that arrives in chunks.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -7,6 +9,7 @@
     partial: Vec<u8>,
     /// The id of the last complete event that has one.
     last_id: Option<u64>,
+    reservation: Option<GrowingReservation>,
 }
 
 /// The events that a chunk completed.
@@ -20,10 +23,14 @@
     pub in_order: bool,
 }
 
+/// The part of an incomplete event that is not charged.
+const FREE_EVENT_BYTES: usize = 16 * 1024;
+/// The steps in which an incomplete event is charged.
+const EVENT_STEP_BYTES: usize = 64 * 1024;
 /// Maximum size of one event.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
-/// an event of the stream exceeds the size limit
+/// an event of the stream exceeds the size limit, or there is no memory for it
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
 pub struct EventTooLong;
 
@@ -32,7 +39,7 @@
 impl EventSplitter {
     /// A splitter for a stream that continues after the event with that id.
     pub fn after(last_id: Option<u64>) -> Self {
-        Self { partial: Vec::new(), last_id }
+        Self { partial: Vec::new(), last_id, reservation: None }
     }
 
     /// The id of the last complete event.
@@ -58,14 +65,16 @@
     /// ```
     ///
     /// # Errors
-    /// An event exceeds the size limit.
+    /// An event exceeds the size limit, or there is no memory for it.
     pub fn push(&mut self, chunk: &[u8]) -> Result<Option<CompleteEvents>, EventTooLong> {
         // The delimiter at an event's end may be split across two chunks.
         let search_start = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(chunk);
         let end = last_event_end(&self.partial[search_start..]).map(|end| search_start + end);
         let Some(end) = end else {
-            return if self.partial.len() > MAX_EVENT_BYTES { Err(EventTooLong) } else { Ok(None) };
+            let is_within_limits =
+                self.partial.len() <= MAX_EVENT_BYTES && self.cover(self.partial.len());
+            return if is_within_limits { Ok(None) } else { Err(EventTooLong) };
         };
         let partial = self.partial.split_off(end);
         let complete = std::mem::replace(&mut self.partial, partial);
@@ -80,6 +89,16 @@
     }
 }
 
+impl EventSplitter {
+    /// Charges for an incomplete event. Returns whether there was room for it.
+    fn cover(&mut self, bytes: usize) -> bool {
+        let reservation = self
+            .reservation
+            .get_or_insert_with(|| GrowingReservation::new(FREE_EVENT_BYTES, EVENT_STEP_BYTES));
+        reservation.cover(Purpose::Response, bytes)
+    }
+}
+
 /// The position after the last blank line.
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
     let ends = |at: usize, delimiter: &[u8]| bytes[..at].ends_with(delimiter);
--- a/programs/topazyard-relay/src/front/items.rs
+++ b/programs/topazyard-relay/src/front/items.rs
@@ -12,10 +12,15 @@
 use hyper::header::HeaderValue;
 use topazyard_types::DurationMs;
 use topazyard_wire::http::Body;
+use topazyard_wire::http::memory::{GrowingReservation, Purpose};
 use topazyard_wire::message::batch::{Progress, RunEnd};
 
 /// Maximum size of an item's output.
 const MAX_OUTPUT_BYTES: usize = 4 * 1024 * 1024;
+/// The part of an item's output that is not charged.
+const FREE_OUTPUT_BYTES: usize = 4 * 1024;
+/// The steps in which the output is charged.
+const OUTPUT_STEP_BYTES: usize = 64 * 1024;
 
 /// A connection to the item's engine: an idle one from the pool, or else a new one.
 async fn engine_connection(run: &RoutedRun) -> Option<EngineConnection> {
@@ -170,20 +175,22 @@
     }
 }
 
-/// the events of the stream are malformed, out of order or too large
+/// the events of the stream are malformed, out of order or too large, or there is no memory for them
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
 pub struct InvalidStream;
 
 impl std::error::Error for InvalidStream {}
 
 /// Joins the events of an item's stream as they arrive.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct ItemEvents {
     progress: Progress,
     /// An incomplete line.
     line: Vec<u8>,
     id: Option<u64>,
     data: Option<String>,
+    /// The reservation for what is collected.
+    reservation: GrowingReservation,
 }
 
 impl ItemEvents {
@@ -197,7 +204,13 @@
     /// assert_eq!(events.into_text().as_deref(), Some("a\nb"));
     /// ```
     pub fn resume(progress: Progress) -> Self {
-        Self { progress, line: Vec::new(), id: None, data: None }
+        Self {
+            progress,
+            line: Vec::new(),
+            id: None,
+            data: None,
+            reservation: GrowingReservation::new(FREE_OUTPUT_BYTES, OUTPUT_STEP_BYTES),
+        }
     }
 
     /// Adds bytes of the stream.
@@ -212,8 +225,11 @@
                 self.take_line(&line)?;
             }
         }
-        let is_within_limit = self.progress.text.len() + self.line.len() <= MAX_OUTPUT_BYTES;
-        if is_within_limit { Ok(()) } else { Err(InvalidStream) }
+        let event_bytes = self.data.as_ref().map_or(0, String::len);
+        let held_bytes = self.progress.text.len() + event_bytes + self.line.len();
+        let is_within_limits =
+            held_bytes <= MAX_OUTPUT_BYTES && self.reservation.cover(Purpose::Response, held_bytes);
+        if is_within_limits { Ok(()) } else { Err(InvalidStream) }
     }
 
     fn take_line(&mut self, line: &[u8]) -> Result<(), InvalidStream> {
--- a/programs/topazyard-relay/src/front/routed.rs
+++ b/programs/topazyard-relay/src/front/routed.rs
@@ -10,7 +10,6 @@
 use crate::machine::requests::{Admitted, Arrival, Chosen};
 use crate::machine::{EngineOutcome, RelayCall, RelayResponse};
 use crate::prompt::{Failure, FailureAction, RequestStateMachine};
-use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
 use topazyard_types::{DurationMs, MonotonicMs};
 use topazyard_wire::api::{ApiError, Code};
@@ -20,6 +19,8 @@
 const DEFAULT_TIMEOUT: DurationMs = DurationMs(30_000);
 /// The largest response that is buffered until it is complete.
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
+/// How much of a refusal of an engine is read, so that its connection can be used again.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024;
 /// Upper bound on the time between reading the clock and dispatching a request.
 const DISPATCH_SLACK: DurationMs = DurationMs(2);
 
@@ -445,9 +446,9 @@
     ) -> Result<hyper::Response<Body>, FailureAction> {
         let EngineResponse { connection, head, body, time_to_head } = response;
         let timeout = std_duration(self.terms.deadline.since(self.now()));
-        let collect = http_body_util::Limited::new(body, MAX_BUFFERED_BYTES).collect();
+        let collect = body::collect_response(body, MAX_BUFFERED_BYTES);
         let body = match tokio::time::timeout(timeout, collect).await {
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(body)) => body,
             Ok(Err(_)) => return Err(self.fail(Failure::ConnectionLost, EngineOutcome::Failed)),
             Err(_) => return Err(self.fail(Failure::TimedOut, EngineOutcome::Failed)),
         };
@@ -481,8 +482,8 @@
     body: hyper::body::Incoming,
 ) {
     let timeout = std::time::Duration::from_millis(connections::CONNECT_TIMEOUT.0);
-    let collect = http_body_util::Limited::new(body, MAX_BUFFERED_BYTES).collect();
-    if let Ok(Ok(_)) = tokio::time::timeout(timeout, collect).await {
+    let is_discarded = body::discard(body, MAX_DISCARDED_BYTES);
+    if let Ok(true) = tokio::time::timeout(timeout, is_discarded).await {
         connections::keep_idle(connection, &head.headers);
     }
 }
--- a/programs/topazyard-relay/src/front/session.rs
+++ b/programs/topazyard-relay/src/front/session.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt as _;
 use topazyard_types::MonotonicMs;
 use topazyard_wire::api::{ApiError, Code};
-use topazyard_wire::http::{Body, BodyError};
+use topazyard_wire::http::{Body, BodyError, body};
 
 /// The largest response that is buffered until it is complete.
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
@@ -43,8 +43,7 @@
     stream: bool,
 ) -> Result<hyper::Response<Body>, ApiError> {
     let arrived_at = handle.clock().now();
-    let body =
-        topazyard_wire::http::body::read_body(head, body, prompt_request::MAX_BODY_BYTES).await?;
+    let body = body::read_body(head, body, prompt_request::MAX_BODY_BYTES).await?;
     let metadata = prompt_request::parse(&head.headers, &body)?;
     let deadline = arrived_at.plus(metadata.timeout);
     let guard = RequestGuard::new(handle, RelayCall::PromptEnded);
@@ -169,9 +168,9 @@
     ) -> Result<hyper::Response<Body>, FailureAction> {
         let (head, body) = response.into_parts();
         let timeout = std_duration(self.deadline.since(self.now()));
-        let collect = http_body_util::Limited::new(body, MAX_BUFFERED_BYTES).collect();
+        let collect = body::collect_response(body, MAX_BUFFERED_BYTES);
         let body = match tokio::time::timeout(timeout, collect).await {
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(body)) => body,
             Ok(Err(_)) => return Err(self.engine_failed(Failure::ConnectionLost)),
             Err(_) => return Err(self.engine_failed(Failure::TimedOut)),
         };
--- a/programs/topazyard-relay/src/front/tasks.rs
+++ b/programs/topazyard-relay/src/front/tasks.rs
@@ -3,7 +3,6 @@
 use super::Handle;
 use super::engine::std_duration;
 use crate::machine::{EngineOutcome, RelayCall, RelayResponse, RelayTask, Target};
-use http_body_util::BodyExt as _;
 use topazyard_wire::message::batch::{Run, RunEnd};
 
 /// Maximum size of an item's result.
@@ -76,8 +75,9 @@
             return None;
         }
         let status = response.status().as_u16();
-        let body = http_body_util::Limited::new(response.into_body(), MAX_RESULT_BYTES);
-        let body = body.collect().await.ok()?.to_bytes();
+        let body = response.into_body();
+        let body =
+            topazyard_wire::http::body::collect_response(body, MAX_RESULT_BYTES).await.ok()?;
         Some(RunEnd::Complete { status, body })
     };
     let outcome =
