Bound what decoding a batch or a configuration takes

What was seen: 24 batches of 4 MB whose items have hundreds of thousands of headers, or that have 80,000 items, took a relay with 64 MB to 745 MB.

Cause: a body was bounded, what its text decodes to was not: an entry of 8 bytes becomes a node of a map and two strings, and the limit of 200 items was checked after all of them had been read.

Decoding reserves twice the body, and for a batch of the product's own interface 256 bytes an object, until the call's response; without room it is refused with 503 before it is decoded. The text is dropped once it is decoded. Control does the same with configurations.

--- a/libraries/topazyard-spec/src/settings/check.rs
+++ b/libraries/topazyard-spec/src/settings/check.rs
@@ -2,6 +2,8 @@
 
 use topazyard_types::{FleetId, ZoneName};
 
+const BYTES_PER_MB: u64 = 1_000_000;
+
 /// The validated settings of a process.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct NodeSettings {
@@ -166,7 +168,11 @@
             data: settings.data,
             beside: settings.beside.map(|text| parse_address("beside", &text)).transpose()?,
             bounds: crate::Bounds::default(),
-            resources: crate::Resources::default(),
+            resources: crate::Resources {
+                memory_bytes: u64::from(settings.memory_mb.unwrap_or(0)) * BYTES_PER_MB,
+                descriptors: settings.descriptors.unwrap_or(0),
+                disk_bytes: 0,
+            },
             may_bootstrap: true,
             reread: Reread::by(move || Self::check(flags_for_reread.clone()).ok()),
         })
--- a/libraries/topazyard-spec/src/settings/raw.rs
+++ b/libraries/topazyard-spec/src/settings/raw.rs
@@ -32,6 +32,12 @@
     /// IP:PORT of the agent beside this relay, or of the relay beside this agent
     #[arg(long)]
     pub beside: Option<String>,
+    /// The memory that this process may use, in MB; that of the machine if it is missing
+    #[arg(long)]
+    pub memory_mb: Option<u32>,
+    /// The descriptors that this process may use; those that the system allows if it is missing
+    #[arg(long)]
+    pub descriptors: Option<u32>,
 }
 
 impl Settings {
@@ -56,6 +62,8 @@
             seeds: self.seeds.or(file.seeds),
             data: self.data.or(file.data),
             beside: self.beside.or(file.beside),
+            memory_mb: self.memory_mb.or(file.memory_mb),
+            descriptors: self.descriptors.or(file.descriptors),
         }
     }
 }
--- a/libraries/topazyard-wire/src/http/memory.rs
+++ b/libraries/topazyard-wire/src/http/memory.rs
@@ -185,6 +185,20 @@
     }
 }
 
+/// How many bytes are reserved for each byte of a body while it is decoded and passed on.
+const DECODING_FACTOR: u64 = 2;
+
+/// Reserves what decoding a body takes, and what is made of it until the response, or returns none
+/// if there is no room for that. `extra_bytes` is what its parts take beside their text.
+pub fn reserve_for_decoding(body_bytes: usize, extra_bytes: usize) -> Option<Reservation> {
+    let purpose = match body_bytes + extra_bytes {
+        0..=SMALL_BODY_BYTES => Purpose::SmallBody,
+        _ => Purpose::LargeBody,
+    };
+    let bytes = DECODING_FACTOR * body_bytes as u64 + extra_bytes as u64;
+    Account::of_process().reserve(purpose, bytes)
+}
+
 /// Charges the account of the process with the body of a response, or returns none if there is no
 /// room for it.
 pub fn charge_response<B>(bytes: B) -> Option<bytes::Bytes>
--- a/libraries/topazyard-wire/src/link/inbound.rs
+++ b/libraries/topazyard-wire/src/link/inbound.rs
@@ -8,6 +8,9 @@
 /// their links don't use up all of them. A sender opens a new link with its next frame.
 const IDLE_TIMEOUT_MS: u64 = 120_000;
 
+/// The pause after a link could not be accepted.
+const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(50);
+
 /// Accepts links forever and calls `receive` with each valid frame.
 pub async fn listen(
     listener: tokio::net::TcpListener,
@@ -17,7 +20,10 @@
     let permits = std::sync::Arc::new(tokio::sync::Semaphore::new(MAX_LINKS));
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
         let receive = receive.clone();
         tokio::spawn(async move {
             read(stream, fleet, receive).await;
--- a/programs/topazyard-control/src/http.rs
+++ b/programs/topazyard-control/src/http.rs
@@ -3,7 +3,7 @@
 use topazyard_types::{ConfigurationVersion, NodeId};
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::http::Body;
-use topazyard_wire::http::memory::charge_response;
+use topazyard_wire::http::memory::{charge_response, reserve_for_decoding};
 use topazyard_wire::message::operate::{Command, OperatorOutcome, OperatorRequest, Query};
 
 /// Maximum size of a request body, in bytes.
@@ -40,10 +40,15 @@
     if head.method == hyper::Method::GET && head.uri.path() == "/health" {
         return outcome_response(handle.call(crate::ControlCall::Health).await);
     }
-    let operation = match topazyard_wire::http::body::read_body(&head, body, MAX_BODY_BYTES).await {
-        Ok(body) => parse_request(&head.method, head.uri.path(), &body),
-        Err(error) => Err(error),
+    let body = match topazyard_wire::http::body::read_body(&head, body, MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return topazyard_wire::http::error(&error),
+    };
+    let Some(_decoded) = reserve_for_decoding(body.len(), 0) else {
+        return topazyard_wire::http::error(&ApiError::not_run(Code::Overloaded));
     };
+    let operation = parse_request(&head.method, head.uri.path(), &body);
+    drop(body);
     let outcome = match operation {
         Ok(operation) => handle.call(crate::ControlCall::Operate(operation)).await,
         Err(error) => return topazyard_wire::http::error(&error),
--- a/programs/topazyard-relay/src/front/batches.rs
+++ b/programs/topazyard-relay/src/front/batches.rs
@@ -5,12 +5,15 @@
 use topazyard_types::{BatchId, DurationMs, ItemNumber, ModelName, Tokens};
 use topazyard_wire::api::{ApiError, Code};
 use topazyard_wire::http::Body;
+use topazyard_wire::http::memory::reserve_for_decoding;
 use topazyard_wire::message::batch::{
     BatchCall, BatchResponse, BatchStatus, Item, ItemEnd, ItemResult,
 };
 
 /// Maximum size of a submitted batch.
 const MAX_BATCH_BYTES: usize = 16 * 1024 * 1024;
+/// What an item takes beside its text, for each object of which it consists.
+const OBJECT_BYTES: usize = 256;
 /// Timeout of a call on a submitted batch.
 const CALL_TIMEOUT: DurationMs = DurationMs(5_000);
 
@@ -47,7 +50,12 @@
     let call = match (head.method.as_str(), &segments[1..]) {
         ("POST", []) => {
             let batch = batch_id_for(&head.headers)?;
+            let extra_bytes = count_objects(&body) * OBJECT_BYTES;
+            let decoded = reserve_for_decoding(body.len(), extra_bytes);
+            let _decoded = decoded.ok_or_else(|| ApiError::not_run(Code::Overloaded))?;
             let items = parse_items(&body)?;
+            // The items are copies, so the text is not needed until the response.
+            drop(body);
             return to_response(handle.call(RelayCall::SubmitBatch(batch, items)).await);
         }
         ("GET", [id]) => BatchCall::Read(parse_batch_id(id)?),
@@ -65,6 +73,11 @@
     to_response(handle.call(RelayCall::Batch(call, CALL_TIMEOUT)).await)
 }
 
+/// The number of objects in a JSON text, or more: an upper bound for the number of items.
+fn count_objects(text: &[u8]) -> usize {
+    text.iter().filter(|byte| **byte == b'{').count()
+}
+
 fn parse_batch_id(text: &str) -> Result<BatchId, ApiError> {
     text.parse().map_err(|_| ApiError::not_run(Code::NotFound).at("batch"))
 }
