--- a/libraries/topazyard-wire/src/http/connection.rs
+++ b/libraries/topazyard-wire/src/http/connection.rs
@@ -191,3 +191,18 @@
     pub(super) at_ms: u64,
     pub(super) reason: CloseReason,
 }
+
+/// Marks a connection as closed once its task ends, whatever the reason.
+pub(super) struct ClosedOnDrop(std::sync::Arc<Connection>);
+
+impl ClosedOnDrop {
+    pub(super) fn new(connection: std::sync::Arc<Connection>) -> Self {
+        Self(connection)
+    }
+}
+
+impl Drop for ClosedOnDrop {
+    fn drop(&mut self) {
+        self.0.enter(Phase::Closed);
+    }
+}
--- a/libraries/topazyard-wire/src/http/inbound.rs
+++ b/libraries/topazyard-wire/src/http/inbound.rs
@@ -2,7 +2,7 @@
 
 use super::client_io::ClientIo;
 use super::clock::now_ms;
-use super::connection::{Connection, Deadline, Phase};
+use super::connection::{ClosedOnDrop, Connection, Deadline, Phase};
 use super::connection_table::ConnectionTable;
 use super::overload::{self, CloseReason};
 use super::server_limits::Callers;
@@ -127,6 +127,7 @@
         let connection = table.open(options.limits.clone());
         let (handle, options) = (handle.clone(), options.clone());
         tokio::spawn(async move {
+            let _closed = ClosedOnDrop::new(connection.clone());
             serve_one(stream, connection, handle, options).await;
             drop(permit);
         });
@@ -166,26 +167,33 @@
     let supervision = supervise(&connection);
     tokio::pin!(supervision);
     // An interrupted response ends as an error here, which closes the client's connection.
-    let is_open = tokio::select! {
-        ended = &mut served => {
-            drop(ended);
-            false
-        }
-        () = &mut supervision => false,
-        () = wait_for_stage(&mut drain, close_stage) => true,
+    let mut end = tokio::select! {
+        _ = &mut served => ConnectionEnd::Served,
+        () = &mut supervision => ConnectionEnd::Closing,
+        () = wait_for_stage(&mut drain, close_stage) => ConnectionEnd::Draining,
     };
-    if is_open {
+    if end == ConnectionEnd::Draining {
         served.as_mut().graceful_shutdown();
-        tokio::select! {
-            ended = &mut served => drop(ended),
-            () = &mut supervision => {}
-        }
+        end = tokio::select! {
+            _ = &mut served => ConnectionEnd::Served,
+            () = &mut supervision => ConnectionEnd::Closing,
+        };
     }
-    if connection.is_closing() {
+    if end == ConnectionEnd::Closing {
         // The request that is being refused, if any, gets its response.
         let _ = tokio::time::timeout(connection.refusal_timeout(), served).await;
     }
-    connection.enter(Phase::Closed);
+}
+
+/// Why a connection ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// Its last response was sent, or the client left.
+    Served,
+    /// The server closes it.
+    Closing,
+    /// The server shuts down.
+    Draining,
 }
 
 /// Passes requests to `handle` and follows their progress.
