--- a/libraries/topazyard-wire/src/driver/clock.rs
+++ b/libraries/topazyard-wire/src/clock.rs
@@ -17,7 +17,7 @@
     /// Starts the clock.
     ///
     /// ```
-    /// let clock = topazyard_wire::driver::Clock::start();
+    /// let clock = topazyard_wire::clock::Clock::start();
     /// assert!(clock.now() <= clock.now());
     /// ```
     pub fn start() -> Self {
--- a/libraries/topazyard-wire/src/driver/mod.rs
+++ b/libraries/topazyard-wire/src/driver/mod.rs
@@ -1,15 +1,14 @@
 //! The actor that owns a machine and performs its effects.
 
 pub mod actor;
-pub mod clock;
 pub mod disk_start;
 mod fatal;
 pub mod identity;
 pub mod signals;
 pub mod spawn;
 
+pub use crate::clock::Clock;
 pub use actor::{CallError, Handle};
-pub use clock::Clock;
 pub use disk_start::{DiskStart, start_with_disk};
 pub use identity::{fresh_id, load_or_create_id};
 pub use signals::{follow_settings, terminated};
--- a/libraries/topazyard-wire/src/invariants.rs
+++ b/libraries/topazyard-wire/src/invariants.rs
@@ -106,7 +106,7 @@
     let state = &STATES[invariant as usize];
     let violations = state.violations.fetch_add(1, Ordering::Relaxed) + 1;
     THREAD_COUNTS.with(|counts| counts[invariant as usize].update(|count| count + 1));
-    if state.limiter.allows(crate::driver::clock::since_boot_ms()) {
+    if state.limiter.allows(crate::clock::since_boot_ms()) {
         let name = invariant.name();
         spdlog::error!("invariant violated: name={name} violations={violations} {details}");
     }
--- a/libraries/topazyard-wire/src/lib.rs
+++ b/libraries/topazyard-wire/src/lib.rs
@@ -1,16 +1,21 @@
-//! What every process shares: messages and frames, links between processes, the disk thread, the
-//! ring buffer of log lines, invariants, metrics, HTTP helpers, and the actor that runs a state
-//! machine.
+//! What every process shares: messages and frames, the disk thread, the ring buffer of log lines and
+//! invariants. With the feature `server` also what a program that serves needs: links between
+//! processes, metrics, HTTP helpers, and the actor that runs a state machine.
 
 pub mod api;
+pub mod clock;
 pub mod disk;
+#[cfg(feature = "server")]
 pub mod driver;
+#[cfg(feature = "server")]
 pub mod http;
 pub mod invariants;
+#[cfg(feature = "server")]
 pub mod link;
 pub mod log;
 pub mod machine;
 pub mod message;
+#[cfg(feature = "server")]
 pub mod metrics;
 pub mod routes;
 pub mod rows;
