Storage: metrics and log lines of how copies are filled

The size of each copy, the whole copies of each shard, the bytes that followers still miss, and refills begun, stalled and completed with their bytes and time; a log line at each begin, stall and end. No logic is changed.

Measured: the tests of storage, replication and control pass; metrics_include_shards_and_batches has the new samples.

--- a/libraries/topazyard-replication/src/copy.rs
+++ b/libraries/topazyard-replication/src/copy.rs
@@ -24,6 +24,8 @@
     batches: std::collections::VecDeque<(LogPosition, Vec<RowChange>)>,
     batch_bytes: usize,
     max_batches: usize,
+    /// The size of all keys and values.
+    bytes: u64,
 }
 
 /// Prints the digests in place of the rows, which may be megabytes.
@@ -54,6 +56,7 @@
             batches: std::collections::VecDeque::new(),
             batch_bytes: 0,
             max_batches: MAX_HISTORY_BATCHES,
+            bytes: 0,
         }
     }
 }
@@ -72,6 +75,10 @@
     Digest::of(&[key.as_bytes(), value])
 }
 
+fn row_size(key: &str, value: &[u8]) -> u64 {
+    (key.len() + value.len()) as u64
+}
+
 impl Copy {
     /// Loads a copy from the rows found on disk.
     ///
@@ -98,10 +105,12 @@
         let digest = &mut self.digests[range_index(&key)];
         if let Some(old) = self.rows.get(&key) {
             *digest = digest.toggled(row_digest(&key, old));
+            self.bytes -= row_size(&key, old);
         }
         match value {
             Some(value) => {
                 *digest = digest.toggled(row_digest(&key, &value));
+                self.bytes += row_size(&key, &value);
                 self.rows.insert(key, value);
             }
             None => {
@@ -210,6 +219,22 @@
         self.rows.keys().cloned().chain([POSITION_KEY.to_owned()]).collect()
     }
 
+    /// The size of all keys and values, in bytes.
+    ///
+    /// ```
+    /// use topazyard_replication::Copy;
+    /// use topazyard_wire::RowChange;
+    /// let mut copy = Copy::default();
+    /// let (epoch, sequence) = (topazyard_types::Epoch(1), topazyard_types::Sequence(1));
+    /// copy.apply(epoch, sequence, vec![RowChange::put("ab", &1_u8), RowChange::put("c", &2_u8)]);
+    /// assert_eq!(copy.bytes(), 5);
+    /// copy.apply(epoch, sequence, vec![RowChange::delete("ab")]);
+    /// assert_eq!(copy.bytes(), 2);
+    /// ```
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
     /// All rows.
     pub fn rows(&self) -> &std::collections::BTreeMap<String, bytes::Bytes> {
         &self.rows
--- a/libraries/topazyard-replication/src/lib.rs
+++ b/libraries/topazyard-replication/src/lib.rs
@@ -11,5 +11,7 @@
 pub use copy::Copy;
 pub use epoch::{Proposal, Witness};
 pub use follower::FeedFollower;
-pub use replica::{Followers, Replica, ReplicaOutput, Uncommitted, WriteTicket};
+pub use replica::{
+    Followers, RefillEvent, RefillProgress, Replica, ReplicaOutput, Uncommitted, WriteTicket,
+};
 pub use snapshot::Snapshot;
--- a/libraries/topazyard-replication/src/replica/mod.rs
+++ b/libraries/topazyard-replication/src/replica/mod.rs
@@ -10,6 +10,7 @@
 mod primary;
 mod progress;
 mod queue;
+mod refill;
 mod transfer;
 
 use topazyard_types::{BootId, Epoch, MonotonicMs, NodeId, Sequence};
@@ -21,6 +22,7 @@
 use topazyard_wire::invariants::Invariant;
 
 pub use primary::PrimaryState;
+pub use refill::{RefillEvent, RefillProgress};
 
 /// Number of unsynced writes at which a follower ignores further messages. A full synchronization
 /// needs fewer.
@@ -44,6 +46,8 @@
     Serving,
     /// All learners are filled, and nothing is acknowledged until the epoch changes.
     LearnersReady,
+    /// The copy of a follower is being filled.
+    Refill(NodeId, RefillEvent),
 }
 
 /// The followers of a primary in an epoch.
@@ -253,6 +257,23 @@
         }
     }
 
+    /// The followers whose copies are being filled.
+    pub fn refills(&self) -> Vec<RefillProgress> {
+        match &self.role {
+            Role::Primary(primary) => primary.refills().collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// The number of copies known to be whole: that of a primary and of its backups in sync; 0 if
+    /// this node is not the primary.
+    pub fn whole_copies(&self) -> usize {
+        match &self.role {
+            Role::Primary(primary) => 1 + primary.backups_in_sync(),
+            _ => 0,
+        }
+    }
+
     /// The learners that are filled.
     pub fn filled_learners(&self) -> Vec<NodeId> {
         match &self.role {
--- a/libraries/topazyard-replication/src/replica/primary.rs
+++ b/libraries/topazyard-replication/src/replica/primary.rs
@@ -4,6 +4,7 @@
     Backup, BackupState, ChangeBatch, Comparison, Learner, LearnerState, is_due,
 };
 use super::queue::SubmissionQueue;
+use super::refill::{RefillEvent, RefillProgress};
 use super::{Followers, Replica, ReplicaOutput, Role, Sender, Uncommitted, WriteTicket};
 use topazyard_types::{DurationMs, MonotonicMs, NodeId, Sequence};
 use topazyard_wire::RowChange;
@@ -101,6 +102,31 @@
         self.backups.iter().filter(unconfirmed).map(|backup| backup.node)
     }
 
+    /// The followers whose copies are being filled.
+    pub(super) fn refills(&self) -> impl Iterator<Item = RefillProgress> {
+        let backups = self.backups.iter().filter_map(|backup| match &backup.state {
+            BackupState::Comparing(Some(comparison), _) => Some((backup.node.id, comparison)),
+            _ => None,
+        });
+        let learners = self.learners.iter().filter_map(|learner| match &learner.state {
+            LearnerState::Fetching(Some(comparison))
+            | LearnerState::FinalComparison(Some(comparison), _) => {
+                Some((learner.node.id, comparison))
+            }
+            _ => None,
+        });
+        let active = backups.chain(learners).filter(|(_, one)| one.transfer.is_active());
+        active.map(|(follower, comparison)| RefillProgress {
+            follower,
+            bytes_left: comparison.transfer.bytes_left(),
+        })
+    }
+
+    /// The number of backups whose copies are whole.
+    pub(super) fn backups_in_sync(&self) -> usize {
+        self.backups.iter().filter(|backup| backup.is_in_sync()).count()
+    }
+
     fn all_in_sync(&self) -> bool {
         self.backups.iter().all(Backup::is_in_sync)
     }
@@ -247,6 +273,7 @@
                 if let BackupState::Comparing(comparison, _) = &mut backup.state
                     && is_due(comparison, now)
                 {
+                    outputs.extend(stall_report(backup.node, comparison));
                     due.push((index, backup.node, comparison.take()));
                 }
             }
@@ -300,6 +327,7 @@
                 | LearnerState::FinalComparison(comparison, _)
                     if is_due(comparison, now) =>
                 {
+                    outputs.extend(stall_report(learner.node, comparison));
                     due.push((index, learner.node, comparison.take()));
                 }
                 _ => {}
@@ -349,7 +377,8 @@
                 let copy = &self.copy;
                 let Some(comparison) = primary.comparison_with(from.id) else { return };
                 if comparison.includes(round) {
-                    comparison.transfer.start(round, || copy.ranges(&ranges), now);
+                    let started = comparison.transfer.start(round, || copy.ranges(&ranges), now);
+                    outputs.extend(started.map(|event| ReplicaOutput::Refill(from.id, event)));
                 }
                 self.send_ranges(from, outputs);
             }
@@ -359,7 +388,7 @@
                 self.send_ranges(from, outputs);
             }
             (ReplicaBody::InSync { round, sequence }, Some(index), _) => {
-                self.backup_in_sync(index, round, sequence, outputs);
+                self.backup_in_sync(index, round, sequence, now, outputs);
             }
             (ReplicaBody::InSync { round, sequence }, _, Some(index)) => {
                 self.learner_in_sync(index, round, sequence, now, outputs);
@@ -382,6 +411,7 @@
         index: usize,
         round: u64,
         sequence: Sequence,
+        now: MonotonicMs,
         outputs: &mut Vec<ReplicaOutput>,
     ) {
         let own_sequence = self.copy.position().sequence;
@@ -392,6 +422,8 @@
         if primary.phase == Phase::Stopped || !is_expected || sequence != own_sequence {
             return;
         }
+        let completed = backup.comparison().and_then(|one| one.transfer.completed(now));
+        outputs.extend(completed.map(|event| ReplicaOutput::Refill(backup.node.id, event)));
         backup.state = BackupState::InSync;
         // The compared copy includes the batch in flight.
         backup.confirmed_round = primary.in_flight.as_ref().map(|batch| batch.round);
@@ -434,6 +466,9 @@
                 if self.learner_promotion_paused && primary.may_serve {
                     return;
                 }
+                let completed = c.transfer.completed(now);
+                let follower = primary.learners[index].node.id;
+                outputs.extend(completed.map(|event| ReplicaOutput::Refill(follower, event)));
                 primary.learners[index].state = LearnerState::FinalComparison(None, now);
                 self.learners_tick(now, outputs);
             }
@@ -496,6 +531,13 @@
     }
 }
 
+/// Reports a transfer that has to be continued, as it made no progress.
+fn stall_report(node: CoreNode, comparison: &Option<Comparison>) -> Option<ReplicaOutput> {
+    let transfer = &comparison.as_ref()?.transfer;
+    let event = RefillEvent::Stalled { bytes_left: transfer.bytes_left() };
+    transfer.is_active().then_some(ReplicaOutput::Refill(node.id, event))
+}
+
 impl PrimaryState {
     /// The comparison in progress with a follower.
     fn comparison_with(&mut self, id: NodeId) -> Option<&mut Comparison> {
--- a/libraries/topazyard-replication/src/replica/transfer.rs
+++ b/libraries/topazyard-replication/src/replica/transfer.rs
@@ -1,6 +1,7 @@
 //! The transfer of ranges to one follower, with a bounded number of bytes in flight.
 
 use super::parts::{size_of_rows, split_into_parts};
+use super::refill::RefillEvent;
 use crate::copy::RangeRows;
 use std::collections::{BTreeMap, VecDeque};
 use topazyard_types::MonotonicMs;
@@ -30,6 +31,9 @@
     last_sent_round: u64,
     /// When the follower last requested ranges or acknowledged a part.
     last_progress: MonotonicMs,
+    /// When the follower first requested ranges.
+    started_at: Option<MonotonicMs>,
+    acknowledged_bytes: u64,
 }
 
 impl Transfer {
@@ -43,28 +47,46 @@
         self.last_progress
     }
 
+    /// The bytes that the follower has not acknowledged.
+    pub(super) fn bytes_left(&self) -> u64 {
+        let queued = self.queue.iter().map(|part| size_of_rows(&part.rows));
+        queued.chain(self.in_flight.values().copied()).sum()
+    }
+
+    /// The report of a complete transfer, if there was anything to transfer.
+    pub(super) fn completed(&self, now: MonotonicMs) -> Option<RefillEvent> {
+        let took = now.since(self.started_at?);
+        Some(RefillEvent::Completed { bytes: self.acknowledged_bytes, took })
+    }
+
     /// Starts to transfer these ranges, unless the request was made before the last part arrived:
     /// frames arrive in order, so only a follower that has seen a later round knows which parts
-    /// were lost.
+    /// were lost. Returns a report of the first start.
     pub(super) fn start(
         &mut self,
         requested_in: u64,
         ranges: impl FnOnce() -> BTreeMap<u16, RangeRows>,
         now: MonotonicMs,
-    ) {
+    ) -> Option<RefillEvent> {
         if requested_in <= self.last_sent_round {
-            return;
+            return None;
         }
         self.round = requested_in;
         self.in_flight.clear();
         self.queue = ranges().into_iter().flat_map(|(range, rows)| parts_of(range, rows)).collect();
         self.last_progress = now;
+        if self.started_at.is_some() {
+            return None;
+        }
+        self.started_at = Some(now);
+        Some(RefillEvent::Started { bytes: self.bytes_left() })
     }
 
     /// Records that a part arrived.
     pub(super) fn acknowledged(&mut self, range: u16, part: u32, now: MonotonicMs) {
-        if self.in_flight.remove(&(range, part)).is_some() {
+        if let Some(bytes) = self.in_flight.remove(&(range, part)) {
             self.last_progress = now;
+            self.acknowledged_bytes += bytes;
         }
     }
 
--- a/programs/topazyard-control/src/machine/mod.rs
+++ b/programs/topazyard-control/src/machine/mod.rs
@@ -311,6 +311,10 @@
                     }
                 }
                 ReplicaOutput::LearnersReady => self.propose(now, effects),
+                ReplicaOutput::Refill(follower, event) => {
+                    let text = format!("refill of {follower} {event}");
+                    effects.push(Effect::Log { is_error: false, text });
+                }
             }
         }
     }
--- a/programs/topazyard-storage/src/lib.rs
+++ b/programs/topazyard-storage/src/lib.rs
@@ -7,5 +7,5 @@
 pub mod metrics;
 pub mod run;
 
-pub use machine::{StorageCall, StorageHealth, StorageMachine};
+pub use machine::{RefillCounts, StorageCall, StorageHealth, StorageMachine};
 pub use run::run;
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -73,6 +73,29 @@
     pub items_open: usize,
     /// Calls that await a commit.
     pub calls_waiting: usize,
+    /// The size of each hosted copy, in bytes.
+    pub copy_bytes: std::collections::BTreeMap<ShardId, u64>,
+    /// The whole copies of each shard of which it is the primary.
+    pub whole_copies: std::collections::BTreeMap<ShardId, u64>,
+    /// The bytes that followers of these shards still miss.
+    pub refill_bytes_left: std::collections::BTreeMap<ShardId, u64>,
+    /// How followers were filled since the start.
+    pub refills: RefillCounts,
+}
+
+/// Counts of how the copies of followers were filled.
+#[derive(Debug, Clone, Copy, Default, serde::Serialize)]
+pub struct RefillCounts {
+    /// Refills that were started.
+    pub started: u64,
+    /// Times that a refill made no progress and was continued.
+    pub stalled: u64,
+    /// Refills that were completed.
+    pub completed: u64,
+    /// The bytes of the completed ones.
+    pub completed_bytes: u64,
+    /// The time that the completed ones took in all, in ms.
+    pub completed_ms: u64,
 }
 
 /// A storage node.
@@ -103,6 +126,7 @@
     pub(crate) capacity_bytes: u64,
     pub(crate) disk: DiskWatch,
     pub(crate) batches_acknowledged: u64,
+    pub(crate) refills: RefillCounts,
 }
 
 /// Maximum size of the batches of a shard. In memory each byte is held once in a row and briefly in
@@ -112,6 +136,11 @@
     share(resources.memory_bytes, 4).min(share(resources.disk_bytes, 3))
 }
 
+/// The bytes that the followers of a primary still miss.
+fn refill_bytes_left(replica: &topazyard_replication::Replica) -> u64 {
+    replica.refills().iter().map(|refill| refill.bytes_left).sum()
+}
+
 impl StorageMachine {
     /// Creates a storage node from what was found on its disk.
     pub fn new(mut start: DiskStart) -> Self {
@@ -148,6 +177,7 @@
             capacity_bytes: capacity_bytes(&start.resources),
             disk: DiskWatch::default(),
             batches_acknowledged: 0,
+            refills: RefillCounts::default(),
             bounds: start.bounds,
         }
     }
@@ -243,6 +273,7 @@
 
     fn storage_health(&self, now: MonotonicMs) -> StorageHealth {
         let serving = || self.hosted.iter().filter(|(_, hosted)| hosted.replica.is_serving());
+        let primaries = || self.hosted.iter().filter(|(_, hosted)| hosted.replica.is_primary());
         let batches = || serving().filter_map(|(_, hosted)| Some(&hosted.batches()?.routed));
         StorageHealth {
             node: self.member.id,
@@ -254,6 +285,18 @@
                 .hosted
                 .values()
                 .find_map(|hosted| hosted.counter().map(crate::counter::Counter::hold_count)),
+            copy_bytes: self
+                .hosted
+                .iter()
+                .map(|(shard, hosted)| (*shard, hosted.replica.copy().bytes()))
+                .collect(),
+            whole_copies: primaries()
+                .map(|(shard, hosted)| (*shard, hosted.replica.whole_copies() as u64))
+                .collect(),
+            refill_bytes_left: primaries()
+                .map(|(shard, hosted)| (*shard, refill_bytes_left(&hosted.replica)))
+                .collect(),
+            refills: self.refills,
             epochs: self
                 .hosted
                 .iter()
--- a/programs/topazyard-storage/src/machine/roles.rs
+++ b/programs/topazyard-storage/src/machine/roles.rs
@@ -3,8 +3,8 @@
 use super::hosted::{Hosted, ServingState};
 use super::{Effects, StorageMachine};
 use topazyard_replication::invariants::{check_acknowledged_on_enough, report};
-use topazyard_replication::{Copy, Followers, Replica, ReplicaOutput};
-use topazyard_types::{MonotonicMs, ShardId};
+use topazyard_replication::{Copy, Followers, RefillEvent, Replica, ReplicaOutput};
+use topazyard_types::{MonotonicMs, NodeId, ShardId};
 use topazyard_wire::invariants::Invariant;
 use topazyard_wire::message::Message;
 use topazyard_wire::message::control::{CoreNode, ShardChange, ShardChangeRequest, ShardRecord};
@@ -187,6 +187,9 @@
                     }
                 }
                 ReplicaOutput::Serving => self.start_serving(shard, now, effects),
+                ReplicaOutput::Refill(follower, event) => {
+                    self.report_refill(shard, follower, event, effects);
+                }
                 ReplicaOutput::LearnersReady => {
                     // A pending request to drop backups stays: a promotion would count these
                     // backups again.
@@ -206,6 +209,27 @@
         }
     }
 
+    /// Logs and counts an event of filling a follower's copy.
+    fn report_refill(
+        &mut self,
+        shard: ShardId,
+        follower: NodeId,
+        event: RefillEvent,
+        effects: &mut Effects,
+    ) {
+        match event {
+            RefillEvent::Started { .. } => self.refills.started += 1,
+            RefillEvent::Stalled { .. } => self.refills.stalled += 1,
+            RefillEvent::Completed { bytes, took } => {
+                self.refills.completed += 1;
+                self.refills.completed_bytes += bytes;
+                self.refills.completed_ms += took.0;
+            }
+        }
+        let text = format!("shard {shard}: refill of {follower} {event}");
+        effects.push(Effect::Log { is_error: false, text });
+    }
+
     /// Checks, before anything is acknowledged, that enough copies have synced it.
     fn check_acknowledgment(&self, shard: ShardId) {
         let (Some(hosted), Some(record)) = (self.hosted.get(&shard), self.fleet.shards.get(&shard))
--- a/programs/topazyard-storage/tests/metrics.rs
+++ b/programs/topazyard-storage/tests/metrics.rs
@@ -1,7 +1,7 @@
 //! The metrics of a storage node.
 
-use topazyard_storage::StorageHealth;
 use topazyard_storage::metrics::StorageMetrics;
+use topazyard_storage::{RefillCounts, StorageHealth};
 use topazyard_types::{Epoch, NodeId, ShardId};
 use topazyard_wire::disk::DiskState;
 
@@ -20,6 +20,16 @@
         batches_kept: 3,
         items_open: 40,
         calls_waiting: 2,
+        copy_bytes: [(ShardId(0), 70), (ShardId(1), 13_000)].into(),
+        whole_copies: [(ShardId(1), 2)].into(),
+        refill_bytes_left: [(ShardId(1), 500)].into(),
+        refills: RefillCounts {
+            started: 5,
+            stalled: 1,
+            completed: 4,
+            completed_bytes: 52_000,
+            completed_ms: 900,
+        },
     };
     let text = topazyard_wire::metrics::text(Some(StorageMetrics(health))).unwrap();
     for sample in [
@@ -32,6 +42,14 @@
         "storage_batches_kept 3",
         "storage_items_open 40",
         "storage_calls_waiting 2",
+        "storage_copy_bytes{shard=\"1\"} 13000",
+        "storage_whole_copies{shard=\"1\"} 2",
+        "storage_refill_bytes_left{shard=\"1\"} 500",
+        "storage_refills_started_total 5",
+        "storage_refills_stalled_total 1",
+        "storage_refills_completed_total 4",
+        "storage_refilled_bytes_total 52000",
+        "storage_refill_ms_total 900",
         "storage_disk_healthy 0",
         "storage_write_wait_seconds 0.25",
     ] {
