Replication: a refill goes on in a new epoch with the ranges that have arrived

Cause: what a follower has fetched belongs to its role, and a new epoch gives it a new one. Each record (a machine more lost, a learner more) begins one.

Change: from follower to follower the ranges that arrived whole are kept. They count only if their digest is that of the new primary's range, as within an epoch; parts of unfinished ranges are dropped. The copy can't change in between, so the changes worked out for it still fit.

--- a/libraries/topazyard-replication/src/replica/follower.rs
+++ b/libraries/topazyard-replication/src/replica/follower.rs
@@ -10,6 +10,8 @@
     pub(super) primary: NodeId,
     pub(super) last_heard: MonotonicMs,
     comparison: Option<FollowerComparison>,
+    /// Ranges fetched in an earlier epoch, until the first comparison of this one.
+    fetched_before: FetchedRanges,
     /// Appends that wait for the disk, as (write number, response address, round).
     appends: Vec<(u64, std::net::SocketAddr, u64)>,
     last_append_round: Option<u64>,
@@ -23,6 +25,9 @@
     sync_round: Option<u64>,
 }
 
+/// Ranges that have arrived completely, by number.
+pub(super) type FetchedRanges = std::collections::BTreeMap<u16, FetchedRange>;
+
 /// Maximum number of rounds that a primary starts during one boot, comparisons included.
 const MAX_ROUNDS_PER_BOOT: u64 = 1 << 32;
 
@@ -36,7 +41,7 @@
     missing: std::collections::BTreeSet<u16>,
     /// Ranges of which only some parts have arrived.
     partial_ranges: std::collections::BTreeMap<u16, PartialRange>,
-    fetched: std::collections::BTreeMap<u16, FetchedRange>,
+    fetched: FetchedRanges,
 }
 
 /// The parts of one range that have arrived, all sent in the same round.
@@ -48,7 +53,7 @@
 
 /// A range that has arrived completely.
 #[derive(Debug, Clone)]
-struct FetchedRange {
+pub(super) struct FetchedRange {
     /// Digest of the primary's rows in this range.
     digest: Digest,
     /// The changes that make the range of this copy equal to the primary's.
@@ -56,11 +61,14 @@
 }
 
 impl FollowerState {
-    pub(super) fn new(primary: NodeId, now: MonotonicMs) -> Self {
+    /// A follower of `primary`. `fetched_before` are the ranges that it fetched in the epoch before,
+    /// while its copy stayed as it is.
+    pub(super) fn new(primary: NodeId, fetched_before: FetchedRanges, now: MonotonicMs) -> Self {
         Self {
             primary,
             last_heard: now,
             comparison: None,
+            fetched_before,
             appends: Vec::new(),
             last_append_round: None,
             primary_synced_round: None,
@@ -69,6 +77,14 @@
         }
     }
 
+    /// Takes the ranges that were fetched for a comparison in progress.
+    pub(super) fn take_fetched(&mut self) -> FetchedRanges {
+        match self.comparison.take() {
+            Some(comparison) => comparison.fetched,
+            None => std::mem::take(&mut self.fetched_before),
+        }
+    }
+
     /// Whether the primary has reported that it synced the last batch received from it.
     pub(super) fn primary_synced_last_batch(&self) -> bool {
         self.last_append_round.is_some() && self.last_append_round == self.primary_synced_round
@@ -94,13 +110,14 @@
 }
 
 impl FollowerState {
-    /// Handles the primary's digests. Ranges fetched for an earlier comparison are kept if they
-    /// still match the primary's digests, and so are the parts of others: once a range is complete,
-    /// its digest shows whether it is the one that is missing.
+    /// Handles the primary's digests. Ranges fetched for an earlier comparison, also one of the epoch
+    /// before, are kept if they still match the primary's digests. So are the parts of others, within
+    /// an epoch: once a range is complete, its digest shows whether it is the one that is missing.
     fn start_comparison(&mut self, round: u64, sequence: Sequence, digests: Vec<Digest>) {
-        let previous = self.comparison.take();
-        let (mut fetched, partial_ranges) =
-            previous.map(|old| (old.fetched, old.partial_ranges)).unwrap_or_default();
+        let (mut fetched, partial_ranges) = match self.comparison.take() {
+            Some(previous) => (previous.fetched, previous.partial_ranges),
+            None => (std::mem::take(&mut self.fetched_before), Default::default()),
+        };
         fetched.retain(|range, fetched| digests.get(usize::from(*range)) == Some(&fetched.digest));
         self.comparison = Some(FollowerComparison {
             round,
--- a/libraries/topazyard-replication/src/replica/mod.rs
+++ b/libraries/topazyard-replication/src/replica/mod.rs
@@ -21,6 +21,8 @@
 use crate::invariants::{check_committed_stays, report};
 use topazyard_wire::invariants::Invariant;
 
+use follower::FollowerState;
+
 pub use primary::PrimaryState;
 pub use refill::{RefillEvent, RefillProgress};
 
@@ -69,7 +71,7 @@
     /// The node commits batches.
     Primary(Box<PrimaryState>),
     /// The node follows a primary, as a backup or a learner.
-    Follower(follower::FollowerState),
+    Follower(FollowerState),
 }
 
 /// How much of a copy may be uncommitted.
@@ -331,7 +333,12 @@
         {
             return Vec::new();
         }
-        self.change_role(epoch, Role::Follower(follower::FollowerState::new(primary, now)))
+        // From follower to follower the copy stays as it is, so what was fetched still fits it.
+        let fetched = match &mut self.role {
+            Role::Follower(follower) => follower.take_fetched(),
+            Role::Idle | Role::Primary(_) => Default::default(),
+        };
+        self.change_role(epoch, Role::Follower(FollowerState::new(primary, fetched, now)))
     }
 
     /// The only function that changes the role. When the primary role ends, the outcome of its
--- a/libraries/topazyard-replication/tests/slow_links.rs
+++ b/libraries/topazyard-replication/tests/slow_links.rs
@@ -79,6 +79,15 @@
         Self::new(followers, rows, one_way_ms)
     }
 
+    /// Gives both nodes their roles in a new epoch.
+    fn begin_epoch(&mut self, epoch: Epoch) {
+        self.follower.become_follower(epoch, NodeId(PRIMARY), self.now);
+        let learners = vec![node(FOLLOWER)];
+        let followers = Followers { backups: Vec::new(), learners, may_serve: false };
+        let outputs = self.primary.become_primary(epoch, followers, self.now);
+        self.collect(PRIMARY, outputs);
+    }
+
     /// Sends what a node puts out, and completes its writes at once.
     fn collect(&mut self, from: u64, outputs: Vec<ReplicaOutput>) {
         for output in outputs {
@@ -173,3 +182,37 @@
     assert!(pair.range_bytes > max_bytes / 2, "{} bytes", pair.range_bytes);
     assert!(pair.range_bytes <= max_bytes, "{} bytes before any is acknowledged", pair.range_bytes);
 }
+
+// Guards against a refill that starts again from nothing whenever the epoch changes: it would never
+// end where losses come faster than a whole refill.
+#[test]
+fn refill_goes_on_in_a_new_epoch() {
+    let rows = 4_000;
+    let mut pair = SlowPair::with_learner(rows, 20);
+    pair.run_for(250);
+    let sent_before = pair.range_bytes;
+    assert!(!pair.is_learner_ready && sent_before > 2_000_000, "{sent_before}");
+    pair.begin_epoch(Epoch(3));
+    pair.run_for(2_000);
+    assert!(pair.is_learner_ready);
+    let whole = rows as usize * 1_024;
+    // What was in flight, and the ranges that it belongs to, are sent once more.
+    let sent_again = pair.range_bytes - whole;
+    assert!(sent_again < 1024 * 1024, "{sent_again} of {whole} bytes were sent twice");
+    assert_eq!(pair.primary.copy().digests(), pair.follower.copy().digests());
+}
+
+// Guards against rows of an earlier primary that a later one no longer has.
+#[test]
+fn ranges_fetched_in_an_earlier_epoch_count_only_while_they_are_current() {
+    let mut pair = SlowPair::with_learner(4_000, 20);
+    pair.run_for(250);
+    let changed = (0..4_000).step_by(3).map(|n| RowChange::delete(format!("row {n}"))).collect();
+    let mut copy = pair.primary.copy().clone();
+    copy.apply(Epoch(2), Sequence(2), changed);
+    pair.primary = Replica::new(Group::Control, true, copy, BootId(5 << 40));
+    pair.begin_epoch(Epoch(3));
+    pair.run_for(3_000);
+    assert!(pair.is_learner_ready);
+    assert_eq!(pair.primary.copy().digests(), pair.follower.copy().digests());
+}
