Storage: bound what a shard holds by what its link can fill again in time

Cause: what a shard may hold followed from memory and disk alone.

Change: the settings' link rate is read (`limits.link_mbps`, `--link-mbps`). A shard holds at most what three quarters of the link carry in half of the bound for catching up, shared by the followers that one primary may have to fill and by the other copies of the machine. More is refused with 429 before anything of it runs, as with memory and disk. Without a rate nothing changes. At 150 Mbit/s, 6 s and two losses that is 21 MB (worked out), where memory allowed 70 MB.

--- a/libraries/topazyard-spec/src/settings/bounds.rs
+++ b/libraries/topazyard-spec/src/settings/bounds.rs
@@ -65,4 +65,6 @@
     pub descriptors: u32,
     /// Disk in bytes.
     pub disk_bytes: u64,
+    /// The rate of the machine's link, in bytes per second.
+    pub link_bytes_per_s: u64,
 }
--- a/libraries/topazyard-spec/src/settings/check.rs
+++ b/libraries/topazyard-spec/src/settings/check.rs
@@ -3,6 +3,7 @@
 use topazyard_types::{FleetId, ZoneName};
 
 const BYTES_PER_MB: u64 = 1_000_000;
+const BYTES_PER_MEGABIT: u64 = BYTES_PER_MB / 8;
 
 /// The validated settings of a process.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -172,6 +173,7 @@
                 memory_bytes: u64::from(settings.memory_mb.unwrap_or(0)) * BYTES_PER_MB,
                 descriptors: settings.descriptors.unwrap_or(0),
                 disk_bytes: 0,
+                link_bytes_per_s: u64::from(settings.link_mbps.unwrap_or(0)) * BYTES_PER_MEGABIT,
             },
             may_bootstrap: true,
             reread: Reread::by(move || Self::check(flags_for_reread.clone()).ok()),
--- a/libraries/topazyard-spec/src/settings/raw.rs
+++ b/libraries/topazyard-spec/src/settings/raw.rs
@@ -38,6 +38,9 @@
     /// The descriptors that this process may use; those that the system allows if it is missing
     #[arg(long)]
     pub descriptors: Option<u32>,
+    /// The rate of the machine's link in Mbit/s, which bounds what a storage process holds
+    #[arg(long)]
+    pub link_mbps: Option<u32>,
 }
 
 impl Settings {
@@ -64,6 +67,7 @@
             beside: self.beside.or(file.beside),
             memory_mb: self.memory_mb.or(file.memory_mb),
             descriptors: self.descriptors.or(file.descriptors),
+            link_mbps: self.link_mbps.or(file.link_mbps),
         }
     }
 }
--- a/programs/topazyard-storage/src/machine/mod.rs
+++ b/programs/topazyard-storage/src/machine/mod.rs
@@ -1,5 +1,6 @@
 //! The storage node's state machine: the shards it hosts, and its role in each.
 
+mod capacity;
 mod confirm;
 mod counter_calls;
 mod hosted;
@@ -8,6 +9,7 @@
 mod roles;
 mod serving;
 
+pub use capacity::{OtherCopies, ShardCapacity};
 use hosted::Hosted;
 use topazyard_membership::Membership;
 use topazyard_replication::{FeedFollower, follower::FollowOutcome};
@@ -122,20 +124,12 @@
     behind_since: Option<MonotonicMs>,
     remembered: topazyard_wire::driver::disk_start::KnownControlNodes,
     pub(crate) bounds: topazyard_spec::Bounds,
-    /// Maximum size of the batches of a shard, in bytes.
-    pub(crate) capacity_bytes: u64,
+    capacity: ShardCapacity,
     pub(crate) disk: DiskWatch,
     pub(crate) batches_acknowledged: u64,
     pub(crate) refills: RefillCounts,
 }
 
-/// Maximum size of the batches of a shard. In memory each byte is held once in a row and briefly in
-/// frames; the page file on disk takes 2.2 times the size of the rows.
-fn capacity_bytes(resources: &topazyard_spec::Resources) -> u64 {
-    let share = |all: u64, parts| if all == 0 { u64::MAX } else { all / parts };
-    share(resources.memory_bytes, 4).min(share(resources.disk_bytes, 3))
-}
-
 /// The bytes that the followers of a primary still miss.
 fn refill_bytes_left(replica: &topazyard_replication::Replica) -> u64 {
     replica.refills().iter().map(|refill| refill.bytes_left).sum()
@@ -174,7 +168,7 @@
             record_queries: confirm::RecordQueries::new(boot_id),
             behind_since: None,
             remembered,
-            capacity_bytes: capacity_bytes(&start.resources),
+            capacity: ShardCapacity::new(&start.resources, &start.bounds),
             disk: DiskWatch::default(),
             batches_acknowledged: 0,
             refills: RefillCounts::default(),
@@ -192,6 +186,20 @@
         self.hosted.get(&shard).map(|hosted| hosted.replica.copy())
     }
 
+    /// The maximum size of the batches of a shard, in bytes.
+    fn capacity_bytes(&self, shard: ShardId) -> u64 {
+        let size = |hosted: &Hosted| hosted.replica.copy().bytes();
+        let others = || self.hosted.iter().filter(|(other, _)| **other != shard);
+        let led = others().filter(|(_, hosted)| hosted.replica.is_primary());
+        let copies = OtherCopies {
+            hosted_bytes: others().map(|(_, hosted)| size(hosted)).sum(),
+            led_bytes: led.map(|(_, hosted)| size(hosted)).sum(),
+        };
+        let record = self.fleet.shards.get(&shard);
+        let followers = record.map_or(0, |record| u64::from(record.copies.saturating_sub(1)));
+        self.capacity.bytes(followers, copies)
+    }
+
     /// Number of holds on the token budget, if this node serves the counter.
     pub fn holds(&self) -> Option<usize> {
         self.hosted.values().find_map(|h| h.counter().map(crate::counter::Counter::hold_count))
--- a/programs/topazyard-storage/src/machine/serving.rs
+++ b/programs/topazyard-storage/src/machine/serving.rs
@@ -37,9 +37,10 @@
             BatchBody::Response(_) | BatchBody::Serving { .. } => return,
         };
         let is_full = self.disk.is_full();
+        let capacity_bytes = self.capacity_bytes(shard);
         let served = match self.hosted.get_mut(&shard) {
             Some(hosted) if hosted.is_serving_in(message.epoch) && !is_full => {
-                Self::execute_call(hosted, sender, caller, call, self.capacity_bytes, now)
+                Self::execute_call(hosted, sender, caller, call, capacity_bytes, now)
             }
             _ => false,
         };
