Replication: send the rows that a follower lacks, and write them as they arrive

One changed row makes its whole range (a 64th of the shard) count as different, and ages of batches touch every range. Besides, a learner wrote nothing until the last byte had come, so 38.9 MB took 3.4 s where the link takes 2.1 s.

Change: with each differing range a follower reports the digests of the rows that it has there (at most 16,384 in a message), and gets only the others and which of its own are stale. A copy without a log position, that is one of a storage node whose disk is blank, takes up each range as it arrives: the disk writes while the link receives, and what has arrived outlives a restart. It has no position until it is whole, so it is never in sync before, and a primary discards such rows. Copies with a position stay as they are until all has come, as before. Each copy keeps its keys by range, so nothing is hashed anew to find them. Frames have version 10.

--- a/libraries/topazyard-replication/src/copy.rs
+++ b/libraries/topazyard-replication/src/copy.rs
@@ -15,10 +15,21 @@
 /// The rows of a range, by key.
 pub type RangeRows = Vec<(String, bytes::Bytes)>;
 
+/// What a follower needs of a range.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RangeContent {
+    /// The rows that it lacks, or all of them if it told none.
+    pub rows: RangeRows,
+    /// The digests of rows that it has and the range doesn't; `None` if the rows are the whole range.
+    pub stale: Option<Vec<Digest>>,
+}
+
 /// One copy of a group's rows at a log position.
 #[derive(Clone)]
 pub struct Copy {
     rows: std::collections::BTreeMap<String, bytes::Bytes>,
+    /// The key of each row of each range, by the row's digest.
+    keys: Vec<std::collections::BTreeMap<Digest, String>>,
     digests: Vec<Digest>,
     position: LogPosition,
     batches: std::collections::VecDeque<(LogPosition, Vec<RowChange>)>,
@@ -51,6 +62,7 @@
     fn default() -> Self {
         Self {
             rows: std::collections::BTreeMap::new(),
+            keys: vec![std::collections::BTreeMap::new(); RANGE_COUNT],
             digests: vec![Digest::default(); RANGE_COUNT],
             position: LogPosition::default(),
             batches: std::collections::VecDeque::new(),
@@ -65,12 +77,6 @@
     (Digest::of(&[key.as_bytes()]).0 % RANGE_COUNT as u128) as usize
 }
 
-/// The digest of a range that holds exactly these rows.
-pub fn digest_of_rows(rows: &[(String, bytes::Bytes)]) -> Digest {
-    let digests = rows.iter().map(|(key, value)| row_digest(key, value));
-    digests.fold(Digest::default(), Digest::toggled)
-}
-
 fn row_digest(key: &str, value: &[u8]) -> Digest {
     Digest::of(&[key.as_bytes(), value])
 }
@@ -102,14 +108,19 @@
     }
 
     fn set(&mut self, key: String, value: Option<bytes::Bytes>) {
-        let digest = &mut self.digests[range_index(&key)];
+        let range = range_index(&key);
+        let (digest, keys) = (&mut self.digests[range], &mut self.keys[range]);
         if let Some(old) = self.rows.get(&key) {
-            *digest = digest.toggled(row_digest(&key, old));
+            let old_digest = row_digest(&key, old);
+            *digest = digest.toggled(old_digest);
+            keys.remove(&old_digest);
             self.bytes -= row_size(&key, old);
         }
         match value {
             Some(value) => {
-                *digest = digest.toggled(row_digest(&key, &value));
+                let new_digest = row_digest(&key, &value);
+                *digest = digest.toggled(new_digest);
+                keys.insert(new_digest, key.clone());
                 self.bytes += row_size(&key, &value);
                 self.rows.insert(key, value);
             }
@@ -159,13 +170,18 @@
         written
     }
 
-    /// The changes that make the rows of a range equal to `rows`.
-    pub fn difference(&self, range: usize, rows: Vec<(String, bytes::Bytes)>) -> Vec<RowChange> {
-        let keep: std::collections::BTreeSet<&str> =
+    /// The changes that make a range of this copy equal to the one with that content.
+    pub fn difference(&self, range: u16, content: RangeContent) -> Vec<RowChange> {
+        let Some(own_keys) = self.keys.get(usize::from(range)) else { return Vec::new() };
+        let RangeContent { rows, stale } = content;
+        let new_keys: std::collections::BTreeSet<&str> =
             rows.iter().map(|(key, _)| key.as_str()).collect();
-        let in_range = self.rows.keys().filter(|key| range_index(key) == range);
-        let deletions: Vec<RowChange> =
-            in_range.filter(|key| !keep.contains(key.as_str())).map(RowChange::delete).collect();
+        let removed: Vec<&String> = match &stale {
+            None => own_keys.values().collect(),
+            Some(stale) => stale.iter().filter_map(|digest| own_keys.get(digest)).collect(),
+        };
+        let removed = removed.into_iter().filter(|key| !new_keys.contains(key.as_str()));
+        let deletions: Vec<RowChange> = removed.map(RowChange::delete).collect();
         let is_different =
             |(key, value): &(String, bytes::Bytes)| self.rows.get(key.as_str()) != Some(value);
         let puts = rows.into_iter().filter(is_different);
@@ -173,6 +189,39 @@
         deletions.into_iter().chain(puts).collect()
     }
 
+    /// The digest of a range after these changes to it, each of another key.
+    pub fn digest_after(&self, range: u16, changes: &[RowChange]) -> Digest {
+        let before = self.digests.get(usize::from(range)).copied().unwrap_or_default();
+        changes.iter().fold(before, |digest, change| {
+            let old = self.rows.get(&change.key).map(|old| row_digest(&change.key, old));
+            let new = change.value.as_ref().map(|new| row_digest(&change.key, new));
+            old.into_iter().chain(new).fold(digest, Digest::toggled)
+        })
+    }
+
+    /// Adds rows to a copy that is being filled and has no log position yet, and returns the rows to
+    /// write.
+    pub fn fill(&mut self, changes: Vec<RowChange>) -> Vec<RowChange> {
+        for change in &changes {
+            self.set(change.key.clone(), change.value.clone());
+        }
+        changes
+    }
+
+    /// Whether this copy has no log position: it is empty, or was filled only in part.
+    pub fn is_without_position(&self) -> bool {
+        self.position == LogPosition::default()
+    }
+
+    /// Removes the rows of a copy that was filled only in part. Returns the rows to delete.
+    pub fn discard_partial(&mut self) -> Vec<RowChange> {
+        if !self.is_without_position() {
+            return Vec::new();
+        }
+        let deletions = self.rows.keys().map(RowChange::delete).collect();
+        self.fill(deletions)
+    }
+
     /// Makes this copy equal to another one in a single step and returns the rows to write,
     /// including the new log position. The caller must write them atomically, so that both in
     /// memory and on disk the copy is either entirely old or entirely new.
@@ -200,18 +249,23 @@
         &self.digests
     }
 
-    /// The rows of each of these ranges, in one pass over all rows. Numbers that are no range are
-    /// left out.
-    pub fn ranges(&self, ranges: &[u16]) -> std::collections::BTreeMap<u16, RangeRows> {
-        let known = ranges.iter().filter(|range| usize::from(**range) < RANGE_COUNT);
-        let mut found: std::collections::BTreeMap<u16, RangeRows> =
-            known.map(|range| (*range, RangeRows::new())).collect();
-        for (key, value) in &self.rows {
-            if let Some(rows) = found.get_mut(&(range_index(key) as u16)) {
-                rows.push((key.clone(), value.clone()));
-            }
-        }
-        found
+    /// The digests of the rows in a range.
+    pub fn row_digests(&self, range: u16) -> impl Iterator<Item = Digest> {
+        let keys = self.keys.get(usize::from(range)).into_iter();
+        keys.flat_map(|keys| keys.keys().copied())
+    }
+
+    /// What a follower needs of a range in which it has these rows. `None` if there is no such range.
+    pub fn range_content(&self, range: u16, known: Option<&[Digest]>) -> Option<RangeContent> {
+        let keys = self.keys.get(usize::from(range))?;
+        let row = |key: &String| Some((key.clone(), self.rows.get(key)?.clone()));
+        let known_digests: std::collections::BTreeSet<Digest> =
+            known.into_iter().flatten().copied().collect();
+        let missing = keys.iter().filter(|(digest, _)| !known_digests.contains(digest));
+        let rows = missing.filter_map(|(_, key)| row(key)).collect();
+        let is_stale = |digest: &Digest| !keys.contains_key(digest);
+        let stale = known.map(|known| known.iter().copied().filter(is_stale).collect());
+        Some(RangeContent { rows, stale })
     }
 
     /// All keys that this copy has on disk, including that of the log position.
--- a/libraries/topazyard-replication/src/replica/follower.rs
+++ b/libraries/topazyard-replication/src/replica/follower.rs
@@ -1,8 +1,9 @@
 //! The follower role: a backup, or a learner that is to become one.
 
 use super::{MAX_UNSYNCED_WRITES, Replica, ReplicaOutput, Role, Sender, Uncommitted};
+use crate::copy::{Copy, RangeContent};
 use topazyard_types::{Digest, LogPosition, MonotonicMs, NodeId, Sequence};
-use topazyard_wire::message::replica::{RangePart, ReplicaBody};
+use topazyard_wire::message::replica::{DifferingRange, RangePart, ReplicaBody};
 
 /// What a follower keeps about its primary.
 #[derive(Debug, Clone)]
@@ -28,6 +29,9 @@
 /// Ranges that have arrived completely, by number.
 pub(super) type FetchedRanges = std::collections::BTreeMap<u16, FetchedRange>;
 
+/// Maximum number of rows that a follower lists as known in one message, to bound its size.
+const MAX_KNOWN_ROWS: usize = 16 * 1024;
+
 /// Maximum number of rounds that a primary starts during one boot, comparisons included.
 const MAX_ROUNDS_PER_BOOT: u64 = 1 << 32;
 
@@ -48,7 +52,20 @@
 #[derive(Debug, Clone, Default)]
 struct PartialRange {
     round: u64,
-    parts: std::collections::BTreeMap<u32, Vec<(String, bytes::Bytes)>>,
+    parts: std::collections::BTreeMap<u32, RangeContent>,
+}
+
+impl PartialRange {
+    /// All parts as one.
+    fn join(self) -> RangeContent {
+        self.parts.into_values().fold(RangeContent::default(), |mut joined, part| {
+            joined.rows.extend(part.rows);
+            if let Some(stale) = part.stale {
+                joined.stale.get_or_insert_default().extend(stale);
+            }
+            joined
+        })
+    }
 }
 
 /// A range that has arrived completely.
@@ -130,6 +147,18 @@
     }
 }
 
+/// The differing ranges with the rows that the copy has in them.
+fn describe_ranges(copy: &Copy, ranges: &std::collections::BTreeSet<u16>) -> Vec<DifferingRange> {
+    let mut listed_rows = 0;
+    let mut describe = |range: &u16| {
+        let known: Vec<Digest> = copy.row_digests(*range).collect();
+        listed_rows += known.len();
+        let is_useful = !known.is_empty() && listed_rows <= MAX_KNOWN_ROWS;
+        DifferingRange { range: *range, known: is_useful.then_some(known) }
+    };
+    ranges.iter().map(&mut describe).collect()
+}
+
 impl FollowerComparison {
     /// The ranges that still differ from the primary's, counting all that was fetched.
     fn differing(&self, own_digests: &[Digest]) -> std::collections::BTreeSet<u16> {
@@ -141,9 +170,9 @@
         ranges.filter(differs).map(|(range, _)| range).collect()
     }
 
-    /// Adds a part of a range and returns the rows of the range once all its parts have arrived.
-    fn add_part(&mut self, part: RangePart) -> Option<Vec<(String, bytes::Bytes)>> {
-        let RangePart { round, range, part, rows } = part;
+    /// Adds a part of a range and returns its content once all its parts have arrived.
+    fn add_part(&mut self, part: RangePart) -> Option<RangeContent> {
+        let RangePart { round, range, part, rows, stale } = part;
         if !self.missing.contains(&range) {
             return None;
         }
@@ -154,13 +183,12 @@
         if round > partial.round {
             *partial = PartialRange { round, ..PartialRange::default() };
         }
-        partial.parts.insert(part.number, rows);
+        partial.parts.insert(part.number, RangeContent { rows, stale });
         if partial.parts.len() < part.of as usize {
             return None;
         }
         self.missing.remove(&range);
-        let arrived = self.partial_ranges.remove(&range)?;
-        Some(arrived.parts.into_values().flatten().collect())
+        Some(self.partial_ranges.remove(&range)?.join())
     }
 }
 
@@ -293,8 +321,8 @@
         comparison.missing = comparison.differing(own_digests);
         if !comparison.missing.is_empty() {
             follower.pending_in_sync = None;
-            let ranges = comparison.missing.iter().copied().collect();
             let round = comparison.round;
+            let ranges = describe_ranges(&self.copy, &comparison.missing);
             self.send(primary, ReplicaBody::Differ { round, ranges }, outputs);
             return;
         }
@@ -332,10 +360,17 @@
         self.send(from.address, received, outputs);
         let Role::Follower(follower) = &mut self.role else { return };
         let Some(comparison) = &mut follower.comparison else { return };
-        let Some(rows) = comparison.add_part(part) else { return };
-        let digest = crate::copy::digest_of_rows(&rows);
-        let changes = self.copy.difference(usize::from(range), rows);
-        comparison.fetched.insert(range, FetchedRange { digest, changes });
+        let Some(content) = comparison.add_part(part) else { return };
+        let changes = self.copy.difference(range, content);
+        if self.fills_in_place && self.copy.is_without_position() {
+            let rows = self.copy.fill(changes);
+            self.write(rows, now, outputs);
+        } else {
+            let digest = self.copy.digest_after(range, &changes);
+            comparison.fetched.insert(range, FetchedRange { digest, changes });
+        }
+        let Role::Follower(follower) = &mut self.role else { return };
+        let Some(comparison) = &mut follower.comparison else { return };
         // If the range changed at the primary after it sent its digests, the next digests settle
         // it.
         if comparison.missing.is_empty() && comparison.differing(self.copy.digests()).is_empty() {
--- a/libraries/topazyard-replication/src/replica/primary.rs
+++ b/libraries/topazyard-replication/src/replica/primary.rs
@@ -6,10 +6,12 @@
 use super::queue::SubmissionQueue;
 use super::refill::{RefillEvent, RefillProgress};
 use super::{Followers, Replica, ReplicaOutput, Role, Sender, Uncommitted, WriteTicket};
+use crate::copy::{Copy, RangeContent};
+use std::collections::BTreeMap;
 use topazyard_types::{DurationMs, MonotonicMs, NodeId, Sequence};
 use topazyard_wire::RowChange;
 use topazyard_wire::message::control::CoreNode;
-use topazyard_wire::message::replica::{FollowerRole, ReplicaBody};
+use topazyard_wire::message::replica::{DifferingRange, FollowerRole, ReplicaBody};
 
 /// Interval at which backups that have not confirmed an append are asked whether it arrived.
 const APPEND_CHECK_INTERVAL: DurationMs = DurationMs(100);
@@ -377,7 +379,8 @@
                 let copy = &self.copy;
                 let Some(comparison) = primary.comparison_with(from.id) else { return };
                 if comparison.includes(round) {
-                    let started = comparison.transfer.start(round, || copy.ranges(&ranges), now);
+                    let contents = || contents_of(copy, &ranges);
+                    let started = comparison.transfer.start(round, contents, now);
                     outputs.extend(started.map(|event| ReplicaOutput::Refill(from.id, event)));
                 }
                 self.send_ranges(from, outputs);
@@ -531,6 +534,15 @@
     }
 }
 
+/// What a follower needs of the ranges in which it differs.
+fn contents_of(copy: &Copy, ranges: &[DifferingRange]) -> BTreeMap<u16, RangeContent> {
+    let content = |differing: &DifferingRange| {
+        let content = copy.range_content(differing.range, differing.known.as_deref())?;
+        Some((differing.range, content))
+    };
+    ranges.iter().filter_map(content).collect()
+}
+
 /// Reports a transfer that has to be continued, as it made no progress.
 fn stall_report(node: CoreNode, comparison: &Option<Comparison>) -> Option<ReplicaOutput> {
     let transfer = &comparison.as_ref()?.transfer;
--- a/libraries/topazyard-replication/src/replica/transfer.rs
+++ b/libraries/topazyard-replication/src/replica/transfer.rs
@@ -2,8 +2,9 @@
 
 use super::parts::{size_of_rows, split_into_parts};
 use super::refill::RefillEvent;
-use crate::copy::RangeRows;
+use crate::copy::{RangeContent, RangeRows};
 use std::collections::{BTreeMap, VecDeque};
+use topazyard_types::Digest;
 use topazyard_types::MonotonicMs;
 use topazyard_wire::message::replica::{Part, RangePart};
 
@@ -17,6 +18,7 @@
     range: u16,
     part: Part,
     rows: RangeRows,
+    stale: Option<Vec<Digest>>,
 }
 
 /// Ranges on their way to a follower.
@@ -65,7 +67,7 @@
     pub(super) fn start(
         &mut self,
         requested_in: u64,
-        ranges: impl FnOnce() -> BTreeMap<u16, RangeRows>,
+        ranges: impl FnOnce() -> BTreeMap<u16, RangeContent>,
         now: MonotonicMs,
     ) -> Option<RefillEvent> {
         if requested_in <= self.last_sent_round {
@@ -73,7 +75,8 @@
         }
         self.round = requested_in;
         self.in_flight.clear();
-        self.queue = ranges().into_iter().flat_map(|(range, rows)| parts_of(range, rows)).collect();
+        self.queue =
+            ranges().into_iter().flat_map(|(range, content)| parts_of(range, content)).collect();
         self.last_progress = now;
         if self.started_at.is_some() {
             return None;
@@ -97,18 +100,22 @@
         if bytes_in_flight > 0 && bytes_in_flight + size > MAX_BYTES_IN_FLIGHT {
             return None;
         }
-        let QueuedPart { range, part, rows } = self.queue.pop_front()?;
+        let QueuedPart { range, part, rows, stale } = self.queue.pop_front()?;
         self.in_flight.insert((range, part.number), size);
         self.last_sent_round = newest_round;
-        Some(RangePart { round: self.round, range, part, rows })
+        Some(RangePart { round: self.round, range, part, rows, stale })
     }
 }
 
-fn parts_of(range: u16, rows: RangeRows) -> impl Iterator<Item = QueuedPart> {
+/// The parts of a range. The first one carries all that is stale.
+fn parts_of(range: u16, content: RangeContent) -> impl Iterator<Item = QueuedPart> {
+    let RangeContent { rows, stale } = content;
+    let later = stale.as_ref().map(|_| Vec::new());
     let parts = split_into_parts(rows);
     let of = u32::try_from(parts.len()).unwrap_or(u32::MAX);
     (0..).zip(parts).map(move |(number, rows)| {
         let part = Part { number, of };
-        QueuedPart { range, part, rows }
+        let stale = if number == 0 { stale.clone() } else { later.clone() };
+        QueuedPart { range, part, rows, stale }
     })
 }
--- a/libraries/topazyard-wire/src/message/mod.rs
+++ b/libraries/topazyard-wire/src/message/mod.rs
@@ -12,7 +12,7 @@
 use topazyard_types::{FleetId, NodeId};
 
 /// The version of the frame format. Frames of any other version are rejected.
-pub const FRAME_VERSION: u16 = 9;
+pub const FRAME_VERSION: u16 = 10;
 
 /// The maximum size of a frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
--- a/libraries/topazyard-wire/src/message/replica.rs
+++ b/libraries/topazyard-wire/src/message/replica.rs
@@ -31,6 +31,15 @@
     pub of: u32,
 }
 
+/// A range that differs from the primary's.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct DifferingRange {
+    /// The range.
+    pub range: u16,
+    /// The digests of the rows that the follower has in it; `None` if it wants the whole range.
+    pub known: Option<Vec<Digest>>,
+}
+
 /// The rows of a range, or a part of them if the range is large.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct RangePart {
@@ -43,6 +52,9 @@
     pub part: Part,
     /// The rows of the part.
     pub rows: Vec<(String, bytes::Bytes)>,
+    /// `None` if the parts are the whole range. Otherwise the rows are those that the follower did
+    /// not report as known, and these are the digests of known ones that the range doesn't have.
+    pub stale: Option<Vec<Digest>>,
 }
 
 impl ReplicaBody {
@@ -93,7 +105,7 @@
         /// The round of the comparison.
         round: u64,
         /// The ranges.
-        ranges: Vec<u16>,
+        ranges: Vec<DifferingRange>,
     },
     /// The rows of a range, or a part of them.
     Range(RangePart),
