Replication: fetched ranges are a base for later changes; no range is taken up early

First, a learner on a blank disk no longer takes up each range as it arrives. A copy changes in one write again, and no partly filled copy exists on any disk.

Second, the rows that a follower reports as known are those that it has fetched, where it has fetched a range, and else those of its copy. So a range that arrived and has changed since costs its changed rows alone, also in a new epoch.

--- a/libraries/topazyard-replication/src/copy.rs
+++ b/libraries/topazyard-replication/src/copy.rs
@@ -12,7 +12,10 @@
 /// Key of the row that stores the log position; it is not part of the compared rows.
 const POSITION_KEY: &str = "\u{0}place";
 
-/// The rows of a range, by key.
+/// Rows with their keys, by their digests.
+pub type DigestedRows = std::collections::BTreeMap<Digest, (String, bytes::Bytes)>;
+
+/// The rows of a range, each with its key.
 pub type RangeRows = Vec<(String, bytes::Bytes)>;
 
 /// What a follower needs of a range.
@@ -77,7 +80,8 @@
     (Digest::of(&[key.as_bytes()]).0 % RANGE_COUNT as u128) as usize
 }
 
-fn row_digest(key: &str, value: &[u8]) -> Digest {
+/// The digest of a row.
+pub fn row_digest(key: &str, value: &[u8]) -> Digest {
     Digest::of(&[key.as_bytes(), value])
 }
 
@@ -170,17 +174,12 @@
         written
     }
 
-    /// The changes that make a range of this copy equal to the one with that content.
-    pub fn difference(&self, range: u16, content: RangeContent) -> Vec<RowChange> {
+    /// The changes that make a range of this copy equal to one with these rows.
+    pub fn difference(&self, range: u16, rows: RangeRows) -> Vec<RowChange> {
         let Some(own_keys) = self.keys.get(usize::from(range)) else { return Vec::new() };
-        let RangeContent { rows, stale } = content;
         let new_keys: std::collections::BTreeSet<&str> =
             rows.iter().map(|(key, _)| key.as_str()).collect();
-        let removed: Vec<&String> = match &stale {
-            None => own_keys.values().collect(),
-            Some(stale) => stale.iter().filter_map(|digest| own_keys.get(digest)).collect(),
-        };
-        let removed = removed.into_iter().filter(|key| !new_keys.contains(key.as_str()));
+        let removed = own_keys.values().filter(|key| !new_keys.contains(key.as_str()));
         let deletions: Vec<RowChange> = removed.map(RowChange::delete).collect();
         let is_different =
             |(key, value): &(String, bytes::Bytes)| self.rows.get(key.as_str()) != Some(value);
@@ -189,39 +188,6 @@
         deletions.into_iter().chain(puts).collect()
     }
 
-    /// The digest of a range after these changes to it, each of another key.
-    pub fn digest_after(&self, range: u16, changes: &[RowChange]) -> Digest {
-        let before = self.digests.get(usize::from(range)).copied().unwrap_or_default();
-        changes.iter().fold(before, |digest, change| {
-            let old = self.rows.get(&change.key).map(|old| row_digest(&change.key, old));
-            let new = change.value.as_ref().map(|new| row_digest(&change.key, new));
-            old.into_iter().chain(new).fold(digest, Digest::toggled)
-        })
-    }
-
-    /// Adds rows to a copy that is being filled and has no log position yet, and returns the rows to
-    /// write.
-    pub fn fill(&mut self, changes: Vec<RowChange>) -> Vec<RowChange> {
-        for change in &changes {
-            self.set(change.key.clone(), change.value.clone());
-        }
-        changes
-    }
-
-    /// Whether this copy has no log position: it is empty, or was filled only in part.
-    pub fn is_without_position(&self) -> bool {
-        self.position == LogPosition::default()
-    }
-
-    /// Removes the rows of a copy that was filled only in part. Returns the rows to delete.
-    pub fn discard_partial(&mut self) -> Vec<RowChange> {
-        if !self.is_without_position() {
-            return Vec::new();
-        }
-        let deletions = self.rows.keys().map(RowChange::delete).collect();
-        self.fill(deletions)
-    }
-
     /// Makes this copy equal to another one in a single step and returns the rows to write,
     /// including the new log position. The caller must write them atomically, so that both in
     /// memory and on disk the copy is either entirely old or entirely new.
@@ -249,10 +215,11 @@
         &self.digests
     }
 
-    /// The digests of the rows in a range.
-    pub fn row_digests(&self, range: u16) -> impl Iterator<Item = Digest> {
-        let keys = self.keys.get(usize::from(range)).into_iter();
-        keys.flat_map(|keys| keys.keys().copied())
+    /// The rows in a range, by their digests.
+    pub fn range_rows(&self, range: u16) -> DigestedRows {
+        let keys = self.keys.get(usize::from(range)).into_iter().flatten();
+        let row = |key: &String| Some((key.clone(), self.rows.get(key)?.clone()));
+        keys.filter_map(|(digest, key)| Some((*digest, row(key)?))).collect()
     }
 
     /// What a follower needs of a range in which it has these rows. `None` if there is no such range.
--- a/libraries/topazyard-replication/src/replica/follower.rs
+++ b/libraries/topazyard-replication/src/replica/follower.rs
@@ -1,7 +1,7 @@
 //! The follower role: a backup, or a learner that is to become one.
 
 use super::{MAX_UNSYNCED_WRITES, Replica, ReplicaOutput, Role, Sender, Uncommitted};
-use crate::copy::{Copy, RangeContent};
+use crate::copy::{Copy, DigestedRows, RangeContent, row_digest};
 use topazyard_types::{Digest, LogPosition, MonotonicMs, NodeId, Sequence};
 use topazyard_wire::message::replica::{DifferingRange, RangePart, ReplicaBody};
 
@@ -68,13 +68,30 @@
     }
 }
 
-/// A range that has arrived completely.
+/// A range as it was at the primary when it arrived.
 #[derive(Debug, Clone)]
 pub(super) struct FetchedRange {
-    /// Digest of the primary's rows in this range.
+    /// Digest of its rows.
     digest: Digest,
-    /// The changes that make the range of this copy equal to the primary's.
-    changes: Vec<topazyard_wire::RowChange>,
+    /// Its rows, by their digests.
+    rows: DigestedRows,
+}
+
+impl FetchedRange {
+    /// What a range becomes that had these rows, by the content that the primary sent.
+    fn new(known: DigestedRows, content: RangeContent) -> Self {
+        let mut rows = match content.stale {
+            None => DigestedRows::new(),
+            Some(stale) => {
+                let mut rows = known;
+                stale.iter().for_each(|digest| drop(rows.remove(digest)));
+                rows
+            }
+        };
+        rows.extend(content.rows.into_iter().map(|row| (row_digest(&row.0, &row.1), row)));
+        let digest = rows.keys().copied().fold(Digest::default(), Digest::toggled);
+        Self { digest, rows }
+    }
 }
 
 impl FollowerState {
@@ -128,14 +145,14 @@
 
 impl FollowerState {
     /// Handles the primary's digests. Ranges fetched for an earlier comparison, also one of the epoch
-    /// before, are kept if they still match the primary's digests. So are the parts of others, within
-    /// an epoch: once a range is complete, its digest shows whether it is the one that is missing.
+    /// before, are kept: they count if they match the primary's digests, and else only rows that
+    /// changed are fetched. So are the parts of others, within an epoch: once a range is complete,
+    /// its digest shows whether it is the one that is missing.
     fn start_comparison(&mut self, round: u64, sequence: Sequence, digests: Vec<Digest>) {
-        let (mut fetched, partial_ranges) = match self.comparison.take() {
+        let (fetched, partial_ranges) = match self.comparison.take() {
             Some(previous) => (previous.fetched, previous.partial_ranges),
             None => (std::mem::take(&mut self.fetched_before), Default::default()),
         };
-        fetched.retain(|range, fetched| digests.get(usize::from(*range)) == Some(&fetched.digest));
         self.comparison = Some(FollowerComparison {
             round,
             sequence,
@@ -147,19 +164,27 @@
     }
 }
 
-/// The differing ranges with the rows that the copy has in them.
-fn describe_ranges(copy: &Copy, ranges: &std::collections::BTreeSet<u16>) -> Vec<DifferingRange> {
-    let mut listed_rows = 0;
-    let mut describe = |range: &u16| {
-        let known: Vec<Digest> = copy.row_digests(*range).collect();
-        listed_rows += known.len();
-        let is_useful = !known.is_empty() && listed_rows <= MAX_KNOWN_ROWS;
-        DifferingRange { range: *range, known: is_useful.then_some(known) }
-    };
-    ranges.iter().map(&mut describe).collect()
-}
-
 impl FollowerComparison {
+    /// The rows that this node has of a range: those that were fetched, or those of its copy.
+    fn known_rows(&self, range: u16, copy: &Copy) -> DigestedRows {
+        match self.fetched.get(&range) {
+            Some(fetched) => fetched.rows.clone(),
+            None => copy.range_rows(range),
+        }
+    }
+
+    /// The missing ranges, with the rows that this node has in them.
+    fn describe_missing(&self, copy: &Copy) -> Vec<DifferingRange> {
+        let mut listed_rows = 0;
+        let mut describe = |range: &u16| {
+            let known: Vec<Digest> = self.known_rows(*range, copy).into_keys().collect();
+            listed_rows += known.len();
+            let is_useful = !known.is_empty() && listed_rows <= MAX_KNOWN_ROWS;
+            DifferingRange { range: *range, known: is_useful.then_some(known) }
+        };
+        self.missing.iter().map(&mut describe).collect()
+    }
+
     /// The ranges that still differ from the primary's, counting all that was fetched.
     fn differing(&self, own_digests: &[Digest]) -> std::collections::BTreeSet<u16> {
         let ranges = (0_u16..).zip(self.digests.iter().zip(own_digests));
@@ -322,7 +347,7 @@
         if !comparison.missing.is_empty() {
             follower.pending_in_sync = None;
             let round = comparison.round;
-            let ranges = describe_ranges(&self.copy, &comparison.missing);
+            let ranges = comparison.describe_missing(&self.copy);
             self.send(primary, ReplicaBody::Differ { round, ranges }, outputs);
             return;
         }
@@ -332,7 +357,11 @@
         // The disk syncs in order, so a repeated comparison need not wait for its own write.
         let is_repeated = comparison.fetched.is_empty() && self.copy.position() == position;
         let earlier = follower.pending_in_sync.take().filter(|_| is_repeated);
-        let changes = comparison.fetched.into_values().flat_map(|range| range.changes).collect();
+        let fetched = comparison.fetched.into_iter();
+        let changes = fetched.flat_map(|(range, fetched)| {
+            self.copy.difference(range, fetched.rows.into_values().collect())
+        });
+        let changes = changes.collect();
         self.check_keeps_committed(sequence);
         // Written even if nothing changed: the disk syncs in order, so everything before is synced
         // too.
@@ -361,16 +390,8 @@
         let Role::Follower(follower) = &mut self.role else { return };
         let Some(comparison) = &mut follower.comparison else { return };
         let Some(content) = comparison.add_part(part) else { return };
-        let changes = self.copy.difference(range, content);
-        if self.fills_in_place && self.copy.is_without_position() {
-            let rows = self.copy.fill(changes);
-            self.write(rows, now, outputs);
-        } else {
-            let digest = self.copy.digest_after(range, &changes);
-            comparison.fetched.insert(range, FetchedRange { digest, changes });
-        }
-        let Role::Follower(follower) = &mut self.role else { return };
-        let Some(comparison) = &mut follower.comparison else { return };
+        let known = comparison.known_rows(range, &self.copy);
+        comparison.fetched.insert(range, FetchedRange::new(known, content));
         // If the range changed at the primary after it sent its digests, the next digests settle
         // it.
         if comparison.missing.is_empty() && comparison.differing(self.copy.digests()).is_empty() {
--- a/libraries/topazyard-replication/src/replica/mod.rs
+++ b/libraries/topazyard-replication/src/replica/mod.rs
@@ -93,8 +93,6 @@
 pub struct Replica {
     group: Group,
     durable: bool,
-    /// Whether a copy without a log position takes up each range as it arrives.
-    fills_in_place: bool,
     epoch: Epoch,
     copy: crate::Copy,
     role: Role,
@@ -134,7 +132,6 @@
         Self {
             group,
             durable,
-            fills_in_place: false,
             epoch: copy.position().epoch,
             copy,
             role: Role::Idle,
@@ -149,14 +146,6 @@
         }
     }
 
-    /// Lets a copy that has no log position take up each range as it arrives, rather than all at
-    /// once at the end: its disk writes while the link still receives, and what has arrived is kept
-    /// over a restart. The owner must not read the copy before it is in sync.
-    pub fn filling_in_place(mut self) -> Self {
-        self.fills_in_place = true;
-        self
-    }
-
     /// Numbers writes from the one after `number`. A completed sync is identified by its number
     /// alone, so no number may be reused while a write of an earlier replica of the group may be
     /// pending.
@@ -327,9 +316,6 @@
         };
         let primary = PrimaryState::new(followers, previous, now);
         let mut outputs = self.change_role(epoch, Role::Primary(Box::new(primary)));
-        // A copy that was filled only in part is none that a primary may serve from.
-        let discarded = self.copy.discard_partial();
-        self.write(discarded, now, &mut outputs);
         self.primary_tick(now, &mut outputs);
         outputs
     }
--- a/programs/topazyard-storage/src/machine/roles.rs
+++ b/programs/topazyard-storage/src/machine/roles.rs
@@ -47,7 +47,7 @@
             let mut copy = Copy::from_rows(loaded);
             copy.keep_only_last_batch();
             let replica = Replica::new(Group::Shard(shard), !shard.is_counter(), copy, boot_id);
-            Hosted::new(replica.with_last_write(last_write).filling_in_place())
+            Hosted::new(replica.with_last_write(last_write))
         })
     }
 
